Store segments with their outcomes: encode before the segment is moved

Cause: JobRunner::store passed encodeSegment(segment) beside a lambda that captures the moved segment; arguments are evaluated in any order, and GCC moved first. Every stored segment was empty; reads were right only from the owner's memory. Found by the new JSON log (event 7043, 'a segment of results is empty'). Ruled out: paging of the job list, lost acknowledgements. Also: structured JSON lines on standard output with a budget by event.

--- /dev/null
+++ b/Libraries/LibObserve/JsonLog.cpp
@@ -0,0 +1,129 @@
+#include "LibObserve/JsonLog.h"
+
+#include "LibObserve/Events.h"
+
+#include <boost/json/serialize.hpp>
+#include <cerrno>
+#include <ctime>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace Anvilyard::Observe {
+
+namespace {
+
+constexpr Duration ReportInterval = 1s;
+
+std::string_view levelName(Severity severity)
+{
+    switch (severity) {
+    case Severity::Debug:
+        return "debug";
+    case Severity::Info:
+        return "info";
+    case Severity::Warning:
+        return "warning";
+    case Severity::Error:
+        return "error";
+    }
+    return "";
+}
+
+std::string formatTime(WallInstant time)
+{
+    auto const sinceEpoch = time.time_since_epoch().count();
+    auto const seconds = static_cast<std::time_t>(sinceEpoch / 1000);
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    char text[40];
+    auto const length = std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &parts);
+    auto const millis = std::to_string(1000 + sinceEpoch % 1000);
+    return std::string(text, length) + "." + millis.substr(1) + "Z";
+}
+
+} // namespace
+
+std::string toJsonLine(EventDefinition const &event, std::initializer_list<Field> fields, WallInstant time)
+{
+    std::string line = R"({"time":")" + formatTime(time) + R"(","level":")";
+    line += levelName(event.severity);
+    line += R"(","event":)" + std::to_string(event.number) + R"(,"name":")";
+    line += event.name;
+    line += '"';
+    for (auto const &[name, value] : fields) {
+        line += ",\"";
+        line += name;
+        line += "\":";
+        line += boost::json::serialize(boost::json::string_view(value.data(), value.size()));
+    }
+    line += "}\n";
+    return line;
+}
+
+JsonLog::JsonLog(JsonLogOptions options)
+    : options_(options)
+    , budget_(options.budget)
+{
+    if (auto const flags = ::fcntl(options_.descriptor, F_GETFL); flags >= 0)
+        static_cast<void>(::fcntl(options_.descriptor, F_SETFL, flags | O_NONBLOCK));
+    setLogSink([this](EventDefinition const &event, std::initializer_list<Field> fields) { take(event, fields); });
+}
+
+JsonLog::~JsonLog()
+{
+    setLogSink(nullptr);
+    flush();
+}
+
+void JsonLog::take(EventDefinition const &event, std::initializer_list<Field> fields)
+{
+    if (event.severity < options_.least)
+        return;
+    auto const now = readClocks();
+    if (!budget_.take(event, now.local))
+        return;
+    if (buffer_.size() >= options_.bufferBytesMost) {
+        ++overflowed_;
+        return;
+    }
+    buffer_ += toJsonLine(event, fields, now.wall);
+}
+
+void JsonLog::reportLeftOut(Instant now)
+{
+    if (now < nextReport_)
+        return;
+    nextReport_ = now + ReportInterval;
+    auto const report = [this](std::string const &event, std::uint64_t lines) {
+        leftOut_ += lines;
+        buffer_ += toJsonLine(Events::LogLinesLeftOut, {{"left_out_event", event}, {"lines", std::to_string(lines)}}, readClocks().wall);
+    };
+    for (auto const &[event, lines] : budget_.takeLeftOut())
+        report(std::to_string(event), lines);
+    if (overflowed_ > 0)
+        report("any", std::exchange(overflowed_, 0));
+}
+
+void JsonLog::flush()
+{
+    reportLeftOut(readLocalClock());
+    while (!buffer_.empty()) {
+        auto const written = ::write(options_.descriptor, buffer_.data(), buffer_.size());
+        if (written < 0 && errno == EINTR)
+            continue;
+        // A reader that is busy gets the rest later; one that is gone gets nothing, and there is nobody to tell.
+        if (written <= 0) {
+            if (errno != EAGAIN && errno != EWOULDBLOCK)
+                buffer_.clear();
+            return;
+        }
+        buffer_.erase(0, static_cast<std::size_t>(written));
+    }
+}
+
+std::uint64_t JsonLog::leftOut() const
+{
+    return leftOut_;
+}
+
+} // namespace Anvilyard::Observe
--- /dev/null
+++ b/Libraries/LibObserve/JsonLog.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "LibObserve/LogBudget.h"
+
+#include <string>
+
+namespace Anvilyard::Observe {
+
+/// One log line as a JSON object: `time` (RFC 3339, UTC), `level`, `event` (number), `name` and the fields as strings. Whatever
+/// the values hold, it stays one line.
+std::string toJsonLine(EventDefinition const &event, std::initializer_list<Field> fields, WallInstant time);
+
+struct JsonLogOptions {
+    /// Standard output by default.
+    int descriptor = 1;
+    Severity least = Severity::Info;
+    LogBudgetOptions budget = {};
+    /// Lines that wait to be written; what comes beyond is left out.
+    std::size_t bufferBytesMost = 256 * 1024;
+};
+
+/// Takes the program's log for as long as it lives and writes it as JSON lines. Writing never blocks: lines wait in a bounded
+/// buffer until flush(), and what the reader does not take in time is left out and counted. For programs of one thread.
+class JsonLog
+{
+public:
+    explicit JsonLog(JsonLogOptions options);
+    ~JsonLog();
+    JsonLog(JsonLog const &) = delete;
+    JsonLog &operator=(JsonLog const &) = delete;
+
+    /// Writes as much as the reader takes now. Call some times a second.
+    void flush();
+    [[nodiscard]] std::uint64_t leftOut() const;
+
+private:
+    void take(EventDefinition const &event, std::initializer_list<Field> fields);
+    void reportLeftOut(Instant now);
+
+    JsonLogOptions options_;
+    LogBudget budget_;
+    std::string buffer_;
+    std::uint64_t leftOut_ = 0;
+    std::uint64_t overflowed_ = 0;
+    Instant nextReport_ = Instant::min();
+};
+
+} // namespace Anvilyard::Observe
--- a/Libraries/LibObserve/Log.cpp
+++ b/Libraries/LibObserve/Log.cpp
@@ -23,6 +23,12 @@
     return text + '"';
 }
 
+LogSink &currentSink()
+{
+    static LogSink sink;
+    return sink;
+}
+
 std::string formatLine(EventDefinition const &event, std::initializer_list<Field> fields)
 {
     std::string line = "event=" + std::to_string(event.number) + " name=" + std::string(event.name);
@@ -52,8 +58,17 @@
     el::Loggers::reconfigureAllLoggers(configuration);
 }
 
+void setLogSink(LogSink sink)
+{
+    currentSink() = std::move(sink);
+}
+
 void log(EventDefinition const &event, std::initializer_list<Field> fields)
 {
+    if (auto const &sink = currentSink()) {
+        sink(event, fields);
+        return;
+    }
     auto const line = formatLine(event, fields);
     switch (event.severity) {
     case Severity::Debug:
--- a/Libraries/LibObserve/Log.h
+++ b/Libraries/LibObserve/Log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -41,6 +42,11 @@
 /// Writes one structured line: time, severity, number, name, fields. Safe from any thread. Never pass secrets or request bodies.
 void log(EventDefinition const &event, std::initializer_list<Field> fields = {});
 
+using LogSink = std::function<void(EventDefinition const &event, std::initializer_list<Field> fields)>;
+
+/// Sends all that is logged to a sink in place of easylogging++; an empty one ends that. Call while no other thread logs.
+void setLogSink(LogSink sink);
+
 /// Every event of every component, by number.
 std::vector<EventDefinition> const &eventCatalogue();
 
--- /dev/null
+++ b/Libraries/LibObserve/LogBudget.cpp
@@ -0,0 +1,39 @@
+#include "LibObserve/LogBudget.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Anvilyard::Observe {
+
+LogBudget::LogBudget(LogBudgetOptions options)
+    : options_(options)
+{
+}
+
+bool LogBudget::take(EventDefinition const &event, Instant now)
+{
+    auto const rate = event.severity >= Severity::Warning ? options_.warningsPerSecond : options_.linesPerSecond;
+    auto const [found, isNew] = buckets_.try_emplace(event.number, Bucket{.lines = rate * options_.burstSeconds, .filledAt = now});
+    auto &bucket = found->second;
+    auto const passed = std::chrono::duration<double>(now - bucket.filledAt).count();
+    bucket.lines = std::min(rate * options_.burstSeconds, bucket.lines + rate * std::max(0.0, passed));
+    bucket.filledAt = now;
+    if (bucket.lines < 1) {
+        ++bucket.leftOut;
+        return false;
+    }
+    bucket.lines -= 1;
+    return true;
+}
+
+std::vector<LeftOut> LogBudget::takeLeftOut()
+{
+    std::vector<LeftOut> leftOut;
+    for (auto &[number, bucket] : buckets_) {
+        if (bucket.leftOut > 0)
+            leftOut.push_back({.event = number, .lines = std::exchange(bucket.leftOut, 0)});
+    }
+    return leftOut;
+}
+
+} // namespace Anvilyard::Observe
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -267,11 +267,12 @@
 void JobRunner::store(JobId const &job, Jobs::ResultSegment segment)
 {
     ++storesUnderWay_;
-    auto const first = segment.first;
+    auto const name = Jobs::segmentObject(job, segment.first);
+    auto spec = Jobs::encodeSegment(segment);
     context_.store.create(CallClass::Commit,
                           Jobs::SegmentKind,
-                          Jobs::segmentObject(job, first),
-                          Jobs::encodeSegment(segment),
+                          name,
+                          std::move(spec),
                           [this, job, segment = std::move(segment)](Result<Platform::Object> created) mutable {
                               --storesUnderWay_;
                               auto const now = readLocalClock();
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -1,6 +1,7 @@
 #include "Services/Node/NodeProgram.h"
 
 #include "LibObserve/Events.h"
+#include "LibObserve/JsonLog.h"
 #include "Services/Node/NodeRefusals.h"
 #include "Services/Node/OnlineCall.h"
 
@@ -71,7 +72,8 @@
 } // namespace
 
 NodeProgram::NodeProgram(NodeProgramOptions options)
-    : metrics_(registry_)
+    : onTickHook_(options.onTick)
+    , metrics_(registry_)
     , context_(makeContext(options, registry_))
     , health_(context_, [this] { fleet_.onTick(readLocalClock()); })
     , fleet_(context_, {.onStateChanged = [this] { onStateChanged(); }, .onServersChanged = [] {}})
@@ -238,6 +240,8 @@
     }
     if (stoppingSince_)
         stepStop(now);
+    if (onTickHook_)
+        onTickHook_();
 }
 
 void NodeProgram::stop()
@@ -265,9 +269,11 @@
     context_.loop.stop();
 }
 
-Service::ExitCode runNode(NodeProgramOptions options)
+Service::ExitCode runNode(NodeProgramOptions options, Observe::Severity leastLogged)
 {
     auto &loop = options.loop;
+    Observe::JsonLog log({.least = leastLogged});
+    options.onTick = [&log] { log.flush(); };
     NodeProgram node(std::move(options));
     auto const signals = Signals::watch(loop,
                                         {
--- a/Services/Node/NodeProgram.h
+++ b/Services/Node/NodeProgram.h
@@ -17,6 +17,8 @@
     ServingProtocol const &protocol;
     Platform::ObjectStore &store;
     Platform::StatusStore &statuses;
+    /// Called some 20 times a second.
+    std::function<void()> onTick = {};
 };
 
 /// One instance: an entry, which takes callers, or a runner, which runs batch jobs. All of it runs on one event loop, since its
@@ -47,6 +49,7 @@
     void stepStop(Instant now);
     void onStateChanged();
 
+    std::function<void()> onTickHook_;
     Observe::MetricsRegistry registry_;
     NodeMetrics metrics_;
     NodeContext context_;
@@ -67,6 +70,6 @@
 };
 
 /// Runs a node until a stop signal came and the node ended gracefully.
-Service::ExitCode runNode(NodeProgramOptions options);
+Service::ExitCode runNode(NodeProgramOptions options, Observe::Severity leastLogged);
 
 } // namespace Anvilyard::Node
