--- a/Libraries/LibHttp/DeadlineSweep.cpp
+++ b/Libraries/LibHttp/DeadlineSweep.cpp
@@ -1,7 +1,5 @@
 #include "LibHttp/DeadlineSweep.h"
 
-#include <vector>
-
 namespace Anvilyard::Http {
 
 DeadlineSweep::DeadlineSweep(boost::asio::io_context &io)
@@ -20,6 +18,16 @@
     holders_.erase(holder);
 }
 
+std::vector<std::shared_ptr<DeadlineHolder>> DeadlineSweep::holders() const
+{
+    std::vector<std::shared_ptr<DeadlineHolder>> alive;
+    for (auto const &[address, weak] : holders_) {
+        if (auto holder = weak.lock())
+            alive.push_back(std::move(holder));
+    }
+    return alive;
+}
+
 void DeadlineSweep::close()
 {
     holders_.clear();
--- a/Libraries/LibHttp/DeadlineSweep.h
+++ b/Libraries/LibHttp/DeadlineSweep.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 namespace Anvilyard::Http {
 
@@ -29,6 +30,7 @@
 
     void add(std::shared_ptr<DeadlineHolder> const &holder);
     void remove(DeadlineHolder *holder);
+    [[nodiscard]] std::vector<std::shared_ptr<DeadlineHolder>> holders() const;
     /// Forgets all holders and stops.
     void close();
 
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -18,6 +18,8 @@
 
     ~AsioHttpClient() override
     {
+        for (auto const &holder : shared_->sweep->holders())
+            static_cast<ClientExchange &>(*holder).cancel();
         shared_->sweep->close();
         shared_->idle->close();
     }
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -95,6 +95,7 @@
 {
 public:
     static std::unique_ptr<HttpClient> create(EventLoop &loop, HttpClientOptions options);
+    /// Ends the exchanges under way with no further call of a handler.
     virtual ~HttpClient() = default;
 
     /// Call on the loop's thread.
--- a/Libraries/LibJobs/Base64.cpp
+++ b/Libraries/LibJobs/Base64.cpp
@@ -33,6 +33,9 @@
     auto const letters = text.substr(0, text.find_last_not_of('=') + 1);
     if (text.size() - letters.size() >= QuantumBytes)
         return failure(JobsError::BadBase64, "too much padding");
+    // Boost takes padding anywhere for a letter.
+    if (letters.find('=') != std::string_view::npos)
+        return failure(JobsError::BadBase64, "padding before the end");
     auto const size = letters.size() * QuantumBytes / QuantumLetters;
     std::string bytes;
     bytes.reserve(size);
--- a/Libraries/LibServing/PeerTable.cpp
+++ b/Libraries/LibServing/PeerTable.cpp
@@ -108,8 +108,7 @@
     if (runnersChangedAt_ != Instant::min() && now - runnersChangedAt_ < options_.unsettledAfterChange)
         return true;
     return std::any_of(peers_.begin(), peers_.end(), [&](auto const &entry) {
-        auto const &report = entry.second.report;
-        return report.role == InstanceRole::Runner && report.runnersSeen != runnersSeen_;
+        return entry.second.report.runnersSeen != runnersSeen_;
     });
 }
 
--- a/Libraries/LibServing/PeerTable.h
+++ b/Libraries/LibServing/PeerTable.h
@@ -40,7 +40,8 @@
     [[nodiscard]] std::optional<InstanceId> ownerOf(JobId const &job) const;
     /// Hash over runners(), for comparing views.
     [[nodiscard]] std::uint64_t runnersSeen() const;
-    /// Whether two instances may hold themselves for the owner of one job: views differ or changed just now.
+    /// Whether two instances may hold themselves for the owner of one job: the view of any peer differs, or the own one changed
+    /// just now. Entries count as well: they hear runners that are cut off from each other.
     [[nodiscard]] bool isUnsettled(Instant now) const;
     /// Tokens that wait at live runners other than this one.
     [[nodiscard]] std::uint64_t waitingTokens() const;
--- a/Libraries/LibServing/ServerDirectory.cpp
+++ b/Libraries/LibServing/ServerDirectory.cpp
@@ -22,6 +22,10 @@
         listed.insert(record.id);
         onRegistered(std::move(record), now);
     }
+    std::erase_if(entries_, [&](auto const &entry) {
+        auto const &until = entry.second.leavingUntil;
+        return until && now >= *until + options_.remembered && !listed.contains(entry.first);
+    });
     std::vector<ServerId> missing;
     for (auto const &[id, entry] : entries_) {
         if (!listed.contains(id))
@@ -52,8 +56,9 @@
     if (found == entries_.end())
         return;
     auto &entry = found->second;
+    // It is remembered for a while: one that is heard of as draining once more has used up its time.
     if (entry.leavingUntil) {
-        if (now >= *entry.leavingUntil)
+        if (now >= *entry.leavingUntil + options_.remembered)
             entries_.erase(found);
         return;
     }
--- a/Libraries/LibServing/ServerDirectory.h
+++ b/Libraries/LibServing/ServerDirectory.h
@@ -46,6 +46,8 @@
     Duration lastResort = 1s;
     /// Registrations that lapsed while the registry was away are back within this time of its return.
     Duration reregistration = 2s;
+    /// How long a server that left is remembered: longer than any lag of the registry.
+    Duration remembered = 10min;
 };
 
 /// The backend servers there are, by their registrations. Answers two load patterns: a mass lapse of registrations by an outage
--- a/Services/Node/JobDesk.cpp
+++ b/Services/Node/JobDesk.cpp
@@ -186,7 +186,7 @@
 {
     auto const wait = std::min(call.wait, LongestWait);
     askOwner(call.job,
-             toTarget(PeerReadResults{.job = call.job, .from = call.from, .wait = wait}),
+             toTarget(PeerReadResults{.job = call.job, .from = call.from, .wait = wait, .runnersSeen = context_.peers.runnersSeen()}),
              wait,
              [this, call, writer = std::move(writer)](std::optional<Http::HttpResponse> answer) {
                  if (!answer)
--- a/Services/Node/JobPaths.cpp
+++ b/Services/Node/JobPaths.cpp
@@ -31,7 +31,8 @@
 std::string toTarget(PeerReadResults const &call)
 {
     auto const wait = std::chrono::duration_cast<std::chrono::milliseconds>(call.wait).count();
-    return "/jobs/" + escaped(call.job.value()) + "/results?from=" + std::to_string(call.from) + "&wait=" + std::to_string(wait);
+    return "/jobs/" + escaped(call.job.value()) + "/results?from=" + std::to_string(call.from) + "&wait=" + std::to_string(wait)
+        + "&runners=" + std::to_string(call.runnersSeen);
 }
 
 std::string toTarget(PeerReadBody const &call)
@@ -55,6 +56,7 @@
             .job = std::move(job),
             .from = static_cast<std::size_t>(numberIn(request, "from")),
             .wait = std::chrono::milliseconds(numberIn(request, "wait")),
+            .runnersSeen = numberIn(request, "runners"),
         };
     }
     if (segments.size() == 4 && segments[2] == ItemsSegment)
--- a/Services/Node/JobPaths.h
+++ b/Services/Node/JobPaths.h
@@ -15,6 +15,8 @@
     JobId job;
     std::size_t from = 0;
     Duration wait{0};
+    /// The runners that the entry holds to be alive, as in its reports.
+    std::uint64_t runnersSeen = 0;
 };
 
 struct PeerReadBody {
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -342,7 +342,8 @@
     if (page->outcomes.empty() && !isOver && now < read.until)
         return false;
     // While two runners may hold themselves for the job's owner, only the store knows that there is nothing new.
-    if (page->outcomes.empty() && context_.peers.isUnsettled(now))
+    bool const mayHaveTwoOwners = read.call.runnersSeen != context_.peers.runnersSeen() || context_.peers.isUnsettled(now);
+    if (page->outcomes.empty() && mayHaveTwoOwners)
         read.writer->respond({.status = NotOwnerStatus});
     else
         read.writer->respond(context_.protocol.writeResults(*page));
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -105,6 +105,8 @@
     if (!peers)
         return tl::unexpected(peers.error());
     peers_ = std::move(*peers);
+    // With port 0 the system chose one, which peers have to know.
+    context_.settings.peers = peers_->address();
     auto metrics =
         listen(context_.settings.metrics, [this](Http::HttpRequest const &request, Writer const &writer) { handleMetrics(request, writer); });
     if (!metrics)
--- /dev/null
+++ b/Tests/FakeFleet/FleetStoreServer.cpp
@@ -0,0 +1,265 @@
+#include "Tests/FakeFleet/FleetStoreServer.h"
+
+#include <boost/json.hpp>
+#include <sstream>
+
+namespace Anvilyard::Tests {
+
+namespace json = boost::json;
+using Platform::Kind;
+using Platform::Object;
+using Platform::ObjectName;
+using Platform::PlatformError;
+
+namespace {
+
+json::object encode(Object const &object)
+{
+    return {
+        {"metadata",
+         json::object{{"name", object.name.value()},
+                      {"revision", std::stoull(object.version.value())},
+                      {"createRevision", 1},
+                      {"finalizers", json::array{}},
+                      {"deleting", false}}},
+        {"spec", object.spec.empty() ? json::value() : json::parse(object.spec)},
+        {"status", object.status.empty() ? json::value() : json::parse(object.status)},
+    };
+}
+
+Http::HttpResponse answerOf(int status, json::value const &body = json::object{})
+{
+    return {.status = status, .headers = {{"Content-Type", "application/json"}}, .body = json::serialize(body)};
+}
+
+int statusOf(std::error_code const &code)
+{
+    if (code == PlatformError::NotFound)
+        return 404;
+    if (code == PlatformError::VersionTooOld)
+        return 410;
+    if (code == PlatformError::ValueTooLarge)
+        return 413;
+    return 409;
+}
+
+Http::HttpResponse answerOf(Result<Object> const &result)
+{
+    return result ? answerOf(200, encode(*result)) : answerOf(statusOf(result.error().code));
+}
+
+} // namespace
+
+FleetStoreServer::FleetStoreServer(Http::EventLoop &loop)
+    : loop_(loop)
+{
+    server_ = std::move(*Http::HttpServer::create(
+        loop, {.listen = Address("127.0.0.1:0")}, [this](Http::HttpRequest request, Writer writer) {
+            handle(std::move(request), std::move(writer));
+        }));
+}
+
+Address FleetStoreServer::address() const
+{
+    return server_->address();
+}
+
+ObjectTable &FleetStoreServer::table()
+{
+    return table_;
+}
+
+FaultPlan &FleetStoreServer::faults()
+{
+    return faults_;
+}
+
+void FleetStoreServer::setPageSize(std::size_t size)
+{
+    pageSize_ = size;
+}
+
+std::map<std::string, std::size_t> const &FleetStoreServer::calls() const
+{
+    return calls_;
+}
+
+void FleetStoreServer::put(std::string const &kind, std::string const &name, std::string const &spec)
+{
+    if (auto known = table_.get(Kind(kind), ObjectName(name))) {
+        known->spec = spec;
+        static_cast<void>(table_.update(Kind(kind), std::move(*known)));
+    } else {
+        static_cast<void>(table_.create(Kind(kind), ObjectName(name), spec));
+    }
+    pumpWatches();
+}
+
+void FleetStoreServer::remove(std::string const &kind, std::string const &name)
+{
+    static_cast<void>(table_.remove(Kind(kind), ObjectName(name), {}));
+    pumpWatches();
+}
+
+void FleetStoreServer::compact()
+{
+    table_.compact();
+    for (auto const &watch : std::exchange(watches_, {}))
+        watch.writer->abort();
+}
+
+void FleetStoreServer::handle(Http::HttpRequest request, Writer writer)
+{
+    // "/api/objects/KIND[/NAME[/status]]"
+    std::istringstream path{std::string(request.path())};
+    std::vector<std::string> segments;
+    for (std::string segment; std::getline(path, segment, '/');)
+        segments.push_back(segment);
+    if (segments.size() < 4 || segments[1] != "api" || segments[2] != "objects")
+        return writer->respond(answerOf(404));
+    Call call{.request = std::move(request), .kind = Kind(segments[3]), .writer = std::move(writer)};
+    if (segments.size() > 4)
+        call.name = ObjectName(segments[4]);
+    call.isStatus = segments.size() == 6 && segments[5] == "status";
+    ++calls_[call.request.method + " " + call.kind.value()];
+    if (call.request.method != "GET")
+        return change(std::move(call));
+    if (call.request.query("watch"))
+        return watch(call);
+    read(call);
+}
+
+bool FleetStoreServer::endedBy(CallFate fate, Writer const &writer)
+{
+    switch (fate) {
+    case CallFate::Refuse:
+        writer->respond(answerOf(503));
+        return true;
+    case CallFate::RefuseForRate:
+        writer->respond(answerOf(429));
+        return true;
+    case CallFate::Cut:
+        writer->abort();
+        return true;
+    case CallFate::Silent:
+        silent_.push_back(writer);
+        return true;
+    default:
+        return false;
+    }
+}
+
+void FleetStoreServer::read(Call const &call)
+{
+    if (endedBy(faults_.nextFate(CallKind::Read), call.writer))
+        return;
+    if (!call.name.value().empty())
+        return call.writer->respond(answerOf(table_.get(call.kind, call.name)));
+    auto const all = table_.list(call.kind, {.limit = 100'000});
+    auto const after = call.request.query("after").value_or("");
+    json::array items;
+    bool hasMore = false;
+    for (auto const &object : all->objects) {
+        if (object.name.value() <= after)
+            continue;
+        hasMore = items.size() == pageSize_;
+        if (hasMore)
+            break;
+        items.push_back(encode(object));
+    }
+    call.writer->respond(answerOf(200, json::object{{"items", std::move(items)}, {"more", hasMore}, {"at", table_.revision()}}));
+}
+
+void FleetStoreServer::change(Call call)
+{
+    auto const fate = faults_.nextFate(CallKind::Change);
+    if (endedBy(fate, call.writer))
+        return;
+    if (fate == CallFate::ApplyLate) {
+        // The caller has given up when it is done.
+        auto const writer = call.writer;
+        writer->onCallerGone([this, call = std::move(call)] {
+            static_cast<void>(apply(call));
+            pumpWatches();
+        });
+        silent_.push_back(writer);
+        return;
+    }
+    auto response = apply(call);
+    if (fate == CallFate::LoseAnswer)
+        call.writer->abort();
+    else
+        call.writer->respond(std::move(response));
+    pumpWatches();
+}
+
+Http::HttpResponse FleetStoreServer::apply(Call const &call)
+{
+    if (call.request.method == "DELETE") {
+        auto const removed = table_.remove(call.kind, call.name, Platform::ResourceVersion(call.request.query("revision").value_or("")));
+        return removed ? answerOf(200) : answerOf(statusOf(removed.error().code));
+    }
+    auto const body = json::parse(call.request.body).as_object();
+    auto const &metadata = body.at("metadata").as_object();
+    if (call.request.method == "POST") {
+        return answerOf(
+            table_.create(call.kind, ObjectName(std::string(metadata.at("name").as_string())), json::serialize(body.at("spec"))));
+    }
+    auto known = table_.get(call.kind, call.name);
+    if (!known)
+        return answerOf(404);
+    if (auto const *revision = metadata.if_contains("revision"); revision && std::to_string(revision->to_number<Revision>()) != known->version.value())
+        return answerOf(409, encode(*known));
+    auto &text = call.isStatus ? known->status : known->spec;
+    auto replacement = json::serialize(body.at(call.isStatus ? "status" : "spec"));
+    // What changes nothing makes no revision.
+    if (text == replacement)
+        return answerOf(200, encode(*known));
+    text = std::move(replacement);
+    return answerOf(table_.update(call.kind, std::move(*known)));
+}
+
+void FleetStoreServer::watch(Call const &call)
+{
+    if (endedBy(faults_.nextFate(CallKind::Read), call.writer))
+        return;
+    auto const after = ObjectTable::parseRevision(call.request.query("watch").value_or(""));
+    if (!after)
+        return call.writer->respond(answerOf(400));
+    WaitingWatch waiting{.kind = call.kind, .after = *after, .writer = call.writer, .timer = std::make_shared<std::unique_ptr<Http::Timer>>()};
+    if (tryAnswer(waiting, false))
+        return;
+    auto const wait = std::chrono::milliseconds(std::stoll(call.request.query("waitMs").value_or("0")));
+    *waiting.timer = loop_.at(readLocalClock() + wait, [this, writer = call.writer] {
+        std::erase_if(watches_, [&](WaitingWatch const &known) { return known.writer == writer && tryAnswer(known, true); });
+    });
+    watches_.push_back(std::move(waiting));
+}
+
+bool FleetStoreServer::tryAnswer(WaitingWatch const &watch, bool isTimeUp)
+{
+    json::array events;
+    auto at = watch.after;
+    for (;;) {
+        auto const change = table_.nextChange(watch.kind, at);
+        if (!change) {
+            watch.writer->respond(answerOf(410));
+            return true;
+        }
+        if (!*change)
+            break;
+        at = (*change)->revision;
+        events.push_back(json::object{{"deleted", (*change)->change == Platform::WatchChange::Deleted}, {"object", encode((*change)->object)}});
+    }
+    if (events.empty() && !isTimeUp)
+        return false;
+    watch.writer->respond(answerOf(200, json::object{{"events", std::move(events)}, {"at", table_.revision()}}));
+    return true;
+}
+
+void FleetStoreServer::pumpWatches()
+{
+    std::erase_if(watches_, [this](WaitingWatch const &watch) { return tryAnswer(watch, false); });
+}
+
+} // namespace Anvilyard::Tests
--- /dev/null
+++ b/Tests/FleetAdapter/TestFleetProtocol.cpp
@@ -0,0 +1,258 @@
+#include "LibServing/ServingError.h"
+#include "platform/FleetProtocol.h"
+
+#include <boost/json.hpp>
+#include <gtest/gtest.h>
+
+using namespace Anvilyard;
+using namespace Anvilyard::Adapter;
+using Serving::RouteKind;
+using Serving::ServingError;
+
+namespace {
+
+/// The desired state of the platform's pages, shortened.
+std::string const StateText = R"({"version":7,"routes":[
+{"name":"r1","host":"a.example","pathPrefix":"/s/","kind":"streaming","timeoutMs":5000,"sloMs":300,"priority":0,"service":"p1","attempts":1,"sessionAffinity":true,"resumable":false,"gapAimMs":600},
+{"name":"r2","host":"a.example","pathPrefix":"/t/","kind":"streaming","timeoutMs":5000,"sloMs":300,"priority":1,"backends":[{"service":"p1","weight":90},{"service":"p2","weight":10}],"attempts":2,"sessionAffinity":true,"resumable":true,"gapAimMs":600},
+{"name":"r3","host":"a.example","pathPrefix":"/b/","kind":"batch","timeoutMs":15000,"sloMs":400,"priority":2,"service":"p1","attempts":3,"completionTargetMs":18000,"queueTtlS":60,"cap":1900000},
+{"name":"r4","host":"a.example","pathPrefix":"/i/","kind":"idempotent","timeoutMs":2500,"sloMs":150.5,"priority":2,"service":"p2","attempts":2},
+{"name":"r5","host":"a.example","pathPrefix":"/u/","kind":"what is new","timeoutMs":2500,"sloMs":150,"priority":2,"service":"p2","attempts":2}],
+"services":[{"name":"p1","healthPath":"/healthz","maxConns":310,"protocol":"h1","tls":false,"engine":{"slots":8}},{"name":"p2","healthPath":"/h","maxConns":110}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+
+std::string const ServerText =
+    R"({"service":"p1","address":"10.0.0.9:8080","zone":"dc","version":"v1","slots":8,"state":"ready","warmupLeftMs":0,"sequence":4,"born":1764806963000})";
+
+Http::HttpRequest requestOf(std::string method, std::string target, Http::Headers headers = {}, std::string body = {})
+{
+    return {.method = std::move(method), .target = std::move(target), .headers = std::move(headers), .body = std::move(body)};
+}
+
+FleetProtocol const protocol;
+
+} // namespace
+
+TEST(FleetProtocolTest, TheDesiredStateIsDecodedWithItsUnits)
+{
+    auto const state = protocol.readDesiredState(StateText);
+    ASSERT_TRUE(state) << state.error().toString();
+    EXPECT_EQ(state->version, Serving::StateVersion(7));
+    ASSERT_EQ(state->routes.size(), 5U);
+    EXPECT_EQ(state->routes[0].kind, RouteKind::Streaming);
+    EXPECT_FALSE(state->routes[0].isResumable);
+    EXPECT_EQ(state->routes[0].pauseTarget, 600ms);
+    EXPECT_EQ(state->routes[1].pools.size(), 2U);
+    EXPECT_EQ(state->routes[1].pools[1].weight, 10);
+    EXPECT_TRUE(state->routes[1].isResumable);
+    EXPECT_EQ(state->routes[2].kind, RouteKind::Batch);
+    EXPECT_EQ(state->routes[2].completionTarget, 18s);
+    EXPECT_EQ(state->routes[2].giveUpAfter, 60s);
+    EXPECT_EQ(state->routes[2].waitingTokensMost, 1'900'000U);
+    EXPECT_EQ(state->routes[3].latencyTarget, 150'500us);
+    EXPECT_EQ(state->pools[0].connectionsMost, 310U);
+    EXPECT_EQ(state->limits.headTimeout, 3s);
+    EXPECT_EQ(state->limits.idleTimeout, 15s);
+}
+
+/// Red when a new kind is taken for one that may be repeated.
+TEST(FleetProtocolTest, AKindThatIsNotKnownRunsAtMostOnce)
+{
+    EXPECT_EQ(protocol.readDesiredState(StateText)->routes[4].kind, RouteKind::AtMostOnce);
+}
+
+TEST(FleetProtocolTest, DesiredStatesOfAnotherFormAreRejectedWhole)
+{
+    for (auto const *const text : {"", "{}", "null", "[1]", R"({"version":"7","routes":[],"services":[],"limits":{}})",
+                                   R"({"version":7,"routes":[{}],"services":[],"limits":{}})"})
+        EXPECT_EQ(protocol.readDesiredState(text).error().code, ServingError::BadRecord) << text;
+}
+
+TEST(FleetProtocolTest, AServerIsDecoded)
+{
+    auto const server = protocol.readServer(ServerId("i-1"), ServerText);
+    ASSERT_TRUE(server) << server.error().toString();
+    EXPECT_EQ(server->pool, PoolName("p1"));
+    EXPECT_EQ(server->slots, 8U);
+    EXPECT_EQ(server->startedAt, 1764806963000);
+    EXPECT_EQ(server->state, Serving::ServerRecord::State::Ready);
+}
+
+/// What other writers may leave in the registry: fields missing or of another type, an unknown state, bytes.
+TEST(FleetProtocolTest, EntriesOfOtherWritersNameNoServer)
+{
+    auto const base = boost::json::parse(ServerText).as_object();
+    for (auto const *const key : {"service", "address", "zone", "slots", "state"}) {
+        auto missing = base;
+        missing.erase(key);
+        EXPECT_FALSE(protocol.readServer(ServerId("i"), boost::json::serialize(missing))) << key;
+        for (boost::json::value const &value : {boost::json::value(nullptr), boost::json::value(-1), boost::json::value(boost::json::array{})}) {
+            auto other = base;
+            other[key] = value;
+            EXPECT_FALSE(protocol.readServer(ServerId("i"), boost::json::serialize(other))) << key;
+        }
+    }
+    auto unknown = base;
+    unknown["state"] = "resting";
+    EXPECT_FALSE(protocol.readServer(ServerId("i"), boost::json::serialize(unknown)));
+    for (auto const *const text : {"", "\xff\xfe", "{", "7", "null"})
+        EXPECT_FALSE(protocol.readServer(ServerId("i"), text));
+}
+
+TEST(FleetProtocolTest, ARequestGoesOnUnchangedButForWhatTheSendAdds)
+{
+    auto const request = requestOf("POST",
+                                   "/s/1?x=%20",
+                                   {{"Host", "a.example"},
+                                    {"Connection", "close, X-Mine"},
+                                    {"X-Mine", "1"},
+                                    {"Keep-Alive", "timeout=5"},
+                                    {"Content-Length", "4"},
+                                    {"Expect", "100-continue"},
+                                    {"Anvilyard-Attempt-Id", "id1"},
+                                    {"Anvilyard-Deadline-Ms", "5000"},
+                                    {"Anvilyard-Token-Usage", "450,210"},
+                                    {"X-Other", "2"}},
+                                   "body");
+    auto const sent = protocol.forServer(request, {.server = ServerId("i-1"), .timeLeft = 1234567us, .lastEventId = 12});
+    EXPECT_EQ(sent.method, "POST");
+    EXPECT_EQ(sent.target, "/s/1?x=%20");
+    EXPECT_EQ(sent.body, "body");
+    EXPECT_EQ(sent.headers.find("Host"), "a.example");
+    EXPECT_EQ(sent.headers.find("Anvilyard-Attempt-Id"), "id1");
+    EXPECT_EQ(sent.headers.find("Anvilyard-Token-Usage"), "450,210");
+    EXPECT_EQ(sent.headers.find("Anvilyard-Deadline-Ms"), "1234");
+    EXPECT_EQ(sent.headers.find("Anvilyard-Expect-Instance"), "i-1");
+    EXPECT_EQ(sent.headers.find("Last-Event-Id"), "12");
+    EXPECT_EQ(sent.headers.find("X-Other"), "2");
+    for (auto const *const dropped : {"Connection", "X-Mine", "Keep-Alive", "Content-Length", "Expect"})
+        EXPECT_FALSE(sent.headers.contains(dropped)) << dropped;
+}
+
+TEST(FleetProtocolTest, TheHeadOfACallIsRead)
+{
+    auto const head = protocol.readCall(requestOf("POST",
+                                                  "/s/1",
+                                                  {{"Anvilyard-Attempt-Id", "id1"},
+                                                   {"Anvilyard-Deadline-Ms", "5000"},
+                                                   {"Last-Event-Id", "3"},
+                                                   {"Anvilyard-Prompt-Prefix", "5c:800,91:410,e4:250"}}));
+    ASSERT_TRUE(head);
+    EXPECT_EQ(head->id, RequestId("id1"));
+    EXPECT_EQ(head->timeLeft, 5s);
+    EXPECT_EQ(head->lastEventId, 3U);
+    EXPECT_EQ(head->prefix.hashes().size(), 3U);
+    auto const other = protocol.readCall(requestOf("POST", "/s/1", {{"Anvilyard-Attempt-Id", "x"}, {"Anvilyard-Prompt-Prefix", "5c:800,92:1"}}));
+    EXPECT_EQ(other->prefix.hashes()[0], head->prefix.hashes()[0]);
+    EXPECT_NE(other->prefix.hashes()[1], head->prefix.hashes()[1]);
+    EXPECT_EQ(protocol.readCall(requestOf("POST", "/s/1")).error().code, ServingError::BadRequest);
+    auto const odd = protocol.readCall(requestOf("POST", "/s/1", {{"Anvilyard-Attempt-Id", "x"}, {"Anvilyard-Deadline-Ms", "soon"}}));
+    EXPECT_FALSE(odd->timeLeft) << "a time that can't be read is none";
+}
+
+TEST(FleetProtocolTest, SignsOfAnAnswer)
+{
+    struct Case {
+        int status;
+        Http::Headers headers;
+        bool isSigned;
+        bool isNotRun;
+        bool isEncoded;
+    };
+    std::vector<Case> const cases = {
+        {200, {{"Anvilyard-Response-Signature", "s"}}, true, false, false},
+        {200, {}, false, false, false},
+        {200, {{"Anvilyard-Response-Signature", "s"}, {"Content-Encoding", "gzip"}}, true, false, true},
+        {503, {{"Anvilyard-Not-Executed", "1"}}, false, true, false},
+        {503, {}, false, false, false},
+        {429, {}, false, false, false},
+        {421, {}, false, true, false},
+    };
+    for (auto const &[status, headers, isSigned, isNotRun, isEncoded] : cases) {
+        auto const signs = protocol.readAnswer({.status = status, .headers = headers});
+        EXPECT_EQ(signs.isSigned, isSigned) << status;
+        EXPECT_EQ(signs.isNotRun, isNotRun) << status;
+        EXPECT_EQ(signs.isEncoded, isEncoded) << status;
+    }
+    EXPECT_EQ(protocol.readAnswer({.headers = {{"anvilyard-attempt-id", "7"}}}).answers, RequestId("7"));
+}
+
+TEST(FleetProtocolTest, CallsAboutJobsAreToldFromRequests)
+{
+    auto const read = protocol.readJobCall(requestOf("GET", "/api/lots/j1?after=12", {{"Anvilyard-Wait-Ms", "1000"}}));
+    ASSERT_TRUE(read && *read);
+    auto const &results = std::get<Node::ReadResults>(**read);
+    EXPECT_EQ(results.job, JobId("j1"));
+    EXPECT_EQ(results.from, 12U);
+    EXPECT_EQ(results.wait, 1s);
+    auto const body = protocol.readJobCall(requestOf("GET", "/api/items/j1?id=i%201"));
+    EXPECT_EQ(std::get<Node::ReadItemBody>(**body).item, Jobs::ItemId("i 1"));
+    auto const end = protocol.readJobCall(requestOf("DELETE", "/api/lots/j1"));
+    EXPECT_EQ(std::get<Node::EndJob>(**end).job, JobId("j1"));
+    EXPECT_FALSE(*protocol.readJobCall(requestOf("GET", "/api/lots/j1?after=-1")));
+    for (auto const &request : {requestOf("POST", "/api/lots/j1"), requestOf("GET", "/api/lots/"), requestOf("GET", "/s/1")})
+        EXPECT_FALSE(protocol.readJobCall(request)) << request.target;
+}
+
+TEST(FleetProtocolTest, ASubmissionIsReadAndItsItemsSent)
+{
+    auto const submission = protocol.readSubmission(requestOf(
+        "POST",
+        "/b/1",
+        {{"Anvilyard-Attempt-Id", "j1"}},
+        R"({"items":[{"id":"i1","path":"/b/3/9","headers":{"Anvilyard-Model":"m"},"body":"q83vEjRWeJA=","tokens":940}]})"));
+    ASSERT_TRUE(submission) << submission.error().toString();
+    EXPECT_EQ(submission->id, JobId("j1"));
+    ASSERT_EQ(submission->items.size(), 1U);
+    EXPECT_EQ(submission->items[0].body, "\xab\xcd\xef\x12\x34\x56\x78\x90");
+    auto const sent = protocol.forServer(submission->items[0], "a.example", {.server = ServerId("s"), .lastEventId = 4});
+    EXPECT_EQ(sent.target, "/b/3/9");
+    EXPECT_EQ(sent.headers.find("Host"), "a.example");
+    EXPECT_EQ(sent.headers.find("Anvilyard-Attempt-Id"), "i1");
+    EXPECT_EQ(sent.headers.find("Anvilyard-Model"), "m");
+    EXPECT_EQ(sent.headers.find("Last-Event-Id"), "4");
+    EXPECT_FALSE(sent.headers.contains("Anvilyard-Deadline-Ms"));
+}
+
+TEST(FleetProtocolTest, SubmissionsOfAnotherFormAreRefused)
+{
+    std::string const item = R"({"id":"i","path":"/b/","headers":{},"body":"","tokens":1})";
+    std::string many = item;
+    for (int count = 1; count < 201; ++count)
+        many += "," + item;
+    for (std::string const &body : {std::string(), std::string("{}"), std::string(R"({"items":[]})"), std::string(R"({"items":[{}]})"),
+                                    std::string(R"({"items":[{"id":"i","path":"/","headers":{},"body":"!","tokens":1}]})"),
+                                    R"({"items":[)" + many + "]}"}) {
+        auto const submission = protocol.readSubmission(requestOf("POST", "/b/1", {{"Anvilyard-Attempt-Id", "j"}}, body));
+        EXPECT_EQ(submission.error().code, ServingError::BadRequest) << body.substr(0, 80);
+    }
+    EXPECT_FALSE(protocol.readSubmission(requestOf("POST", "/b/1", {}, R"({"items":[)" + item + "]}")));
+}
+
+TEST(FleetProtocolTest, ResultsAreWritten)
+{
+    auto const response = protocol.writeResults(
+        {.total = 40, .next = 14, .outcomes = {{.id = Jobs::ItemId("a"), .output = "x\n\"y\""}, {.id = Jobs::ItemId("b"), .state = Jobs::OutcomeState::GivenUp}}});
+    auto const body = boost::json::parse(response.body).as_object();
+    EXPECT_EQ(body.at("total").to_number<int>(), 40);
+    EXPECT_EQ(body.at("nextToken").to_number<int>(), 14);
+    auto const &results = body.at("results").as_array();
+    EXPECT_EQ(results[0].at("state").as_string(), "completed");
+    EXPECT_EQ(results[0].at("output").as_string(), "x\n\"y\"");
+    EXPECT_EQ(results[1].at("state").as_string(), "dead_letter");
+}
+
+TEST(FleetProtocolTest, RetryAfterIsInSecondsAndNeverNought)
+{
+    EXPECT_EQ(protocol.writeRetryAfter(0ms), "0.1");
+    EXPECT_EQ(protocol.writeRetryAfter(101ms), "0.2");
+    EXPECT_EQ(protocol.writeRetryAfter(1500ms), "1.5");
+}
+
+TEST(FleetProtocolTest, RetirementsAreReported)
+{
+    EXPECT_TRUE(protocol.isRetirementCompleted(protocol.writeRetirement(Node::RetirementState::Completed)));
+    EXPECT_FALSE(protocol.isRetirementCompleted(protocol.writeRetirement(Node::RetirementState::Running)));
+    for (auto const *const text : {"", "null", "{}", R"({"state":1})"})
+        EXPECT_FALSE(protocol.isRetirementCompleted(text));
+}
--- /dev/null
+++ b/Tests/FleetAdapter/TestWords.cpp
@@ -0,0 +1,29 @@
+#include <filesystem>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <sstream>
+
+/// The platform's words stay in platform/: nothing else that ships knows them.
+TEST(PlatformWordsTest, OnlyTheAdapterKnowsThem)
+{
+    std::filesystem::path const root = ANVILYARD_SOURCE_FOLDER;
+    std::vector<std::string> const words = {
+        "Attempt-Id", "Deadline-Ms",  "Token-Usage", "Prompt-Prefix", "Expect-Instance", "Not-Executed", "Response-Signature",
+        "warmupLeft", "dead_letter", "/api/lots",   "/api/items",    "/api/objects",    "/api/readyz",  "nextToken",
+        "allowStale", "pathPrefix\"", "sloMs",      "queueTtlS",     "completionTargetMs"};
+    std::size_t files = 0;
+    for (auto const *const folder : {"Libraries", "Services", "Utilities"}) {
+        for (auto const &entry : std::filesystem::recursive_directory_iterator(root / folder)) {
+            auto const extension = entry.path().extension();
+            if (extension != ".cpp" && extension != ".h" && extension != ".inc")
+                continue;
+            ++files;
+            std::ifstream stream(entry.path());
+            std::ostringstream text;
+            text << stream.rdbuf();
+            for (auto const &word : words)
+                EXPECT_EQ(text.str().find(word), std::string::npos) << entry.path() << " knows " << word;
+        }
+    }
+    EXPECT_GT(files, 300U);
+}
--- /dev/null
+++ b/Tests/LibServing/TestAttemptPlan.cpp
@@ -0,0 +1,167 @@
+#include "LibServing/AttemptPlan.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace Anvilyard;
+using namespace Anvilyard::Serving;
+using Routing::ExchangeBroke;
+using Routing::NextStep;
+using Routing::NotRunEvidence;
+using Routing::Relayed;
+using Routing::Repeatability;
+using Routing::ServerErred;
+
+namespace {
+
+constexpr Instant Start{std::chrono::hours(1)};
+ServerId const A("a");
+ServerId const B("b");
+ServerId const C("c");
+
+AttemptPlan planOf(Repeatability repeatability, std::uint32_t serversMost)
+{
+    return AttemptPlan({.repeatability = repeatability, .serversMost = serversMost, .latencyTarget = 300ms, .deadline = Start + 5s});
+}
+
+ExchangeBroke lostAnswer(Http::ConnectionUse connection = Http::ConnectionUse::Fresh)
+{
+    return {.reached = Http::Reached::Sent, .connection = connection};
+}
+
+ExchangeBroke unreached()
+{
+    return {.error = Http::HttpError::ConnectFailed, .reached = Http::Reached::NothingSent};
+}
+
+ExchangeBroke brokenStream()
+{
+    return {.reached = Http::Reached::ResponseStarted, .relayed = Relayed::Part};
+}
+
+NextStep afterSend(AttemptPlan &plan, ServerId const &server, Routing::AttemptEnd const &end, Instant now = Start)
+{
+    plan.onSent(server);
+    return plan.onEnded(server, end, now);
+}
+
+} // namespace
+
+TEST(AttemptPlanTest, WhatMayRunOnceIsNotSentAgainOnceItMayHaveRun)
+{
+    auto plan = planOf(Repeatability::Unsafe, 3);
+    EXPECT_EQ(afterSend(plan, A, unreached()), NextStep::SendToOtherServer);
+    EXPECT_FALSE(plan.mayHaveRun());
+    EXPECT_EQ(afterSend(plan, B, ServerErred{.status = 503, .evidence = NotRunEvidence::Stated}), NextStep::SendToOtherServer);
+    EXPECT_FALSE(plan.mayHaveRun());
+    EXPECT_EQ(afterSend(plan, C, lostAnswer()), NextStep::Refuse);
+    EXPECT_TRUE(plan.mayHaveRun());
+}
+
+/// Red when a status alone is taken for the server's word.
+TEST(AttemptPlanTest, ARefusalThatDoesNotSayNotRunIsNoReasonToSendAgain)
+{
+    for (auto const status : {429, 503}) {
+        auto plan = planOf(Repeatability::Unsafe, 3);
+        EXPECT_EQ(afterSend(plan, A, ServerErred{.status = status, .evidence = NotRunEvidence::Withheld}), NextStep::RelayAnswer);
+        EXPECT_TRUE(plan.mayHaveRun());
+    }
+}
+
+TEST(AttemptPlanTest, ARequestRunsAtNoMoreServersThanItsRouteAllows)
+{
+    auto plan = planOf(Repeatability::Idempotent, 2);
+    EXPECT_EQ(afterSend(plan, A, lostAnswer()), NextStep::SendToOtherServer);
+    EXPECT_EQ(afterSend(plan, B, lostAnswer()), NextStep::Refuse);
+    auto shed = planOf(Repeatability::Idempotent, 2);
+    EXPECT_EQ(afterSend(shed, A, ServerErred{.status = 503, .evidence = NotRunEvidence::Stated}), NextStep::SendToOtherServer);
+    EXPECT_EQ(afterSend(shed, B, lostAnswer()), NextStep::SendToOtherServer);
+    EXPECT_EQ(shed.excluded(), (std::vector<ServerId>{A, B}));
+}
+
+TEST(AttemptPlanTest, TheLastServersErrorIsHandedOn)
+{
+    auto plan = planOf(Repeatability::Idempotent, 1);
+    EXPECT_EQ(afterSend(plan, A, ServerErred{.status = 500, .evidence = NotRunEvidence::Withheld}), NextStep::RelayAnswer);
+}
+
+TEST(AttemptPlanTest, AnOldConnectionIsDoubtedOnceBeforeTheServer)
+{
+    auto plan = planOf(Repeatability::Idempotent, 2);
+    EXPECT_EQ(afterSend(plan, A, lostAnswer(Http::ConnectionUse::Reused)), NextStep::SendOnFreshConnection);
+    EXPECT_EQ(afterSend(plan, A, lostAnswer(Http::ConnectionUse::Reused)), NextStep::SendToOtherServer);
+}
+
+TEST(AttemptPlanTest, AStreamIsResumedAndWhereNoOtherServerMayRunItAtTheSame)
+{
+    auto plan = planOf(Repeatability::Generation, 2);
+    EXPECT_EQ(afterSend(plan, A, brokenStream()), NextStep::ResumeStream);
+    EXPECT_FALSE(plan.onlyServer());
+    EXPECT_EQ(afterSend(plan, B, brokenStream()), NextStep::ResumeStream);
+    EXPECT_EQ(plan.onlyServer(), B);
+    auto once = planOf(Repeatability::Unsafe, 2);
+    EXPECT_EQ(afterSend(once, A, brokenStream()), NextStep::BreakOff);
+}
+
+TEST(AttemptPlanTest, NothingIsSentWhenNoTimeIsLeft)
+{
+    auto plan = planOf(Repeatability::Idempotent, 3);
+    EXPECT_EQ(afterSend(plan, A, unreached(), Start + 4980ms), NextStep::Refuse);
+}
+
+TEST(AttemptPlanTest, PatienceLeavesTimeForASecondServer)
+{
+    auto plan = planOf(Repeatability::Generation, 2);
+    EXPECT_EQ(plan.patience(true, Start), 180ms);
+    EXPECT_EQ(plan.patience(false, Start), 900ms);
+    static_cast<void>(afterSend(plan, A, lostAnswer()));
+    EXPECT_EQ(plan.patience(true, Start), 5s) << "there is no other server to turn to";
+    EXPECT_EQ(planOf(Repeatability::Unsafe, 2).patience(true, Start), 5s);
+}
+
+/// Whatever servers do, a request that may run once is sent no more after it may have run, and any other runs at no more servers
+/// than allowed. Red without the bound in onEnded().
+RC_GTEST_PROP(AttemptPlanProperty, RunsAreBounded, ())
+{
+    auto const repeatability = *rc::gen::element(Repeatability::Unsafe, Repeatability::Idempotent, Repeatability::Generation);
+    auto const serversMost = *rc::gen::inRange<std::uint32_t>(1, 4);
+    auto plan = planOf(repeatability, serversMost);
+    std::set<ServerId> ran;
+    bool hasPart = false;
+    ServerId server = A;
+    for (int send = 0; send < 20; ++send) {
+        auto const excluded = plan.excluded();
+        plan.onSent(server);
+        Routing::AttemptEnd end = unreached();
+        switch (*rc::gen::inRange(0, 5)) {
+        case 0:
+            break;
+        case 1:
+            end = lostAnswer(*rc::gen::element(Http::ConnectionUse::Fresh, Http::ConnectionUse::Reused));
+            break;
+        case 2:
+            end = ServerErred{.status = 500, .evidence = NotRunEvidence::Withheld};
+            break;
+        case 3:
+            end = ServerErred{.status = 503, .evidence = NotRunEvidence::Stated};
+            break;
+        default:
+            end = brokenStream();
+            hasPart = true;
+        }
+        if (hasPart) {
+            if (auto *broke = std::get_if<ExchangeBroke>(&end))
+                broke->relayed = Relayed::Part;
+        }
+        if (Routing::runStateAfter(end) == Http::RunState::MayHaveRun)
+            ran.insert(server);
+        auto const step = plan.onEnded(server, end, Start);
+        RC_ASSERT(ran.size() <= serversMost);
+        if (!Routing::isRetry(step))
+            break;
+        RC_ASSERT(repeatability != Repeatability::Unsafe || ran.empty());
+        if (step == NextStep::SendOnFreshConnection)
+            continue;
+        server = plan.onlyServer().value_or(ServerId("s" + std::to_string(send)));
+    }
+}
--- /dev/null
+++ b/Tests/LibServing/TestEventSequence.cpp
@@ -0,0 +1,89 @@
+#include "LibServing/EventSequence.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace Anvilyard::Serving;
+
+namespace {
+
+std::string event(std::uint64_t id, std::string const &end = "\n")
+{
+    return "id: " + std::to_string(id) + end + "data: token " + std::to_string(id) + end + end;
+}
+
+} // namespace
+
+TEST(EventSequenceTest, OnlyWholeEventsPassAndByteForByte)
+{
+    EventSequence events;
+    EXPECT_EQ(events.take("id: 0\nda"), "");
+    EXPECT_TRUE(events.hasUnfinished());
+    EXPECT_EQ(events.take("ta: x\r\n\r\nid: 1\n"), "id: 0\ndata: x\r\n\r\n");
+    EXPECT_EQ(events.lastId(), 0U);
+    EXPECT_EQ(events.take("data: y\n\n"), "id: 1\ndata: y\n\n");
+    EXPECT_FALSE(events.hasUnfinished());
+}
+
+TEST(EventSequenceTest, DataLinesOfAnEventAreJoined)
+{
+    std::string data;
+    EventSequence events;
+    events.take("some-header: 3\nid:7\ndata: a\ndata:b\n\n", [&](std::string_view text) { data = text; });
+    EXPECT_EQ(data, "a\nb");
+    EXPECT_EQ(events.lastId(), 7U);
+}
+
+TEST(EventSequenceTest, AGapBreaksTheSequence)
+{
+    EventSequence events(4);
+    EXPECT_EQ(events.take(event(6)), "");
+    EXPECT_TRUE(events.isBroken());
+    EXPECT_EQ(events.take(event(5)), "") << "nothing follows a broken sequence";
+}
+
+TEST(EventSequenceTest, AnEndlessEventBreaksTheSequence)
+{
+    EventSequence events;
+    events.take(std::string(1024 * 1024 + 1, 'x'));
+    EXPECT_TRUE(events.isBroken());
+}
+
+namespace {
+
+/// Draws from the whole range whatever the size of the case, so that streams get on.
+template<typename Number>
+rc::Gen<Number> inRange(Number from, Number to)
+{
+    return rc::gen::resize(rc::kNominalSize, rc::gen::inRange<Number>(from, to));
+}
+
+} // namespace
+
+/// However the stream is cut into pieces, broken off within an event and repeated from an earlier one, the caller gets each event
+/// once and in order. Red when onResumed() keeps the unfinished event, or look() lets an old one pass.
+RC_GTEST_PROP(EventSequenceProperty, EachEventPassesOnceOverAnyBreaks, ())
+{
+    constexpr std::uint64_t Count = 12;
+    std::string whole;
+    for (std::uint64_t id = 0; id < Count; ++id)
+        whole += event(id, id % 2 == 0 ? "\n" : "\r\n");
+    EventSequence events;
+    std::string relayed;
+    while (events.lastId() != Count - 1) {
+        auto const from = *inRange<std::uint64_t>(0, events.lastId() ? *events.lastId() + 2 : 1);
+        std::string stream;
+        for (auto id = from; id < Count; ++id)
+            stream += event(id, id % 2 == 0 ? "\n" : "\r\n");
+        auto const cut = *inRange<std::size_t>(1, stream.size() + 1);
+        std::string_view rest = std::string_view(stream).substr(0, cut);
+        while (!rest.empty()) {
+            auto const size = *inRange<std::size_t>(1, rest.size() + 1);
+            relayed += events.take(rest.substr(0, size));
+            rest.remove_prefix(size);
+        }
+        events.onResumed();
+        RC_ASSERT(!events.isBroken());
+    }
+    RC_ASSERT(relayed == whole);
+}
--- /dev/null
+++ b/Tests/LibServing/TestPeers.cpp
@@ -0,0 +1,155 @@
+#include "LibServing/PeerTable.h"
+#include "LibServing/ServingError.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace Anvilyard;
+using namespace Anvilyard::Serving;
+
+namespace {
+
+constexpr Instant Start{std::chrono::hours(1)};
+
+PeerReport reportOf(std::string sender, std::uint64_t number, InstanceRole role = InstanceRole::Runner)
+{
+    return {.sender = InstanceId(std::move(sender)), .startedAt = 1, .number = number, .role = role, .address = Address("10.0.0.1:7")};
+}
+
+PeerTable tableOf(std::string self, InstanceRole role)
+{
+    PeerTable table({.self = InstanceId(std::move(self)), .ownRole = role});
+    table.setOwnStage(InstanceStage::Serving, Start);
+    return table;
+}
+
+} // namespace
+
+TEST(PeerReportTest, AReportSurvivesItsWay)
+{
+    auto report = reportOf("runner \"1\"\n", 7);
+    report.stage = InstanceStage::Leaving;
+    report.dataCentre = DataCentreId("dc");
+    report.stateVersion = StateVersion(12);
+    report.serversRevision = StoreRevision(345);
+    report.runnersSeen = ~std::uint64_t{0};
+    report.inFlight[ServerId("s")] = {.online = 3, .batch = 4};
+    report.waitingTokens = 1'000'000'000'000;
+    auto const decoded = decodePeerReport(encodePeerReport(report));
+    ASSERT_TRUE(decoded) << decoded.error().toString();
+    EXPECT_EQ(decoded->sender, report.sender);
+    EXPECT_EQ(decoded->stage, InstanceStage::Leaving);
+    EXPECT_EQ(decoded->runnersSeen, report.runnersSeen);
+    EXPECT_EQ(decoded->inFlight, report.inFlight);
+    EXPECT_EQ(decoded->waitingTokens, report.waitingTokens);
+}
+
+TEST(PeerReportTest, DatagramsOfOthersAreRejected)
+{
+    for (auto const *const text : {"", "{}", "[]", "nothing", "{\"sender\":1}", "\xff\xfe"})
+        EXPECT_EQ(decodePeerReport(text).error().code, ServingError::BadPeerMessage) << text;
+    auto const whole = encodePeerReport(reportOf("a", 1));
+    for (std::size_t length = 0; length < whole.size(); ++length)
+        EXPECT_FALSE(decodePeerReport(std::string_view(whole).substr(0, length)));
+}
+
+/// Red when reports are added up, or an older one replaces a newer one.
+RC_GTEST_PROP(PeerTableProperty, LostDoubledAndReorderedReportsLeaveTheNewestLevel, ())
+{
+    auto table = tableOf("self", InstanceRole::Entry);
+    auto order = *rc::gen::container<std::vector<std::uint64_t>>(20, rc::gen::inRange<std::uint64_t>(1, 10));
+    std::uint64_t newest = 0;
+    for (auto const number : order) {
+        auto report = reportOf("peer", number, InstanceRole::Entry);
+        report.inFlight[ServerId("s")] = {.online = static_cast<std::uint32_t>(number)};
+        table.onReport(std::move(report), Start);
+        newest = std::max(newest, number);
+        RC_ASSERT(table.othersAt(ServerId("s")).online == newest);
+    }
+}
+
+TEST(PeerTableTest, AReplacedProcessIsHeardAlthoughItsCountStartsAnew)
+{
+    auto table = tableOf("self", InstanceRole::Entry);
+    EXPECT_TRUE(table.onReport(reportOf("peer", 100), Start));
+    auto reborn = reportOf("peer", 1);
+    reborn.startedAt = 2;
+    EXPECT_TRUE(table.onReport(std::move(reborn), Start));
+    EXPECT_FALSE(table.onReport(reportOf("peer", 101), Start));
+}
+
+TEST(PeerTableTest, SilentPeersAndTheirLoadAreForgotten)
+{
+    auto table = tableOf("self", InstanceRole::Entry);
+    auto report = reportOf("peer", 1);
+    report.inFlight[ServerId("s")] = {.batch = 2};
+    table.onReport(std::move(report), Start);
+    table.onTick(Start + 1499ms);
+    EXPECT_EQ(table.othersAt(ServerId("s")).batch, 2U);
+    table.onTick(Start + 1500ms);
+    EXPECT_EQ(table.othersAt(ServerId("s")).batch, 0U);
+    EXPECT_TRUE(table.runners().empty());
+}
+
+TEST(PeerTableTest, AllInstancesNameTheSameOwner)
+{
+    auto entry = tableOf("entry", InstanceRole::Entry);
+    auto first = tableOf("r1", InstanceRole::Runner);
+    for (auto const *const name : {"r1", "r2", "r3"}) {
+        entry.onReport(reportOf(name, 1), Start);
+        first.onReport(reportOf(name, 1), Start);
+    }
+    std::set<std::string> owners;
+    for (int job = 0; job < 50; ++job) {
+        JobId const id(std::to_string(job));
+        EXPECT_EQ(entry.ownerOf(id), first.ownerOf(id));
+        owners.insert(entry.ownerOf(id)->value());
+    }
+    EXPECT_EQ(owners.size(), 3U);
+    EXPECT_EQ(entry.runnersSeen(), first.runnersSeen());
+}
+
+TEST(PeerTableTest, ALeavingRunnerOwnsNothing)
+{
+    auto table = tableOf("r1", InstanceRole::Runner);
+    table.onReport(reportOf("r2", 1), Start);
+    table.setOwnStage(InstanceStage::Leaving, Start);
+    EXPECT_EQ(table.runners(), std::vector<InstanceId>{InstanceId("r2")});
+    auto leaving = reportOf("r2", 2);
+    leaving.stage = InstanceStage::Leaving;
+    table.onReport(std::move(leaving), Start);
+    EXPECT_FALSE(table.ownerOf(JobId("j")));
+}
+
+/// Red when a one-way cut goes unnoticed: the other runner no longer hears this one and has taken its jobs over.
+TEST(PeerTableTest, ARunnerThatSeesOtherRunnersUnsettlesTheView)
+{
+    auto table = tableOf("r1", InstanceRole::Runner);
+    auto report = reportOf("r2", 1);
+    table.onReport(report, Start);
+    report.number = 2;
+    report.runnersSeen = table.runnersSeen();
+    table.onReport(report, Start + 1s);
+    EXPECT_TRUE(table.isUnsettled(Start + 4s)) << "the view changed just now";
+    EXPECT_FALSE(table.isUnsettled(Start + 6s));
+    report.number = 3;
+    report.runnersSeen += 1;
+    table.onReport(report, Start + 6s);
+    EXPECT_TRUE(table.isUnsettled(Start + 6s));
+}
+
+/// Two runners that are cut off from each other, and an entry that hears both, as hunted on coldline-kr (hunt-d255-27): a lot's
+/// results were read at one and missing at the other. Red when only runners' views count.
+TEST(PeerTableTest, AnEntryThatHearsMoreRunnersUnsettlesTheView)
+{
+    auto table = tableOf("r1", InstanceRole::Runner);
+    auto entry = reportOf("entry", 1, InstanceRole::Entry);
+    entry.runnersSeen = table.runnersSeen();
+    table.onReport(entry, Start + 10s);
+    EXPECT_FALSE(table.isUnsettled(Start + 10s));
+    entry.number = 2;
+    entry.runnersSeen += 1;
+    table.onReport(entry, Start + 11s);
+    EXPECT_TRUE(table.isUnsettled(Start + 11s));
+}
--- /dev/null
+++ b/Tests/LibServing/TestServerDirectory.cpp
@@ -0,0 +1,137 @@
+#include "LibServing/ServerDirectory.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace Anvilyard;
+using namespace Anvilyard::Serving;
+
+namespace {
+
+constexpr Instant Start{std::chrono::hours(1)};
+
+ServerRecord recordOf(std::string id, ServerRecord::State state = ServerRecord::State::Ready, std::int64_t startedAt = 1)
+{
+    return {.id = ServerId(id), .pool = PoolName("p"), .address = Address("127.0.0.1:1"), .slots = 8, .state = state, .startedAt = startedAt};
+}
+
+std::string useOf(ServerDirectory const &directory, std::string const &id, Instant now)
+{
+    auto const server = directory.find(ServerId(id), now);
+    if (!server)
+        return "none";
+    return server->use == ServerUse::Usable ? "usable" : "last resort";
+}
+
+} // namespace
+
+/// Red when a draining server stays usable.
+TEST(ServerDirectoryTest, ADrainingServerIsALastResortForASecondAndThenGone)
+{
+    ServerDirectory directory({});
+    directory.onRegistered(recordOf("a"), Start);
+    EXPECT_EQ(useOf(directory, "a", Start), "usable");
+    directory.onRegistered(recordOf("a", ServerRecord::State::Draining), Start + 1s);
+    EXPECT_EQ(useOf(directory, "a", Start + 1s), "last resort");
+    EXPECT_EQ(useOf(directory, "a", Start + 2s), "none");
+    // Hearing of it once more gives it no more time.
+    directory.onRegistered(recordOf("a", ServerRecord::State::Draining), Start + 1900ms);
+    EXPECT_EQ(useOf(directory, "a", Start + 2s), "none");
+}
+
+TEST(ServerDirectoryTest, AnUnregisteredServerIsALastResortForASecondAndThenGone)
+{
+    ServerDirectory directory({});
+    directory.onRegistered(recordOf("a"), Start);
+    directory.onUnregistered(ServerId("a"), Start);
+    EXPECT_EQ(useOf(directory, "a", Start + 999ms), "last resort");
+    EXPECT_EQ(useOf(directory, "a", Start + 1s), "none");
+}
+
+/// Red when an outage's lapses are taken for departures.
+TEST(ServerDirectoryTest, LapsesOfAnOutageAreBridgedUntilServersMustBeBack)
+{
+    ServerDirectory directory({});
+    directory.onListed({recordOf("a"), recordOf("b")}, Start);
+    directory.onRegistryReturned(Start + 10s);
+    directory.onListed({}, Start + 10s);
+    EXPECT_EQ(useOf(directory, "a", Start + 11900ms), "usable");
+    directory.onRegistered(recordOf("a"), Start + 11900ms);
+    EXPECT_EQ(useOf(directory, "a", Start + 20s), "usable");
+    EXPECT_EQ(useOf(directory, "b", Start + 12s), "none");
+}
+
+TEST(ServerDirectoryTest, AnOutageGivesADrainingServerNoMoreTime)
+{
+    ServerDirectory directory({});
+    directory.onRegistered(recordOf("a", ServerRecord::State::Draining), Start);
+    directory.onRegistryReturned(Start + 500ms);
+    directory.onListed({}, Start + 500ms);
+    EXPECT_EQ(useOf(directory, "a", Start + 1s), "none");
+}
+
+TEST(ServerDirectoryTest, AServerThatDrainedIsUsedAgainInItsNextLife)
+{
+    ServerDirectory directory({});
+    directory.onRegistered(recordOf("a", ServerRecord::State::Draining, 1), Start);
+    directory.onRegistered(recordOf("a", ServerRecord::State::Ready, 2), Start + 5s);
+    EXPECT_EQ(useOf(directory, "a", Start + 5s), "usable");
+    directory.onRegistered(recordOf("a", ServerRecord::State::Draining, 2), Start + 6s);
+    EXPECT_EQ(useOf(directory, "a", Start + 6500ms), "last resort");
+}
+
+TEST(ServerDirectoryTest, NextChangeTellsWhenAServerRunsOut)
+{
+    ServerDirectory directory({});
+    directory.onRegistered(recordOf("a"), Start);
+    EXPECT_FALSE(directory.nextChange(Start));
+    directory.onUnregistered(ServerId("a"), Start);
+    EXPECT_EQ(directory.nextChange(Start), Start + 1s);
+}
+
+/// Whatever the order of news, no server is used at all later than its time after the last news that it leaves, unless it
+/// registered as ready since.
+RC_GTEST_PROP(ServerDirectoryProperty, AServerThatLeftIsNotUsedAfterItsTime, ())
+{
+    ServerDirectory directory({});
+    auto now = Start;
+    auto leftAt = Instant::max();
+    bool isRegistered = false;
+    auto const steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6));
+    for (auto const step : steps) {
+        now += *rc::gen::inRange(0, 1500) * 1ms;
+        switch (step) {
+        case 0:
+            directory.onRegistered(recordOf("a"), now);
+            isRegistered = true;
+            leftAt = Instant::max();
+            break;
+        case 1:
+            if (!isRegistered)
+                break;
+            directory.onRegistered(recordOf("a", ServerRecord::State::Draining), now);
+            leftAt = std::min(leftAt, now);
+            break;
+        case 2:
+            directory.onUnregistered(ServerId("a"), now);
+            if (isRegistered)
+                leftAt = std::min(leftAt, now);
+            break;
+        case 3:
+            directory.onListed({}, now);
+            if (isRegistered)
+                leftAt = std::min(leftAt, now);
+            break;
+        case 4:
+            directory.onRegistryReturned(now);
+            break;
+        default:
+            break;
+        }
+        // The longest any of it lasts is the time for registering again after an outage.
+        if (leftAt != Instant::max() && now - leftAt >= 2s)
+            RC_ASSERT(useOf(directory, "a", now) == "none");
+        if (isRegistered && leftAt == Instant::max())
+            RC_ASSERT(useOf(directory, "a", now) == "usable");
+    }
+}
--- /dev/null
+++ b/Tests/Node/TestJobs.cpp
@@ -0,0 +1,267 @@
+#include "LibJobs/JobCodec.h"
+#include "LibJobs/ResultChain.h"
+#include "Tests/Node/NodeFixture.h"
+
+#include <boost/json.hpp>
+
+using namespace Anvilyard;
+using namespace Anvilyard::Tests;
+using Serving::InstanceRole;
+
+namespace json = boost::json;
+
+namespace {
+
+class JobsTest : public NodeTest
+{
+protected:
+    void SetUp() override
+    {
+        putState(1);
+    }
+
+    void addServer(std::string const &id, FleetServer::Script script)
+    {
+        servers_.push_back(std::make_unique<FleetServer>(thread_, std::move(script)));
+        putServer(id, servers_.back()->address());
+    }
+
+    Http::HttpRequest submissionOf(std::string const &job, int items, std::uint64_t tokens = 100)
+    {
+        json::array list;
+        for (int index = 0; index < items; ++index) {
+            list.push_back(json::object{{"id", job + "-" + std::to_string(index)},
+                                        {"path", "/b/x/" + std::to_string(index)},
+                                        {"headers", json::object{}},
+                                        {"body", "aGVsbG8="},
+                                        {"tokens", tokens}});
+        }
+        return {.method = "POST",
+                .target = "/b/1",
+                .headers = {{"Host", "h.example"}, {"Anvilyard-Attempt-Id", job}},
+                .body = json::serialize(json::object{{"items", std::move(list)}})};
+    }
+
+    json::object read(Node::NodeProgram &node, std::string const &job, std::size_t after, int waitMs = 1000)
+    {
+        auto const answer = ask(node,
+                                {.method = "GET",
+                                 .target = "/api/lots/" + job + "?after=" + std::to_string(after),
+                                 .headers = {{"Host", "h.example"}, {"Anvilyard-Wait-Ms", std::to_string(waitMs)}}});
+        if (!answer || answer->status != 200)
+            return {};
+        return json::parse(answer->body).as_object();
+    }
+
+    /// Reads results from the start until there are `count` of them.
+    json::array readResults(Node::NodeProgram &node, std::string const &job, std::size_t count)
+    {
+        json::array results;
+        while (results.size() < count) {
+            auto const page = read(node, job, results.size());
+            if (auto const *more = page.if_contains("results")) {
+                for (auto const &result : more->as_array())
+                    results.push_back(result);
+            }
+        }
+        return results;
+    }
+
+    Http::HttpResponse bodyOf(Node::NodeProgram &node, std::string const &job, std::string const &item)
+    {
+        return *ask(node, {.method = "GET", .target = "/api/items/" + job + "?id=" + item, .headers = {{"Host", "h.example"}}});
+    }
+
+    std::vector<std::unique_ptr<FleetServer>> servers_;
+};
+
+FleetServer::Script const complete = [](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+    answerEvents(request, writer, 3);
+};
+
+} // namespace
+
+TEST_F(JobsTest, AJobIsAcceptedOnceRunAndReadByPosition)
+{
+    addServer("s1", complete);
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    EXPECT_EQ(ask(entry, submissionOf("j", 4))->status, 202);
+    EXPECT_EQ(ask(entry, submissionOf("j", 4))->status, 202) << "a repeat is acknowledged again";
+    auto const results = readResults(entry, "j", 4);
+    std::set<std::string> ids;
+    for (auto const &result : results) {
+        EXPECT_EQ(result.as_object().at("state").as_string(), "completed");
+        EXPECT_EQ(result.as_object().at("output").as_string(), "t0\nt1\nt2");
+        ids.insert(std::string(result.as_object().at("id").as_string()));
+    }
+    EXPECT_EQ(ids.size(), 4U);
+    EXPECT_EQ(servers_[0]->requests().size(), 4U) << "each item ran once";
+    EXPECT_EQ(servers_[0]->requests()[0].body, "hello");
+    EXPECT_EQ(read(entry, "j", 4).at("total").to_number<int>(), 4);
+    EXPECT_EQ(ask(entry, {.method = "GET", .target = "/api/lots/other", .headers = {{"Host", "h.example"}}})->status, 404);
+}
+
+/// What is stored is what was read: the first days on the platform stored every segment empty, as encoding and moving the segment
+/// were arguments of one call. Red with that order.
+TEST_F(JobsTest, ResultsAreReadFromTheStoreWhenNoRunnerIsLeft)
+{
+    addServer("s1", complete);
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    ask(entry, submissionOf("j", 3));
+    auto const results = readResults(entry, "j", 3);
+    killNode("runner-1");
+    EXPECT_EQ(readResults(entry, "j", 3), results);
+}
+
+TEST_F(JobsTest, AnotherRunnerGoesOnWhereOneWasLost)
+{
+    std::vector<FleetServer::Writer> held;
+    std::atomic<bool> holds = true;
+    addServer("s1", [&](int number, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        if (holds && number > 2)
+            return held.push_back(writer);
+        answerEvents(request, writer, 3);
+    });
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    ask(entry, submissionOf("j", 5));
+    auto const first = readResults(entry, "j", 2);
+    startNode("runner-2", InstanceRole::Runner);
+    killNode("runner-1");
+    holds = false;
+    auto const all = readResults(entry, "j", 5);
+    for (std::size_t position = 0; position < first.size(); ++position)
+        EXPECT_EQ(all[position], first[position]) << "a position keeps its result";
+    thread_.call([&] { held.clear(); });
+}
+
+TEST_F(JobsTest, ItemsThatFailOrAreImpossibleAreGivenUp)
+{
+    addServer("s1", [](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        if (request.target.ends_with("/0"))
+            return writer->respond({.status = 422, .headers = signedHeaders(request, "text/plain")});
+        if (request.target.ends_with("/1"))
+            return writer->respond({.status = 500, .headers = signedHeaders(request, "text/plain")});
+        answerEvents(request, writer, 3);
+    });
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    ask(entry, submissionOf("j", 3));
+    std::map<std::string, std::string> states;
+    for (auto const &result : readResults(entry, "j", 3))
+        states[std::string(result.as_object().at("id").as_string())] = std::string(result.as_object().at("state").as_string());
+    EXPECT_EQ(states["j-0"], "dead_letter");
+    EXPECT_EQ(states["j-1"], "dead_letter");
+    EXPECT_EQ(states["j-2"], "completed");
+    std::map<std::string, int> sends;
+    for (auto const &request : servers_[0]->requests())
+        ++sends[request.target];
+    EXPECT_EQ(sends["/b/x/0"], 1);
+    EXPECT_EQ(sends["/b/x/1"], 3);
+}
+
+TEST_F(JobsTest, ABrokenItemGoesOnAfterItsLastEvent)
+{
+    addServer("s1", [](int number, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        if (number > 1)
+            return answerEvents(request, writer, 6);
+        writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+        writer->write(eventTexts(0, 3) + "id: 3", [writer](auto) { writer->abort(); });
+    });
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    ask(entry, submissionOf("j", 1));
+    EXPECT_EQ(readResults(entry, "j", 1)[0].as_object().at("output").as_string(), "t0\nt1\nt2\nt3\nt4\nt5");
+    EXPECT_EQ(servers_[0]->requests().at(1).headers.find("Last-Event-Id"), "2");
+}
+
+TEST_F(JobsTest, BodiesAreReadUntilTheirItemIsListed)
+{
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    ask(entry, submissionOf("j", 2));
+    EXPECT_EQ(bodyOf(entry, "j", "j-1").body, "hello");
+    EXPECT_EQ(bodyOf(entry, "j", "j-9").status, 404);
+    EXPECT_EQ(bodyOf(entry, "other", "j-1").status, 404);
+}
+
+/// Red when a runner does not follow the status of its jobs.
+TEST_F(JobsTest, AnEndedJobIsNoLongerRun)
+{
+    std::promise<void> arrived;
+    std::promise<void> gone;
+    addServer("s1", [&](int number, Http::HttpRequest const &, FleetServer::Writer const &writer) {
+        if (number > 1)
+            return;
+        writer->onCallerGone([&gone, writer] { gone.set_value(); });
+        arrived.set_value();
+    });
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    ask(entry, submissionOf("j", 1));
+    arrived.get_future().wait();
+    for (int repeat = 0; repeat < 2; ++repeat)
+        EXPECT_EQ(ask(entry, {.method = "DELETE", .target = "/api/lots/j", .headers = {{"Host", "h.example"}}})->status, 200);
+    gone.get_future().wait();
+    EXPECT_EQ(ask(entry, {.method = "DELETE", .target = "/api/lots/other", .headers = {{"Host", "h.example"}}})->status, 404);
+}
+
+/// Red when a lost acknowledgement of the store is answered 503: that would promise that the job does not run, and it does.
+TEST_F(JobsTest, ASubmissionWhoseOutcomeIsUnknownIsNeverCalledNotRun)
+{
+    auto &entry = startNode("entry-1");
+    waitUntilReady(entry);
+    thread_.call([&] { store_->faults().setFaults({.loseNextAnswers = 1}); });
+    EXPECT_EQ(ask(entry, submissionOf("j", 1))->status, 202) << "the repeat finds it stored";
+    thread_.call([&] { store_->faults().setFaults({.away = Away::Cut}); });
+    EXPECT_EQ(ask(entry, submissionOf("k", 1))->status, 504);
+    thread_.call([&] { store_->faults().setFaults({.away = Away::Refuse}); });
+    auto const refused = ask(entry, submissionOf("l", 1));
+    EXPECT_EQ(refused->status, 503);
+    EXPECT_TRUE(refused->headers.contains("Retry-After"));
+}
+
+TEST_F(JobsTest, AJobThatDoesNotFitIsRefusedAndOneThatWaitsCounts)
+{
+    auto &entry = startNode("entry-1");
+    waitUntilReady(entry);
+    EXPECT_EQ(ask(entry, submissionOf("a", 2, 40'000))->status, 202);
+    EXPECT_EQ(ask(entry, submissionOf("b", 2, 40'000))->status, 429);
+    EXPECT_EQ(ask(entry, submissionOf("a", 2, 40'000))->status, 202) << "a repeat takes no further room";
+    EXPECT_EQ(ask(entry, submissionOf("c", 1, 10'000))->status, 202);
+}
+
+TEST_F(JobsTest, ARetiringRunnerHandsItsJobsOverAndSaysSo)
+{
+    addServer("s1", complete);
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    startNode("runner-2", InstanceRole::Runner);
+    waitUntilReady(entry);
+    thread_.call([&] { store_->put("retirements", "runner-1", R"({"durationS":10})"); });
+    waitUntil([&] {
+        auto const object = store_->table().get(Platform::Kind("retirements"), Platform::ObjectName("runner-1"));
+        return object->status == R"({"state":"completed"})";
+    });
+    ask(entry, submissionOf("j", 3));
+    EXPECT_EQ(readResults(entry, "j", 3).size(), 3U);
+}
+
+TEST_F(JobsTest, ARetirementOfALostRunnerIsReportedByAnother)
+{
+    startNode("runner-2", InstanceRole::Runner);
+    thread_.call([&] { store_->put("retirements", "runner-1", R"({"durationS":10})"); });
+    waitUntil([&] {
+        auto const object = store_->table().get(Platform::Kind("retirements"), Platform::ObjectName("runner-1"));
+        return object->status == R"({"state":"completed"})";
+    });
+}
--- /dev/null
+++ b/Tests/Node/TestOnline.cpp
@@ -0,0 +1,314 @@
+#include "Tests/Fakes/ScriptedServer.h"
+#include "Tests/Node/NodeFixture.h"
+
+using namespace Anvilyard;
+using namespace Anvilyard::Tests;
+
+namespace {
+
+class OnlineTest : public NodeTest
+{
+protected:
+    /// A node before one server per script.
+    Node::NodeProgram &serve(std::vector<FleetServer::Script> scripts)
+    {
+        putState(1);
+        for (auto &script : scripts) {
+            servers_.push_back(std::make_unique<FleetServer>(thread_, std::move(script)));
+            putServer("s" + std::to_string(servers_.size()), servers_.back()->address());
+        }
+        auto &node = startNode("entry-1");
+        waitUntilReady(node);
+        return node;
+    }
+
+    std::size_t requestsInAll() const
+    {
+        std::size_t count = 0;
+        for (auto const &server : servers_)
+            count += server->requests().size();
+        return count;
+    }
+
+    std::vector<std::unique_ptr<FleetServer>> servers_;
+};
+
+FleetServer::Script answerWhole(std::string body)
+{
+    return [body = std::move(body)](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        writer->respond({.status = 200, .headers = signedHeaders(request, "text/plain"), .body = body});
+    };
+}
+
+} // namespace
+
+TEST_F(OnlineTest, ANodeWithoutADesiredStateIsNotReadyAndSaysWhenToComeBack)
+{
+    auto &node = startNode("entry-1");
+    auto const answer = ask(node, requestOf("/i/1", "a"));
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 503);
+    EXPECT_TRUE(answer->headers.contains("Retry-After"));
+    EXPECT_FALSE(answer->headers.contains("Anvilyard-Response-Signature"));
+}
+
+TEST_F(OnlineTest, AnAnswerIsHandedOnWithItsHeaders)
+{
+    auto &node = serve({answerWhole("pong")});
+    auto const answer = ask(node, requestOf("/i/1?x=1", "a"));
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200);
+    EXPECT_EQ(answer->body, "pong");
+    EXPECT_EQ(answer->headers.find("Anvilyard-Response-Signature"), "sig");
+    auto const seen = servers_[0]->requests().at(0);
+    EXPECT_EQ(seen.target, "/i/1?x=1");
+    EXPECT_EQ(seen.body, "hello");
+    EXPECT_EQ(seen.headers.find("Host"), "h.example");
+    EXPECT_EQ(seen.headers.find("Anvilyard-Expect-Instance"), "s1");
+    EXPECT_LE(std::stoi(std::string(*seen.headers.find("Anvilyard-Deadline-Ms"))), 3000);
+}
+
+TEST_F(OnlineTest, AnUnknownPathIsNotFoundAndAMalformedHeadRefused)
+{
+    auto &node = serve({answerWhole("")});
+    EXPECT_EQ(ask(node, requestOf("/nowhere/1", "a"))->status, 404);
+    auto request = requestOf("/i/1", "a");
+    request.headers.remove("Anvilyard-Attempt-Id");
+    EXPECT_EQ(ask(node, std::move(request))->status, 400);
+    EXPECT_EQ(requestsInAll(), 0U);
+}
+
+/// Red when a broken stream is ended, or the resume does not say after which event.
+TEST_F(OnlineTest, AStreamThatBreaksWithinAnEventGoesOnAtAnotherServer)
+{
+    FleetServer::Script const script = [](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        if (request.headers.contains("Last-Event-Id"))
+            return answerEvents(request, writer, 10);
+        writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+        // The break comes once the bytes have left.
+        writer->write(eventTexts(0, 4) + "id: 4\nda", [writer](auto) { writer->abort(); });
+    };
+    auto &node = serve({script, script});
+    auto const answer = ask(node, requestOf("/s/1", "a"));
+    ASSERT_TRUE(answer) << answer.error().error.toString();
+    EXPECT_EQ(answer->body, eventTexts(0, 10));
+    ASSERT_EQ(requestsInAll(), 2U);
+    EXPECT_EQ(servers_[0]->requests().size(), 1U) << "the second send goes to the other server";
+}
+
+TEST_F(OnlineTest, AStreamThatMayNotBeResumedIsNeverEndedAsIfItWereWhole)
+{
+    auto &node = serve({[](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+        writer->write(eventTexts(0, 4), [writer](auto) { writer->abort(); });
+    }});
+    EXPECT_FALSE(ask(node, requestOf("/o/1", "a")));
+    EXPECT_EQ(requestsInAll(), 1U);
+}
+
+/// Red when a lost answer is repeated, or refused as not run.
+TEST_F(OnlineTest, WhatMayRunOnceIsSentOnceAndItsLostAnswerPromisesNothing)
+{
+    FleetServer::Script const lose = [](int, Http::HttpRequest const &, FleetServer::Writer const &writer) { writer->abort(); };
+    auto &node = serve({lose, lose});
+    EXPECT_EQ(ask(node, requestOf("/u/1", "a"))->status, 502);
+    EXPECT_EQ(requestsInAll(), 1U);
+    EXPECT_EQ(ask(node, requestOf("/i/1", "b"))->status, 502);
+    EXPECT_EQ(requestsInAll(), 3U) << "an idempotent request is tried at both servers";
+}
+
+TEST_F(OnlineTest, AServerThatSaysItDidNotRunARequestIsNoLastWord)
+{
+    FleetServer::Script const shedFirst = [](int number, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        if (number == 1)
+            return writer->respond({.status = 503, .headers = {{"Anvilyard-Not-Executed", "1"}}});
+        answerWhole("x")(number, request, writer);
+    };
+    auto &node = serve({shedFirst, answerWhole("x")});
+    for (auto const *const id : {"a", "b", "c", "d"})
+        EXPECT_EQ(ask(node, requestOf("/u/1", id))->status, 200);
+}
+
+TEST_F(OnlineTest, ARequestThatNoServerTookIsRefusedAsNotRun)
+{
+    FleetServer::Script const shed = [](int, Http::HttpRequest const &, FleetServer::Writer const &writer) {
+        writer->respond({.status = 503, .headers = {{"Anvilyard-Not-Executed", "1"}}});
+    };
+    auto &node = serve({shed, shed});
+    auto const answer = ask(node, requestOf("/u/1", "a"));
+    EXPECT_EQ(answer->status, 503);
+    EXPECT_TRUE(answer->headers.contains("Retry-After"));
+    EXPECT_EQ(requestsInAll(), 2U);
+}
+
+/// Red when a server's 503 is handed on as it is: the caller would take it for "not run".
+TEST_F(OnlineTest, AStatusThatPromisesNotRunIsNotHandedOnWithoutTheServersWord)
+{
+    for (auto const status : {429, 503}) {
+        SCOPED_TRACE(status);
+        servers_.clear();
+        auto &node = serve({[status](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+            writer->respond({.status = status, .headers = signedHeaders(request, "text/plain")});
+        }});
+        auto const answer = ask(node, requestOf("/u/1", "a"));
+        EXPECT_EQ(answer->status, 502);
+        EXPECT_FALSE(answer->headers.contains("Anvilyard-Response-Signature"));
+        killNode("entry-1");
+    }
+}
+
+TEST_F(OnlineTest, AServersOwnFailureIsHandedOnUnchanged)
+{
+    auto &node = serve({[](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        writer->respond({.status = 418, .headers = signedHeaders(request, "text/plain"), .body = "teapot"});
+    }});
+    auto const answer = ask(node, requestOf("/i/1", "a"));
+    EXPECT_EQ(answer->status, 418);
+    EXPECT_EQ(answer->body, "teapot");
+    EXPECT_EQ(answer->headers.find("Anvilyard-Response-Signature"), "sig");
+}
+
+/// Red when a success without signature, or an encoded one, is taken for the server's answer.
+TEST_F(OnlineTest, ASuccessThatIsNotTheServersAnswerIsTriedElsewhere)
+{
+    for (auto const &headers : {Http::Headers{{"Content-Type", "text/plain"}},
+                                Http::Headers{{"Anvilyard-Response-Signature", "sig"}, {"Content-Encoding", "gzip"}}}) {
+        servers_.clear();
+        FleetServer::Script const spoil = [headers](int, Http::HttpRequest const &, FleetServer::Writer const &writer) {
+            writer->respond({.status = 200, .headers = headers, .body = "spoiled"});
+        };
+        auto &node = serve({spoil, spoil});
+        EXPECT_EQ(ask(node, requestOf("/i/1", "a"))->status, 502);
+        EXPECT_EQ(requestsInAll(), 2U);
+        killNode("entry-1");
+    }
+}
+
+/// An extra answer to an earlier request comes where the next one is due. Red when the head's request id is not looked at.
+TEST_F(OnlineTest, AnExtraAnswerOfAnotherRequestReachesNobody)
+{
+    putState(1);
+    std::unique_ptr<ScriptedServer> scripted;
+    auto const answer = [](std::string const &id, std::string const &body) {
+        return "HTTP/1.1 200 OK\r\nAnvilyard-Response-Signature: s\r\nAnvilyard-Attempt-Id: " + id
+            + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    };
+    thread_.call([&] {
+        scripted = ScriptedServer::create(thread_.loop(), [&](ScriptedServer::Connection &connection, std::size_t request) {
+            if (request == 0)
+                return connection.send(answer("a", "first"));
+            connection.send(answer("a", "extra"));
+            connection.send(answer("b", "second"));
+        });
+    });
+    putServer("s1", scripted->address());
+    auto &node = startNode("entry-1");
+    waitUntilReady(node);
+    EXPECT_EQ(ask(node, requestOf("/i/1", "a"))->body, "first");
+    EXPECT_EQ(ask(node, requestOf("/i/1", "b"))->body, "second");
+    thread_.call([&] { scripted.reset(); });
+}
+
+TEST_F(OnlineTest, ABodyThatItsConnectionEndsIsWholeAndOneThatIsResetIsNot)
+{
+    putState(1);
+    std::unique_ptr<ScriptedServer> scripted;
+    thread_.call([&] {
+        scripted = ScriptedServer::create(thread_.loop(), [&](ScriptedServer::Connection &connection, std::size_t) {
+            connection.send("HTTP/1.1 200 OK\r\nAnvilyard-Response-Signature: s\r\nAnvilyard-Attempt-Id: a\r\n\r\nwhole");
+            connection.close();
+        });
+    });
+    putServer("s1", scripted->address());
+    auto &node = startNode("entry-1");
+    waitUntilReady(node);
+    EXPECT_EQ(ask(node, requestOf("/u/1", "a"))->body, "whole");
+    thread_.call([&] { scripted.reset(); });
+}
+
+TEST_F(OnlineTest, ACallerThatLeavesEndsItsRequestAtTheServer)
+{
+    std::promise<void> arrived;
+    std::promise<void> gone;
+    auto &node = serve({[&](int, Http::HttpRequest const &, FleetServer::Writer const &writer) {
+        // The writer is held until the connection closes, as a server does that is at work.
+        writer->onCallerGone([&gone, writer] { gone.set_value(); });
+        arrived.set_value();
+    }});
+    std::shared_ptr<Http::Exchange> exchange;
+    thread_.call([&] {
+        exchange = client_->send({.server = node.callers(), .request = requestOf("/s/1", "a"), .deadline = readLocalClock() + 20s}, {});
+    });
+    arrived.get_future().wait();
+    thread_.call([&] { exchange->cancel(); });
+    gone.get_future().wait();
+}
+
+TEST_F(OnlineTest, ARequestWithoutAnAnswerEndsAtItsRoutesTimeout)
+{
+    std::vector<FleetServer::Writer> held;
+    auto &node = serve({[&](int, Http::HttpRequest const &, FleetServer::Writer const &writer) { held.push_back(writer); }});
+    auto request = requestOf("/u/1", "a");
+    request.headers.set("Anvilyard-Deadline-Ms", "300");
+    EXPECT_EQ(ask(node, std::move(request))->status, 504);
+    thread_.call([&] { held.clear(); });
+}
+
+TEST_F(OnlineTest, ADrainingServerGetsNoRequestsWhileThereIsAnother)
+{
+    auto &node = serve({answerWhole("1"), answerWhole("2")});
+    putServer("s1", servers_[0]->address(), "draining");
+    // The change is in force once it was followed; until then either may answer.
+    waitUntil([&] { return store_->calls().at("GET servers") >= 3; });
+    auto const before = servers_[0]->requests().size();
+    for (int count = 0; count < 10; ++count)
+        EXPECT_EQ(ask(node, requestOf("/i/1", std::to_string(count)))->status, 200);
+    EXPECT_EQ(servers_[0]->requests().size(), before);
+}
+
+TEST_F(OnlineTest, ANewDesiredStateIsInForceAndAnOlderOneNever)
+{
+    auto &node = serve({answerWhole("x")});
+    EXPECT_EQ(ask(node, requestOf("/new/1", "a"))->status, 404);
+    std::string const extra = R"(,{"name":"new","host":"h.example","pathPrefix":"/new/","kind":"idempotent","timeoutMs":3000,"sloMs":1000,"service":"p","attempts":1})";
+    putState(5, extra);
+    waitUntil([&] { return store_->calls().at("GET config") >= 3; });
+    EXPECT_EQ(ask(node, requestOf("/new/1", "b"))->status, 200);
+    putState(4);
+    waitUntil([&] { return store_->calls().at("GET config") >= 4; });
+    EXPECT_EQ(ask(node, requestOf("/new/1", "c"))->status, 200);
+}
+
+/// A node that starts while the platform is away learns from a peer. Red without onPeerAhead().
+TEST_F(OnlineTest, ANodeThatStartsWhileTheStoreIsAwayLearnsFromAPeer)
+{
+    serve({answerWhole("x")});
+    auto &late = startNode("entry-2");
+    waitUntilReady(late);
+    killNode("entry-2");
+    // The first node knows the second one's address no more; it registers before the store goes away.
+    auto &again = startNode("entry-2");
+    waitUntil([&] { return store_->calls().at("POST instances") >= 3; });
+    thread_.call([&] { store_->faults().setFaults({.away = Away::Refuse}); });
+    waitUntilReady(again);
+    EXPECT_EQ(ask(again, requestOf("/i/1", "a"))->status, 200);
+}
+
+TEST_F(OnlineTest, AStoppingNodeFinishesWhatItHasAndIsNotReady)
+{
+    std::promise<FleetServer::Writer> arrived;
+    Http::HttpRequest seen;
+    auto &node = serve({[&](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        seen = request;
+        arrived.set_value(writer);
+    }});
+    auto answer = sendTo(node, requestOf("/u/1", "a"));
+    auto const writer = arrived.get_future().get();
+    thread_.call([&] { node.stop(); });
+    EXPECT_FALSE(thread_.call([&] { return node.isReady(); }));
+    thread_.call([&] { writer->respond({.status = 200, .headers = signedHeaders(seen, "text/plain"), .body = "done"}); });
+    auto const whole = answer.get();
+    ASSERT_TRUE(whole);
+    EXPECT_EQ(whole->body, "done");
+    EXPECT_EQ(whole->headers.find("Connection"), "close");
+}
