--- a/Libraries/LibJobs/JobCodec.h
+++ b/Libraries/LibJobs/JobCodec.h
@@ -11,18 +11,18 @@
 namespace Anvilyard::Jobs {
 
 /// The job itself with its first items; its status says whether it was ended.
-inline Platform::Kind const JobKind("batchjobs");
+inline Platform::Kind const jobKind("batchjobs");
 /// Further items of a job too large for one object.
-inline Platform::Kind const JobPartKind("batchjobparts");
+inline Platform::Kind const jobPartKind("batchjobparts");
 /// Outcomes of a job, a segment an object.
-inline Platform::Kind const SegmentKind("batchresults");
+inline Platform::Kind const segmentKind("batchresults");
 
 /// Content of one object is kept under this, well below the platform's limit of a megabyte for an object with its metadata.
 constexpr std::size_t ObjectBytesMost = 700 * 1024;
 
 /// A job as the objects that hold it.
 struct StoredJob {
-    /// Content of the objects of JobPartKind, to be created before the job's own object.
+    /// Content of the objects of jobPartKind, to be created before the job's own object.
     std::vector<std::string> parts;
     std::string spec;
 };
--- a/Libraries/LibJobs/ResultChain.cpp
+++ b/Libraries/LibJobs/ResultChain.cpp
@@ -24,7 +24,7 @@
 
     void start()
     {
-        store_.get(CallClass::Read, JobKind, jobObject(job_), [self = shared_from_this()](Result<Platform::Object> object) {
+        store_.get(CallClass::Read, jobKind, jobObject(job_), [self = shared_from_this()](Result<Platform::Object> object) {
             if (!object) {
                 if (object.error().code == PlatformError::NotFound)
                     return self->reply_(failure(JobsError::JobNotFound, self->job_.value()));
@@ -46,7 +46,7 @@
         if (part == parts_)
             return extent_ == LoadExtent::Whole ? loadNextSegment() : reply_(std::move(loaded_));
         store_.get(
-            CallClass::Read, JobPartKind, partObject(job_, part), [self = shared_from_this(), part](Result<Platform::Object> object) {
+            CallClass::Read, jobPartKind, partObject(job_, part), [self = shared_from_this(), part](Result<Platform::Object> object) {
                 if (!object)
                     return self->reply_(tl::unexpected(object.error()));
                 auto items = decodePart(object->spec);
@@ -94,7 +94,7 @@
                  std::size_t first,
                  std::function<void(Result<std::optional<ResultSegment>>)> reply)
 {
-    store.get(CallClass::Read, SegmentKind, segmentObject(job, first), [first, reply = std::move(reply)](Result<Platform::Object> object) {
+    store.get(CallClass::Read, segmentKind, segmentObject(job, first), [first, reply = std::move(reply)](Result<Platform::Object> object) {
         if (!object && object.error().code == PlatformError::NotFound)
             return reply(std::optional<ResultSegment>());
         if (!object)
--- a/Libraries/LibServing/Admission.cpp
+++ b/Libraries/LibServing/Admission.cpp
@@ -22,8 +22,8 @@
         shortest = std::min(shortest, expectedWait(server, meanRun));
     auto const allowed = std::chrono::duration_cast<Duration>(latencyTarget * options.waitShareOfTarget);
     if (shortest <= allowed)
-        return {};
-    return {.isAdmitted = false, .retryAfter = std::max(options.leastRetryAfter, shortest - allowed)};
+        return {.shortestWait = shortest};
+    return {.isAdmitted = false, .retryAfter = std::max(options.leastRetryAfter, shortest - allowed), .shortestWait = shortest};
 }
 
 } // namespace Anvilyard::Serving
--- a/Libraries/LibServing/Admission.h
+++ b/Libraries/LibServing/Admission.h
@@ -26,6 +26,8 @@
     bool isAdmitted = true;
     /// When room is expected, for a request that is not admitted.
     Duration retryAfter{0};
+    /// The expected wait at the server with the shortest one.
+    Duration shortestWait{0};
 };
 
 /// Expected wait for a slot at a server, with `meanRun` being how long a request holds a slot on average.
--- a/Libraries/LibServing/OnlinePlacement.cpp
+++ b/Libraries/LibServing/OnlinePlacement.cpp
@@ -111,7 +111,10 @@
         return {};
     auto const verdict = admit(loads, pool.meanRun, request.latencyTarget, options_.admission);
     if (!verdict.isAdmitted)
-        return {.outcome = Placement::Outcome::Full, .retryAfter = verdict.retryAfter};
+        return {.outcome = Placement::Outcome::Full,
+                .retryAfter = verdict.retryAfter,
+                .servers = loads.size(),
+                .shortestWait = verdict.shortestWait};
     refreshLoads(pool, own, peers, now);
     auto const *chosen = pool.chooser.choose({.prefix = request.prefix, .excluded = request.excluded}, now, random);
     if (!chosen)
--- a/Libraries/LibServing/OnlinePlacement.h
+++ b/Libraries/LibServing/OnlinePlacement.h
@@ -48,6 +48,9 @@
     bool hasRoom = true;
     /// With Full: when room is expected.
     Duration retryAfter{0};
+    /// What decided: servers that could be chosen, and the shortest expected wait for a slot among them.
+    std::size_t servers = 0;
+    Duration shortestWait{0};
 };
 
 /// Chooses servers for online requests by what all instances have in flight there. Pure.
--- a/Libraries/LibServing/PeerTable.cpp
+++ b/Libraries/LibServing/PeerTable.cpp
@@ -23,6 +23,10 @@
         if (std::tie(report.startedAt, report.number) <= std::tie(last.startedAt, last.number))
             return false;
     }
+    bool const isLeaving =
+        known != peers_.end() && known->second.report.stage == InstanceStage::Serving && report.stage == InstanceStage::Leaving;
+    if (isLeaving)
+        holdTokens(known->second.report, now);
     auto const sender = report.sender;
     auto const seen = report.runnersSeen;
     peers_[sender] = {.report = std::move(report), .heardAt = now};
@@ -35,7 +39,13 @@
 
 void PeerTable::onTick(Instant now)
 {
-    auto const forgotten = std::erase_if(peers_, [&](auto const &entry) { return now - entry.second.heardAt >= options_.silence; });
+    auto const forgotten = std::erase_if(peers_, [&](auto const &entry) {
+        bool const isSilent = now - entry.second.heardAt >= options_.silence;
+        if (isSilent)
+            holdTokens(entry.second.report, now);
+        return isSilent;
+    });
+    std::erase_if(handedOver_, [&](auto const &entry) { return now >= entry.second.until; });
     if (forgotten > 0)
         noteRunners(now);
 }
@@ -142,9 +152,19 @@
 }
 
 std::optional<InstanceId> PeerTable::ownerOf(JobId const &job) const
+{
+    return firstRunnerFor(job.value());
+}
+
+std::optional<InstanceId> PeerTable::admitterOf(RouteName const &route) const
+{
+    return firstRunnerFor(route.value());
+}
+
+std::optional<InstanceId> PeerTable::firstRunnerFor(std::string const &key) const
 {
     auto const ids = runners();
-    auto const owner = rendezvousOwner(job.value(), ids, [](InstanceId const &id) -> std::string const & { return id.value(); });
+    auto const owner = rendezvousOwner(key, ids, [](InstanceId const &id) -> std::string const & { return id.value(); });
     return owner == ids.end() ? std::nullopt : std::optional(*owner);
 }
 
@@ -160,9 +180,17 @@
     return std::any_of(peers_.begin(), peers_.end(), [&](auto const &entry) { return entry.second.report.runnersSeen != runnersSeen_; });
 }
 
-std::uint64_t PeerTable::waitingTokens() const
+void PeerTable::holdTokens(PeerReport const &report, Instant now)
+{
+    if (report.waitingTokens > 0)
+        handedOver_[report.sender] = {.tokens = report.waitingTokens, .until = now + options_.takeover};
+}
+
+std::uint64_t PeerTable::waitingTokens(Instant now) const
 {
     std::uint64_t sum = 0;
+    for (auto const &[id, held] : handedOver_)
+        sum += now < held.until ? held.tokens : 0;
     for (auto const &[id, peer] : peers_)
         sum += peer.report.waitingTokens;
     return sum;
--- a/Libraries/LibServing/PeerTable.h
+++ b/Libraries/LibServing/PeerTable.h
@@ -16,6 +16,8 @@
     Duration silence = 1500ms;
     /// For this long after a change or a disagreement about the live runners, another instance may still see another set.
     Duration unsettledAfterChange = 5s;
+    /// Within this time the jobs of a runner that is gone were read and are counted by another one.
+    Duration takeover = 3s;
 };
 
 /// What peers last said of themselves. Pure.
@@ -51,8 +53,11 @@
     /// Whether two instances may hold themselves for the owner of one job: the view of a peer differed or the own one changed just
     /// now, or this process stood still. Entries count as well: they hear runners that are cut off from each other.
     [[nodiscard]] bool isUnsettled(Instant now) const;
-    /// Tokens that wait at live runners other than this one.
-    [[nodiscard]] std::uint64_t waitingTokens() const;
+    /// Tokens that wait at runners other than this one. Those of a runner that is gone or leaves count until another one has taken
+    /// its jobs over; counted twice for a moment is better than not at all.
+    [[nodiscard]] std::uint64_t waitingTokens(Instant now) const;
+    /// The runner that decides on jobs of a route while little room is left there; nothing when no runner is known.
+    [[nodiscard]] std::optional<InstanceId> admitterOf(RouteName const &route) const;
 
 private:
     struct Peer {
@@ -60,12 +65,21 @@
         Instant heardAt;
     };
 
+    struct HandedOver {
+        std::uint64_t tokens = 0;
+        Instant until;
+    };
+
+    void holdTokens(PeerReport const &report, Instant now);
+    [[nodiscard]] std::optional<InstanceId> firstRunnerFor(std::string const &key) const;
+
     void noteRunners(Instant now);
 
     PeerTableOptions options_;
     InstanceStage ownStage_ = InstanceStage::Serving;
     StoreReach ownStore_ = StoreReach::Reached;
     std::map<InstanceId, Peer> peers_;
+    std::map<InstanceId, HandedOver> handedOver_;
     std::uint64_t runnersSeen_ = 0;
     /// Last change of the own view, disagreement with a peer's, or pause.
     Instant disturbedAt_ = Instant::min();
--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -33,6 +33,7 @@
 
 void ItemRun::start(Jobs::JobItem const &item, std::string const &host)
 {
+    itemId_ = item.id;
     context_.load.onStarted(server_.id, Serving::WorkClass::Batch);
     Http::ClientRequest request{
         .server = server_.address,
@@ -68,7 +69,7 @@
                                        [self](Http::ExchangeFailure const &failure) {
                                            Observe::log(Observe::Events::NodeItemAttemptFailed,
                                                         {{"job", self->item_.job.value()},
-                                                         {"index", std::to_string(self->item_.index)},
+                                                         {"item", self->itemId_.value()},
                                                          {"server", self->server_.id.value()},
                                                          {"error", failure.error.toString()}});
                                            self->finish(SendEnd::Unserved);
@@ -89,7 +90,7 @@
 {
     Observe::log(Observe::Events::NodeItemRejected,
                  {{"job", item_.job.value()},
-                  {"index", std::to_string(item_.index)},
+                  {"item", itemId_.value()},
                   {"server", server_.id.value()},
                   {"status", std::to_string(status_)},
                   {"own_batch", std::to_string(context_.load.at(server_.id).batch)},
--- a/Services/Node/ItemRun.h
+++ b/Services/Node/ItemRun.h
@@ -35,6 +35,7 @@
     NodeContext &context_;
     Serving::ServerRecord server_;
     Jobs::ItemStart item_;
+    Jobs::ItemId itemId_;
     Hooks hooks_;
     Serving::EventSequence events_;
     std::shared_ptr<Http::Exchange> exchange_;
--- a/Services/Node/JobDesk.cpp
+++ b/Services/Node/JobDesk.cpp
@@ -26,6 +26,9 @@
 /// A page of results is a megabyte at most, of which escapes may take half.
 constexpr std::size_t PageBytesMost = 480 * 1024;
 constexpr Duration QuotaPause = 1s;
+/// With room for this many jobs of the same size an entry decides alone: no burst brings as many within the tenths of a second
+/// before runners have counted them.
+constexpr std::uint64_t UncountedJobsMost = 16;
 
 } // namespace
 
@@ -56,7 +59,7 @@
 std::uint64_t JobDesk::expectedWaitingTokens(Instant now)
 {
     std::erase_if(accepted_, [&](auto const &entry) { return now - entry.second.at > CountedAfter; });
-    auto sum = context_.peers.waitingTokens();
+    auto sum = context_.peers.waitingTokens(now);
     for (auto const &[job, accepted] : accepted_)
         sum += accepted.tokens;
     return sum;
@@ -80,17 +83,54 @@
     submission->items = record.items.size();
     submission->writer = std::move(writer);
     submission->deadline = now.local + StorePatience;
-    bool const isNew = !accepted_.contains(record.id);
-    if (isNew && route.waitingTokensMost > 0 && expectedWaitingTokens(now.local) + submission->tokens > route.waitingTokensMost) {
-        Observe::log(Observe::Events::NodeJobRefused,
-                     {{"job", record.id.value()},
-                      {"tokens", std::to_string(submission->tokens)},
-                      {"waiting", std::to_string(expectedWaitingTokens(now.local))},
-                      {"most", std::to_string(route.waitingTokensMost)}});
-        return refuse(submission->writer, Refusals::overQuota(QuotaPause));
-    }
     submission->stored = Jobs::encodeJob(record);
-    storePart(submission, 0);
+    auto const expected = expectedWaitingTokens(now.local);
+    auto const most = route.waitingTokensMost;
+    bool const isKnown = accepted_.contains(record.id);
+    if (most == 0 || isKnown || expected + submission->tokens * UncountedJobsMost <= most)
+        return storePart(submission, 0);
+    if (submission->tokens > most)
+        return refuseForQuota(submission, most);
+    askAdmitter(route, submission);
+}
+
+void JobDesk::askAdmitter(Serving::Route const &route, std::shared_ptr<Submission> const &submission)
+{
+    auto const admitter = context_.peers.admitterOf(route.name);
+    auto const most = route.waitingTokensMost;
+    askPeer(admitter,
+            toTarget(PeerAdmission{.job = submission->id, .tokens = submission->tokens, .tokensMost = most}),
+            Duration::zero(),
+            [this, submission, most](std::optional<Http::HttpResponse> answer) {
+                if (answer && answer->status == 200)
+                    return storePart(submission, 0);
+                if (answer && answer->status == NoRoomStatus)
+                    return confirmUnknownJob(submission, most);
+                refuse(submission->writer, Refusals::quotaUnknown());
+            });
+}
+
+/// A job that is stored already is acknowledged again, whatever room there is.
+void JobDesk::confirmUnknownJob(std::shared_ptr<Submission> const &submission, std::uint64_t most)
+{
+    context_.store.get(
+        CallClass::Acknowledge, Jobs::jobKind, Jobs::jobObject(submission->id), [this, submission, most](Result<Platform::Object> stored) {
+            if (stored)
+                return acknowledge(submission);
+            if (stored.error().code == PlatformError::NotFound)
+                return refuseForQuota(submission, most);
+            refuse(submission->writer, Refusals::storeOutcomeUnknown());
+        });
+}
+
+void JobDesk::refuseForQuota(std::shared_ptr<Submission> const &submission, std::uint64_t most)
+{
+    Observe::log(Observe::Events::NodeJobRefused,
+                 {{"job", submission->id.value()},
+                  {"tokens", std::to_string(submission->tokens)},
+                  {"waiting", std::to_string(expectedWaitingTokens(readLocalClock()))},
+                  {"most", std::to_string(most)}});
+    refuse(submission->writer, Refusals::overQuota(QuotaPause));
 }
 
 void JobDesk::storePart(std::shared_ptr<Submission> const &submission, std::size_t part)
@@ -98,7 +138,7 @@
     if (part == submission->stored.parts.size())
         return storeJob(submission);
     context_.store.create(CallClass::Acknowledge,
-                          Jobs::JobPartKind,
+                          Jobs::jobPartKind,
                           Jobs::partObject(submission->id, part),
                           submission->stored.parts[part],
                           [this, submission, part](Result<Platform::Object> created) {
@@ -112,7 +152,7 @@
 void JobDesk::storeJob(std::shared_ptr<Submission> const &submission)
 {
     context_.store.create(CallClass::Acknowledge,
-                          Jobs::JobKind,
+                          Jobs::jobKind,
                           Jobs::jobObject(submission->id),
                           submission->stored.spec,
                           [this, submission](Result<Platform::Object> created) {
@@ -162,8 +202,19 @@
 
 void JobDesk::askOwner(JobId const &job, std::string target, Duration wait, std::function<void(std::optional<Http::HttpResponse>)> done)
 {
-    auto const owner = context_.peers.ownerOf(job);
-    auto const *peer = owner ? context_.peers.find(*owner) : nullptr;
+    askPeer(context_.peers.ownerOf(job), std::move(target), wait, [done = std::move(done)](std::optional<Http::HttpResponse> answer) {
+        // Anything but an answer to the caller's question sends the entry to the store.
+        bool const isUsable = answer && answer->status == 200;
+        done(isUsable ? std::move(answer) : std::nullopt);
+    });
+}
+
+void JobDesk::askPeer(std::optional<InstanceId> const &id,
+                      std::string target,
+                      Duration wait,
+                      std::function<void(std::optional<Http::HttpResponse>)> done)
+{
+    auto const *peer = id ? context_.peers.find(*id) : nullptr;
     if (!peer)
         return done(std::nullopt);
     Http::ClientRequest request{
@@ -175,9 +226,7 @@
     };
     context_.peerClient->fetch(std::move(request),
                                [done = std::move(done)](tl::expected<Http::HttpResponse, Http::ExchangeFailure> answer) {
-                                   // Anything but an answer to the caller's question sends the entry to the store.
-                                   bool const isUsable = answer && answer->status == 200;
-                                   done(isUsable ? std::optional(std::move(*answer)) : std::nullopt);
+                                   done(answer ? std::optional(std::move(*answer)) : std::nullopt);
                                });
 }
 
@@ -254,7 +303,7 @@
 {
     context_.statuses.replaceStatus(
         CallClass::Acknowledge,
-        Jobs::JobKind,
+        Jobs::jobKind,
         Jobs::jobObject(call.job),
         Jobs::encodeEnded(),
         [this, call, writer = std::move(writer), deadline, wasUnknown](Result<Platform::Object> replaced) {
--- a/Services/Node/JobDesk.h
+++ b/Services/Node/JobDesk.h
@@ -40,6 +40,14 @@
     void readFromStore(ReadItemBody const &call, Writer writer);
     void end(EndJob const &call, Writer writer, Instant deadline, bool wasUnknown);
     void askOwner(JobId const &job, std::string target, Duration wait, std::function<void(std::optional<Http::HttpResponse>)> done);
+    /// Calls back with nothing when the peer is not known or does not answer.
+    void askPeer(std::optional<InstanceId> const &id,
+                 std::string target,
+                 Duration wait,
+                 std::function<void(std::optional<Http::HttpResponse>)> done);
+    void askAdmitter(Serving::Route const &route, std::shared_ptr<Submission> const &submission);
+    void confirmUnknownJob(std::shared_ptr<Submission> const &submission, std::uint64_t most);
+    void refuseForQuota(std::shared_ptr<Submission> const &submission, std::uint64_t most);
 
     [[nodiscard]] std::uint64_t expectedWaitingTokens(Instant now);
 
--- a/Services/Node/JobPaths.cpp
+++ b/Services/Node/JobPaths.cpp
@@ -12,6 +12,7 @@
 constexpr std::string_view JobsSegment = "jobs";
 constexpr std::string_view ResultsSegment = "results";
 constexpr std::string_view ItemsSegment = "items";
+constexpr std::string_view AdmissionSegment = "admission";
 
 std::string escaped(std::string const &segment)
 {
@@ -40,6 +41,12 @@
     return "/jobs/" + escaped(call.job.value()) + "/items/" + escaped(call.item.value());
 }
 
+std::string toTarget(PeerAdmission const &call)
+{
+    return "/jobs/" + escaped(call.job.value()) + "/admission?tokens=" + std::to_string(call.tokens)
+        + "&most=" + std::to_string(call.tokensMost);
+}
+
 std::optional<PeerJobCall> parsePeerJobCall(Http::HttpRequest const &request)
 {
     auto const parsed = boost::urls::parse_origin_form(request.target);
@@ -59,6 +66,8 @@
             .runnersSeen = numberIn(request, "runners"),
         };
     }
+    if (segments.size() == 3 && segments[2] == AdmissionSegment)
+        return PeerAdmission{.job = std::move(job), .tokens = numberIn(request, "tokens"), .tokensMost = numberIn(request, "most")};
     if (segments.size() == 4 && segments[2] == ItemsSegment)
         return PeerReadBody{.job = std::move(job), .item = Jobs::ItemId(segments[3])};
     return std::nullopt;
--- a/Services/Node/JobPaths.h
+++ b/Services/Node/JobPaths.h
@@ -24,14 +24,24 @@
     Jobs::ItemId item;
 };
 
-using PeerJobCall = std::variant<PeerReadResults, PeerReadBody>;
+/// Whether a job fits among the tokens that may wait on its route; asked of the route's admitter while little room is left.
+struct PeerAdmission {
+    JobId job;
+    std::uint64_t tokens = 0;
+    std::uint64_t tokensMost = 0;
+};
+
+using PeerJobCall = std::variant<PeerReadResults, PeerReadBody, PeerAdmission>;
 
 std::string toTarget(PeerReadResults const &call);
 std::string toTarget(PeerReadBody const &call);
+std::string toTarget(PeerAdmission const &call);
 /// Nothing when the request is no call about a job.
 std::optional<PeerJobCall> parsePeerJobCall(Http::HttpRequest const &request);
 
 /// A runner answers with this status when it does not own the job, and the entry reads the store.
 constexpr int NotOwnerStatus = 421;
+/// The answer to an admission that does not fit.
+constexpr int NoRoomStatus = 429;
 
 } // namespace Anvilyard::Node
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -18,6 +18,8 @@
 constexpr Duration FirstMeanRun = 4s;
 constexpr double MeanRunWeight = 0.1;
 constexpr Duration LoadRetryPause = 200ms;
+/// Until then the owner of an admitted job has read it and counts its tokens itself.
+constexpr Duration CountedAfter = 3s;
 /// A runner that has not reached the platform's store for this long leaves its jobs to others: several tries failed.
 constexpr Duration StorePatience = 700ms;
 /// A page of results is a megabyte at most, of which escapes may take half.
@@ -39,7 +41,7 @@
     , jobFollower_({
           .loop = context.loop,
           .store = context.store,
-          .kind = Jobs::JobKind,
+          .kind = Jobs::jobKind,
           .random = context.random,
           .hooks = {
               .onListed =
@@ -286,7 +288,7 @@
     auto spec = Jobs::encodeSegment(segment);
     context_.store.create(
         CallClass::Commit,
-        Jobs::SegmentKind,
+        Jobs::segmentKind,
         name,
         std::move(spec),
         [this, job, segment = std::move(segment)](Result<Platform::Object> created) mutable {
@@ -294,6 +296,7 @@
             auto const now = readLocalClock();
             if (created) {
                 metrics_.segmentsStored.add();
+                logGivenUp(job, segment);
                 book_.onStored(job, std::move(segment));
                 return serveHeldReads(now);
             }
@@ -312,6 +315,14 @@
         });
 }
 
+void JobRunner::logGivenUp(JobId const &job, Jobs::ResultSegment const &segment)
+{
+    for (auto const &outcome : segment.outcomes) {
+        if (outcome.state == Jobs::OutcomeState::GivenUp)
+            Observe::log(Observe::Events::NodeItemGivenUp, {{"job", job.value()}, {"item", outcome.id.value()}});
+    }
+}
+
 bool JobRunner::handle(Http::HttpRequest const &request, Writer const &writer)
 {
     auto const call = parsePeerJobCall(request);
@@ -321,6 +332,10 @@
         serveBody(*body, writer);
         return true;
     }
+    if (auto const *admission = std::get_if<PeerAdmission>(&*call)) {
+        serveAdmission(*admission, writer);
+        return true;
+    }
     auto const &read = std::get<PeerReadResults>(*call);
     auto const now = readLocalClock();
     HeldRead held{.call = read, .until = now + read.wait, .writer = writer};
@@ -337,6 +352,20 @@
     writer->respond({.status = 200, .body = item->body});
 }
 
+/// One runner decides for a route, so that two entries cannot give the same room away.
+void JobRunner::serveAdmission(PeerAdmission const &call, Writer const &writer)
+{
+    auto const now = readLocalClock();
+    std::erase_if(admissions_, [&](auto const &entry) { return now >= entry.second.until; });
+    auto sum = book_.waitingTokens() + context_.peers.waitingTokens(now);
+    for (auto const &[job, admission] : admissions_)
+        sum += book_.contains(job) || job == call.job ? 0 : admission.tokens;
+    if (sum + call.tokens > call.tokensMost)
+        return writer->respond({.status = NoRoomStatus});
+    admissions_[call.job] = {.until = now + CountedAfter, .tokens = call.tokens};
+    writer->respond({.status = 200});
+}
+
 bool JobRunner::serve(HeldRead const &read, Instant now)
 {
     auto const known = known_.find(read.call.job);
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -55,6 +55,7 @@
     void cancelRuns(JobId const &job);
     void storeOutcomes(Instant now);
     void store(JobId const &job, Jobs::ResultSegment segment);
+    static void logGivenUp(JobId const &job, Jobs::ResultSegment const &segment);
     /// After a time in which others may have owned its jobs, a runner looks what they stored.
     void confirmJobs(Instant now);
     void confirm(JobId const &job);
@@ -62,6 +63,7 @@
     /// Returns whether the read was answered.
     bool serve(HeldRead const &read, Instant now);
     void serveBody(PeerReadBody const &call, Writer const &writer);
+    void serveAdmission(PeerAdmission const &call, Writer const &writer);
     [[nodiscard]] bool owns(JobId const &job) const;
 
     NodeContext &context_;
@@ -74,6 +76,12 @@
     std::list<HeldRead> held_;
     /// Jobs whose segments in the store may be more than the book lists; true while one is looked up.
     std::map<JobId, bool> unconfirmed_;
+    struct Admission {
+        Instant until;
+        std::uint64_t tokens = 0;
+    };
+    /// Jobs admitted here that their owners may not have counted yet.
+    std::map<JobId, Admission> admissions_;
     /// How long a whole run of an item takes on average.
     Duration meanRun_;
     std::size_t storesUnderWay_ = 0;
--- a/Services/Node/NodeRefusals.cpp
+++ b/Services/Node/NodeRefusals.cpp
@@ -93,6 +93,11 @@
     return result;
 }
 
+Refusal quotaUnknown()
+{
+    return unavailable("quota_unknown", "the runner that decides whether the batch job fits cannot be reached now", StorePause);
+}
+
 Refusal storeAway()
 {
     return unavailable("store_unavailable", "the platform's store cannot be reached now", StorePause);
--- a/Services/Node/NodeRefusals.h
+++ b/Services/Node/NodeRefusals.h
@@ -20,6 +20,8 @@
 Http::Refusal jobNotFound();
 Http::Refusal itemNotFound();
 Http::Refusal overQuota(Duration retryAfter);
+/// The runner that decides whether a job fits cannot be asked.
+Http::Refusal quotaUnknown();
 Http::Refusal storeAway();
 Http::Refusal storeOutcomeUnknown();
 
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -115,12 +115,35 @@
     case Serving::Placement::Outcome::Chosen:
         return send(placement.server, placement.hasRoom, Connection::Any);
     case Serving::Placement::Outcome::Full:
+        logRefusal(placement, request.latencyTarget);
         return refuse(Refusals::overloaded(placement.retryAfter));
     case Serving::Placement::Outcome::NoServer:
+        logRefusal(placement, request.latencyTarget);
         return isRelaying_ ? breakOff() : refuseAfterAttempts();
     }
 }
 
+/// The inputs of a refusal, for whoever has to explain it later.
+void OnlineCall::logRefusal(Serving::Placement const &placement, Duration latencyTarget) const
+{
+    auto const milliseconds = [](Duration duration) {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    };
+    auto const &context = parts_.context;
+    Observe::log(Observe::Events::NodeNoPlacement,
+                 {{"request", parts_.head.id.value()},
+                  {"pool", pool_.value()},
+                  {"servers", std::to_string(placement.servers)},
+                  {"excluded", std::to_string(plan_.excluded().size())},
+                  {"ejected", std::to_string(context.health.ejected().size())},
+                  {"shortest_wait_ms", milliseconds(placement.shortestWait)},
+                  {"mean_run_ms", milliseconds(context.placement.meanRun(pool_))},
+                  {"target_ms", milliseconds(latencyTarget)},
+                  {"retry_after_ms", milliseconds(placement.retryAfter)},
+                  {"peers", std::to_string(context.peers.live().size())},
+                  {"state_version", context.routes ? std::to_string(context.routes->state().version.value()) : "none"}});
+}
+
 void OnlineCall::send(Serving::ServerRecord const &server, bool hasRoom, Connection connection)
 {
     auto const now = readLocalClock();
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -34,6 +34,7 @@
 
     void placeAndSend();
     void send(Serving::ServerRecord const &server, bool hasRoom, Connection connection);
+    void logRefusal(Serving::Placement const &placement, Duration latencyTarget) const;
     void onHead(Http::ResponseHead head);
     void onPiece(std::string_view piece);
     void onEnd();
--- a/Services/Node/PeerLink.cpp
+++ b/Services/Node/PeerLink.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-Platform::Kind const InstanceKind("instances");
+Platform::Kind const instanceKind("instances");
 /// Longest time between two reports: a peer that misses five in a row is taken for gone.
 constexpr Duration ReportInterval = 250ms;
 constexpr Duration RegisterPause = 500ms;
@@ -29,7 +29,7 @@
     , instanceFollower_({
           .loop = context.loop,
           .store = context.store,
-          .kind = InstanceKind,
+          .kind = instanceKind,
           .random = context.random,
           .hooks = {
               .onListed =
@@ -65,13 +65,13 @@
     };
     auto const replace = [this, name, retry] {
         Platform::Object object{.name = name, .spec = encodeRegistration(context_.settings)};
-        context_.store.update(Platform::CallClass::Lease, InstanceKind, std::move(object), [retry](Result<Platform::Object> updated) {
+        context_.store.update(Platform::CallClass::Lease, instanceKind, std::move(object), [retry](Result<Platform::Object> updated) {
             if (!updated)
                 retry(updated.error());
         });
     };
     context_.store.create(Platform::CallClass::Lease,
-                          InstanceKind,
+                          instanceKind,
                           name,
                           encodeRegistration(context_.settings),
                           [retry, replace](Result<Platform::Object> created) {
--- a/Tests/FleetAdapter/TestFleetProtocol.cpp
+++ b/Tests/FleetAdapter/TestFleetProtocol.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// The desired state of the platform's pages, shortened.
-std::string const StateText = R"({"version":7,"routes":[
+std::string const stateText = R"({"version":7,"routes":[
 {"name":"r1","host":"a.example","pathPrefix":"/s/","kind":"streaming","timeoutMs":5000,"sloMs":300,"priority":0,"service":"p1","attempts":1,"sessionAffinity":true,"resumable":false,"gapAimMs":600},
 {"name":"r2","host":"a.example","pathPrefix":"/t/","kind":"streaming","timeoutMs":5000,"sloMs":300,"priority":1,"backends":[{"service":"p1","weight":90},{"service":"p2","weight":10}],"attempts":2,"sessionAffinity":true,"resumable":true,"gapAimMs":600},
 {"name":"r3","host":"a.example","pathPrefix":"/b/","kind":"batch","timeoutMs":15000,"sloMs":400,"priority":2,"service":"p1","attempts":3,"completionTargetMs":18000,"queueTtlS":60,"cap":1900000},
@@ -21,7 +21,7 @@
 "services":[{"name":"p1","healthPath":"/healthz","maxConns":310,"protocol":"h1","tls":false,"engine":{"slots":8}},{"name":"p2","healthPath":"/h","maxConns":110}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 
-std::string const ServerText =
+std::string const serverText =
     R"({"service":"p1","address":"10.0.0.9:8080","zone":"dc","version":"v1","slots":8,"state":"ready","warmupLeftMs":0,"sequence":4,"born":1764806963000})";
 
 Http::HttpRequest requestOf(std::string method, std::string target, Http::Headers headers = {}, std::string body = {})
@@ -35,7 +35,7 @@
 
 TEST(FleetProtocolTest, TheDesiredStateIsDecodedWithItsUnits)
 {
-    auto const state = protocol.readDesiredState(StateText);
+    auto const state = protocol.readDesiredState(stateText);
     ASSERT_TRUE(state) << state.error().toString();
     EXPECT_EQ(state->version, Serving::StateVersion(7));
     ASSERT_EQ(state->routes.size(), 5U);
@@ -58,7 +58,7 @@
 /// Red when a new kind is taken for one that may be repeated.
 TEST(FleetProtocolTest, AKindThatIsNotKnownRunsAtMostOnce)
 {
-    EXPECT_EQ(protocol.readDesiredState(StateText)->routes[4].kind, RouteKind::AtMostOnce);
+    EXPECT_EQ(protocol.readDesiredState(stateText)->routes[4].kind, RouteKind::AtMostOnce);
 }
 
 TEST(FleetProtocolTest, DesiredStatesOfAnotherFormAreRejectedWhole)
@@ -74,7 +74,7 @@
 
 TEST(FleetProtocolTest, AServerIsDecoded)
 {
-    auto const server = protocol.readServer(ServerId("i-1"), ServerText);
+    auto const server = protocol.readServer(ServerId("i-1"), serverText);
     ASSERT_TRUE(server) << server.error().toString();
     EXPECT_EQ(server->pool, PoolName("p1"));
     EXPECT_EQ(server->slots, 8U);
@@ -85,7 +85,7 @@
 /// What other writers may leave in the registry: fields missing or of another type, an unknown state, bytes.
 TEST(FleetProtocolTest, EntriesOfOtherWritersNameNoServer)
 {
-    auto const base = boost::json::parse(ServerText).as_object();
+    auto const base = boost::json::parse(serverText).as_object();
     for (auto const *const key : {"service", "address", "zone", "slots", "state"}) {
         auto missing = base;
         missing.erase(key);
--- a/Tests/FleetAdapter/TestFleetStore.cpp
+++ b/Tests/FleetAdapter/TestFleetStore.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-Kind const Things("things");
+Kind const things("things");
 
 class FleetStoreTest : public ::testing::Test
 {
@@ -50,17 +50,17 @@
 
     Result<Object> create(std::string const &name, std::string const &spec = R"({"a":1})")
     {
-        return call<Object>([&](auto reply) { store_->create(CallClass::Commit, Things, ObjectName(name), spec, reply); });
+        return call<Object>([&](auto reply) { store_->create(CallClass::Commit, things, ObjectName(name), spec, reply); });
     }
 
     Result<Object> get(std::string const &name)
     {
-        return call<Object>([&](auto reply) { store_->get(CallClass::Read, Things, ObjectName(name), reply); });
+        return call<Object>([&](auto reply) { store_->get(CallClass::Read, things, ObjectName(name), reply); });
     }
 
     Result<Object> update(Object object)
     {
-        return call<Object>([&](auto reply) { store_->update(CallClass::Commit, Things, object, reply); });
+        return call<Object>([&](auto reply) { store_->update(CallClass::Commit, things, object, reply); });
     }
 
     void setFaults(Tests::PlatformFaults faults)
@@ -101,7 +101,7 @@
 {
     ASSERT_TRUE(create("a"));
     auto const replaced =
-        call<Object>([&](auto reply) { store_->replaceStatus(CallClass::Commit, Things, ObjectName("a"), R"({"done":true})", reply); });
+        call<Object>([&](auto reply) { store_->replaceStatus(CallClass::Commit, things, ObjectName("a"), R"({"done":true})", reply); });
     ASSERT_TRUE(replaced);
     EXPECT_EQ(get("a")->spec, R"({"a":1})");
     EXPECT_EQ(get("a")->status, R"({"done":true})");
@@ -115,7 +115,7 @@
     std::vector<std::string> names;
     std::string next;
     do {
-        auto const page = call<ObjectList>([&](auto reply) { store_->list(CallClass::Read, Things, {.continueToken = next}, reply); });
+        auto const page = call<ObjectList>([&](auto reply) { store_->list(CallClass::Read, things, {.continueToken = next}, reply); });
         ASSERT_TRUE(page);
         for (auto const &object : page->objects)
             names.push_back(object.name.value());
@@ -208,7 +208,7 @@
 {
     WatchLog log;
     auto const start = create("before")->version;
-    thread_.call([&] { watch_ = store_->watch(Things, start, log.handlers()); });
+    thread_.call([&] { watch_ = store_->watch(things, start, log.handlers()); });
     ASSERT_TRUE(create("a"));
     EXPECT_EQ(log.waitFor(1).back(), "+a");
     thread_.call([&] { server_->remove("things", "a"); });
@@ -221,7 +221,7 @@
     EXPECT_EQ(log.waitFor(3).back(), "+b");
     thread_.call([&] {
         server_->compact();
-        watch_ = store_->watch(Things, start, log.handlers());
+        watch_ = store_->watch(things, start, log.handlers());
     });
     EXPECT_EQ(log.waitFor(4).back(), "too old");
 }
@@ -231,6 +231,6 @@
     WatchLog log;
     auto const start = create("before")->version;
     setFaults({.away = Away::Refuse});
-    thread_.call([&] { watch_ = store_->watch(Things, start, log.handlers()); });
+    thread_.call([&] { watch_ = store_->watch(things, start, log.handlers()); });
     EXPECT_EQ(log.waitFor(1).back(), "ended");
 }
--- a/Tests/LibJobs/TestJobBook.cpp
+++ b/Tests/LibJobs/TestJobBook.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr Instant Start{std::chrono::hours(1)};
-PoolName const Pool("p");
+PoolName const batchPool("p");
 constexpr Duration RunTime = 5s;
 
 JobRecord recordOf(std::string id, std::size_t items)
@@ -22,7 +22,7 @@
 
 ItemTerms terms()
 {
-    return {.pool = Pool, .attemptsMost = 3, .completionTarget = 18s, .giveUpAfter = 60s};
+    return {.pool = batchPool, .attemptsMost = 3, .completionTarget = 18s, .giveUpAfter = 60s};
 }
 
 class JobBookTest : public ::testing::Test
@@ -37,7 +37,7 @@
     /// Starts the next item and has it say one event.
     ItemStart run(Instant now = Start)
     {
-        auto const next = book_.next(Pool, RunTime, now);
+        auto const next = book_.next(batchPool, RunTime, now);
         EXPECT_TRUE(next);
         book_.onStarted(next->job, next->index);
         book_.onEvent(next->job, next->index, 0, "text");
@@ -61,7 +61,7 @@
     add("earlier", 1, {}, 2s);
     EXPECT_EQ(run().job, JobId("earlier"));
     EXPECT_EQ(run().job, JobId("later"));
-    EXPECT_FALSE(book_.next(Pool, RunTime, Start));
+    EXPECT_FALSE(book_.next(batchPool, RunTime, Start));
 }
 
 /// Overload: a job that would be late anyway must not make the next one late as well. Red when only due times count.
@@ -125,11 +125,11 @@
 TEST_F(JobBookTest, ATakenOverJobRunsOnlyWhatIsNotListed)
 {
     add("j", 3, {{.first = 0, .outcomes = {{.id = ItemId("j-2"), .output = "o"}}}, {.first = 1, .outcomes = {{.id = ItemId("j-0")}}}});
-    auto const next = book_.next(Pool, RunTime, Start);
+    auto const next = book_.next(batchPool, RunTime, Start);
     ASSERT_TRUE(next);
     EXPECT_EQ(next->index, 1U);
     EXPECT_TRUE(book_.isListed(JobId("j"), ItemId("j-2")));
-    EXPECT_EQ(book_.waiting(Pool, Start), 1U);
+    EXPECT_EQ(book_.waiting(batchPool, Start), 1U);
 }
 
 TEST_F(JobBookTest, APreemptedItemGoesOnAfterItsLastEvent)
@@ -149,7 +149,7 @@
 TEST_F(JobBookTest, AnItemWithoutEventIdsIsRunAnew)
 {
     add("j", 1);
-    auto const next = book_.next(Pool, RunTime, Start);
+    auto const next = book_.next(batchPool, RunTime, Start);
     book_.onStarted(next->job, next->index);
     book_.onEvent(next->job, next->index, std::nullopt, "lost");
     book_.onSendEnded(next->job, next->index, SendEnd::Preempted, Start);
@@ -184,11 +184,11 @@
     add("j", 1);
     auto now = Start;
     for (int attempt = 0; attempt < 50; ++attempt) {
-        auto const next = book_.next(Pool, RunTime, now);
+        auto const next = book_.next(batchPool, RunTime, now);
         ASSERT_TRUE(next);
         book_.onStarted(next->job, next->index);
         book_.onSendEnded(next->job, next->index, SendEnd::Unserved, now);
-        EXPECT_FALSE(book_.next(Pool, RunTime, now)) << "it pauses";
+        EXPECT_FALSE(book_.next(batchPool, RunTime, now)) << "it pauses";
         now += 2s;
     }
     EXPECT_TRUE(book_.takeCommits(now).empty());
@@ -207,7 +207,7 @@
 {
     add("j", 1);
     book_.setTerms(JobId("j"), {.isRouted = false}, Start);
-    EXPECT_FALSE(book_.next(Pool, RunTime, Start)) << "no state allows it to run";
+    EXPECT_FALSE(book_.next(batchPool, RunTime, Start)) << "no state allows it to run";
     book_.onTick(Start + 3s);
     EXPECT_TRUE(book_.takeCommits(Start + 3s).empty());
     book_.setTerms(JobId("j"), terms(), Start + 3s);
@@ -226,7 +226,7 @@
     EXPECT_EQ(book_.waitingTokens(), 100U);
     book_.onEnded(JobId("j"));
     EXPECT_EQ(book_.waitingTokens(), 0U);
-    EXPECT_FALSE(book_.next(Pool, RunTime, Start));
+    EXPECT_FALSE(book_.next(batchPool, RunTime, Start));
 }
 
 TEST_F(JobBookTest, PagesHoldAtLeastOneOutcomeAndNotMuchMoreThanAsked)
@@ -250,7 +250,7 @@
     book.add(recordOf("j", 2), {}, 0s, Start);
     book.setTerms(JobId("j"), terms(), Start);
     for (int item = 0; item < 2; ++item) {
-        auto const next = book.next(Pool, RunTime, Start);
+        auto const next = book.next(batchPool, RunTime, Start);
         book.onStarted(next->job, next->index);
         book.onEvent(next->job, next->index, 0, std::string(100, 'x'));
         book.onSendEnded(next->job, next->index, SendEnd::Complete, Start);
@@ -278,7 +278,7 @@
     for (int step = 0; step < 400 && !(books[0].isDone(JobId("j")) && books[1].isDone(JobId("j"))); ++step) {
         now += 200ms;
         auto &book = books[*rc::gen::inRange(0, 2)];
-        if (auto const next = book.next(Pool, RunTime, now); next && *rc::gen::inRange(0, 3) > 0) {
+        if (auto const next = book.next(batchPool, RunTime, now); next && *rc::gen::inRange(0, 3) > 0) {
             book.onStarted(next->job, next->index);
             book.onSendEnded(next->job, next->index, *rc::gen::element(SendEnd::Complete, SendEnd::Unserved, SendEnd::Preempted), now);
         }
--- a/Tests/LibJobs/TestJobCodec.cpp
+++ b/Tests/LibJobs/TestJobCodec.cpp
@@ -123,13 +123,13 @@
 TEST_F(ResultChainTest, AJobIsReadWithItsPartsAndSegments)
 {
     auto const stored = encodeJob(jobOf(5, 290'000));
-    create(JobKind, jobObject(JobId("j")), stored.spec);
+    create(jobKind, jobObject(JobId("j")), stored.spec);
     for (std::size_t part = 0; part < stored.parts.size(); ++part)
-        create(JobPartKind, partObject(JobId("j"), part), stored.parts[part]);
-    create(SegmentKind,
+        create(jobPartKind, partObject(JobId("j"), part), stored.parts[part]);
+    create(segmentKind,
            segmentObject(JobId("j"), 0),
            encodeSegment({.outcomes = {{.id = ItemId("i4"), .output = "a\nb"}, {.id = ItemId("i1")}}}));
-    create(SegmentKind, segmentObject(JobId("j"), 2), encodeSegment({.outcomes = {{.id = ItemId("i0"), .state = OutcomeState::GivenUp}}}));
+    create(segmentKind, segmentObject(JobId("j"), 2), encodeSegment({.outcomes = {{.id = ItemId("i0"), .state = OutcomeState::GivenUp}}}));
     auto const job = load();
     ASSERT_TRUE(job) << job.error().toString();
     EXPECT_EQ(job->record.items.size(), 5U);
@@ -150,6 +150,6 @@
 
 TEST_F(ResultChainTest, AMissingPartIsAnErrorAndNoShorterJob)
 {
-    create(JobKind, jobObject(JobId("j")), encodeJob(jobOf(5, 290'000)).spec);
+    create(jobKind, jobObject(JobId("j")), encodeJob(jobOf(5, 290'000)).spec);
     EXPECT_FALSE(load());
 }
--- a/Tests/LibJobs/TestSlotPlan.cpp
+++ b/Tests/LibJobs/TestSlotPlan.cpp
@@ -24,17 +24,17 @@
     return count;
 }
 
-InstanceId const Self("r2");
+InstanceId const self("r2");
 
 ServerSlots serverOf(std::string id, std::uint32_t online, std::uint32_t own, std::vector<BatchHolder> others = {})
 {
-    others.push_back({.runner = Self, .items = own});
+    others.push_back({.runner = self, .items = own});
     return {.server = ServerId(std::move(id)), .slots = 8, .online = online, .batch = std::move(others)};
 }
 
 std::vector<SlotChange> plan(std::vector<ServerSlots> const &servers, std::size_t waiting, SlotPlanOptions const &options = {})
 {
-    return planSlots(Self, servers, waiting, options);
+    return planSlots(self, servers, waiting, options);
 }
 
 } // namespace
--- a/Tests/LibServing/TestAttemptPlan.cpp
+++ b/Tests/LibServing/TestAttemptPlan.cpp
@@ -15,9 +15,9 @@
 namespace {
 
 constexpr Instant Start{std::chrono::hours(1)};
-ServerId const A("a");
-ServerId const B("b");
-ServerId const C("c");
+ServerId const serverA("a");
+ServerId const serverB("b");
+ServerId const serverC("c");
 
 AttemptPlan planOf(Repeatability repeatability, std::uint32_t serversMost)
 {
@@ -50,11 +50,11 @@
 TEST(AttemptPlanTest, WhatMayRunOnceIsNotSentAgainOnceItMayHaveRun)
 {
     auto plan = planOf(Repeatability::Unsafe, 3);
-    EXPECT_EQ(afterSend(plan, A, unreached()), NextStep::SendToOtherServer);
+    EXPECT_EQ(afterSend(plan, serverA, unreached()), NextStep::SendToOtherServer);
     EXPECT_FALSE(plan.mayHaveRun());
-    EXPECT_EQ(afterSend(plan, B, ServerErred{.status = 503, .evidence = NotRunEvidence::Stated}), NextStep::SendToOtherServer);
+    EXPECT_EQ(afterSend(plan, serverB, ServerErred{.status = 503, .evidence = NotRunEvidence::Stated}), NextStep::SendToOtherServer);
     EXPECT_FALSE(plan.mayHaveRun());
-    EXPECT_EQ(afterSend(plan, C, lostAnswer()), NextStep::Refuse);
+    EXPECT_EQ(afterSend(plan, serverC, lostAnswer()), NextStep::Refuse);
     EXPECT_TRUE(plan.mayHaveRun());
 }
 
@@ -63,7 +63,7 @@
 {
     for (auto const status : {429, 503}) {
         auto plan = planOf(Repeatability::Unsafe, 3);
-        EXPECT_EQ(afterSend(plan, A, ServerErred{.status = status, .evidence = NotRunEvidence::Withheld}), NextStep::RelayAnswer);
+        EXPECT_EQ(afterSend(plan, serverA, ServerErred{.status = status, .evidence = NotRunEvidence::Withheld}), NextStep::RelayAnswer);
         EXPECT_TRUE(plan.mayHaveRun());
     }
 }
@@ -71,42 +71,42 @@
 TEST(AttemptPlanTest, ARequestRunsAtNoMoreServersThanItsRouteAllows)
 {
     auto plan = planOf(Repeatability::Idempotent, 2);
-    EXPECT_EQ(afterSend(plan, A, lostAnswer()), NextStep::SendToOtherServer);
-    EXPECT_EQ(afterSend(plan, B, lostAnswer()), NextStep::Refuse);
+    EXPECT_EQ(afterSend(plan, serverA, lostAnswer()), NextStep::SendToOtherServer);
+    EXPECT_EQ(afterSend(plan, serverB, lostAnswer()), NextStep::Refuse);
     auto shed = planOf(Repeatability::Idempotent, 2);
-    EXPECT_EQ(afterSend(shed, A, ServerErred{.status = 503, .evidence = NotRunEvidence::Stated}), NextStep::SendToOtherServer);
-    EXPECT_EQ(afterSend(shed, B, lostAnswer()), NextStep::SendToOtherServer);
-    EXPECT_EQ(shed.excluded(), (std::vector<ServerId>{A, B}));
+    EXPECT_EQ(afterSend(shed, serverA, ServerErred{.status = 503, .evidence = NotRunEvidence::Stated}), NextStep::SendToOtherServer);
+    EXPECT_EQ(afterSend(shed, serverB, lostAnswer()), NextStep::SendToOtherServer);
+    EXPECT_EQ(shed.excluded(), (std::vector<ServerId>{serverA, serverB}));
 }
 
 TEST(AttemptPlanTest, TheLastServersErrorIsHandedOn)
 {
     auto plan = planOf(Repeatability::Idempotent, 1);
-    EXPECT_EQ(afterSend(plan, A, ServerErred{.status = 500, .evidence = NotRunEvidence::Withheld}), NextStep::RelayAnswer);
+    EXPECT_EQ(afterSend(plan, serverA, ServerErred{.status = 500, .evidence = NotRunEvidence::Withheld}), NextStep::RelayAnswer);
 }
 
 TEST(AttemptPlanTest, AnOldConnectionIsDoubtedOnceBeforeTheServer)
 {
     auto plan = planOf(Repeatability::Idempotent, 2);
-    EXPECT_EQ(afterSend(plan, A, lostAnswer(Http::ConnectionUse::Reused)), NextStep::SendOnFreshConnection);
-    EXPECT_EQ(afterSend(plan, A, lostAnswer(Http::ConnectionUse::Reused)), NextStep::SendToOtherServer);
+    EXPECT_EQ(afterSend(plan, serverA, lostAnswer(Http::ConnectionUse::Reused)), NextStep::SendOnFreshConnection);
+    EXPECT_EQ(afterSend(plan, serverA, lostAnswer(Http::ConnectionUse::Reused)), NextStep::SendToOtherServer);
 }
 
 TEST(AttemptPlanTest, AStreamIsResumedAndWhereNoOtherServerMayRunItAtTheSame)
 {
     auto plan = planOf(Repeatability::Generation, 2);
-    EXPECT_EQ(afterSend(plan, A, brokenStream()), NextStep::ResumeStream);
+    EXPECT_EQ(afterSend(plan, serverA, brokenStream()), NextStep::ResumeStream);
     EXPECT_FALSE(plan.onlyServer());
-    EXPECT_EQ(afterSend(plan, B, brokenStream()), NextStep::ResumeStream);
-    EXPECT_EQ(plan.onlyServer(), B);
+    EXPECT_EQ(afterSend(plan, serverB, brokenStream()), NextStep::ResumeStream);
+    EXPECT_EQ(plan.onlyServer(), serverB);
     auto once = planOf(Repeatability::Unsafe, 2);
-    EXPECT_EQ(afterSend(once, A, brokenStream()), NextStep::BreakOff);
+    EXPECT_EQ(afterSend(once, serverA, brokenStream()), NextStep::BreakOff);
 }
 
 TEST(AttemptPlanTest, NothingIsSentWhenNoTimeIsLeft)
 {
     auto plan = planOf(Repeatability::Idempotent, 3);
-    EXPECT_EQ(afterSend(plan, A, unreached(), Start + 4980ms), NextStep::Refuse);
+    EXPECT_EQ(afterSend(plan, serverA, unreached(), Start + 4980ms), NextStep::Refuse);
 }
 
 TEST(AttemptPlanTest, PatienceLeavesTimeForASecondServer)
@@ -114,7 +114,7 @@
     auto plan = planOf(Repeatability::Generation, 2);
     EXPECT_EQ(plan.patience(true, Start), 180ms);
     EXPECT_EQ(plan.patience(false, Start), 900ms);
-    static_cast<void>(afterSend(plan, A, lostAnswer()));
+    static_cast<void>(afterSend(plan, serverA, lostAnswer()));
     EXPECT_EQ(plan.patience(true, Start), 5s) << "there is no other server to turn to";
     EXPECT_EQ(planOf(Repeatability::Unsafe, 2).patience(true, Start), 5s);
 }
@@ -128,7 +128,7 @@
     auto plan = planOf(repeatability, serversMost);
     std::set<ServerId> ran;
     bool hasPart = false;
-    ServerId server = A;
+    ServerId server = serverA;
     for (int send = 0; send < 20; ++send) {
         auto const excluded = plan.excluded();
         plan.onSent(server);
--- a/Tests/LibServing/TestPeers.cpp
+++ b/Tests/LibServing/TestPeers.cpp
@@ -221,3 +221,24 @@
     EXPECT_TRUE(table.isUnsettled(Start + 24s));
     EXPECT_FALSE(table.isUnsettled(Start + 25s));
 }
+
+/// A runner is lost or leaves: its jobs still wait, although nobody reports them for a moment. Red when its tokens vanish with it.
+TEST(PeerTableTest, TokensOfALostRunnerCountUntilItsJobsAreTakenOver)
+{
+    auto table = tableOf("entry", InstanceRole::Entry);
+    auto lost = reportOf("r1", 1);
+    lost.waitingTokens = 100;
+    table.onReport(lost, Start);
+    auto leaving = reportOf("r2", 1);
+    leaving.waitingTokens = 10;
+    table.onReport(leaving, Start);
+    leaving.number = 2;
+    leaving.stage = InstanceStage::Leaving;
+    leaving.waitingTokens = 0;
+    table.onReport(leaving, Start + 1s);
+    EXPECT_EQ(table.waitingTokens(Start + 1s), 110U);
+    table.onTick(Start + 1500ms);
+    EXPECT_EQ(table.waitingTokens(Start + 1500ms), 110U);
+    EXPECT_EQ(table.waitingTokens(Start + 4400ms), 100U);
+    EXPECT_EQ(table.waitingTokens(Start + 4500ms), 0U);
+}
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -233,11 +233,30 @@
 TEST_F(JobsTest, AJobThatDoesNotFitIsRefusedAndOneThatWaitsCounts)
 {
     auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
     waitUntilReady(entry);
-    EXPECT_EQ(ask(entry, submissionOf("a", 2, 40'000))->status, 202);
+    while (ask(entry, submissionOf("a", 2, 40'000))->status != 202)
+        ;
     EXPECT_EQ(ask(entry, submissionOf("b", 2, 40'000))->status, 429);
     EXPECT_EQ(ask(entry, submissionOf("a", 2, 40'000))->status, 202) << "a repeat takes no further room";
     EXPECT_EQ(ask(entry, submissionOf("c", 1, 10'000))->status, 202);
+    EXPECT_EQ(ask(entry, submissionOf("d", 2, 60'000))->status, 429) << "it would never fit";
+}
+
+/// Two entries take jobs at the same moment, before any runner has counted them. Red when each entry decides by itself.
+TEST_F(JobsTest, TwoEntriesDoNotGiveTheSameRoomAway)
+{
+    auto &first = startNode("entry-1");
+    auto &second = startNode("entry-2");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(first);
+    waitUntilReady(second);
+    while (ask(first, submissionOf("a", 1, 60'000))->status != 202)
+        ;
+    auto one = sendTo(first, submissionOf("b", 1, 30'000));
+    auto two = sendTo(second, submissionOf("c", 1, 30'000));
+    auto const statuses = std::set<int>{one.get()->status, two.get()->status};
+    EXPECT_EQ(statuses, (std::set<int>{202, 429}));
 }
 
 TEST_F(JobsTest, ARetiringRunnerHandsItsJobsOverAndSaysSo)
@@ -285,7 +304,7 @@
     });
     Jobs::ResultSegment const theirs{.outcomes = {{.id = Jobs::ItemId("j-1"), .output = "theirs"}}};
     thread_.call([&] {
-        static_cast<void>(store_->table().create(Jobs::SegmentKind, Jobs::segmentObject(JobId("j"), 0), Jobs::encodeSegment(theirs)));
+        static_cast<void>(store_->table().create(Jobs::segmentKind, Jobs::segmentObject(JobId("j"), 0), Jobs::encodeSegment(theirs)));
     });
     // The owner itself answers again once the disagreement is over; until then the entry reads the store.
     std::string body;
