Publish servers when they change and not on a tick; remove what nothing uses

Read as a newcomer: a hook that did nothing, an unread flag, two error codes nobody returns, one constant that stood twice, and servers published five times a second although the directory knows when they change.

--- a/Libraries/LibJobs/Job.h
+++ b/Libraries/LibJobs/Job.h
@@ -55,6 +55,9 @@
     std::vector<ItemOutcome> outcomes;
 };
 
+/// Output on a page of results: a page is a megabyte at most on the users' platform, of which escapes may take half.
+constexpr std::size_t PageBytesMost = 480 * 1024;
+
 /// What a reader gets of a job's results.
 struct ResultPage {
     /// Items of the job.
--- a/Libraries/LibJobs/JobsError.cpp
+++ b/Libraries/LibJobs/JobsError.cpp
@@ -13,12 +13,8 @@
         return "a stored object of a batch job cannot be understood";
     case JobsError::BadBase64:
         return "the text is not proper base64";
-    case JobsError::StoreAway:
-        return "the platform's store cannot be reached";
     case JobsError::JobNotFound:
         return "there is no such batch job";
-    case JobsError::ItemNotFound:
-        return "the batch job has no such item";
     }
     return "unknown batch job error";
 }
--- a/Libraries/LibJobs/JobsError.h
+++ b/Libraries/LibJobs/JobsError.h
@@ -8,10 +8,7 @@
     /// An object of the store is not what this program writes there.
     BadObject = 1,
     BadBase64,
-    /// The platform's store was not reached or refused.
-    StoreAway,
     JobNotFound,
-    ItemNotFound,
 };
 
 std::error_code make_error_code(JobsError error);
--- a/Services/Node/FleetFollower.cpp
+++ b/Services/Node/FleetFollower.cpp
@@ -24,9 +24,9 @@
 
 } // namespace
 
-FleetFollower::FleetFollower(NodeContext &context, FleetFollowerHooks hooks)
+FleetFollower::FleetFollower(NodeContext &context, std::function<void()> onStateChanged)
     : context_(context)
-    , hooks_(std::move(hooks))
+    , onStateChanged_(std::move(onStateChanged))
     , stateFollower_({
           .loop = context.loop,
           .store = context.store,
@@ -87,7 +87,7 @@
                  {{"version", std::to_string(state->version.value())}, {"routes", std::to_string(state->routes.size())}});
     stateSpec_ = spec;
     context_.routes = std::make_shared<Serving::RouteTable const>(std::move(*state));
-    hooks_.onStateChanged();
+    onStateChanged_();
 }
 
 void FleetFollower::takeServers(std::vector<Platform::Object> const &objects, std::uint64_t revision)
@@ -152,12 +152,18 @@
         members.emplace(server.record.id, server.record.pool);
     context_.health.setServers(members);
     context_.placement.setServers(std::move(servers), context_.health.ejected());
-    hooks_.onServersChanged();
+    nextServerChange_ = context_.directory.nextChange(now);
 }
 
 void FleetFollower::onTick(Instant now)
 {
-    publishServers(now);
+    if (nextServerChange_ && now >= *nextServerChange_)
+        publishServers(now);
+}
+
+void FleetFollower::onEjectionsChanged()
+{
+    publishServers(readLocalClock());
 }
 
 void FleetFollower::onPeerAhead(Serving::PeerReport const &peer, Instant now)
--- a/Services/Node/FleetFollower.h
+++ b/Services/Node/FleetFollower.h
@@ -8,23 +8,19 @@
 
 namespace Anvilyard::Node {
 
-struct FleetFollowerHooks {
-    /// Another desired state is in force.
-    std::function<void()> onStateChanged;
-    /// The servers that may be used changed.
-    std::function<void()> onServersChanged;
-};
-
 /// Keeps the context's desired state and servers up to date, from the platform's store and, when a peer knows more, from that peer.
 /// What is in force never goes back.
 class FleetFollower
 {
 public:
-    FleetFollower(NodeContext &context, FleetFollowerHooks hooks);
+    /// `onStateChanged` is called when another desired state is in force.
+    FleetFollower(NodeContext &context, std::function<void()> onStateChanged);
 
     void start();
     /// Servers whose time is up leave; call some times a second.
     void onTick(Instant now);
+    /// Some servers were ejected or restored.
+    void onEjectionsChanged();
     /// A peer has followed the store further than this instance, which asks it for what it knows.
     void onPeerAhead(Serving::PeerReport const &peer, Instant now);
     /// What a peer is told that asks.
@@ -47,11 +43,13 @@
     void publishServers(Instant now);
 
     NodeContext &context_;
-    FleetFollowerHooks hooks_;
+    std::function<void()> onStateChanged_;
     std::string stateSpec_;
     std::map<ServerId, Known> servers_;
     std::uint64_t serversRevision_ = 0;
     bool hasServers_ = false;
+    /// When the servers that may be used change by time alone.
+    std::optional<Instant> nextServerChange_;
     Instant nextPeerCall_ = Instant::min();
     std::optional<Instant> behindSince_;
     StoreFollower stateFollower_;
--- a/Services/Node/JobDesk.cpp
+++ b/Services/Node/JobDesk.cpp
@@ -23,8 +23,6 @@
 constexpr Duration LongestWait = 5s;
 /// Until then a runner has read a job that was stored and counts its tokens itself.
 constexpr Duration CountedAfter = 2s;
-/// A page of results is a megabyte at most, of which escapes may take half.
-constexpr std::size_t PageBytesMost = 480 * 1024;
 constexpr Duration QuotaPause = 1s;
 /// With room for this many jobs of the same size an entry decides alone: no burst brings as many within the tenths of a second
 /// before runners have counted them.
@@ -260,7 +258,7 @@
                     continue;
                 auto &outcome = segment.outcomes[index];
                 bytes += outcome.output.size();
-                if (bytes > PageBytesMost && !page.outcomes.empty())
+                if (bytes > Jobs::PageBytesMost && !page.outcomes.empty())
                     break;
                 page.outcomes.push_back(std::move(outcome));
                 ++page.next;
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -22,8 +22,6 @@
 constexpr Duration CountedAfter = 3s;
 /// A runner that has not reached the platform's store for this long leaves its jobs to others: several tries failed.
 constexpr Duration StorePatience = 700ms;
-/// A page of results is a megabyte at most, of which escapes may take half.
-constexpr std::size_t PageBytesMost = 480 * 1024;
 
 Duration ageOf(WallInstant acceptedAt)
 {
@@ -46,7 +44,6 @@
           .hooks = {
               .onListed =
                   [this](std::vector<Platform::Object> const &objects, Platform::ResourceVersion const &) {
-                      isListed_ = true;
                       for (auto const &object : objects)
                           takeJob(Platform::WatchChange::Added, object);
                   },
@@ -373,7 +370,7 @@
         read.writer->respond({.status = NotOwnerStatus});
         return true;
     }
-    auto const page = book_.read(read.call.job, read.call.from, PageBytesMost);
+    auto const page = book_.read(read.call.job, read.call.from, Jobs::PageBytesMost);
     if (!page) {
         // It is being taken over.
         if (now < read.until)
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -86,7 +86,6 @@
     Duration meanRun_;
     std::size_t storesUnderWay_ = 0;
     bool isLeaving_ = false;
-    bool isListed_ = false;
 };
 
 } // namespace Anvilyard::Node
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -19,8 +19,6 @@
 constexpr Duration LeastPause = 700ms;
 /// News of load waits this long for more: a tenth of the time in which a caller would notice.
 constexpr Duration NewsDelay = 8ms;
-/// How often servers whose time is up are looked for.
-constexpr Duration ServersInterval = 200ms;
 /// Idle connections to servers are closed before servers close theirs, of which the shortest wait is some seconds.
 constexpr Duration ServerIdleTimeout = 3s;
 constexpr Duration PeerIdleTimeout = 10s;
@@ -79,8 +77,8 @@
     , onStopped_(options.onStopped)
     , metrics_(registry_)
     , context_(makeContext(options, registry_))
-    , health_(context_, [this] { fleet_.onTick(readLocalClock()); })
-    , fleet_(context_, {.onStateChanged = [this] { onStateChanged(); }, .onServersChanged = [] {}})
+    , health_(context_, [this] { fleet_.onEjectionsChanged(); })
+    , fleet_(context_, [this] { onStateChanged(); })
     , link_(context_, fleet_, [this] { onLoadNews(); })
     , desk_(context_, metrics_)
     , runner_(context_, metrics_, link_)
@@ -254,10 +252,7 @@
     if (bool const ready = isReady(); ready != std::exchange(wasReady_, ready))
         Observe::log(ready ? Observe::Events::NodeReady : Observe::Events::NodeNotReady);
     health_.onTick(now);
-    if (now >= nextServersTick_) {
-        nextServersTick_ = now + ServersInterval;
-        fleet_.onTick(now);
-    }
+    fleet_.onTick(now);
     if (context_.settings.role == InstanceRole::Runner) {
         runner_.onTick(now);
         retirements_.onTick(now);
--- a/Services/Node/NodeProgram.h
+++ b/Services/Node/NodeProgram.h
@@ -73,7 +73,6 @@
     std::unique_ptr<Http::HttpServer> metricsServer_;
     std::unique_ptr<Http::Timer> ticker_;
     std::unique_ptr<Http::Timer> newsTimer_;
-    Instant nextServersTick_ = Instant::min();
     std::optional<Instant> lastTickByBootClock_;
     bool wasReady_ = false;
     std::optional<Instant> stoppingSince_;
