Count by route, outcome and reason; keep latencies as histograms

Cause: a node's metrics had no labels, its latencies were quantiles that cannot be added up over nodes, nothing was measured between events, calls of the store were not counted, and a request refused before its placement left no line in the log.

Ruled out: labels by raw path or host (a caller could fill the memory); a counter within the platform's adapter (it would see watches only as their single calls and belongs to one platform).

Change: Histogram in LibObserve; NodeMetrics by route (64 names, then "other"), outcome and reason; gauges worked out when asked for; MeteredStore counts the calls of any store; events 7033 and 7053.

Tests: TestMetrics (buckets), TestMeteredStore, TestObservation.

--- a/Libraries/LibJobs/JobBook.cpp
+++ b/Libraries/LibJobs/JobBook.cpp
@@ -333,4 +333,28 @@
     return sum;
 }
 
+ItemCounts JobBook::counts() const
+{
+    ItemCounts counts;
+    for (auto const &[id, job] : jobs_) {
+        for (auto const &item : job.items) {
+            switch (item.state) {
+            case Item::State::Waiting:
+                ++counts.waiting;
+                break;
+            case Item::State::Running:
+                ++counts.running;
+                break;
+            case Item::State::Decided:
+                ++counts.decided;
+                break;
+            case Item::State::Listed:
+                ++counts.listed;
+                break;
+            }
+        }
+    }
+    return counts;
+}
+
 } // namespace Anvilyard::Jobs
--- a/Libraries/LibJobs/JobBook.h
+++ b/Libraries/LibJobs/JobBook.h
@@ -57,6 +57,15 @@
     Preempted,
 };
 
+/// Items by what became of them so far.
+struct ItemCounts {
+    std::size_t waiting = 0;
+    std::size_t running = 0;
+    /// With an outcome that is not listed yet.
+    std::size_t decided = 0;
+    std::size_t listed = 0;
+};
+
 /// The jobs that a runner owns, with what became of their items. Items of the job that is due first go first, unless they would
 /// be late anyway, so that under overload some jobs are on time rather than none. Pure.
 class JobBook
@@ -105,6 +114,8 @@
     [[nodiscard]] std::size_t listedCount(JobId const &job) const;
     /// Tokens of the items that no server has finished, of jobs that were not ended.
     [[nodiscard]] std::uint64_t waitingTokens() const;
+    /// Over all jobs, also those that are done.
+    [[nodiscard]] ItemCounts counts() const;
 
 private:
     struct Item {
--- a/Libraries/LibObserve/Metrics.cpp
+++ b/Libraries/LibObserve/Metrics.cpp
@@ -1,5 +1,6 @@
 #include "LibObserve/Metrics.h"
 
+#include <algorithm>
 #include <array>
 // Boost.Accumulators uses std::ostringstream without including it.
 #include <sstream>
@@ -86,6 +87,35 @@
     return summary;
 }
 
+Histogram::Histogram(std::span<double const> upperBounds)
+    : upperBounds_(upperBounds.begin(), upperBounds.end())
+    , counts_(upperBounds.size() + 1)
+{
+}
+
+void Histogram::record(double value)
+{
+    auto const bucket = std::lower_bound(upperBounds_.begin(), upperBounds_.end(), value) - upperBounds_.begin();
+    counts_[static_cast<std::size_t>(bucket)].fetch_add(1, std::memory_order_relaxed);
+    sum_.fetch_add(value, std::memory_order_relaxed);
+}
+
+Histogram::Snapshot Histogram::snapshot() const
+{
+    Snapshot snapshot{.sum = sum_.load(std::memory_order_relaxed)};
+    for (auto const &count : counts_) {
+        snapshot.count += count.load(std::memory_order_relaxed);
+        snapshot.cumulative.push_back(snapshot.count);
+    }
+    snapshot.cumulative.pop_back();
+    return snapshot;
+}
+
+std::vector<double> const &Histogram::upperBounds() const
+{
+    return upperBounds_;
+}
+
 struct MetricsRegistry::Families {
     template<typename Metric>
     struct Family {
@@ -93,15 +123,18 @@
         std::map<Labels, std::unique_ptr<Metric>> metrics;
     };
 
-    template<typename Metric>
-    static Metric &
-    find(std::map<std::string, Family<Metric>> &families, std::string const &name, std::string const &help, Labels const &labels)
+    template<typename Metric, typename... Arguments>
+    static Metric &find(std::map<std::string, Family<Metric>> &families,
+                        std::string const &name,
+                        std::string const &help,
+                        Labels const &labels,
+                        Arguments const &...arguments)
     {
         auto &family = families[name];
         family.help = help;
         auto &metric = family.metrics[labels];
         if (!metric)
-            metric = std::make_unique<Metric>();
+            metric = std::make_unique<Metric>(arguments...);
         return *metric;
     }
 
@@ -109,6 +142,7 @@
     std::map<std::string, Family<Counter>> counters;
     std::map<std::string, Family<Gauge>> gauges;
     std::map<std::string, Family<Distribution>> distributions;
+    std::map<std::string, Family<Histogram>> histograms;
 };
 
 namespace {
@@ -138,6 +172,16 @@
     client.summary.quantile = {{0.5, summary.median}, {0.95, summary.percentile95}, {0.99, summary.percentile99}};
 }
 
+void fillHistogram(prometheus::ClientMetric &client, Histogram const &histogram)
+{
+    auto const snapshot = histogram.snapshot();
+    client.histogram.sample_count = snapshot.count;
+    client.histogram.sample_sum = snapshot.sum;
+    auto const &bounds = histogram.upperBounds();
+    for (std::size_t index = 0; index < bounds.size(); ++index)
+        client.histogram.bucket.push_back({.cumulative_count = snapshot.cumulative[index], .upper_bound = bounds[index]});
+}
+
 } // namespace
 
 MetricsRegistry::MetricsRegistry()
@@ -165,6 +209,13 @@
     return Families::find(families_->distributions, name, help, labels);
 }
 
+Histogram &
+MetricsRegistry::histogram(std::string const &name, std::string const &help, std::span<double const> upperBounds, Labels const &labels)
+{
+    std::lock_guard const guard(families_->mutex);
+    return Families::find(families_->histograms, name, help, labels, upperBounds);
+}
+
 std::string MetricsRegistry::toPrometheusText() const
 {
     std::lock_guard const guard(families_->mutex);
@@ -178,6 +229,8 @@
             name, family, prometheus::MetricType::Gauge, [](auto &client, auto const &gauge) { client.gauge.value = gauge.value(); }));
     for (auto const &[name, family] : families_->distributions)
         converted.push_back(toPrometheus(name, family, prometheus::MetricType::Summary, fillSummary));
+    for (auto const &[name, family] : families_->histograms)
+        converted.push_back(toPrometheus(name, family, prometheus::MetricType::Histogram, fillHistogram));
     return prometheus::TextSerializer().Serialize(converted);
 }
 
--- a/Libraries/LibObserve/Metrics.h
+++ b/Libraries/LibObserve/Metrics.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -55,6 +57,33 @@
     std::unique_ptr<Accumulators> accumulators_;
 };
 
+/// Counts values by the buckets that their upper bounds define. Safe from any thread.
+class Histogram
+{
+public:
+    struct Snapshot {
+        /// Values at most as large as the bound, bound by bound.
+        std::vector<std::uint64_t> cumulative;
+        std::uint64_t count = 0;
+        double sum = 0;
+    };
+
+    /// `upperBounds` in rising order; values above the last one are counted in the sum and the count only.
+    explicit Histogram(std::span<double const> upperBounds);
+    void record(double value);
+    [[nodiscard]] Snapshot snapshot() const;
+    [[nodiscard]] std::vector<double> const &upperBounds() const;
+
+private:
+    std::vector<double> upperBounds_;
+    /// One more than there are bounds.
+    std::vector<std::atomic<std::uint64_t>> counts_;
+    std::atomic<double> sum_{0};
+};
+
+/// Upper bounds in seconds for what callers wait for: from a network's round trip to longer than any of them waits.
+inline constexpr std::array<double, 12> LatencyBounds = {0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 2, 5, 10};
+
 /// All metrics of one program. References stay valid as long as the registry. Names carry their unit, as in
 /// "anvilyard_entry_added_seconds".
 class MetricsRegistry
@@ -67,6 +96,8 @@
     Counter &counter(std::string const &name, std::string const &help, Labels const &labels = {});
     Gauge &gauge(std::string const &name, std::string const &help, Labels const &labels = {});
     Distribution &distribution(std::string const &name, std::string const &help, Labels const &labels = {});
+    /// The bounds of a name's first histogram hold for all of that name.
+    Histogram &histogram(std::string const &name, std::string const &help, std::span<double const> upperBounds, Labels const &labels = {});
 
     /// Prometheus text exposition of everything.
     [[nodiscard]] std::string toPrometheusText() const;
--- a/Libraries/LibServing/OnlinePlacement.cpp
+++ b/Libraries/LibServing/OnlinePlacement.cpp
@@ -123,7 +123,11 @@
     auto const others = peers.othersAt(record.id);
     auto const mine = own.at(record.id);
     bool const hasRoom = mine.online + mine.batch + others.online + others.batch < record.slots;
-    return {.outcome = Placement::Outcome::Chosen, .server = record, .hasRoom = hasRoom};
+    return {.outcome = Placement::Outcome::Chosen,
+            .server = record,
+            .hasRoom = hasRoom,
+            .servers = loads.size(),
+            .shortestWait = verdict.shortestWait};
 }
 
 Duration OnlinePlacement::meanRun(PoolName const &pool) const
--- a/Services/Node/JobDesk.cpp
+++ b/Services/Node/JobDesk.cpp
@@ -48,9 +48,10 @@
 {
 }
 
-void JobDesk::refuse(Writer const &writer, Http::Refusal const &refusal)
+void JobDesk::refuse(JobId const &job, Writer const &writer, Http::Refusal const &refusal)
 {
-    metrics_.refusals.add();
+    metrics_.onRefused(refusal.code);
+    Observe::log(Observe::Events::NodeJobCallRefused, {{"job", job.value()}, {"reason", refusal.code}, {"detail", refusal.message}});
     writer->respond(Refusals::write(refusal, context_.protocol));
 }
 
@@ -67,7 +68,7 @@
 {
     auto job = context_.protocol.readSubmission(request);
     if (!job)
-        return refuse(writer, Refusals::badRequest(job.error().detail));
+        return refuse(JobId(), writer, Refusals::badRequest(job.error().detail));
     auto const now = readClocks();
     Jobs::JobRecord record{
         .id = job->id,
@@ -104,7 +105,7 @@
                     return storePart(submission, 0);
                 if (answer && answer->status == NoRoomStatus)
                     return confirmUnknownJob(submission, most);
-                refuse(submission->writer, Refusals::quotaUnknown());
+                refuse(submission->id, submission->writer, Refusals::quotaUnknown());
             });
 }
 
@@ -117,7 +118,7 @@
                 return acknowledge(submission);
             if (stored.error().code == PlatformError::NotFound)
                 return refuseForQuota(submission, most);
-            refuse(submission->writer, Refusals::storeOutcomeUnknown());
+            refuse(submission->id, submission->writer, Refusals::storeOutcomeUnknown());
         });
 }
 
@@ -128,7 +129,7 @@
                   {"tokens", std::to_string(submission->tokens)},
                   {"waiting", std::to_string(expectedWaitingTokens(readLocalClock()))},
                   {"most", std::to_string(most)}});
-    refuse(submission->writer, Refusals::overQuota(QuotaPause));
+    refuse(submission->id, submission->writer, Refusals::overQuota(QuotaPause));
 }
 
 void JobDesk::storePart(std::shared_ptr<Submission> const &submission, std::size_t part)
@@ -173,7 +174,7 @@
         submission->timer = context_.loop.at(now + StoreRetryPause, std::move(again));
         return;
     }
-    refuse(submission->writer, submission->isUnknown ? Refusals::storeOutcomeUnknown() : Refusals::storeAway());
+    refuse(submission->id, submission->writer, submission->isUnknown ? Refusals::storeOutcomeUnknown() : Refusals::storeAway());
 }
 
 void JobDesk::acknowledge(std::shared_ptr<Submission> const &submission)
@@ -245,10 +246,10 @@
 {
     Jobs::loadJob(context_.store, call.job, Jobs::LoadExtent::Whole, [this, call, writer = std::move(writer)](Result<Jobs::LoadedJob> job) {
         if (!job && job.error().code == Jobs::JobsError::JobNotFound)
-            return refuse(writer, Refusals::jobNotFound());
+            return refuse(call.job, writer, Refusals::jobNotFound());
         if (!job) {
             Observe::log(Observe::Events::NodeJobReadFailed, {{"job", call.job.value()}, {"error", job.error().toString()}});
-            return refuse(writer, Refusals::storeAway());
+            return refuse(call.job, writer, Refusals::storeAway());
         }
         Jobs::ResultPage page{.total = job->record.items.size(), .next = call.from};
         std::size_t bytes = 0;
@@ -286,13 +287,13 @@
     Jobs::loadJob(
         context_.store, call.job, Jobs::LoadExtent::JobOnly, [this, call, writer = std::move(writer)](Result<Jobs::LoadedJob> job) {
             if (!job && job.error().code == Jobs::JobsError::JobNotFound)
-                return refuse(writer, Refusals::jobNotFound());
+                return refuse(call.job, writer, Refusals::jobNotFound());
             if (!job)
-                return refuse(writer, Refusals::storeAway());
+                return refuse(call.job, writer, Refusals::storeAway());
             auto &items = job->record.items;
             auto const item = std::find_if(items.begin(), items.end(), [&](Jobs::JobItem const &known) { return known.id == call.item; });
             if (item == items.end())
-                return refuse(writer, Refusals::itemNotFound());
+                return refuse(call.job, writer, Refusals::itemNotFound());
             writer->respond({.status = 200, .headers = {{"Content-Type", "application/octet-stream"}}, .body = std::move(item->body)});
         });
 }
@@ -311,11 +312,11 @@
             }
             auto const &code = replaced.error().code;
             if (code == PlatformError::NotFound)
-                return refuse(writer, Refusals::jobNotFound());
+                return refuse(call.job, writer, Refusals::jobNotFound());
             bool const isUnknown = wasUnknown || code == PlatformError::OutcomeUnknown;
             auto const now = readLocalClock();
             if (!isUnknown || now + StoreRetryPause >= deadline)
-                return refuse(writer, isUnknown ? Refusals::storeOutcomeUnknown() : Refusals::storeAway());
+                return refuse(call.job, writer, isUnknown ? Refusals::storeOutcomeUnknown() : Refusals::storeAway());
             // Ending a job twice does no harm. The timer keeps itself until it has run.
             auto const timer = std::make_shared<std::unique_ptr<Http::Timer>>();
             *timer = context_.loop.at(now + StoreRetryPause, [this, call, writer, deadline, timer] {
--- a/Services/Node/JobDesk.h
+++ b/Services/Node/JobDesk.h
@@ -32,7 +32,7 @@
     void storeJob(std::shared_ptr<Submission> const &submission);
     void onStoreError(std::shared_ptr<Submission> const &submission, Error const &error, std::function<void()> again);
     void acknowledge(std::shared_ptr<Submission> const &submission);
-    void refuse(Writer const &writer, Http::Refusal const &refusal);
+    void refuse(JobId const &job, Writer const &writer, Http::Refusal const &refusal);
 
     void read(ReadResults const &call, Writer writer);
     void readFromStore(ReadResults const &call, Writer writer);
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -437,6 +437,11 @@
     isLeaving_ = true;
 }
 
+Jobs::ItemCounts JobRunner::itemCounts() const
+{
+    return book_.counts();
+}
+
 bool JobRunner::isSettled() const
 {
     return storesUnderWay_ == 0 && runs_.empty();
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -30,6 +30,7 @@
     void leave();
     /// Whether no outcome of this runner waits to be stored.
     [[nodiscard]] bool isSettled() const;
+    [[nodiscard]] Jobs::ItemCounts itemCounts() const;
 
 private:
     struct KnownJob {
--- a/Services/Node/NodeMetrics.cpp
+++ b/Services/Node/NodeMetrics.cpp
@@ -2,9 +2,46 @@
 
 namespace Anvilyard::Node {
 
+namespace {
+
+/// Each route costs some kilobytes of histograms; an installation has a handful at a time.
+constexpr std::size_t RoutesMost = 64;
+
+double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+RouteMetrics::RouteMetrics(Observe::MetricsRegistry &registry, std::string label)
+    : firstEventSeconds(registry.histogram(
+        "anvilyard_node_first_event_seconds", "From a streaming request to its first event", Observe::LatencyBounds, {{"route", label}}))
+    , eventGapSeconds(registry.histogram(
+          "anvilyard_node_event_gap_seconds", "Between two reads of events of one answer", Observe::LatencyBounds, {{"route", label}}))
+    , registry_(registry)
+    , label_(std::move(label))
+    , requestSeconds_(registry.histogram(
+          "anvilyard_node_request_seconds", "From an online request to the end of its answer", Observe::LatencyBounds, {{"route", label_}}))
+{
+}
+
+void RouteMetrics::onEnded(std::string_view outcome, Duration took)
+{
+    auto found = ended_.find(outcome);
+    if (found == ended_.end()) {
+        auto &counter = registry_.counter("anvilyard_node_requests_ended_total",
+                                          "Online requests by route and how they ended",
+                                          {{"route", label_}, {"outcome", std::string(outcome)}});
+        found = ended_.emplace(outcome, &counter).first;
+    }
+    found->second->add();
+    requestSeconds_.record(toSeconds(took));
+}
+
 NodeMetrics::NodeMetrics(Observe::MetricsRegistry &registry)
-    : requests(registry.counter("anvilyard_node_requests_total", "Online requests taken from callers"))
-    , refusals(registry.counter("anvilyard_node_refusals_total", "Requests answered with a refusal of our own"))
+    : registry_(registry)
+    , requests(registry.counter("anvilyard_node_requests_total", "Online requests taken from callers"))
     , sends(registry.counter("anvilyard_node_sends_total", "Sends of online requests to servers"))
     , resumes(registry.counter("anvilyard_node_resumes_total", "Streams that another send went on with"))
     , brokenStreams(registry.counter("anvilyard_node_broken_streams_total", "Answers broken off after a part was relayed"))
@@ -13,9 +50,28 @@
     , itemPreemptions(registry.counter("anvilyard_node_item_preemptions_total", "Items ended to make room for online requests"))
     , segmentsStored(registry.counter("anvilyard_node_segments_stored_total", "Writes of batch results that were stored"))
     , jobsAccepted(registry.counter("anvilyard_node_jobs_accepted_total", "Batch jobs acknowledged"))
-    , firstEventSeconds(registry.distribution("anvilyard_node_first_event_seconds", "From a streaming request to its first event"))
-    , requestSeconds(registry.distribution("anvilyard_node_request_seconds", "From an online request to the end of its answer"))
+    , expectedWaitSeconds(registry.histogram("anvilyard_node_expected_wait_seconds",
+                                             "Shortest expected wait for a slot at the arrival of online requests",
+                                             Observe::LatencyBounds))
+{
+}
+
+RouteMetrics &NodeMetrics::route(Serving::RouteName const &route)
+{
+    bool const isNew = !routes_.contains(route);
+    auto const name = isNew && routes_.size() >= RoutesMost ? Serving::RouteName("other") : route;
+    return routes_.try_emplace(name, registry_, name.value()).first->second;
+}
+
+void NodeMetrics::onRefused(std::string_view reason)
 {
+    auto found = refusals_.find(reason);
+    if (found == refusals_.end()) {
+        auto &counter = registry_.counter(
+            "anvilyard_node_refusals_total", "Requests answered with a refusal of our own, by its code", {{"reason", std::string(reason)}});
+        found = refusals_.emplace(reason, &counter).first;
+    }
+    found->second->add();
 }
 
 } // namespace Anvilyard::Node
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -43,7 +43,7 @@
     };
 }
 
-NodeContext makeContext(NodeProgramOptions const &options, Observe::MetricsRegistry &registry)
+NodeContext makeContext(NodeProgramOptions const &options, Platform::MeteredStore &store, Observe::MetricsRegistry &registry)
 {
     auto random = seedFromSystem();
     auto const healthSeed = random();
@@ -52,8 +52,8 @@
         .settings = settings,
         .loop = options.loop,
         .protocol = options.protocol,
-        .store = options.store,
-        .statuses = options.statuses,
+        .store = store,
+        .statuses = store,
         .servers = Http::HttpClient::create(
             options.loop,
             {.idleTimeout = ServerIdleTimeout, .unacknowledgedTimeout = UnacknowledgedTimeout, .keepAliveInterval = KeepAliveInterval}),
@@ -74,9 +74,11 @@
 
 NodeProgram::NodeProgram(NodeProgramOptions options)
     : onTickHook_(options.onTick)
+    , logLinesLeftOut_(options.logLinesLeftOut)
     , onStopped_(options.onStopped)
     , metrics_(registry_)
-    , context_(makeContext(options, registry_))
+    , store_(options.store, options.statuses, registry_)
+    , context_(makeContext(options, store_, registry_))
     , health_(context_, [this] { fleet_.onEjectionsChanged(); })
     , fleet_(context_, [this] { onStateChanged(); })
     , link_(context_, fleet_, [this] { onLoadNews(); })
@@ -161,6 +163,11 @@
     return context_.settings.peers;
 }
 
+Address NodeProgram::metrics() const
+{
+    return metricsServer_ ? metricsServer_->address() : Address();
+}
+
 std::uint64_t NodeProgram::runnersSeen() const
 {
     return context_.peers.runnersSeen();
@@ -196,13 +203,63 @@
 {
     if (request.path() != "/metrics")
         return writer->respond({.status = 404});
+    refreshGauges();
     writer->respond({.status = 200, .headers = {{"Content-Type", "text/plain; version=0.0.4"}}, .body = registry_.toPrometheusText()});
 }
 
+/// Beliefs and queues change far more often than anybody asks for them.
+void NodeProgram::refreshGauges()
+{
+    auto const now = readLocalClock();
+    auto const set = [&](std::string const &name, std::string const &help, double value, Observe::Labels const &labels = {}) {
+        registry_.gauge(name, help, labels).set(value);
+    };
+    auto const setServers = [&](std::string const &belief, std::size_t count) {
+        set("anvilyard_node_servers",
+            "Backend servers by what this node believes of them",
+            static_cast<double>(count),
+            {{"belief", belief}});
+    };
+    std::size_t lastResort = 0;
+    auto const servers = context_.directory.usable(now);
+    for (auto const &server : servers)
+        lastResort += server.use == Serving::ServerUse::LastResort ? 1 : 0;
+    setServers("usable", servers.size() - lastResort);
+    setServers("last_resort", lastResort);
+    setServers("ejected", context_.health.ejected().size());
+    std::uint32_t online = 0;
+    for (auto const &[id, count] : context_.load.all())
+        online += count.online;
+    set("anvilyard_node_online_in_flight", "Online requests of this node at servers now", online);
+    set("anvilyard_node_peers_heard",
+        "Instances that reported within the last 1.5 seconds",
+        static_cast<double>(context_.peers.live().size()));
+    set("anvilyard_node_state_version",
+        "Version of the desired state in force; 0 before the first",
+        context_.routes ? static_cast<double>(context_.routes->state().version.value()) : 0);
+    auto const setItems = [&](std::string const &state, std::size_t count) {
+        set("anvilyard_node_items", "Items of the jobs that this runner owns, by state", static_cast<double>(count), {{"state", state}});
+    };
+    auto const items = runner_.itemCounts();
+    setItems("waiting", items.waiting);
+    setItems("running", items.running);
+    setItems("decided", items.decided);
+    setItems("listed", items.listed);
+    if (logLinesLeftOut_)
+        set("anvilyard_node_log_lines_left_out", "Log lines left out since the start", static_cast<double>(logLinesLeftOut_()));
+}
+
 void NodeProgram::handleCaller(Http::HttpRequest request, Writer writer)
 {
     auto const refuse = [&](Http::Refusal const &refusal) {
-        metrics_.refusals.add();
+        metrics_.onRefused(refusal.code);
+        auto const head = context_.protocol.readCall(request);
+        Observe::log(Observe::Events::NodeRequestRefused,
+                     {{"request", head ? head->id.value() : ""},
+                      {"target", request.target},
+                      {"reason", refusal.code},
+                      {"detail", refusal.message},
+                      {"state_version", context_.routes ? std::to_string(context_.routes->state().version.value()) : "none"}});
         writer->respond(Refusals::write(refusal, context_.protocol));
     };
     if (auto call = context_.protocol.readJobCall(request)) {
@@ -332,6 +389,7 @@
     auto &loop = options.loop;
     Observe::JsonLog log({.least = leastLogged});
     options.onTick = [&log] { log.flush(); };
+    options.logLinesLeftOut = [&log] { return log.leftOut(); };
     options.onStopped = [&loop] { loop.stop(); };
     NodeProgram node(std::move(options));
     auto const signals = Signals::watch(loop,
--- a/Services/Node/NodeProgram.h
+++ b/Services/Node/NodeProgram.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibPlatform/MeteredStore.h"
 #include "LibService/Program.h"
 #include "Services/Node/HealthProber.h"
 #include "Services/Node/JobDesk.h"
@@ -19,6 +20,8 @@
     Platform::StatusStore &statuses;
     /// Called some 20 times a second.
     std::function<void()> onTick = {};
+    /// For the metrics, where the program writes a log.
+    std::function<std::uint64_t()> logLinesLeftOut = {};
     /// A stop is complete; the node may be destroyed once the call has returned.
     std::function<void()> onStopped = {};
 };
@@ -40,6 +43,7 @@
 
     [[nodiscard]] Address callers() const;
     [[nodiscard]] Address peers() const;
+    [[nodiscard]] Address metrics() const;
     /// As in its reports to peers.
     [[nodiscard]] std::uint64_t runnersSeen() const;
 
@@ -47,6 +51,7 @@
     void handleCaller(Http::HttpRequest request, Writer writer);
     void handleReadiness(Http::HttpRequest const &request, Writer const &writer);
     void handlePeer(Http::HttpRequest const &request, Writer const &writer);
+    void refreshGauges();
     void handleMetrics(Http::HttpRequest const &request, Writer const &writer);
     Result<std::monostate> listenAsEntry();
     void scheduleTick();
@@ -57,9 +62,11 @@
     void onStateChanged();
 
     std::function<void()> onTickHook_;
+    std::function<std::uint64_t()> logLinesLeftOut_;
     std::function<void()> onStopped_;
     Observe::MetricsRegistry registry_;
     NodeMetrics metrics_;
+    Platform::MeteredStore store_;
     NodeContext context_;
     HealthProber health_;
     FleetFollower fleet_;
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -50,6 +50,11 @@
     return headers.find("Content-Type").value_or("").starts_with("text/event-stream");
 }
 
+double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
 std::string millisecondsSince(Instant since, Instant now)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count());
@@ -60,6 +65,7 @@
 OnlineCall::OnlineCall(Parts parts)
     : parts_(std::move(parts))
     , pool_(Serving::poolFor(parts_.route, parts_.head.id))
+    , routeMetrics_(parts_.metrics.route(parts_.route.name))
     , startedAt_(readLocalClock())
     , deadline_(startedAt_ + std::min(parts_.route.timeout, parts_.head.timeLeft.value_or(parts_.route.timeout)))
     , plan_({
@@ -111,6 +117,8 @@
         .excluded = excluded,
     };
     auto const placement = context.placement.place(request, context.load, context.peers, now, context.random);
+    if (sends_ == 0)
+        parts_.metrics.expectedWaitSeconds.record(toSeconds(placement.shortestWait));
     switch (placement.outcome) {
     case Serving::Placement::Outcome::Chosen:
         return send(placement.server, placement.hasRoom, Connection::Any);
@@ -215,11 +223,15 @@
 {
     auto whole = events_.take(piece);
     if (!whole.empty()) {
+        auto const now = readLocalClock();
         if (!std::exchange(isRelaying_, true)) {
             // From here on the caller has the first server's head, also when another one goes on.
             parts_.writer->start({.status = answer_.status, .headers = parts_.context.protocol.forCaller(answer_.headers)});
-            parts_.metrics.firstEventSeconds.record(std::chrono::duration<double>(readLocalClock() - startedAt_).count());
+            routeMetrics_.firstEventSeconds.record(toSeconds(now - startedAt_));
+        } else {
+            routeMetrics_.eventGapSeconds.record(toSeconds(now - lastEventAt_));
         }
+        lastEventAt_ = now;
         parts_.writer->write(std::move(whole), [weak = weak_from_this()](Http::WriteOutcome outcome) {
             auto const self = weak.lock();
             if (self && outcome == Http::WriteOutcome::Written && std::exchange(self->isPaused_, false) && self->exchange_)
@@ -356,7 +368,7 @@
 
 void OnlineCall::refuse(Http::Refusal const &refusal)
 {
-    parts_.metrics.refusals.add();
+    parts_.metrics.onRefused(refusal.code);
     parts_.writer->respond(Refusals::write(refusal, parts_.context.protocol));
     finish(refusal.code.c_str());
 }
@@ -388,7 +400,7 @@
     if (std::exchange(isFinished_, true))
         return;
     auto const now = readLocalClock();
-    parts_.metrics.requestSeconds.record(std::chrono::duration<double>(now - startedAt_).count());
+    routeMetrics_.onEnded(outcome, now - startedAt_);
     Observe::log(Observe::Events::NodeRequestEnded,
                  {{"request", parts_.head.id.value()},
                   {"route", parts_.route.name.value()},
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -55,12 +55,14 @@
 
     Parts parts_;
     PoolName pool_;
+    RouteMetrics &routeMetrics_;
     Instant startedAt_;
     Instant deadline_;
     Serving::AttemptPlan plan_;
     Serving::EventSequence events_;
     std::optional<Serving::ServerRecord> server_;
     Instant sentAt_;
+    Instant lastEventAt_;
     std::shared_ptr<Http::Exchange> exchange_;
     Http::ResponseHead answer_;
     AnswerSigns signs_;
--- a/Tests/LibObserve/TestMetrics.cpp
+++ b/Tests/LibObserve/TestMetrics.cpp
@@ -28,3 +28,18 @@
     registry.counter("hits_total", "Hits.").add();
     EXPECT_EQ(registry.counter("hits_total", "Hits.").value(), 2U);
 }
+
+TEST(MetricsTest, HistogramsShowCumulativeBuckets)
+{
+    MetricsRegistry registry;
+    std::array<double, 2> const bounds = {0.1, 0.5};
+    auto &histogram = registry.histogram("wait_seconds", "Waits.", bounds, {{"route", "notes"}});
+    for (double const value : {0.05, 0.1, 0.3, 7.0})
+        histogram.record(value);
+    auto const text = registry.toPrometheusText();
+    EXPECT_THAT(text, ::testing::HasSubstr("# TYPE wait_seconds histogram"));
+    EXPECT_THAT(text, ::testing::HasSubstr("wait_seconds_bucket{route=\"notes\",le=\"0.1\"} 2"));
+    EXPECT_THAT(text, ::testing::HasSubstr("wait_seconds_bucket{route=\"notes\",le=\"0.5\"} 3"));
+    EXPECT_THAT(text, ::testing::HasSubstr("wait_seconds_bucket{route=\"notes\",le=\"+Inf\"} 4"));
+    EXPECT_THAT(text, ::testing::HasSubstr("wait_seconds_count{route=\"notes\"} 4"));
+}
--- /dev/null
+++ b/Tests/LibPlatform/TestMeteredStore.cpp
@@ -0,0 +1,119 @@
+#include "LibPlatform/MeteredStore.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+using namespace Anvilyard;
+using namespace Anvilyard::Platform;
+
+namespace {
+
+/// Answers each call at once with the error set, or with an empty success.
+class ScriptedStore final
+    : public ObjectStore
+    , public StatusStore
+{
+public:
+    std::optional<PlatformError> error;
+    WatchHandlers watching;
+
+    void create(CallClass, Kind, ObjectName, std::string, Reply<Object> reply) override
+    {
+        answer(reply);
+    }
+
+    void get(CallClass, Kind, ObjectName, Reply<Object> reply) override
+    {
+        answer(reply);
+    }
+
+    void update(CallClass, Kind, Object, Reply<Object> reply) override
+    {
+        answer(reply);
+    }
+
+    void remove(CallClass, Kind, ObjectName, ResourceVersion, Reply<std::monostate> reply) override
+    {
+        answer(reply);
+    }
+
+    void list(CallClass, Kind, ListOptions, Reply<ObjectList> reply) override
+    {
+        answer(reply);
+    }
+
+    std::unique_ptr<Watch> watch(Kind, ResourceVersion, WatchHandlers handlers) override
+    {
+        watching = std::move(handlers);
+        return std::make_unique<Watch>();
+    }
+
+    void replaceStatus(CallClass, Kind, ObjectName, std::string, Reply<Object> reply) override
+    {
+        answer(reply);
+    }
+
+private:
+    template<typename Value>
+    void answer(Reply<Value> const &reply) const
+    {
+        if (error)
+            return reply(failure(*error, "scripted"));
+        reply(Value{});
+    }
+};
+
+struct MeteredStoreTest : ::testing::Test {
+    ScriptedStore inner;
+    Observe::MetricsRegistry metrics;
+    MeteredStore store{inner, inner, metrics};
+
+    std::uint64_t calls(std::string const &kind, std::string const &call, std::string const &outcome)
+    {
+        return metrics.counter("anvilyard_store_calls_total", "", {{"kind", kind}, {"call", call}, {"outcome", outcome}}).value();
+    }
+};
+
+} // namespace
+
+/// Red when a call passes uncounted or its answer does not reach the caller unchanged.
+TEST_F(MeteredStoreTest, CountsEachCallByItsOutcome)
+{
+    int answers = 0;
+    auto const object = [&](Result<Object> const &) { ++answers; };
+    Kind const jobs("jobs");
+    ObjectName const name("a");
+    store.create(CallClass::Commit, jobs, name, "{}", object);
+    store.get(CallClass::Read, jobs, name, object);
+    store.replaceStatus(CallClass::Commit, jobs, name, "{}", object);
+    store.list(CallClass::Read, jobs, {}, [&](auto const &) { ++answers; });
+    store.remove(CallClass::Commit, jobs, name, {}, [&](auto const &) { ++answers; });
+    inner.error = PlatformError::Conflict;
+    store.update(CallClass::Commit, jobs, {.name = name}, [&](Result<Object> const &result) {
+        ++answers;
+        ASSERT_FALSE(result);
+        EXPECT_EQ(result.error().code, PlatformError::Conflict);
+    });
+    inner.error = PlatformError::OutcomeUnknown;
+    store.create(CallClass::Commit, jobs, name, "{}", object);
+    EXPECT_EQ(answers, 7);
+    for (auto const *call : {"create", "get", "status", "list", "remove"})
+        EXPECT_EQ(calls("jobs", call, "ok"), 1U) << call;
+    EXPECT_EQ(calls("jobs", "update", "conflict"), 1U);
+    EXPECT_EQ(calls("jobs", "create", "unknown"), 1U);
+}
+
+/// Red when the returns of a watch or its end are not counted or not told.
+TEST_F(MeteredStoreTest, CountsReturnsOfAWatch)
+{
+    int told = 0;
+    auto const watch = store.watch(Kind("servers"),
+                                   ResourceVersion("4"),
+                                   {.onProgress = [&](ResourceVersion const &) { ++told; }, .onEnd = [&](Error const &) { ++told; }});
+    inner.watching.onProgress(ResourceVersion("5"));
+    inner.watching.onProgress(ResourceVersion("6"));
+    inner.watching.onEnd({.code = make_error_code(PlatformError::VersionTooOld), .detail = ""});
+    EXPECT_EQ(told, 3);
+    EXPECT_EQ(calls("servers", "watch", "ok"), 2U);
+    EXPECT_EQ(calls("servers", "watch", "version_too_old"), 1U);
+}
--- a/Tests/Node/NodeFixture.h
+++ b/Tests/Node/NodeFixture.h
@@ -220,10 +220,15 @@
     using Answer = tl::expected<Http::HttpResponse, Http::ExchangeFailure>;
 
     std::future<Answer> sendTo(Node::NodeProgram &node, Http::HttpRequest request)
+    {
+        return sendTo(thread_.call([&] { return node.callers(); }), std::move(request));
+    }
+
+    std::future<Answer> sendTo(Address const &server, Http::HttpRequest request)
     {
         auto promise = std::make_shared<std::promise<Answer>>();
         thread_.call([&] {
-            client_->fetch({.server = node.callers(),
+            client_->fetch({.server = server,
                             .request = std::move(request),
                             .deadline = readLocalClock() + 20s,
                             .connection = Http::ClientRequest::Connection::FreshOnly},
@@ -237,6 +242,13 @@
         return sendTo(node, std::move(request)).get();
     }
 
+    std::string metricsOf(Node::NodeProgram &node)
+    {
+        auto const address = thread_.call([&] { return node.metrics(); });
+        auto const answer = sendTo(address, {.method = "GET", .target = "/metrics", .headers = {{"Host", address.value()}}}).get();
+        return answer ? answer->body : answer.error().error.toString();
+    }
+
     Adapter::FleetProtocol const protocol_;
     LoopThread thread_;
     std::unique_ptr<FleetStoreServer> store_;
--- /dev/null
+++ b/Tests/Node/TestObservation.cpp
@@ -0,0 +1,63 @@
+#include "LibObserve/Events.h"
+#include "Tests/Node/NodeFixture.h"
+
+#include <gmock/gmock.h>
+
+using namespace Anvilyard;
+using namespace Anvilyard::Tests;
+using ::testing::HasSubstr;
+
+namespace {
+
+class ObservationTest : public NodeTest
+{
+protected:
+    Node::NodeProgram &serve(FleetServer::Script script)
+    {
+        putState(1);
+        server_ = std::make_unique<FleetServer>(thread_, std::move(script));
+        putServer("s1", server_->address());
+        auto &node = startNode("entry-1");
+        waitUntilReady(node);
+        return node;
+    }
+
+    std::unique_ptr<FleetServer> server_;
+};
+
+} // namespace
+
+/// Red when a stream's waits or its outcome are missing from the metrics.
+TEST_F(ObservationTest, MetricsTellOutcomesAndWaitsByRoute)
+{
+    auto &node = serve([](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) { answerEvents(request, writer, 3); });
+    ASSERT_TRUE(ask(node, requestOf("/s/1", "a")));
+    ASSERT_TRUE(ask(node, requestOf("/s/2", "b")));
+    auto const text = metricsOf(node);
+    EXPECT_THAT(text, HasSubstr(R"(anvilyard_node_requests_ended_total{outcome="served",route="s"} 2)"));
+    EXPECT_THAT(text, HasSubstr(R"(anvilyard_node_first_event_seconds_count{route="s"} 2)"));
+    EXPECT_THAT(text, HasSubstr(R"(anvilyard_node_request_seconds_bucket{route="s",le="+Inf"} 2)"));
+    EXPECT_THAT(text, HasSubstr(R"(anvilyard_node_servers{belief="usable"} 1)"));
+    EXPECT_THAT(text, HasSubstr("anvilyard_node_state_version 1"));
+    EXPECT_THAT(text, HasSubstr(R"(anvilyard_store_calls_total{call="list",kind="config",outcome="ok"} 1)"));
+}
+
+/// Red when a refusal is counted without its reason.
+TEST_F(ObservationTest, MetricsTellWhyRequestsAreRefused)
+{
+    auto &node = serve([](int, Http::HttpRequest const &, FleetServer::Writer const &writer) { writer->respond({.status = 500}); });
+    ASSERT_TRUE(ask(node, requestOf("/nowhere/1", "a")));
+    EXPECT_THAT(metricsOf(node), HasSubstr(R"(anvilyard_node_refusals_total{reason="route_not_found"} 1)"));
+}
+
+/// Red when callers that make up names can fill the memory with metrics.
+TEST(NodeMetricsTest, LaterRoutesShareALabel)
+{
+    Observe::MetricsRegistry registry;
+    Node::NodeMetrics metrics(registry);
+    for (int number = 0; number < 1000; ++number)
+        metrics.route(Serving::RouteName("r" + std::to_string(number))).onEnded("served", 1s);
+    auto const text = registry.toPrometheusText();
+    EXPECT_THAT(text, HasSubstr(R"(anvilyard_node_requests_ended_total{outcome="served",route="other"} 936)"));
+    EXPECT_THAT(text, ::testing::Not(HasSubstr(R"(route="r64")")));
+}
