Add anvilyardctl explain: one id's course through nodes' logs

Cause: going from an id to its cause took grep and jq by hand, over logs that did not say which instance wrote a line once they were merged.

--- a/Libraries/LibObserve/JsonLog.cpp
+++ b/Libraries/LibObserve/JsonLog.cpp
@@ -43,9 +43,12 @@
 
 } // namespace
 
-std::string toJsonLine(EventDefinition const &event, std::initializer_list<Field> fields, WallInstant time)
+std::string toJsonLine(EventDefinition const &event, std::initializer_list<Field> fields, WallInstant time, std::string const &instance)
 {
-    std::string line = R"({"time":")" + formatTime(time) + R"(","level":")";
+    std::string line = R"({"time":")" + formatTime(time) + '"';
+    if (!instance.empty())
+        line += ",\"instance\":" + boost::json::serialize(boost::json::string_view(instance));
+    line += R"(,"level":")";
     line += levelName(event.severity);
     line += R"(","event":)" + std::to_string(event.number) + R"(,"name":")";
     line += event.name;
@@ -86,7 +89,7 @@
         ++overflowed_;
         return;
     }
-    buffer_ += toJsonLine(event, fields, now.wall);
+    buffer_ += toJsonLine(event, fields, now.wall, options_.instance);
 }
 
 void JsonLog::reportLeftOut()
@@ -97,7 +100,8 @@
     nextReport_ = now.local + ReportInterval;
     auto const report = [&](std::string const &event, std::uint64_t lines) {
         leftOut_ += lines;
-        buffer_ += toJsonLine(Events::LogLinesLeftOut, {{"left_out_event", event}, {"lines", std::to_string(lines)}}, now.wall);
+        buffer_ +=
+            toJsonLine(Events::LogLinesLeftOut, {{"left_out_event", event}, {"lines", std::to_string(lines)}}, now.wall, options_.instance);
     };
     for (auto const &[event, lines] : budget_.takeLeftOut())
         report(std::to_string(event), lines);
--- a/Libraries/LibObserve/JsonLog.h
+++ b/Libraries/LibObserve/JsonLog.h
@@ -6,11 +6,14 @@
 
 namespace Anvilyard::Observe {
 
-/// One log line as a JSON object: `time` (RFC 3339, UTC), `level`, `event` (number), `name` and the fields as strings. Whatever
-/// the values hold, it stays one line.
-std::string toJsonLine(EventDefinition const &event, std::initializer_list<Field> fields, WallInstant time);
+/// One log line as a JSON object: `time` (RFC 3339, UTC), `instance` unless empty, `level`, `event` (number), `name` and the fields
+/// as strings. Whatever the values hold, it stays one line.
+std::string
+toJsonLine(EventDefinition const &event, std::initializer_list<Field> fields, WallInstant time, std::string const &instance = {});
 
 struct JsonLogOptions {
+    /// Who writes, so that lines of several instances can be told apart in one stream.
+    std::string instance = {};
     /// Standard output by default.
     int descriptor = 1;
     Severity least = Severity::Info;
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -387,7 +387,7 @@
 Service::ExitCode runNode(NodeProgramOptions options, Observe::Severity leastLogged)
 {
     auto &loop = options.loop;
-    Observe::JsonLog log({.least = leastLogged});
+    Observe::JsonLog log({.instance = options.settings.instance.value(), .least = leastLogged});
     options.onTick = [&log] { log.flush(); };
     options.logLinesLeftOut = [&log] { return log.leftOut(); };
     options.onStopped = [&loop] { loop.stop(); };
--- a/Utilities/Ctl/Command.h
+++ b/Utilities/Ctl/Command.h
@@ -43,5 +43,6 @@
 std::unique_ptr<Command> makeDrainCommand();
 std::unique_ptr<Command> makeJobsCommand();
 std::unique_ptr<Command> makeCancelCommand();
+std::unique_ptr<Command> makeExplainCommand();
 
 } // namespace Anvilyard::Ctl
--- a/Utilities/Ctl/Main.cpp
+++ b/Utilities/Ctl/Main.cpp
@@ -26,6 +26,7 @@
     commands.push_back(makeDrainCommand());
     commands.push_back(makeJobsCommand());
     commands.push_back(makeCancelCommand());
+    commands.push_back(makeExplainCommand());
     return commands;
 }
 
