Bound what nodes of a large fleet tell each other

Each node told all others every change of its load, at most each 8 ms: some 1,300 reports a second to each. For each report a node worked out the runners anew from all peers' lists, and for each known job at each tick again; for each server of each choice it added up all peers. All nodes watched the registrations.

Change: ReportSchedule (pure) decides who is due for a report: up to 24 peers as before; beyond, changes go to the own data centre at most each 150 ms, runners keep in touch with all each 250 ms, entries with entries elsewhere each second. Reports say when the next one comes, and silence is judged by that. PeerTable keeps sums by server and the list of runners. Choices trust older load less and leave more to chance. A server's batch slots are shared by four runners of its data centre. Registrations are listed once, after the own one; reports do the rest.

Tests: TestReportSchedule (bounded rate, promised times, small fleets), TestPeers (sums against a plain addition, seldom reports, few runners). With the bound taken out of isDue the rate test is red.

--- a/Libraries/LibServing/OnlinePlacement.cpp
+++ b/Libraries/LibServing/OnlinePlacement.cpp
@@ -34,6 +34,7 @@
             .instance = options_.instance,
             .dataCentre = options_.dataCentre,
             .spillMargin = options_.spillMargin,
+            .reportHalfLife = options_.loadHalfLife,
             .affinityWorth = options_.affinityWorth,
             .loadMost = std::numeric_limits<double>::max(),
         };
@@ -86,14 +87,14 @@
     poolNamed(server.pool).chooser.onFinished(server.id);
 }
 
-/// What is in flight is known exactly for this instance and to some 50 ms for the others.
-void OnlinePlacement::refreshLoads(Pool &pool, LoadBook const &own, PeerTable const &peers, Instant now)
+/// What is in flight is known exactly for this instance and as of some time ago for the others.
+void OnlinePlacement::refreshLoads(Pool &pool, LoadBook const &own, PeerTable const &peers, Instant reportedAt)
 {
     for (auto const &[id, record] : pool.servers) {
         auto const mine = own.at(id);
         auto const others = peers.othersAt(id);
         auto const load = mine.online + others.online + options_.batchWeight * (mine.batch + others.batch);
-        pool.chooser.onLoadReport(id, {.running = load}, now);
+        pool.chooser.onLoadReport(id, {.running = load}, reportedAt);
     }
 }
 
@@ -115,7 +116,7 @@
                 .retryAfter = verdict.retryAfter,
                 .servers = loads.size(),
                 .shortestWait = verdict.shortestWait};
-    refreshLoads(pool, own, peers, now);
+    refreshLoads(pool, own, peers, now - request.loadAge);
     auto const *chosen = pool.chooser.choose({.prefix = request.prefix, .excluded = request.excluded}, now, random);
     if (!chosen)
         return {};
--- a/Libraries/LibServing/OnlinePlacement.h
+++ b/Libraries/LibServing/OnlinePlacement.h
@@ -25,6 +25,9 @@
     double affinityWorth = 0.5;
     /// What a batch item counts of an online request: it makes room, but not at once.
     double batchWeight = 0.9;
+    /// Age at which the load of other instances counts for half, and chance for the rest: in this time each server of a busy pool
+    /// gets another request that nobody knows of yet.
+    Duration loadHalfLife = 150ms;
     /// How long a request holds a slot, until some were measured.
     Duration firstMeanRun = 500ms;
 };
@@ -34,6 +37,8 @@
     Duration latencyTarget = 1s;
     Routing::PromptPrefix const *prefix = nullptr;
     std::span<ServerId const> excluded;
+    /// How old the load of other instances is on average.
+    Duration loadAge{0};
 };
 
 struct Placement {
@@ -84,7 +89,7 @@
     };
 
     Pool &poolNamed(PoolName const &name);
-    void refreshLoads(Pool &pool, LoadBook const &own, PeerTable const &peers, Instant now);
+    void refreshLoads(Pool &pool, LoadBook const &own, PeerTable const &peers, Instant reportedAt);
 
     OnlinePlacementOptions options_;
     std::map<PoolName, Pool> pools_;
--- a/Libraries/LibServing/PeerReport.h
+++ b/Libraries/LibServing/PeerReport.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Ids.h"
 #include "LibCore/Result.h"
+#include "LibCore/Time.h"
 #include "LibServing/DesiredState.h"
 
 #include <map>
@@ -56,6 +57,8 @@
     /// Wall time of the sender's start, in milliseconds, and the report's number since then; together they order its reports.
     std::int64_t startedAt = 0;
     std::uint64_t number = 0;
+    /// The receiver's next report comes within this time.
+    Duration nextWithin = 250ms;
     InstanceRole role = InstanceRole::Entry;
     InstanceStage stage = InstanceStage::Serving;
     StoreReach store = StoreReach::Reached;
--- a/Libraries/LibServing/PeerTable.cpp
+++ b/Libraries/LibServing/PeerTable.cpp
@@ -29,8 +29,16 @@
         holdTokens(known->second.report, now);
     auto const sender = report.sender;
     auto const seen = report.runnersSeen;
+    // The runners follow from these fields alone, and most reports change only load.
+    bool const mayChangeRunners = known == peers_.end() || known->second.report.role != report.role
+        || known->second.report.stage != report.stage || known->second.report.store != report.store
+        || known->second.report.runnersHeard != report.runnersHeard;
+    if (known != peers_.end())
+        removeLoad(known->second.report);
+    addLoad(report);
     peers_[sender] = {.report = std::move(report), .heardAt = now};
-    noteRunners(now);
+    if (mayChangeRunners)
+        noteRunners(now);
     // Noted at once: the next report may agree again, while the jobs were somebody else's in between.
     if (seen != runnersSeen_)
         disturbedAt_ = now;
@@ -40,16 +48,23 @@
 void PeerTable::onTick(Instant now)
 {
     auto const forgotten = std::erase_if(peers_, [&](auto const &entry) {
-        bool const isSilent = now - entry.second.heardAt >= options_.silence;
-        if (isSilent)
-            holdTokens(entry.second.report, now);
-        return isSilent;
+        auto const &[report, heardAt] = entry.second;
+        if (!isSilent(report, heardAt, now))
+            return false;
+        holdTokens(report, now);
+        removeLoad(report);
+        return true;
     });
     std::erase_if(handedOver_, [&](auto const &entry) { return now >= entry.second.until; });
     if (forgotten > 0)
         noteRunners(now);
 }
 
+bool PeerTable::isSilent(PeerReport const &report, Instant heardAt, Instant now) const
+{
+    return now - heardAt >= std::max(options_.silence, report.nextWithin * options_.silentIntervals);
+}
+
 void PeerTable::onPaused(Instant now)
 {
     disturbedAt_ = now;
@@ -69,8 +84,9 @@
 
 void PeerTable::noteRunners(Instant now)
 {
+    runners_ = findRunners();
     std::string names;
-    for (auto const &runner : runners())
+    for (auto const &runner : runners_)
         names += runner.value() + '\n';
     auto const seen = static_cast<std::uint64_t>(XXH3_64bits(names.data(), names.size()));
     if (seen != std::exchange(runnersSeen_, seen))
@@ -91,27 +107,42 @@
     return found == peers_.end() ? nullptr : &found->second.report;
 }
 
-InFlight PeerTable::othersAt(ServerId const &server) const
+void PeerTable::addLoad(PeerReport const &report)
 {
-    InFlight sum;
-    for (auto const &[id, peer] : peers_) {
-        if (auto const found = peer.report.inFlight.find(server); found != peer.report.inFlight.end()) {
-            sum.online += found->second.online;
-            sum.batch += found->second.batch;
-        }
+    for (auto const &[server, count] : report.inFlight) {
+        auto &sum = sums_[server];
+        sum.all.online += count.online;
+        sum.all.batch += count.batch;
+        if (count.batch > 0)
+            sum.batch[report.sender] = count.batch;
     }
-    return sum;
 }
 
-std::vector<std::pair<InstanceId, std::uint32_t>> PeerTable::batchAt(ServerId const &server) const
+void PeerTable::removeLoad(PeerReport const &report)
 {
-    std::vector<std::pair<InstanceId, std::uint32_t>> holders;
-    for (auto const &[id, peer] : peers_) {
-        auto const found = peer.report.inFlight.find(server);
-        if (found != peer.report.inFlight.end() && found->second.batch > 0)
-            holders.emplace_back(id, found->second.batch);
+    for (auto const &[server, count] : report.inFlight) {
+        auto const found = sums_.find(server);
+        auto &sum = found->second;
+        sum.all.online -= count.online;
+        sum.all.batch -= count.batch;
+        sum.batch.erase(report.sender);
+        if (sum.all == InFlight{})
+            sums_.erase(found);
     }
-    return holders;
+}
+
+InFlight PeerTable::othersAt(ServerId const &server) const
+{
+    auto const found = sums_.find(server);
+    return found == sums_.end() ? InFlight{} : found->second.all;
+}
+
+std::vector<std::pair<InstanceId, std::uint32_t>> PeerTable::batchAt(ServerId const &server) const
+{
+    auto const found = sums_.find(server);
+    if (found == sums_.end())
+        return {};
+    return {found->second.batch.begin(), found->second.batch.end()};
 }
 
 std::vector<HeardRunner> PeerTable::runnersHeard() const
@@ -126,7 +157,12 @@
     return heard;
 }
 
-std::vector<InstanceId> PeerTable::runners() const
+std::vector<InstanceId> const &PeerTable::runners() const
+{
+    return runners_;
+}
+
+std::vector<InstanceId> PeerTable::findRunners() const
 {
     std::map<InstanceId, StoreReach> known;
     for (auto const &[id, peer] : peers_) {
@@ -151,6 +187,24 @@
     return ids;
 }
 
+bool PeerTable::isRunnerFor(ServerId const &server, DataCentreId const &dataCentre) const
+{
+    if (runners_.size() <= options_.runnersAServer)
+        return true;
+    auto const isNear = [&](InstanceId const &runner) {
+        auto const *report = find(runner);
+        return runner == options_.self ? options_.dataCentre == dataCentre : report && report->dataCentre == dataCentre;
+    };
+    // Near runners go before all others.
+    auto const rankOf = [&](InstanceId const &runner) {
+        return std::pair(isNear(runner), rendezvousScore(server.value(), runner.value()));
+    };
+    auto const own = rankOf(options_.self);
+    auto const before = std::count_if(
+        runners_.begin(), runners_.end(), [&](InstanceId const &runner) { return runner != options_.self && rankOf(runner) > own; });
+    return static_cast<std::size_t>(before) < options_.runnersAServer;
+}
+
 std::optional<InstanceId> PeerTable::ownerOf(JobId const &job) const
 {
     return firstRunnerFor(job.value());
@@ -163,9 +217,8 @@
 
 std::optional<InstanceId> PeerTable::firstRunnerFor(std::string const &key) const
 {
-    auto const ids = runners();
-    auto const owner = rendezvousOwner(key, ids, [](InstanceId const &id) -> std::string const & { return id.value(); });
-    return owner == ids.end() ? std::nullopt : std::optional(*owner);
+    auto const owner = rendezvousOwner(key, runners_, [](InstanceId const &id) -> std::string const & { return id.value(); });
+    return owner == runners_.end() ? std::nullopt : std::optional(*owner);
 }
 
 std::uint64_t PeerTable::runnersSeen() const
--- a/Libraries/LibServing/PeerTable.h
+++ b/Libraries/LibServing/PeerTable.h
@@ -12,10 +12,17 @@
 struct PeerTableOptions {
     InstanceId self;
     InstanceRole ownRole = InstanceRole::Entry;
-    /// A peer that was not heard of for this long is taken for gone: six times the longest interval between reports.
+    DataCentreId dataCentre;
+    /// A peer that was not heard of for this long is taken for gone: six times the interval between reports of peers that share
+    /// servers and jobs.
     Duration silence = 1500ms;
+    /// Peers that report less often are taken for gone after so many intervals, if that is longer: datagrams are lost now and then.
+    int silentIntervals = 4;
     /// For this long after a change or a disagreement about the live runners, another instance may still see another set.
     Duration unsettledAfterChange = 5s;
+    /// Runners that send items to one server. Few enough that each one knows what the others have there, enough that a runner with
+    /// many items finds room.
+    std::size_t runnersAServer = 4;
     /// Within this time the jobs of a runner that is gone were read and are counted by another one.
     Duration takeover = 3s;
 };
@@ -45,9 +52,12 @@
     [[nodiscard]] std::vector<HeardRunner> runnersHeard() const;
     /// The runners that may own jobs, in order of their names: all that are heard, here or by a peer that is heard here. One that
     /// lost the platform's store could store no outcome; it owns nothing as long as another one reaches the store.
-    [[nodiscard]] std::vector<InstanceId> runners() const;
+    [[nodiscard]] std::vector<InstanceId> const &runners() const;
     /// The runner that owns a job as far as this instance sees; nothing when no runner is known.
     [[nodiscard]] std::optional<InstanceId> ownerOf(JobId const &job) const;
+    /// Whether this runner is one of those that send items to a server: of the runners in its data centre, and else of all, the
+    /// first by rendezvous.
+    [[nodiscard]] bool isRunnerFor(ServerId const &server, DataCentreId const &dataCentre) const;
     /// Hash over runners(), for comparing views.
     [[nodiscard]] std::uint64_t runnersSeen() const;
     /// Whether two instances may hold themselves for the owner of one job: the view of a peer differed or the own one changed just
@@ -70,16 +80,29 @@
         Instant until;
     };
 
+    /// What all live peers have at one server.
+    struct ServerSum {
+        InFlight all;
+        std::map<InstanceId, std::uint32_t> batch;
+    };
+
+    void addLoad(PeerReport const &report);
+    void removeLoad(PeerReport const &report);
     void holdTokens(PeerReport const &report, Instant now);
     [[nodiscard]] std::optional<InstanceId> firstRunnerFor(std::string const &key) const;
 
+    [[nodiscard]] bool isSilent(PeerReport const &report, Instant heardAt, Instant now) const;
+    [[nodiscard]] std::vector<InstanceId> findRunners() const;
     void noteRunners(Instant now);
 
     PeerTableOptions options_;
     InstanceStage ownStage_ = InstanceStage::Serving;
     StoreReach ownStore_ = StoreReach::Reached;
     std::map<InstanceId, Peer> peers_;
+    /// Kept up with each report: it is asked for each server at each choice, in large fleets far more often than reports come.
+    std::map<ServerId, ServerSum> sums_;
     std::map<InstanceId, HandedOver> handedOver_;
+    std::vector<InstanceId> runners_;
     std::uint64_t runnersSeen_ = 0;
     /// Last change of the own view, disagreement with a peer's, or pause.
     Instant disturbedAt_ = Instant::min();
--- /dev/null
+++ b/Libraries/LibServing/ReportSchedule.cpp
@@ -0,0 +1,84 @@
+#include "LibServing/ReportSchedule.h"
+
+namespace Anvilyard::Serving {
+
+ReportSchedule::ReportSchedule(ReportScheduleOptions options)
+    : options_(std::move(options))
+{
+}
+
+void ReportSchedule::add(InstanceId const &peer)
+{
+    peers_.try_emplace(peer);
+}
+
+void ReportSchedule::setPlace(InstanceId const &peer, InstanceRole role, DataCentreId const &dataCentre)
+{
+    auto &known = peers_[peer];
+    known.role = role;
+    known.dataCentre = dataCentre;
+}
+
+void ReportSchedule::hasten(InstanceId const &peer)
+{
+    if (auto const found = peers_.find(peer); found != peers_.end())
+        found->second.toldAt.reset();
+}
+
+void ReportSchedule::hastenAll()
+{
+    for (auto &[id, peer] : peers_)
+        peer.toldAt.reset();
+}
+
+bool ReportSchedule::isSmall() const
+{
+    return peers_.size() <= options_.smallFleetMost;
+}
+
+bool ReportSchedule::isNear(Peer const &peer) const
+{
+    return isSmall() || peer.dataCentre == options_.ownDataCentre;
+}
+
+Duration ReportSchedule::heartbeatOf(Peer const &peer) const
+{
+    // Who owns a job follows from which runners are heard, so that a runner's loss has to show quickly everywhere.
+    bool const isRunner = options_.ownRole == InstanceRole::Runner;
+    return isNear(peer) || isRunner ? options_.heartbeat : options_.farHeartbeat;
+}
+
+bool ReportSchedule::isDue(Peer const &peer, std::uint64_t change, Instant now) const
+{
+    if (!peer.toldAt)
+        return true;
+    auto const since = now - *peer.toldAt;
+    if (since >= heartbeatOf(peer))
+        return true;
+    if (change == peer.toldChange || !isNear(peer))
+        return false;
+    return isSmall() || since >= options_.changeSpacing;
+}
+
+std::vector<ReportSchedule::Round> ReportSchedule::takeDue(std::uint64_t change, Instant now)
+{
+    std::map<Duration, std::vector<InstanceId>> byHeartbeat;
+    for (auto &[id, peer] : peers_) {
+        if (!isDue(peer, change, now))
+            continue;
+        peer.toldAt = now;
+        peer.toldChange = change;
+        byHeartbeat[heartbeatOf(peer)].push_back(id);
+    }
+    std::vector<Round> rounds;
+    for (auto &[heartbeat, peers] : byHeartbeat)
+        rounds.push_back({.nextWithin = heartbeat, .peers = std::move(peers)});
+    return rounds;
+}
+
+Duration ReportSchedule::loadAge() const
+{
+    return isSmall() ? Duration::zero() : options_.changeSpacing / 2;
+}
+
+} // namespace Anvilyard::Serving
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -181,6 +181,9 @@
     auto const ejected = context_.health.ejected();
     for (auto const &[record, use] : context_.directory.usable(now)) {
         auto const own = context_.load.at(record.id);
+        bool const isOurs = context_.peers.isRunnerFor(record.id, record.dataCentre);
+        if (!isOurs && own.batch == 0)
+            continue;
         auto const others = context_.peers.othersAt(record.id);
         std::vector<Jobs::BatchHolder> batch{{.runner = context_.settings.instance, .items = own.batch}};
         for (auto &[runner, items] : context_.peers.batchAt(record.id))
@@ -190,7 +193,7 @@
             .slots = record.slots,
             .online = own.online + others.online,
             .batch = std::move(batch),
-            .takesNew = use == Serving::ServerUse::Usable && !ejected.contains(record.id),
+            .takesNew = isOurs && use == Serving::ServerUse::Usable && !ejected.contains(record.id),
         });
     }
     for (auto const &[pool, servers] : pools) {
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -62,7 +62,7 @@
             {.idleTimeout = PeerIdleTimeout, .unacknowledgedTimeout = UnacknowledgedTimeout, .keepAliveInterval = KeepAliveInterval}),
         .metrics = registry,
         .random = random,
-        .peers = Serving::PeerTable({.self = settings.instance, .ownRole = settings.role}),
+        .peers = Serving::PeerTable({.self = settings.instance, .ownRole = settings.role, .dataCentre = settings.dataCentre}),
         .directory = Serving::ServerDirectory({}),
         .placement = Serving::OnlinePlacement({.instance = settings.instance, .dataCentre = settings.dataCentre}),
         .health = Routing::ServerHealth(healthOptions(), RandomSource(healthSeed)),
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -115,6 +115,7 @@
         .latencyTarget = sends_ == 0 ? parts_.route.latencyTarget : Duration::max() / 4,
         .prefix = &parts_.head.prefix,
         .excluded = excluded,
+        .loadAge = context.loadAge,
     };
     auto const placement = context.placement.place(request, context.load, context.peers, now, context.random);
     if (sends_ == 0)
--- a/Services/Node/PeerLink.cpp
+++ b/Services/Node/PeerLink.cpp
@@ -11,8 +11,6 @@
 namespace {
 
 Platform::Kind const instanceKind("instances");
-/// Longest time between two reports: a peer that misses five in a row is taken for gone.
-constexpr Duration ReportInterval = 250ms;
 constexpr Duration RegisterPause = 500ms;
 
 std::string encodeRegistration(NodeSettings const &settings)
@@ -31,15 +29,17 @@
           .store = context.store,
           .kind = instanceKind,
           .random = context.random,
-          .hooks = {
-              .onListed =
-                  [this](std::vector<Platform::Object> const &objects, Platform::ResourceVersion const &) {
-                      for (auto const &object : objects)
-                          takeInstance(Platform::WatchChange::Added, object);
-                  },
-              .onChange = [this](Platform::WatchChange change, Platform::Object const &object) { takeInstance(change, object); },
-          },
+          .extent = StoreFollowerOptions::Extent::ListOnce,
+          .hooks =
+              {
+                  .onListed =
+                      [this](std::vector<Platform::Object> const &objects, Platform::ResourceVersion const &) {
+                          for (auto const &object : objects)
+                              takeInstance(object);
+                      },
+              },
       })
+    , schedule_({.ownRole = context.settings.role, .ownDataCentre = context.settings.dataCentre})
 {
 }
 
@@ -51,11 +51,12 @@
         return tl::unexpected(socket.error());
     socket_ = std::move(*socket);
     registerSelf();
-    instanceFollower_.start();
     return std::monostate{};
 }
 
-/// Creates this instance's registration, or replaces one of an earlier life at another address.
+/// Creates this instance's registration, or replaces one of an earlier life at another address, and then lists those of others.
+/// Of two instances that start at once the later one to register finds the other, and reports make them known to each other; so
+/// nobody has to watch registrations.
 void PeerLink::registerSelf()
 {
     Platform::ObjectName const name(context_.settings.instance.value());
@@ -65,33 +66,30 @@
     };
     auto const replace = [this, name, retry] {
         Platform::Object object{.name = name, .spec = encodeRegistration(context_.settings)};
-        context_.store.update(Platform::CallClass::Lease, instanceKind, std::move(object), [retry](Result<Platform::Object> updated) {
+        context_.store.update(Platform::CallClass::Lease, instanceKind, std::move(object), [this, retry](Result<Platform::Object> updated) {
             if (!updated)
-                retry(updated.error());
+                return retry(updated.error());
+            instanceFollower_.start();
         });
     };
     context_.store.create(Platform::CallClass::Lease,
                           instanceKind,
                           name,
                           encodeRegistration(context_.settings),
-                          [retry, replace](Result<Platform::Object> created) {
+                          [this, retry, replace](Result<Platform::Object> created) {
                               if (created)
-                                  return;
+                                  return instanceFollower_.start();
                               if (created.error().code == Platform::PlatformError::AlreadyExists)
                                   return replace();
                               retry(created.error());
                           });
 }
 
-void PeerLink::takeInstance(Platform::WatchChange change, Platform::Object const &object)
+void PeerLink::takeInstance(Platform::Object const &object)
 {
     InstanceId const id(object.name.value());
     if (id == context_.settings.instance)
         return;
-    if (change == Platform::WatchChange::Deleted) {
-        addresses_.erase(id);
-        return;
-    }
     boost::system::error_code error;
     auto const value = json::parse(object.spec, error);
     auto const *fields = error ? nullptr : value.if_object();
@@ -100,8 +98,9 @@
         Observe::log(Observe::Events::NodeRecordRejected, {{"record", id.value()}, {"error", "no address"}});
         return;
     }
-    addresses_[id] = Address(std::string(address->get_string()));
-    mustReport_ = true;
+    // What the instance says of itself is newer.
+    if (addresses_.try_emplace(id, std::string(address->get_string())).second)
+        schedule_.add(id);
 }
 
 void PeerLink::onDatagram(std::string_view content)
@@ -116,10 +115,11 @@
     auto const now = readLocalClock();
     addresses_[report->sender] = report->address;
     auto const sender = report->sender;
+    schedule_.setPlace(sender, report->role, report->dataCentre);
     if (!context_.peers.find(sender)) {
         Observe::log(Observe::Events::NodePeerHeard, {{"peer", sender.value()}});
         // It may not know of us yet.
-        mustReport_ = true;
+        schedule_.hasten(sender);
     }
     if (!context_.peers.onReport(std::move(*report), now))
         return;
@@ -131,20 +131,18 @@
 void PeerLink::onTick(Instant now)
 {
     context_.peers.onTick(now);
-    bool const isDue = mustReport_ || context_.load.changes() != reportedLoad_ || now - reportedAt_ >= ReportInterval;
-    if (isDue)
-        sendReport(now);
+    context_.loadAge = schedule_.loadAge();
+    for (auto const &round : schedule_.takeDue(context_.load.changes() + waitingTokensChanges_, now))
+        sendReport(round);
 }
 
-void PeerLink::sendReport(Instant now)
+void PeerLink::sendReport(Serving::ReportSchedule::Round const &round)
 {
-    mustReport_ = false;
-    reportedLoad_ = context_.load.changes();
-    reportedAt_ = now;
     auto const content = Serving::encodePeerReport({
         .sender = context_.settings.instance,
         .startedAt = startedAt_,
         .number = ++reports_,
+        .nextWithin = round.nextWithin,
         .role = context_.settings.role,
         .stage = stage_,
         .store = store_,
@@ -157,14 +155,14 @@
         .inFlight = context_.load.all(),
         .waitingTokens = waitingTokens_,
     });
-    for (auto const &[id, address] : addresses_)
-        socket_->send(address, content);
+    for (auto const &peer : round.peers)
+        socket_->send(addresses_.at(peer), content);
 }
 
 void PeerLink::setStage(Serving::InstanceStage stage)
 {
     stage_ = stage;
-    mustReport_ = true;
+    schedule_.hastenAll();
     auto const now = readLocalClock();
     context_.peers.setOwnStage(stage, now);
     onTick(now);
@@ -175,14 +173,14 @@
     if (std::exchange(store_, reach) == reach)
         return;
     Observe::log(Observe::Events::NodeStoreReachChanged, {{"store", reach == Serving::StoreReach::Reached ? "reached" : "lost"}});
-    mustReport_ = true;
+    schedule_.hastenAll();
     context_.peers.setOwnStore(reach, readLocalClock());
 }
 
 void PeerLink::setWaitingTokens(std::uint64_t tokens)
 {
-    mustReport_ = mustReport_ || tokens != waitingTokens_;
-    waitingTokens_ = tokens;
+    if (std::exchange(waitingTokens_, tokens) != tokens)
+        ++waitingTokensChanges_;
 }
 
 } // namespace Anvilyard::Node
--- a/Services/Node/PeerLink.h
+++ b/Services/Node/PeerLink.h
@@ -1,10 +1,11 @@
 #pragma once
 
+#include "LibServing/ReportSchedule.h"
 #include "Services/Node/DatagramSocket.h"
 #include "Services/Node/FleetFollower.h"
 #include "Services/Node/NodeContext.h"
 
-#include <set>
+#include <map>
 
 namespace Anvilyard::Node {
 
@@ -16,7 +17,7 @@
     PeerLink(NodeContext &context, FleetFollower &fleet, std::function<void()> onLoadNews);
 
     Result<std::monostate> start();
-    /// Sends a report if something changed or the last one is old; call some 20 times a second.
+    /// Sends the reports that are due; call some 20 times a second and whenever the load changed.
     void onTick(Instant now);
     void setStage(Serving::InstanceStage stage);
     /// Whether this instance reaches the platform's store.
@@ -26,9 +27,9 @@
 
 private:
     void registerSelf();
-    void takeInstance(Platform::WatchChange change, Platform::Object const &object);
+    void takeInstance(Platform::Object const &object);
     void onDatagram(std::string_view content);
-    void sendReport(Instant now);
+    void sendReport(Serving::ReportSchedule::Round const &round);
 
     NodeContext &context_;
     FleetFollower &fleet_;
@@ -38,14 +39,13 @@
     std::unique_ptr<Http::Timer> registerTimer_;
     /// By registration; those heard of are added from their reports.
     std::map<InstanceId, Address> addresses_;
+    Serving::ReportSchedule schedule_;
     Serving::InstanceStage stage_ = Serving::InstanceStage::Serving;
     Serving::StoreReach store_ = Serving::StoreReach::Reached;
     std::int64_t startedAt_ = 0;
     std::uint64_t reports_ = 0;
     std::uint64_t waitingTokens_ = 0;
-    std::uint64_t reportedLoad_ = 0;
-    bool mustReport_ = true;
-    Instant reportedAt_ = Instant::min();
+    std::uint64_t waitingTokensChanges_ = 0;
 };
 
 } // namespace Anvilyard::Node
--- a/Services/Node/StoreFollower.cpp
+++ b/Services/Node/StoreFollower.cpp
@@ -55,7 +55,8 @@
             options_.hooks.onReturned(away);
     }
     options_.hooks.onListed(std::exchange(listed_, {}), version_);
-    watch(version_);
+    if (options_.extent == StoreFollowerOptions::Extent::Changes)
+        watch(version_);
 }
 
 void StoreFollower::watch(Platform::ResourceVersion from)
--- a/Services/Node/StoreFollower.h
+++ b/Services/Node/StoreFollower.h
@@ -15,7 +15,7 @@
 struct StoreFollowerHooks {
     /// All objects of the kind.
     std::function<void(std::vector<Platform::Object>, Platform::ResourceVersion)> onListed;
-    std::function<void(Platform::WatchChange, Platform::Object)> onChange;
+    std::function<void(Platform::WatchChange, Platform::Object)> onChange = {};
     std::function<void(Platform::ResourceVersion)> onProgress = {};
     /// The store answers again; called before onListed.
     std::function<void(Duration away)> onReturned = {};
@@ -26,6 +26,11 @@
     Platform::ObjectStore &store;
     Platform::Kind kind;
     RandomSource &random;
+    enum class Extent {
+        Changes,
+        /// The objects there are, once.
+        ListOnce,
+    } extent = Extent::Changes;
     StoreFollowerHooks hooks;
     /// Pause before the next try after a failure, halved at random so that instances do not come back together; it doubles up
     /// to the most.
@@ -33,7 +38,7 @@
     Duration longestPause = 800ms;
 };
 
-/// Keeps up with the objects of a kind: lists them, then watches, and lists again whenever the watch ends.
+/// Keeps up with the objects of a kind: lists them, then watches unless told otherwise, and lists again whenever the watch ends.
 class StoreFollower
 {
 public:
--- a/Tests/LibServing/TestPeers.cpp
+++ b/Tests/LibServing/TestPeers.cpp
@@ -29,6 +29,7 @@
 TEST(PeerReportTest, AReportSurvivesItsWay)
 {
     auto report = reportOf("runner \"1\"\n", 7);
+    report.nextWithin = 900ms;
     report.stage = InstanceStage::Leaving;
     report.dataCentre = DataCentreId("dc");
     report.stateVersion = StateVersion(12);
@@ -41,6 +42,7 @@
     auto const decoded = decodePeerReport(encodePeerReport(report));
     ASSERT_TRUE(decoded) << decoded.error().toString();
     EXPECT_EQ(decoded->sender, report.sender);
+    EXPECT_EQ(decoded->nextWithin, Duration(900ms));
     EXPECT_EQ(decoded->stage, InstanceStage::Leaving);
     EXPECT_EQ(decoded->runnersSeen, report.runnersSeen);
     EXPECT_EQ(decoded->inFlight, report.inFlight);
@@ -242,3 +244,91 @@
     EXPECT_EQ(table.waitingTokens(Start + 4400ms), 100U);
     EXPECT_EQ(table.waitingTokens(Start + 4500ms), 0U);
 }
+
+/// Red when the sums kept with each report drift from what live peers last said.
+RC_GTEST_PROP(PeerTableProperty, SumsAreThoseOfTheLivePeersReports, ())
+{
+    auto table = tableOf("self", InstanceRole::Runner);
+    auto now = Start;
+    std::uint64_t number = 0;
+    auto const steps = *rc::gen::inRange(1, 60);
+    for (int step = 0; step < steps; ++step) {
+        auto report = reportOf("p" + std::to_string(*rc::gen::inRange(0, 5)), ++number);
+        for (int server = 0; server < 3; ++server) {
+            InFlight const count{.online = *rc::gen::inRange<std::uint32_t>(0, 4), .batch = *rc::gen::inRange<std::uint32_t>(0, 4)};
+            if (count != InFlight{})
+                report.inFlight[ServerId("s" + std::to_string(server))] = count;
+        }
+        table.onReport(std::move(report), now);
+        now += std::chrono::milliseconds(*rc::gen::inRange(0, 900));
+        table.onTick(now);
+    }
+    for (int server = 0; server < 3; ++server) {
+        ServerId const id("s" + std::to_string(server));
+        InFlight expected;
+        for (auto const *report : table.live()) {
+            if (auto const found = report->inFlight.find(id); found != report->inFlight.end()) {
+                expected.online += found->second.online;
+                expected.batch += found->second.batch;
+            }
+        }
+        RC_ASSERT(table.othersAt(id) == expected);
+        std::uint32_t batch = 0;
+        for (auto const &[runner, items] : table.batchAt(id))
+            batch += items;
+        RC_ASSERT(batch == expected.batch);
+    }
+}
+
+/// Red when a peer that reports each second is taken for gone between two reports.
+TEST(PeerTableTest, APeerThatReportsSeldomIsWaitedForLonger)
+{
+    auto table = tableOf("self", InstanceRole::Entry);
+    auto report = reportOf("far", 1, InstanceRole::Entry);
+    report.nextWithin = 1s;
+    table.onReport(std::move(report), Start);
+    table.onTick(Start + 3900ms);
+    EXPECT_TRUE(table.find(InstanceId("far")));
+    table.onTick(Start + 4s);
+    EXPECT_FALSE(table.find(InstanceId("far")));
+}
+
+/// Red when every runner of a large fleet sends items to every server, which takes knowing of each other's at all times, or when
+/// some server has no runner.
+TEST(PeerTableTest, EachServerHasAFewRunnersAndNearOnesFirst)
+{
+    std::vector<InstanceId> ids;
+    for (int number = 0; number < 13; ++number)
+        ids.emplace_back("r" + std::to_string(number));
+    auto const centreOf = [](std::size_t runner) { return DataCentreId(runner < 6 ? "here" : "there"); };
+    std::vector<PeerTable> tables;
+    for (std::size_t self = 0; self < ids.size(); ++self) {
+        auto &table =
+            tables.emplace_back(PeerTableOptions{.self = ids[self], .ownRole = InstanceRole::Runner, .dataCentre = centreOf(self)});
+        table.setOwnStage(InstanceStage::Serving, Start);
+        for (std::size_t peer = 0; peer < ids.size(); ++peer) {
+            auto report = reportOf(ids[peer].value(), 1);
+            report.dataCentre = centreOf(peer);
+            table.onReport(std::move(report), Start);
+        }
+    }
+    for (int server = 0; server < 60; ++server) {
+        std::size_t here = 0;
+        std::size_t there = 0;
+        for (std::size_t runner = 0; runner < ids.size(); ++runner) {
+            if (tables[runner].isRunnerFor(ServerId("s" + std::to_string(server)), DataCentreId("here")))
+                ++(runner < 6 ? here : there);
+        }
+        EXPECT_EQ(here, 4U);
+        EXPECT_EQ(there, 0U);
+    }
+}
+
+TEST(PeerTableTest, FewRunnersShareAllServers)
+{
+    auto table = tableOf("r1", InstanceRole::Runner);
+    table.onReport(reportOf("r2", 1), Start);
+    table.onReport(reportOf("r3", 1), Start);
+    for (int server = 0; server < 20; ++server)
+        EXPECT_TRUE(table.isRunnerFor(ServerId("s" + std::to_string(server)), DataCentreId("elsewhere")));
+}
--- /dev/null
+++ b/Tests/LibServing/TestReportSchedule.cpp
@@ -0,0 +1,107 @@
+#include "LibServing/ReportSchedule.h"
+
+#include <gtest/gtest.h>
+
+using namespace Anvilyard;
+using namespace Anvilyard::Serving;
+
+namespace {
+
+constexpr Instant Start{std::chrono::hours(1)};
+DataCentreId const Here("here");
+DataCentreId const There("there");
+
+InstanceId peerNamed(std::size_t number)
+{
+    return InstanceId("p" + std::to_string(number));
+}
+
+/// A schedule that has told each of its peers once: the first `near` ones are in its data centre, one in five is a runner.
+ReportSchedule scheduleOf(std::size_t near, std::size_t far, InstanceRole ownRole = InstanceRole::Entry)
+{
+    ReportSchedule schedule({.ownRole = ownRole, .ownDataCentre = Here});
+    for (std::size_t number = 0; number < near + far; ++number) {
+        auto const role = number % 5 == 0 ? InstanceRole::Runner : InstanceRole::Entry;
+        schedule.add(peerNamed(number));
+        schedule.setPlace(peerNamed(number), role, number < near ? Here : There);
+    }
+    static_cast<void>(schedule.takeDue(0, Start));
+    return schedule;
+}
+
+std::size_t countOf(std::vector<ReportSchedule::Round> const &rounds)
+{
+    std::size_t count = 0;
+    for (auto const &round : rounds)
+        count += round.peers.size();
+    return count;
+}
+
+/// Reports sent within a second in which the load changes each 8 ms.
+std::size_t reportsInABusySecond(ReportSchedule schedule)
+{
+    std::size_t count = 0;
+    for (auto now = Start; now < Start + 1s; now += 8ms)
+        count += countOf(schedule.takeDue(static_cast<std::uint64_t>((now - Start) / 8ms) + 1, now));
+    return count;
+}
+
+} // namespace
+
+TEST(ReportScheduleTest, ASmallFleetHearsEachChangeAtOnce)
+{
+    auto schedule = scheduleOf(4, 8);
+    EXPECT_EQ(countOf(schedule.takeDue(0, Start + 8ms)), 0U);
+    EXPECT_EQ(countOf(schedule.takeDue(1, Start + 8ms)), 12U);
+    EXPECT_EQ(schedule.loadAge(), Duration::zero());
+}
+
+/// Red when changes are told to a large fleet one by one: what a node sends and hears would grow with the square of its size.
+TEST(ReportScheduleTest, ALargeFleetHearsOfABusyNodeAtABoundedRate)
+{
+    // 28 peers at most seven times a second, 55 peers once.
+    EXPECT_LE(reportsInABusySecond(scheduleOf(28, 55)), 28U * 7 + 55);
+    EXPECT_LE(reportsInABusySecond(scheduleOf(28, 332)), 28U * 7 + 332);
+    EXPECT_GT(scheduleOf(28, 55).loadAge(), Duration::zero());
+}
+
+/// Red when a large fleet learns later than its heartbeat says: peers would take the node for gone.
+TEST(ReportScheduleTest, EachPeerIsToldWithinTheTimePromised)
+{
+    for (auto const role : {InstanceRole::Entry, InstanceRole::Runner}) {
+        auto schedule = scheduleOf(28, 55, role);
+        std::map<InstanceId, Instant> until;
+        for (std::size_t number = 0; number < 83; ++number)
+            until[peerNamed(number)] = Start + 1s;
+        for (auto now = Start; now < Start + 10s; now += 50ms) {
+            for (auto const &round : schedule.takeDue(0, now)) {
+                for (auto const &peer : round.peers) {
+                    EXPECT_LE(now, until[peer]);
+                    until[peer] = now + round.nextWithin + 50ms;
+                }
+            }
+            for (auto const &[peer, latest] : until)
+                ASSERT_LE(now, latest) << peer.value();
+        }
+    }
+}
+
+/// A runner's loss moves its jobs, so that it has to show everywhere as quickly as in a small fleet.
+TEST(ReportScheduleTest, ARunnerKeepsInTouchWithAllAtTheShortHeartbeat)
+{
+    auto schedule = scheduleOf(28, 55, InstanceRole::Runner);
+    EXPECT_EQ(countOf(schedule.takeDue(0, Start + 250ms)), 83U);
+}
+
+TEST(ReportScheduleTest, ANewPeerIsToldAtOnceAndWithoutTheOthers)
+{
+    auto schedule = scheduleOf(28, 55);
+    schedule.add(InstanceId("new"));
+    auto const rounds = schedule.takeDue(0, Start + 10ms);
+    ASSERT_EQ(rounds.size(), 1U);
+    EXPECT_EQ(rounds.front().peers, std::vector{InstanceId("new")});
+    schedule.hasten(peerNamed(80));
+    EXPECT_EQ(countOf(schedule.takeDue(0, Start + 20ms)), 1U);
+    schedule.hastenAll();
+    EXPECT_EQ(countOf(schedule.takeDue(0, Start + 30ms)), 84U);
+}
