Test that runners heard by a known entry are taken in

Found by taking guards out one by one: without the comparison of runnersHeard in PeerTable::onReport no test was red; now this one is.

--- a/Tests/LibServing/TestPeers.cpp
+++ b/Tests/LibServing/TestPeers.cpp
@@ -332,3 +332,19 @@
     for (int server = 0; server < 20; ++server)
         EXPECT_TRUE(table.isRunnerFor(ServerId("s" + std::to_string(server)), DataCentreId("elsewhere")));
 }
+
+/// Red when what a known peer newly hears of is passed over.
+TEST(PeerTableTest, ARunnerThatAKnownEntryComesToHearMayOwnJobs)
+{
+    auto table = tableOf("self", InstanceRole::Entry);
+    table.onReport(reportOf("e1", 1, InstanceRole::Entry), Start);
+    EXPECT_TRUE(table.runners().empty());
+    auto report = reportOf("e1", 2, InstanceRole::Entry);
+    report.runnersHeard = {{.id = InstanceId("r1")}};
+    table.onReport(report, Start);
+    EXPECT_EQ(table.runners(), std::vector{InstanceId("r1")});
+    report.number = 3;
+    report.runnersHeard.clear();
+    table.onReport(report, Start);
+    EXPECT_TRUE(table.runners().empty());
+}
