--- a/Tests/FleetAdapter/TestFleetStore.cpp
+++ b/Tests/FleetAdapter/TestFleetStore.cpp
@@ -25,8 +25,11 @@
     {
         thread_.call([this] {
             server_ = std::make_unique<FleetStoreServer>(thread_.loop());
-            store_ = FleetStore::create(
-                {.loop = thread_.loop(), .platform = server_->address(), .callTimeout = 300ms, .watchLength = 200ms, .watchPause = 1ms});
+            store_ = FleetStore::create({.loop = thread_.loop(),
+                                         .platform = server_->address(),
+                                         .callTimeout = 300ms,
+                                         .watchLength = 200ms,
+                                         .watchPacing = {.shortest = 1ms, .longest = 1ms}});
         });
     }
 
