Tell load of a large fleet sooner, and judge it by its age

Cause: with changes told each 150 ms, batch items made room for a peak of load 150 ms late, requests were taken from servers that seemed to have room 4,000 times in 34 s, and load of other data centres, up to a second old, was trusted like that of the own one.

Change: changes within a data centre each 50 ms; age of load by distance; a slot counts as surely free only when one more request than is known would still fit.

--- a/Libraries/LibServing/OnlinePlacement.cpp
+++ b/Libraries/LibServing/OnlinePlacement.cpp
@@ -88,13 +88,13 @@
 }
 
 /// What is in flight is known exactly for this instance and as of some time ago for the others.
-void OnlinePlacement::refreshLoads(Pool &pool, LoadBook const &own, PeerTable const &peers, Instant reportedAt)
+void OnlinePlacement::refreshLoads(Pool &pool, LoadBook const &own, PeerTable const &peers, LoadAge const &age, Instant now)
 {
     for (auto const &[id, record] : pool.servers) {
         auto const mine = own.at(id);
         auto const others = peers.othersAt(id);
         auto const load = mine.online + others.online + options_.batchWeight * (mine.batch + others.batch);
-        pool.chooser.onLoadReport(id, {.running = load}, reportedAt);
+        pool.chooser.onLoadReport(id, {.running = load}, now - (record.dataCentre == options_.dataCentre ? age.near : age.far));
     }
 }
 
@@ -116,14 +116,15 @@
                 .retryAfter = verdict.retryAfter,
                 .servers = loads.size(),
                 .shortestWait = verdict.shortestWait};
-    refreshLoads(pool, own, peers, now - request.loadAge);
+    refreshLoads(pool, own, peers, request.loadAge, now);
     auto const *chosen = pool.chooser.choose({.prefix = request.prefix, .excluded = request.excluded}, now, random);
     if (!chosen)
         return {};
     auto const &record = pool.servers.at(chosen->id);
     auto const others = peers.othersAt(record.id);
     auto const mine = own.at(record.id);
-    bool const hasRoom = mine.online + mine.batch + others.online + others.batch < record.slots;
+    auto const unseen = request.loadAge.near > Duration::zero() ? 1U : 0U;
+    bool const hasRoom = mine.online + mine.batch + others.online + others.batch + unseen < record.slots;
     return {.outcome = Placement::Outcome::Chosen,
             .server = record,
             .hasRoom = hasRoom,
--- a/Libraries/LibServing/OnlinePlacement.h
+++ b/Libraries/LibServing/OnlinePlacement.h
@@ -32,13 +32,18 @@
     Duration firstMeanRun = 500ms;
 };
 
+/// How old the known load of servers is on average, by where they are: most of a server's load comes from its data centre.
+struct LoadAge {
+    Duration near{0};
+    Duration far{0};
+};
+
 struct PlacementRequest {
     PoolName pool;
     Duration latencyTarget = 1s;
     Routing::PromptPrefix const *prefix = nullptr;
     std::span<ServerId const> excluded;
-    /// How old the load of other instances is on average.
-    Duration loadAge{0};
+    LoadAge loadAge = {};
 };
 
 struct Placement {
@@ -49,7 +54,7 @@
         NoServer,
     } outcome = Outcome::NoServer;
     ServerRecord server;
-    /// Whether a slot is free there as far as is known.
+    /// Whether a slot is surely free there: with the load of others as old as it is, one request more than is known may have come.
     bool hasRoom = true;
     /// With Full: when room is expected.
     Duration retryAfter{0};
@@ -89,7 +94,7 @@
     };
 
     Pool &poolNamed(PoolName const &name);
-    void refreshLoads(Pool &pool, LoadBook const &own, PeerTable const &peers, Instant reportedAt);
+    void refreshLoads(Pool &pool, LoadBook const &own, PeerTable const &peers, LoadAge const &age, Instant now);
 
     OnlinePlacementOptions options_;
     std::map<PoolName, Pool> pools_;
--- a/Libraries/LibServing/ReportSchedule.cpp
+++ b/Libraries/LibServing/ReportSchedule.cpp
@@ -76,9 +76,14 @@
     return rounds;
 }
 
-Duration ReportSchedule::loadAge() const
+Duration ReportSchedule::nearLoadAge() const
 {
     return isSmall() ? Duration::zero() : options_.changeSpacing / 2;
 }
 
+Duration ReportSchedule::farLoadAge() const
+{
+    return isSmall() ? Duration::zero() : options_.farHeartbeat / 2;
+}
+
 } // namespace Anvilyard::Serving
--- a/Libraries/LibServing/ReportSchedule.h
+++ b/Libraries/LibServing/ReportSchedule.h
@@ -18,9 +18,9 @@
     /// Peers up to which each one is told every change of load. Such reports grow with the square of the fleet: at 24 a node hears
     /// at most some 400 a second, at 83 it was 1,300, a third of a small machine's processor time.
     std::size_t smallFleetMost = 24;
-    /// In a larger fleet, the least time between two reports of changes to a peer of the own data centre: a tenth of the time that a
-    /// request holds its slot, so that what is not told yet is little beside what is.
-    Duration changeSpacing = 150ms;
+    /// In a larger fleet, the least time between two reports of changes to a peer of the own data centre. A load that doubles from
+    /// one moment to the next fills a slot of each server in this time; batch work has to make room no later than that.
+    Duration changeSpacing = 50ms;
     /// In a larger fleet, the time between reports to entries elsewhere, which share few servers with this instance.
     Duration farHeartbeat = 1s;
 };
@@ -50,8 +50,10 @@
 
     /// Takes the peers that are due now; they count as told. `change` rises with each change of what reports tell of the own load.
     [[nodiscard]] std::vector<Round> takeDue(std::uint64_t change, Instant now);
-    /// How old the load of peers is on average.
-    [[nodiscard]] Duration loadAge() const;
+    /// How old the load of peers in the own data centre is on average.
+    [[nodiscard]] Duration nearLoadAge() const;
+    /// The same for peers elsewhere.
+    [[nodiscard]] Duration farLoadAge() const;
 
 private:
     struct Peer {
--- a/Services/Node/NodeContext.h
+++ b/Services/Node/NodeContext.h
@@ -33,8 +33,7 @@
     RandomSource random;
     Serving::PeerTable peers;
     Serving::LoadBook load;
-    /// How old what peers say of their load is on average.
-    Duration loadAge{0};
+    Serving::LoadAge loadAge;
     Serving::ServerDirectory directory;
     Serving::OnlinePlacement placement;
     Routing::ServerHealth health;
--- a/Services/Node/PeerLink.cpp
+++ b/Services/Node/PeerLink.cpp
@@ -131,7 +131,7 @@
 void PeerLink::onTick(Instant now)
 {
     context_.peers.onTick(now);
-    context_.loadAge = schedule_.loadAge();
+    context_.loadAge = {.near = schedule_.nearLoadAge(), .far = schedule_.farLoadAge()};
     for (auto const &round : schedule_.takeDue(context_.load.changes() + waitingTokensChanges_, now))
         sendReport(round);
 }
