Keep batch items out of the gaps of an online peak

Cause: at a peak online requests take 86% of a grown pool's slots. An item started in nearly every slot that came free and was ended by the next request 60 ms later, which waited for that; first events were late by a median of 150 ms through the whole peak (request times by phase of the load, from the log of a trial).

Ruled out before: crowding of the least loaded server (sampling moved nothing), requests that leave slow servers early (with few doing so, the same share was late).

Change: with half of a pool's slots online, items start only where four slots are free, and one slot a server is freed ahead.

--- a/Libraries/LibJobs/SlotPlan.cpp
+++ b/Libraries/LibJobs/SlotPlan.cpp
@@ -21,9 +21,9 @@
 
 /// The own part of the items that are too many: each one is taken from the runner that has the most left there, the first by
 /// name among equals.
-std::uint32_t preemptionAt(InstanceId const &self, ServerSlots const &server)
+std::uint32_t preemptionAt(InstanceId const &self, ServerSlots const &server, std::uint32_t freedAhead)
 {
-    auto const taken = takenAt(server);
+    auto const taken = takenAt(server) + freedAhead;
     if (taken <= server.slots)
         return 0;
     auto holders = server.batch;
@@ -39,6 +39,17 @@
     return own;
 }
 
+bool isLoadHigh(std::span<ServerSlots const> servers, double highLoad)
+{
+    std::uint64_t online = 0;
+    std::uint64_t slots = 0;
+    for (auto const &server : servers) {
+        online += server.online;
+        slots += server.slots;
+    }
+    return static_cast<double>(online) >= highLoad * static_cast<double>(slots);
+}
+
 } // namespace
 
 std::vector<SlotChange>
@@ -46,10 +57,13 @@
 {
     std::vector<SlotChange> changes;
     std::vector<ServerSlots const *> open;
+    bool const isHigh = isLoadHigh(servers, options.highLoad);
+    auto const reserve = isHigh ? options.highLoadReserve : options.reserve;
+    auto const freedAhead = isHigh ? options.freedAhead : 0;
     for (auto const &server : servers) {
-        if (auto const preempt = preemptionAt(self, server); preempt > 0)
+        if (auto const preempt = preemptionAt(self, server, freedAhead); preempt > 0)
             changes.push_back({.server = server.server, .preempt = preempt});
-        else if (server.takesNew && takenAt(server) + options.reserve < server.slots)
+        else if (server.takesNew && takenAt(server) + reserve < server.slots)
             open.push_back(&server);
     }
     // The emptiest first, by share of its slots.
@@ -59,7 +73,7 @@
     for (auto const *server : open) {
         if (waitingItems == 0)
             break;
-        auto const room = server->slots - options.reserve - takenAt(*server);
+        auto const room = server->slots - reserve - takenAt(*server);
         auto const start = static_cast<std::uint32_t>(std::min<std::size_t>({room, options.startsMost, waitingItems}));
         waitingItems -= start;
         changes.push_back({.server = server->server, .start = start});
--- a/Libraries/LibJobs/SlotPlan.h
+++ b/Libraries/LibJobs/SlotPlan.h
@@ -30,6 +30,14 @@
     /// Slots of each server that batch items never take, so that the first online requests of a burst find room until items
     /// were ended for those after them.
     std::uint32_t reserve = 1;
+    /// Share of the slots that online requests take from which on load counts as high. Most of a peak's requests then find their slot
+    /// only as fast as items end.
+    double highLoad = 0.5;
+    /// The reserve at high load: slots that come free are wanted by the next online requests within a tenth of a second, and an item
+    /// that starts there would only read its prompt to be ended again.
+    std::uint32_t highLoadReserve = 3;
+    /// Slots of each server that are freed ahead at high load, so that the next online request waits for no item to end.
+    std::uint32_t freedAhead = 1;
     /// Items that one runner starts at a server in one round; others see them before the next.
     std::uint32_t startsMost = 1;
 };
