Leave a slow server only for one that has a free slot

Cause: a request was taken from a server that was silent for 0.6 of the latency target although the server seemed to have room. With no other server left the request was answered 502 although its server still worked on it: found by the new test.

Change: when that time is over, a request leaves only if another server has a free slot as far as is known, and within a RetryBudget of a tenth of the requests.

Tests: AtAPeakFewRequestsLeaveAServerThatIsSlowToBegin, ARequestStaysWhereItIsWhileNoOtherServerHasRoom; the first was red before (502 for some).

--- a/Services/Node/NodeContext.h
+++ b/Services/Node/NodeContext.h
@@ -5,6 +5,7 @@
 #include "LibHttp/HttpClient.h"
 #include "LibObserve/Metrics.h"
 #include "LibPlatform/ObjectStore.h"
+#include "LibRouting/RetryBudget.h"
 #include "LibRouting/ServerHealth.h"
 #include "LibServing/LoadBook.h"
 #include "LibServing/OnlinePlacement.h"
@@ -37,6 +38,8 @@
     Serving::ServerDirectory directory;
     Serving::OnlinePlacement placement;
     Routing::ServerHealth health;
+    /// Requests that may be taken from a server that is slow to begin, although it may only be busy.
+    Routing::RetryBudget impatience;
     /// What is in force; null until the first desired state was read.
     std::shared_ptr<Serving::RouteTable const> routes;
 };
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -43,6 +43,13 @@
     };
 }
 
+/// A server of ten that falls silent is left at once by each entry until it is ejected; at a peak of load, when every server is slow
+/// to begin, only one request in ten loses its place.
+Routing::RetryBudgetOptions impatienceOptions()
+{
+    return {.perRequest = 0.1, .perSecond = 0.2, .most = 10};
+}
+
 NodeContext makeContext(NodeProgramOptions const &options, Platform::MeteredStore &store, Observe::MetricsRegistry &registry)
 {
     auto random = seedFromSystem();
@@ -66,6 +73,7 @@
         .directory = Serving::ServerDirectory({}),
         .placement = Serving::OnlinePlacement({.instance = settings.instance, .dataCentre = settings.dataCentre}),
         .health = Routing::ServerHealth(healthOptions(), RandomSource(healthSeed)),
+        .impatience = Routing::RetryBudget(impatienceOptions(), readLocalClock()),
         .routes = nullptr,
     };
 }
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -81,6 +81,7 @@
 void OnlineCall::start()
 {
     parts_.metrics.requests.add();
+    parts_.context.impatience.onFirstSend();
     parts_.writer->onCallerGone([weak = weak_from_this()] {
         if (auto const self = weak.lock())
             self->onCallerGone();
@@ -103,35 +104,40 @@
 
 void OnlineCall::placeAndSend()
 {
-    auto const now = readLocalClock();
     auto excluded = plan_.excluded();
     // A stream that no further server may run goes on where it ran.
     if (auto const only = plan_.onlyServer())
         std::erase(excluded, *only);
-    auto &context = parts_.context;
-    Serving::PlacementRequest const request{
-        .pool = pool_,
-        // A request that may have run already is not refused for load.
-        .latencyTarget = sends_ == 0 ? parts_.route.latencyTarget : Duration::max() / 4,
-        .prefix = &parts_.head.prefix,
-        .excluded = excluded,
-        .loadAge = context.loadAge,
-    };
-    auto const placement = context.placement.place(request, context.load, context.peers, now, context.random);
+    // A request that may have run already is not refused for load.
+    auto const latencyTarget = sends_ == 0 ? parts_.route.latencyTarget : Duration::max() / 4;
+    auto const placement = findPlacement(latencyTarget, excluded);
     if (sends_ == 0)
         parts_.metrics.expectedWaitSeconds.record(toSeconds(placement.shortestWait));
     switch (placement.outcome) {
     case Serving::Placement::Outcome::Chosen:
         return send(placement.server, placement.hasRoom, Connection::Any);
     case Serving::Placement::Outcome::Full:
-        logRefusal(placement, request.latencyTarget);
+        logRefusal(placement, latencyTarget);
         return refuse(Refusals::overloaded(placement.retryAfter));
     case Serving::Placement::Outcome::NoServer:
-        logRefusal(placement, request.latencyTarget);
+        logRefusal(placement, latencyTarget);
         return isRelaying_ ? breakOff() : refuseAfterAttempts();
     }
 }
 
+Serving::Placement OnlineCall::findPlacement(Duration latencyTarget, std::vector<ServerId> const &excluded)
+{
+    auto &context = parts_.context;
+    Serving::PlacementRequest const request{
+        .pool = pool_,
+        .latencyTarget = latencyTarget,
+        .prefix = &parts_.head.prefix,
+        .excluded = excluded,
+        .loadAge = context.loadAge,
+    };
+    return context.placement.place(request, context.load, context.peers, readLocalClock(), context.random);
+}
+
 /// The inputs of a refusal, for whoever has to explain it later.
 void OnlineCall::logRefusal(Serving::Placement const &placement, Duration latencyTarget) const
 {
@@ -166,6 +172,10 @@
     body_.clear();
     context.load.onStarted(server.id, Serving::WorkClass::Online);
     context.placement.onStarted(server, &parts_.head.prefix);
+    // Without a free slot, or with no other server allowed, waiting is all there is.
+    auto const patience = plan_.patience(false, now);
+    if (auto const early = plan_.patience(true, now); hasRoom && early < patience)
+        awaitFirstSign(now + early);
     bool const isOnce = repeatabilityOf(parts_.route) == Repeatability::Unsafe;
     Http::ClientRequest request{
         .server = server.address,
@@ -174,7 +184,7 @@
             {.server = server.id, .timeLeft = deadline_ - now, .lastEventId = sends_ > 1 ? events_.lastId() : parts_.head.lastEventId}),
         .deadline = deadline_,
         .connectTimeout = ConnectTimeout,
-        .headTimeout = plan_.patience(hasRoom, now),
+        .headTimeout = patience,
         .progressTimeout = progressTimeout(),
         // An old connection may have gone silent, and what may run once only has no second try.
         .connection = isOnce || connection == Connection::Fresh ? Http::ClientRequest::Connection::FreshOnly
@@ -200,6 +210,7 @@
 {
     answer_ = std::move(head);
     signs_ = parts_.context.protocol.readAnswer(answer_);
+    impatience_.reset();
     bool const isSuccess = answer_.status >= Ok && answer_.status < FirstNotSuccess;
     // Without the server's signature a success is not the server's answer.
     if (isSuccess && (!signs_.isSigned || signs_.isEncoded))
@@ -276,9 +287,23 @@
         return finish("served");
     }
     auto const server = server_->id;
+    auto const now = readLocalClock();
+    auto const others = parts_.context.peers.othersAt(server);
+    auto const own = parts_.context.load.at(server);
+    Observe::log(Observe::Events::NodeAttemptRejected,
+                 {{"request", parts_.head.id.value()},
+                  {"server", server.value()},
+                  {"status", std::to_string(answer_.status)},
+                  {"not_run", signs_.isNotRun ? "true" : "false"},
+                  {"own_online", std::to_string(own.online)},
+                  {"others_online", std::to_string(others.online)},
+                  {"others_batch", std::to_string(others.batch)},
+                  {"slots", std::to_string(server_->slots)},
+                  {"after_ms", millisecondsSince(sentAt_, now)},
+                  {"send", std::to_string(sends_)}});
     finishAttempt();
     auto const evidence = signs_.isNotRun ? Routing::NotRunEvidence::Stated : Routing::NotRunEvidence::Withheld;
-    perform(plan_.onEnded(server, Routing::ServerErred{.status = answer_.status, .evidence = evidence}, readLocalClock()));
+    perform(plan_.onEnded(server, Routing::ServerErred{.status = answer_.status, .evidence = evidence}, now));
 }
 
 void OnlineCall::onFailure(Http::ExchangeFailure const &failure)
@@ -309,18 +334,40 @@
                           now));
 }
 
+void OnlineCall::awaitFirstSign(Instant until)
+{
+    impatience_ = parts_.context.loop.at(until, [weak = weak_from_this()] {
+        if (auto const self = weak.lock())
+            self->onSlowStart();
+    });
+}
+
+/// The server seemed to have a free slot and is silent all the same. At a peak of load all are slow to begin, and a request that
+/// leaves only loses its place: it goes where a slot is free now, and only few do.
+void OnlineCall::onSlowStart()
+{
+    if (!exchange_)
+        return;
+    auto &context = parts_.context;
+    auto const placement = findPlacement(parts_.route.latencyTarget, plan_.excluded());
+    bool const isBetter = placement.outcome == Serving::Placement::Outcome::Chosen && placement.hasRoom;
+    if (isBetter && context.impatience.tryTake(readLocalClock()))
+        breakAttempt(HttpError::Silent, Http::Reached::Sent);
+}
+
 /// Ends the send under way for what it brought.
-void OnlineCall::breakAttempt(HttpError error)
+void OnlineCall::breakAttempt(HttpError error, Http::Reached reached)
 {
     if (auto const exchange = std::exchange(exchange_, nullptr))
         exchange->cancel();
     onFailure({.error = {.code = make_error_code(error), .detail = server_->address.value()},
-               .reached = Http::Reached::ResponseStarted,
+               .reached = reached,
                .connection = Http::ConnectionUse::Fresh});
 }
 
 void OnlineCall::finishAttempt()
 {
+    impatience_.reset();
     if (!server_)
         return;
     parts_.context.load.onFinished(server_->id, Serving::WorkClass::Online);
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -43,7 +43,10 @@
     void relayEvents(std::string_view piece);
     void endStream();
     void endWhole();
-    void breakAttempt(Http::HttpError error);
+    void breakAttempt(Http::HttpError error, Http::Reached reached = Http::Reached::ResponseStarted);
+    void awaitFirstSign(Instant until);
+    void onSlowStart();
+    [[nodiscard]] Serving::Placement findPlacement(Duration latencyTarget, std::vector<ServerId> const &excluded);
     void finishAttempt();
     void perform(Routing::NextStep step);
     void refuseAfterAttempts();
@@ -72,6 +75,7 @@
     /// The caller has the head and perhaps events.
     bool isRelaying_ = false;
     bool isPaused_ = false;
+    std::unique_ptr<Http::Timer> impatience_;
     bool isFinished_ = false;
     std::size_t sends_ = 0;
 };
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -333,3 +333,50 @@
     EXPECT_EQ(held.get()->status, 502);
     waitUntil([&] { return stopped("entry-1"); });
 }
+
+/// Both servers are slow to begin and seem to have room, as at a peak of load that batch work has not made room for yet. Red when
+/// each request loses its place at one server to queue again at the other, or is refused although its server still works on it.
+TEST_F(OnlineTest, AtAPeakFewRequestsLeaveAServerThatIsSlowToBegin)
+{
+    std::vector<std::unique_ptr<Http::Timer>> timers;
+    auto const slow = [&](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        timers.push_back(thread_.loop().at(readLocalClock() + 900ms, [request, writer] {
+            writer->respond({.status = 200, .headers = signedHeaders(request, "text/plain"), .body = "late"});
+        }));
+    };
+    putState(1);
+    for (int number = 1; number <= 2; ++number) {
+        servers_.push_back(std::make_unique<FleetServer>(thread_, slow));
+        putServer("s" + std::to_string(number), servers_.back()->address(), "ready", 100);
+    }
+    auto &node = startNode("entry-1");
+    waitUntilReady(node);
+    constexpr std::size_t Requests = 40;
+    std::vector<std::future<Answer>> answers;
+    for (std::size_t number = 0; number < Requests; ++number)
+        answers.push_back(sendTo(node, requestOf("/i/1", "a" + std::to_string(number))));
+    for (auto &answer : answers) {
+        auto const served = answer.get();
+        ASSERT_TRUE(served);
+        EXPECT_EQ(served->status, 200);
+    }
+    // Ten that are saved up, a tenth of the requests and what a second brings.
+    EXPECT_LE(requestsInAll(), Requests + 10 + Requests / 10 + 1);
+    thread_.call([&] { timers.clear(); });
+}
+
+/// Red when a request leaves a silent server while no other one has a free slot.
+TEST_F(OnlineTest, ARequestStaysWhereItIsWhileNoOtherServerHasRoom)
+{
+    std::unique_ptr<Http::Timer> timer;
+    auto &node = serve({[&](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        timer = thread_.loop().at(readLocalClock() + 900ms, [request, writer] {
+            writer->respond({.status = 200, .headers = signedHeaders(request, "text/plain"), .body = "late"});
+        });
+    }});
+    auto const answer = ask(node, requestOf("/i/1", "a"));
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200);
+    EXPECT_EQ(requestsInAll(), 1U);
+    thread_.call([&] { timer.reset(); });
+}
