--- a/Libraries/LibOperator/StoryConclusion.cpp
+++ b/Libraries/LibOperator/StoryConclusion.cpp
@@ -43,27 +43,38 @@
         + text(line, "shortest_wait_ms") + " ms for a slot, with a latency target of " + text(line, "target_ms") + " ms";
 }
 
+/// How the last send that brought nothing ended; empty when there was none.
+std::string lastFailure(Lines lines)
+{
+    auto const *failure = lastNamed(lines, "node-attempt-failed");
+    auto const *rejection = lastNamed(lines, "node-attempt-rejected");
+    if (rejection && (!failure || rejection > failure))
+        return "server " + text(*rejection, "server") + " answered " + text(*rejection, "status") + " after " + text(*rejection, "after_ms")
+            + " ms, " + (rejection->field("not_run") == "true" ? "not having run it" : "without saying that it did not run it");
+    if (failure)
+        return "server " + text(*failure, "server") + " failed it after " + text(*failure, "after_ms") + " ms: " + text(*failure, "error");
+    return {};
+}
+
 StoryConclusion concludeRequest(LogLine const &end, Lines lines)
 {
     StoryConclusion conclusion;
     auto const sends = number(end, "sends");
-    auto const failed = countNamed(lines, "node-attempt-failed");
+    auto const failed = countNamed(lines, "node-attempt-failed") + countNamed(lines, "node-attempt-rejected");
     auto const outcome = end.field("outcome");
-    auto const *failure = lastNamed(lines, "node-attempt-failed");
+    auto const failure = lastFailure(lines);
     auto const *placement = lastNamed(lines, "node-no-placement");
-    auto const failureText = failure
-        ? "server " + text(*failure, "server") + " failed it after " + text(*failure, "after_ms") + " ms: " + text(*failure, "error")
-        : std::string("no line says how the sends ended");
+    auto const failureText = failure.empty() ? std::string("no line says how the sends ended") : failure;
     bool const isServed = outcome == "served";
     if (isServed) {
         conclusion.text =
             "Served by server " + text(end, "server") + " after " + text(end, "ms") + " ms and " + text(end, "sends") + " sends.";
-        if (failure)
+        if (!failure.empty())
             conclusion.text += " Before that, " + failureText + ".";
     } else if (outcome == "caller-gone") {
         conclusion.text = "The caller closed its connection after " + text(end, "ms") + " ms; the request was cancelled.";
     } else if (outcome == "error-relayed") {
-        conclusion.text = "Server " + text(end, "server") + " answered with an error of its own, which was handed on.";
+        conclusion.text = "An error of the server was handed on: " + failureText + ".";
     } else if (outcome == "broken-off") {
         conclusion.text = "Broken off after " + text(end, "events") + " events: " + failureText + ".";
     } else {
@@ -75,11 +86,11 @@
             conclusion.text += ": " + failureText;
         conclusion.text += ".";
     }
-    // The last send is told by the end itself when it brought an answer.
-    auto const answered = isServed || outcome == "error-relayed" || outcome == "caller-gone" ? 1U : 0U;
+    // The last send is told by the end itself when it brought the answer or was cancelled.
+    auto const answered = isServed || outcome == "caller-gone" ? 1U : 0U;
     if (failed + answered < sends)
         conclusion.missing.push_back("the log tells how " + std::to_string(failed + answered) + " of " + std::to_string(sends)
-                                     + " sends ended; servers that answer with an error status leave no line");
+                                     + " sends ended");
     return conclusion;
 }
 
--- a/Tests/LibOperator/TestLogStory.cpp
+++ b/Tests/LibOperator/TestLogStory.cpp
@@ -65,6 +65,18 @@
     EXPECT_THAT(story.conclusion, HasSubstr("server s7 failed it after 19 ms: reset"));
 }
 
+TEST(LogStoryTest, AServersRejectionIsTheReasonWhenItCameLast)
+{
+    auto const story = tell(
+        "b",
+        {line("10:00:01.000", "e1", "node-attempt-failed", R"("request":"b","server":"s7","error":"reset","after_ms":"19")")
+         + line(
+             "10:00:01.040", "e1", "node-attempt-rejected", R"("request":"b","server":"s8","status":"503","not_run":"true","after_ms":"2")")
+         + line("10:00:01.041", "e1", "node-request-ended", R"("request":"b","outcome":"not_served","sends":"2","ms":"41")")});
+    EXPECT_THAT(story.conclusion, HasSubstr("server s8 answered 503 after 2 ms, not having run it"));
+    EXPECT_THAT(story.missing, IsEmpty());
+}
+
 TEST(LogStoryTest, AnItemGivenUpCountsItsTries)
 {
     auto const rejected = R"("job":"j","item":"i","server":"s3","status":"500")";
