--- a/Libraries/LibObserve/JsonLog.cpp
+++ b/Libraries/LibObserve/JsonLog.cpp
@@ -126,6 +126,11 @@
     }
 }
 
+void JsonLog::setLeast(Severity least)
+{
+    options_.least = least;
+}
+
 std::uint64_t JsonLog::leftOut() const
 {
     return leftOut_;
--- a/Libraries/LibObserve/JsonLog.h
+++ b/Libraries/LibObserve/JsonLog.h
@@ -36,6 +36,7 @@
     /// Writes as much as the reader takes now. Call some times a second.
     void flush();
     [[nodiscard]] std::uint64_t leftOut() const;
+    void setLeast(Severity least);
 
 private:
     void take(EventDefinition const &event, std::initializer_list<Field> fields);
--- a/Libraries/LibService/Program.cpp
+++ b/Libraries/LibService/Program.cpp
@@ -42,7 +42,8 @@
 ExitCode readAndServe(std::string const &file, FileUse use, ProgramHooks const &hooks)
 {
     auto reader = SettingsReader::fromFile(file);
-    auto const common = readCommonSettings(reader);
+    auto common = readCommonSettings(reader);
+    common.file = file;
     hooks.readSettings(reader);
     if (auto const faults = reader.finish(); !faults.empty()) {
         for (auto const &fault : faults)
--- a/Libraries/LibService/Program.h
+++ b/Libraries/LibService/Program.h
@@ -24,6 +24,8 @@
 
 /// Settings that every service has: `log.file`, `log.level`, `trace.file`, `admin.listen`.
 struct CommonSettings {
+    /// Where they were read, for reading them again.
+    std::string file;
     Observe::LogOptions log;
     std::string traceFile;
     Address adminListen;
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -101,6 +101,7 @@
                            },
                        .isEmpty = [this] { return runner_.isSettled(); },
                    })
+    , settingsAsRead_(options.settings)
 {
 }
 
@@ -343,6 +344,20 @@
     });
 }
 
+void NodeProgram::applySettings(NodeSettings const &readAgain)
+{
+    auto const join = [](std::vector<std::string> const &keys) {
+        std::string joined;
+        for (auto const &key : keys)
+            joined += joined.empty() ? key : "," + key;
+        return joined;
+    };
+    auto const changes = compareSettings(settingsAsRead_, readAgain);
+    settingsAsRead_.stopTimeout = readAgain.stopTimeout;
+    context_.settings.stopTimeout = readAgain.stopTimeout;
+    Observe::log(Observe::Events::NodeReloaded, {{"in_force", join(changes.inForceAtOnce)}, {"after_restart", join(changes.afterRestart)}});
+}
+
 void NodeProgram::stop()
 {
     if (stoppingSince_)
@@ -390,12 +405,27 @@
     }
 }
 
+/// A file that cannot be used changes nothing.
+void reload(std::string const &file, NodeProgram &node, Observe::JsonLog &log)
+{
+    auto reader = Service::SettingsReader::fromFile(file);
+    auto const common = Service::readCommonSettings(reader);
+    auto const settings = readNodeSettings(reader);
+    if (auto const faults = reader.finish(); !faults.empty()) {
+        for (auto const &fault : faults)
+            Observe::log(Observe::Events::NodeReloadFailed, {{"error", fault.toString()}});
+        return;
+    }
+    log.setLeast(common.log.least);
+    node.applySettings(settings);
+}
+
 } // namespace
 
-Service::ExitCode runNode(NodeProgramOptions options, Observe::Severity leastLogged)
+Service::ExitCode runNode(NodeProgramOptions options, Service::CommonSettings const &common)
 {
     auto &loop = options.loop;
-    Observe::JsonLog log({.instance = options.settings.instance.value(), .least = leastLogged});
+    Observe::JsonLog log({.instance = options.settings.instance.value(), .least = common.log.least});
     options.onTick = [&log] { log.flush(); };
     options.logLinesLeftOut = [&log] { return log.leftOut(); };
     options.onStopped = [&loop] { loop.stop(); };
@@ -403,7 +433,7 @@
     auto const signals = Signals::watch(loop,
                                         {
                                             .onStop = [&] { node.stop(); },
-                                            .onReload = [] { Observe::log(Observe::Events::NodeReloaded); },
+                                            .onReload = [&] { reload(common.file, node, log); },
                                         });
     if (auto started = node.start(); !started) {
         std::cerr << "anvilyard-node: " << started.error().toString() << '\n';
--- a/Services/Node/NodeProgram.h
+++ b/Services/Node/NodeProgram.h
@@ -37,6 +37,8 @@
 
     /// Opens what it listens on.
     Result<std::monostate> start();
+    /// Puts in force what can be while the node runs.
+    void applySettings(NodeSettings const &readAgain);
     /// Ends gracefully; onStopped is called once nothing is under way or the time for it is over.
     void stop();
     [[nodiscard]] bool isReady() const;
@@ -83,9 +85,11 @@
     std::optional<Instant> lastTickByBootClock_;
     bool wasReady_ = false;
     std::optional<Instant> stoppingSince_;
+    /// As read; those in use name the ports that the system chose.
+    NodeSettings settingsAsRead_;
 };
 
 /// Runs a node until a stop signal came and the node ended gracefully.
-Service::ExitCode runNode(NodeProgramOptions options, Observe::Severity leastLogged);
+Service::ExitCode runNode(NodeProgramOptions options, Service::CommonSettings const &common);
 
 } // namespace Anvilyard::Node
--- a/Services/Node/NodeSettings.cpp
+++ b/Services/Node/NodeSettings.cpp
@@ -23,4 +23,24 @@
     return settings;
 }
 
+SettingsChanges compareSettings(NodeSettings const &running, NodeSettings const &readAgain)
+{
+    SettingsChanges changes;
+    if (running.stopTimeout != readAgain.stopTimeout)
+        changes.inForceAtOnce.emplace_back("stop-timeout");
+    auto const compare = [&](char const *key, auto const &before, auto const &after) {
+        if (before != after)
+            changes.afterRestart.emplace_back(key);
+    };
+    compare("instance", running.instance, readAgain.instance);
+    compare("data-centre", running.dataCentre, readAgain.dataCentre);
+    compare("role", running.role, readAgain.role);
+    compare("listen.callers", running.callers, readAgain.callers);
+    compare("listen.readiness", running.readiness, readAgain.readiness);
+    compare("listen.peers", running.peers, readAgain.peers);
+    compare("listen.metrics", running.metrics, readAgain.metrics);
+    compare("platform.address", running.platform, readAgain.platform);
+    return changes;
+}
+
 } // namespace Anvilyard::Node
--- a/Services/Node/NodeSettings.h
+++ b/Services/Node/NodeSettings.h
@@ -4,6 +4,9 @@
 #include "LibService/SettingsReader.h"
 #include "LibServing/PeerReport.h"
 
+#include <string>
+#include <vector>
+
 namespace Anvilyard::Node {
 
 struct NodeSettings {
@@ -24,4 +27,13 @@
 
 NodeSettings readNodeSettings(Service::SettingsReader &reader);
 
+/// The keys whose values differ between the settings that a node runs with and those read again, by what it takes to put them in
+/// force.
+struct SettingsChanges {
+    std::vector<std::string> inForceAtOnce;
+    std::vector<std::string> afterRestart;
+};
+
+SettingsChanges compareSettings(NodeSettings const &running, NodeSettings const &readAgain);
+
 } // namespace Anvilyard::Node
--- a/Tests/Node/TestObservation.cpp
+++ b/Tests/Node/TestObservation.cpp
@@ -61,3 +61,26 @@
     EXPECT_THAT(text, HasSubstr(R"(anvilyard_node_requests_ended_total{outcome="served",route="other"} 936)"));
     EXPECT_THAT(text, ::testing::Not(HasSubstr(R"(route="r64")")));
 }
+
+/// Red when a key is read and neither put in force nor named as one that needs a restart.
+TEST(NodeSettingsTest, ReadingAgainTellsWhatChangedAndWhatItTakes)
+{
+    Node::NodeSettings const running{.instance = InstanceId("a"), .peers = Address("10.0.0.1:1")};
+    EXPECT_TRUE(Node::compareSettings(running, running).inForceAtOnce.empty());
+    EXPECT_TRUE(Node::compareSettings(running, running).afterRestart.empty());
+    Node::NodeSettings const other{.instance = InstanceId("b"),
+                                   .dataCentre = DataCentreId("dc"),
+                                   .role = Serving::InstanceRole::Runner,
+                                   .callers = Address("10.0.0.1:2"),
+                                   .readiness = Address("10.0.0.1:3"),
+                                   .peers = Address("10.0.0.1:4"),
+                                   .metrics = Address("10.0.0.1:5"),
+                                   .platform = Address("10.0.0.1:6"),
+                                   .stopTimeout = 20s};
+    auto const changes = Node::compareSettings(running, other);
+    EXPECT_EQ(changes.inForceAtOnce, std::vector<std::string>{"stop-timeout"});
+    EXPECT_THAT(
+        changes.afterRestart,
+        ::testing::ElementsAre(
+            "instance", "data-centre", "role", "listen.callers", "listen.readiness", "listen.peers", "listen.metrics", "platform.address"));
+}
