--- a/Tests/LibServing/TestReportSchedule.cpp
+++ b/Tests/LibServing/TestReportSchedule.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr Instant Start{std::chrono::hours(1)};
-DataCentreId const Here("here");
-DataCentreId const There("there");
+DataCentreId const here("here");
+DataCentreId const there("there");
 
 InstanceId peerNamed(std::size_t number)
 {
@@ -19,11 +19,11 @@
 /// A schedule that has told each of its peers once: the first `near` ones are in its data centre, one in five is a runner.
 ReportSchedule scheduleOf(std::size_t near, std::size_t far, InstanceRole ownRole = InstanceRole::Entry)
 {
-    ReportSchedule schedule({.ownRole = ownRole, .ownDataCentre = Here});
+    ReportSchedule schedule({.ownRole = ownRole, .ownDataCentre = here});
     for (std::size_t number = 0; number < near + far; ++number) {
         auto const role = number % 5 == 0 ? InstanceRole::Runner : InstanceRole::Entry;
         schedule.add(peerNamed(number));
-        schedule.setPlace(peerNamed(number), role, number < near ? Here : There);
+        schedule.setPlace(peerNamed(number), role, number < near ? here : there);
     }
     static_cast<void>(schedule.takeDue(0, Start));
     return schedule;
