--- a/Libraries/LibOperator/StoryConclusion.cpp
+++ b/Libraries/LibOperator/StoryConclusion.cpp
@@ -34,6 +34,11 @@
     return value;
 }
 
+std::string sendsOf(std::size_t count)
+{
+    return std::to_string(count) + (count == 1 ? " send" : " sends");
+}
+
 std::string placementReason(LogLine const &line)
 {
     if (line.field("servers") == "0")
@@ -67,8 +72,7 @@
     auto const failureText = failure.empty() ? std::string("no line says how the sends ended") : failure;
     bool const isServed = outcome == "served";
     if (isServed) {
-        conclusion.text =
-            "Served by server " + text(end, "server") + " after " + text(end, "ms") + " ms and " + text(end, "sends") + " sends.";
+        conclusion.text = "Served by server " + text(end, "server") + " after " + text(end, "ms") + " ms and " + sendsOf(sends) + ".";
         if (!failure.empty())
             conclusion.text += " Before that, " + failureText + ".";
     } else if (outcome == "caller-gone") {
@@ -78,8 +82,7 @@
     } else if (outcome == "broken-off") {
         conclusion.text = "Broken off after " + text(end, "events") + " events: " + failureText + ".";
     } else {
-        conclusion.text =
-            "Refused as \"" + std::string(outcome) + "\" after " + text(end, "ms") + " ms and " + text(end, "sends") + " sends";
+        conclusion.text = "Refused as \"" + std::string(outcome) + "\" after " + text(end, "ms") + " ms and " + sendsOf(sends);
         if (placement)
             conclusion.text += ": " + placementReason(*placement);
         else if (sends > 0)
--- a/Tests/LibOperator/TestLogStory.cpp
+++ b/Tests/LibOperator/TestLogStory.cpp
@@ -73,6 +73,7 @@
          + line(
              "10:00:01.040", "e1", "node-attempt-rejected", R"("request":"b","server":"s8","status":"503","not_run":"true","after_ms":"2")")
          + line("10:00:01.041", "e1", "node-request-ended", R"("request":"b","outcome":"not_served","sends":"2","ms":"41")")});
+    EXPECT_THAT(story.conclusion, HasSubstr("and 2 sends: "));
     EXPECT_THAT(story.conclusion, HasSubstr("server s8 answered 503 after 2 ms, not having run it"));
     EXPECT_THAT(story.missing, IsEmpty());
 }
@@ -148,6 +149,7 @@
              {"Dec 04 host node[7]: " + line("10:00:01.000", "e1", "node-request-ended", R"("request":"a","outcome":"served","sends":"1")")
               + "not json\n{\"time\":5}\n{\"request\":\"a\"\n[]\n"});
     EXPECT_THAT(story.conclusion, HasSubstr("Served"));
+    EXPECT_THAT(story.conclusion, HasSubstr("and 1 send."));
     EXPECT_THAT(story.missing, Contains(HasSubstr("4 lines of the input are no log lines")));
 }
 
