Keep no sum for a server that a report names with nothing in flight

Cause: addLoad made an entry for such a server, another peer's removeLoad erased it as empty, and the first peer's next removeLoad went through the end of the map. Found by reading the change again: the property test of the sums left out just this case.

Change: counts of nothing are passed over on both ways.

Tests: AServerNamedWithNothingInFlightDoesNoHarm, and the property now draws such counts; the test program crashed in them before.

--- a/Libraries/LibServing/PeerTable.cpp
+++ b/Libraries/LibServing/PeerTable.cpp
@@ -110,6 +110,9 @@
 void PeerTable::addLoad(PeerReport const &report)
 {
     for (auto const &[server, count] : report.inFlight) {
+        // What came over the network may name a server with nothing in flight; sums are kept only where there is something.
+        if (count == InFlight{})
+            continue;
         auto &sum = sums_[server];
         sum.all.online += count.online;
         sum.all.batch += count.batch;
@@ -121,6 +124,8 @@
 void PeerTable::removeLoad(PeerReport const &report)
 {
     for (auto const &[server, count] : report.inFlight) {
+        if (count == InFlight{})
+            continue;
         auto const found = sums_.find(server);
         auto &sum = found->second;
         sum.all.online -= count.online;
--- a/Tests/LibServing/TestPeers.cpp
+++ b/Tests/LibServing/TestPeers.cpp
@@ -255,8 +255,9 @@
     for (int step = 0; step < steps; ++step) {
         auto report = reportOf("p" + std::to_string(*rc::gen::inRange(0, 5)), ++number);
         for (int server = 0; server < 3; ++server) {
-            InFlight const count{.online = *rc::gen::inRange<std::uint32_t>(0, 4), .batch = *rc::gen::inRange<std::uint32_t>(0, 4)};
-            if (count != InFlight{})
+            InFlight const count{.online = *rc::gen::inRange<std::uint32_t>(0, 3), .batch = *rc::gen::inRange<std::uint32_t>(0, 3)};
+            // A report may also name a server at which its sender has nothing.
+            if (*rc::gen::inRange(0, 3) > 0)
                 report.inFlight[ServerId("s" + std::to_string(server))] = count;
         }
         table.onReport(std::move(report), now);
@@ -348,3 +349,23 @@
     table.onReport(report, Start);
     EXPECT_TRUE(table.runners().empty());
 }
+
+/// Red when a server that a report names with nothing in flight is forgotten by one peer and then taken off the sums by another.
+TEST(PeerTableTest, AServerNamedWithNothingInFlightDoesNoHarm)
+{
+    auto table = tableOf("self", InstanceRole::Entry);
+    ServerId const server("s");
+    auto idle = reportOf("idle", 1, InstanceRole::Entry);
+    idle.inFlight[server] = {};
+    auto busy = reportOf("busy", 1, InstanceRole::Entry);
+    busy.inFlight[server] = {.online = 2};
+    table.onReport(idle, Start);
+    table.onReport(busy, Start);
+    busy.number = 2;
+    busy.inFlight.clear();
+    table.onReport(busy, Start);
+    idle.number = 2;
+    table.onReport(idle, Start);
+    table.onTick(Start + 10s);
+    EXPECT_EQ(table.othersAt(server), InFlight{});
+}
