Mend what reading the change again showed in explain and a metric

Cause: a count of left-out lines that no number holds ended explain with an exception (std::stoull); LogStory and StoryConclusion read numbers in two ways; the earliest line was looked for once an instance; a faulty reload and a fault of the program were not told; the help of anvilyard_node_peers_heard named 1.5 seconds, which does not hold for far peers of a large fleet.

Change: LogLine::number is the one reader of numbers.

Test: GapsAreNamed with such a count (it threw before).

--- a/Libraries/LibOperator/LogLine.cpp
+++ b/Libraries/LibOperator/LogLine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <charconv>
 #include <cstdio>
 #include <ctime>
 
@@ -47,6 +48,14 @@
     return found == fields.end() ? std::string_view() : std::string_view(found->second);
 }
 
+std::uint64_t LogLine::number(std::string_view key) const
+{
+    std::uint64_t value = 0;
+    auto const digits = field(key);
+    std::from_chars(digits.data(), digits.data() + digits.size(), value);
+    return value;
+}
+
 bool LogLine::names(std::string_view value) const
 {
     return std::any_of(fields.begin(), fields.end(), [&](auto const &field) { return field.second == value; });
--- a/Libraries/LibOperator/LogLine.h
+++ b/Libraries/LibOperator/LogLine.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Time.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -20,6 +21,8 @@
 
     /// Empty where the line has no such field.
     [[nodiscard]] std::string_view field(std::string_view key) const;
+    /// The number that a field holds; 0 where it holds none that fits.
+    [[nodiscard]] std::uint64_t number(std::string_view key) const;
     /// Whether a field has exactly this value.
     [[nodiscard]] bool names(std::string_view value) const;
 };
--- a/Libraries/LibOperator/LogStory.cpp
+++ b/Libraries/LibOperator/LogStory.cpp
@@ -13,13 +13,14 @@
 using std::chrono::milliseconds;
 
 /// Changes of what an instance believes or of its own state, whatever they name.
-constexpr std::array<std::string_view, 14> InstanceEvents = {
+constexpr std::array<std::string_view, 16> InstanceEvents = {
     "node-started",
     "node-ready",
     "node-not-ready",
     "node-stopping",
     "node-stopped",
     "node-reloaded",
+    "node-reload-failed",
     "node-paused",
     "node-store-lost",
     "node-store-regained",
@@ -28,6 +29,7 @@
     "node-record-rejected",
     "node-learnt-from-peer",
     "node-store-reach-changed",
+    "node-fault",
 };
 /// Changes of belief that are told where the story names their server.
 constexpr std::array<std::string_view, 4> ServerEvents = {
@@ -146,7 +148,7 @@
     std::map<std::pair<std::string, std::string>, std::uint64_t> leftOut;
     for (auto const &[line, position] : leftOut_) {
         if (isWithin(line))
-            leftOut[{line.instance, std::string(line.field("left_out_event"))}] += std::stoull("0" + std::string(line.field("lines")));
+            leftOut[{line.instance, std::string(line.field("left_out_event"))}] += line.number("lines");
     }
     for (auto const &[what, lines] : leftOut)
         story.missing.push_back(what.first + " left out " + std::to_string(lines) + " lines of event " + what.second + " around that time");
@@ -160,10 +162,9 @@
         story.missing.emplace_back("the input has no log line at all");
     if (subject.empty())
         return;
+    auto const isEarlier = [](Kept const &left, Kept const &right) { return left.line.time < right.line.time; };
+    auto const first = std::min_element(subject.begin(), subject.end(), isEarlier)->line.time;
     for (auto const &[instance, span] : covered_) {
-        auto const first = std::min_element(subject.begin(), subject.end(), [](Kept const &left, Kept const &right) {
-                               return left.line.time < right.line.time;
-                           })->line.time;
         if (span.first > first)
             story.missing.push_back("the log of " + instance + " begins at " + formatTimeOfDay(span.first)
                                     + ", after the first line of the story");
--- a/Libraries/LibOperator/StoryConclusion.cpp
+++ b/Libraries/LibOperator/StoryConclusion.cpp
@@ -1,7 +1,6 @@
 #include "LibOperator/StoryConclusion.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace Anvilyard::Operator {
 
@@ -26,15 +25,7 @@
     return value.empty() ? "?" : std::string(value);
 }
 
-std::size_t number(LogLine const &line, std::string_view field)
-{
-    std::size_t value = 0;
-    auto const digits = line.field(field);
-    std::from_chars(digits.data(), digits.data() + digits.size(), value);
-    return value;
-}
-
-std::string sendsOf(std::size_t count)
+std::string sendsOf(std::uint64_t count)
 {
     return std::to_string(count) + (count == 1 ? " send" : " sends");
 }
@@ -64,7 +55,7 @@
 StoryConclusion concludeRequest(LogLine const &end, Lines lines)
 {
     StoryConclusion conclusion;
-    auto const sends = number(end, "sends");
+    auto const sends = end.number("sends");
     auto const failed = countNamed(lines, "node-attempt-failed") + countNamed(lines, "node-attempt-rejected");
     auto const outcome = end.field("outcome");
     auto const failure = lastFailure(lines);
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -240,9 +240,7 @@
     for (auto const &[id, count] : context_.load.all())
         online += count.online;
     set("anvilyard_node_online_in_flight", "Online requests of this node at servers now", online);
-    set("anvilyard_node_peers_heard",
-        "Instances that reported within the last 1.5 seconds",
-        static_cast<double>(context_.peers.live().size()));
+    set("anvilyard_node_peers_heard", "Instances whose reports come in time", static_cast<double>(context_.peers.live().size()));
     set("anvilyard_node_state_version",
         "Version of the desired state in force; 0 before the first",
         context_.routes ? static_cast<double>(context_.routes->state().version.value()) : 0);
--- a/Tests/LibOperator/TestLogStory.cpp
+++ b/Tests/LibOperator/TestLogStory.cpp
@@ -135,6 +135,12 @@
                               {line("10:00:01.000", "e1", "node-request-ended", R"("request":"a","outcome":"served","sends":"1")")
                                + line("10:00:01.500", "e1", "log-lines-left-out", R"("left_out_event":"7031","lines":"12")")});
     EXPECT_THAT(flooded.missing, Contains(HasSubstr("e1 left out 12 lines of event 7031")));
+    // A count that no number holds is no reason to fail.
+    auto const absurd =
+        tell("a",
+             {line("10:00:01.000", "e1", "node-request-ended", R"("request":"a","outcome":"served","sends":"1")")
+              + line("10:00:01.500", "e1", "log-lines-left-out", R"("left_out_event":"7031","lines":"99999999999999999999999")")});
+    EXPECT_THAT(absurd.missing, Contains(HasSubstr("e1 left out")));
     auto const late = tell(
         "j", {line("10:00:00.000", "e1", "node-job-accepted", R"("job":"j","items":"3")"), line("10:05:00.000", "r1", "node-started")});
     EXPECT_THAT(late.missing, Contains(HasSubstr("log of r1 begins at 10:05:00.000")));
