Resume a stream only at servers its route allows, and move silent streams within a budget

Change: a stream that no further server may run is sent to the server that ran it, or ends. Silence moves a stream only to a server with a free slot and within the budget that already bounds requests moved off a slow server. At its last server a stream is resumed after twice the gap target.

Tests, each red with the old code: AStreamThatBreaksTwiceIsResumedOnlyAtAServerThatRanIt (three servers used), AtPeakLoadFewStreamsAreMovedOffASilentServer (streams broken off).

--- a/Libraries/LibServing/AttemptPlan.cpp
+++ b/Libraries/LibServing/AttemptPlan.cpp
@@ -71,4 +71,9 @@
     return possibleRunServers_.size() < options_.maxServers;
 }
 
+bool AttemptPlan::mayMoveFrom(ServerId const &current) const
+{
+    return possibleRunServers_.size() + (possibleRunServers_.contains(current) ? 0 : 1) < options_.maxServers;
+}
+
 } // namespace Anvilyard::Serving
--- a/Libraries/LibServing/AttemptPlan.h
+++ b/Libraries/LibServing/AttemptPlan.h
@@ -51,6 +51,8 @@
     [[nodiscard]] bool mayHaveRun() const;
     /// Whether one more server may run the request.
     [[nodiscard]] bool mayUseAnotherServer() const;
+    /// Whether another server may run the request after `current`, which runs it now.
+    [[nodiscard]] bool mayMoveFrom(ServerId const &current) const;
 
 private:
     AttemptPlanOptions options_;
--- a/Services/Node/NodeContext.h
+++ b/Services/Node/NodeContext.h
@@ -38,8 +38,8 @@
     Serving::ServerDirectory directory;
     Serving::OnlinePlacement placement;
     Routing::ServerHealth health;
-    /// Limits the requests that are moved away from a server that is slow to start them, as it may only be busy.
-    Routing::RetryBudget slowStartBudget;
+    /// Limits the requests and streams that are moved away from a slow or silent server, as it may only be busy.
+    Routing::RetryBudget moveBudget;
     /// The desired state in force; null until the first one is read.
     std::shared_ptr<Serving::RouteTable const> routes;
 };
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -46,7 +46,7 @@
 
 /// If one server of ten stops responding, each entry can move all requests away from it until it is ejected. At a load peak, when
 /// every server is slow to start requests, only one request in ten is moved and loses its place in the queue.
-Routing::RetryBudgetOptions slowStartBudgetOptions()
+Routing::RetryBudgetOptions moveBudgetOptions()
 {
     return {.perRequest = 0.1, .perSecond = 0.2, .maxSaved = 10};
 }
@@ -74,7 +74,7 @@
         .directory = Serving::ServerDirectory({}),
         .placement = Serving::OnlinePlacement({.instance = settings.instance, .dataCentre = settings.dataCentre}),
         .health = Routing::ServerHealth(healthOptions(), RandomSource(healthSeed)),
-        .slowStartBudget = Routing::RetryBudget(slowStartBudgetOptions(), readLocalClock()),
+        .moveBudget = Routing::RetryBudget(moveBudgetOptions(), readLocalClock()),
         .routes = nullptr,
     };
 }
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -22,8 +22,11 @@
 constexpr std::size_t MaxBufferedResponseBytes = 8 * 1024 * 1024;
 /// Reading from the server is paused while more bytes than this wait for a slow caller.
 constexpr std::size_t MaxUnreadBytes = 256 * 1024;
-/// Share of the route's event gap target after which a silent stream is resumed at another server. The rest is left for the resume.
+/// Share of the route's event gap target after which a silent stream may be resumed at another server. The rest is left for the resume.
 constexpr double SilenceShareOfGapTarget = 0.6;
+/// Silence, in multiples of the gap target, after which a stream that no other server may run is resumed where it ran. The stream is
+/// late by then; a shorter silence is more often a busy server than a dead connection.
+constexpr double SilenceGapTargetsAtLastServer = 2;
 
 Repeatability repeatabilityOf(Serving::Route const &route)
 {
@@ -81,7 +84,7 @@
 void OnlineCall::start()
 {
     parts_.metrics.requests.add();
-    parts_.context.slowStartBudget.onFirstSend();
+    parts_.context.moveBudget.onFirstSend();
     parts_.writer->onCallerGone([weak = weak_from_this()] {
         if (auto const self = weak.lock())
             self->onCallerGone();
@@ -94,20 +97,23 @@
     return parts_.route.kind == RouteKind::Streaming;
 }
 
-Duration OnlineCall::progressTimeout() const
+/// Silence after which the current stream may be resumed; `std::nullopt` if it cannot be.
+std::optional<Duration> OnlineCall::silenceLimit() const
 {
-    auto const left = std::max(Duration::zero(), deadline_ - readLocalClock());
     if (!isStream() || !parts_.route.isResumable || !parts_.route.eventGapTarget)
-        return left;
-    return std::min(left, std::chrono::duration_cast<Duration>(*parts_.route.eventGapTarget * SilenceShareOfGapTarget));
+        return std::nullopt;
+    auto const factor = plan_.mayMoveFrom(server_->id) ? SilenceShareOfGapTarget : SilenceGapTargetsAtLastServer;
+    return std::chrono::duration_cast<Duration>(*parts_.route.eventGapTarget * factor);
 }
 
 void OnlineCall::placeAndSend()
 {
-    auto excluded = plan_.excluded();
     // A stream that may run at no further server is resumed at the server where it ran.
-    if (auto const only = plan_.onlyServer())
-        std::erase(excluded, *only);
+    if (auto const only = plan_.onlyServer()) {
+        auto const server = parts_.context.directory.find(*only, readLocalClock());
+        return server ? send(server->record, false, Connection::Fresh) : abortStream();
+    }
+    auto const excluded = plan_.excluded();
     // A request that may already have run is not refused because of load.
     auto const latencyTarget = attempts_ == 0 ? parts_.route.latencyTarget : Duration::max() / 4;
     auto const placement = findPlacement(latencyTarget, excluded);
@@ -185,7 +191,7 @@
         .deadline = deadline_,
         .connectTimeout = ConnectTimeout,
         .headTimeout = responseTimeout,
-        .progressTimeout = progressTimeout(),
+        .progressTimeout = std::max(Duration::zero(), deadline_ - now),
         // An idle connection may be dead, and a request that may run only once cannot be retried.
         .connection = mayRunOnlyOnce || connection == Connection::Fresh ? Http::ClientRequest::Connection::FreshOnly
                                                                         : Http::ClientRequest::Connection::AnyIdle,
@@ -210,13 +216,17 @@
 {
     responseHead_ = std::move(head);
     responseTraits_ = parts_.context.protocol.readResponseHead(responseHead_);
-    slowStartTimer_.reset();
+    progressTimer_.reset();
     bool const isSuccess = responseHead_.status >= Ok && responseHead_.status < FirstNonSuccess;
     // A success without the server's signature is not a valid response of that server.
     if (isSuccess && (!responseTraits_.isSigned || responseTraits_.isEncoded))
         return abortAttempt(HttpError::Malformed);
     parts_.health.onEvidence(server_->id, Routing::ServerEvidence::Answered);
     isEventStream_ = isSuccess && isStream() && isEventStream(responseHead_.headers);
+    if (isEventStream_) {
+        lastPieceAt_ = readLocalClock();
+        scheduleSilenceCheck();
+    }
     // A resumed response must be an event stream, too.
     if (isRelaying_ && !isEventStream_ && isSuccess)
         abortAttempt(HttpError::Malformed);
@@ -233,6 +243,7 @@
 
 void OnlineCall::relayEvents(std::string_view piece)
 {
+    lastPieceAt_ = readLocalClock();
     auto completeEvents = events_.take(piece);
     if (!completeEvents.empty()) {
         auto const now = readLocalClock();
@@ -338,7 +349,7 @@
 
 void OnlineCall::scheduleSlowStartCheck(Instant until)
 {
-    slowStartTimer_ = parts_.context.loop.at(until, [weak = weak_from_this()] {
+    progressTimer_ = parts_.context.loop.at(until, [weak = weak_from_this()] {
         if (auto const self = weak.lock())
             self->onSlowStart();
     });
@@ -351,11 +362,47 @@
 {
     if (!exchange_)
         return;
-    auto &context = parts_.context;
+    if (mayMoveToFreeSlot())
+        abortAttempt(HttpError::Silent, Http::Reached::Sent);
+}
+
+/// Whether another server has a free slot for this request and the budget allows to move it. Takes one move from the budget.
+bool OnlineCall::mayMoveToFreeSlot()
+{
     auto const placement = findPlacement(parts_.route.latencyTarget, plan_.excluded());
     bool const isBetter = placement.outcome == Serving::Placement::Outcome::Chosen && placement.hasFreeSlot;
-    if (isBetter && context.slowStartBudget.tryTake(readLocalClock()))
-        abortAttempt(HttpError::Silent, Http::Reached::Sent);
+    return isBetter && parts_.context.moveBudget.tryTake(readLocalClock());
+}
+
+void OnlineCall::scheduleSilenceCheck()
+{
+    auto const limit = silenceLimit();
+    if (!limit)
+        return;
+    progressTimer_ = parts_.context.loop.at(lastPieceAt_ + *limit, [weak = weak_from_this()] {
+        if (auto const self = weak.lock())
+            self->onSilenceCheck();
+    });
+}
+
+/// A silent stream has either a dead connection or a busy server. When all servers are busy, every stream is silent for a while, and a
+/// stream that is resumed elsewhere has its prompt read again. A stream is therefore moved only to a free slot and within the budget.
+void OnlineCall::onSilenceCheck()
+{
+    if (!exchange_)
+        return;
+    auto const now = readLocalClock();
+    // While reading is paused for a slow caller, the server is not silent.
+    if (isPaused_)
+        lastPieceAt_ = now;
+    if (now < lastPieceAt_ + *silenceLimit())
+        return scheduleSilenceCheck();
+    bool const mayMove =
+        plan_.mayMoveFrom(server_->id) ? mayMoveToFreeSlot() : parts_.context.moveBudget.tryTake(now);
+    if (mayMove)
+        return abortAttempt(HttpError::Silent);
+    lastPieceAt_ = now;
+    scheduleSilenceCheck();
 }
 
 /// Cancels the current attempt and handles it as failed with `error`.
@@ -370,7 +417,7 @@
 
 void OnlineCall::finishAttempt()
 {
-    slowStartTimer_.reset();
+    progressTimer_.reset();
     if (!server_)
         return;
     parts_.context.load.onFinished(server_->id, Serving::WorkClass::Online);
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -47,6 +47,9 @@
     void abortAttempt(Http::HttpError error, Http::Reached reached = Http::Reached::ResponseStarted);
     void scheduleSlowStartCheck(Instant until);
     void onSlowStart();
+    void scheduleSilenceCheck();
+    void onSilenceCheck();
+    [[nodiscard]] bool mayMoveToFreeSlot();
     [[nodiscard]] Serving::Placement findPlacement(Duration latencyTarget, std::vector<ServerId> const &excluded);
     void finishAttempt();
     void perform(Routing::NextStep step);
@@ -55,7 +58,7 @@
     void abortStream();
     void finish(char const *outcome);
     [[nodiscard]] bool isStream() const;
-    [[nodiscard]] Duration progressTimeout() const;
+    [[nodiscard]] std::optional<Duration> silenceLimit() const;
 
     Parts parts_;
     PoolName pool_;
@@ -67,6 +70,8 @@
     std::optional<Serving::ServerRecord> server_;
     Instant sentAt_;
     Instant lastEventAt_;
+    /// When bytes of the current stream last arrived, or its silence was last tolerated.
+    Instant lastPieceAt_;
     std::shared_ptr<Http::Exchange> exchange_;
     Http::ResponseHead responseHead_;
     ResponseTraits responseTraits_;
@@ -76,7 +81,8 @@
     /// The response head, and perhaps events, were sent to the caller.
     bool isRelaying_ = false;
     bool isPaused_ = false;
-    std::unique_ptr<Http::Timer> slowStartTimer_;
+    /// Checks whether the current attempt starts, and then whether its stream goes on.
+    std::unique_ptr<Http::Timer> progressTimer_;
     bool isFinished_ = false;
     std::size_t attempts_ = 0;
 };
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -1,6 +1,9 @@
 #include "Tests/Fakes/ScriptedServer.h"
 #include "Tests/Node/NodeFixture.h"
 
+#include <map>
+#include <set>
+
 using namespace Anvilyard;
 using namespace Anvilyard::Tests;
 
@@ -369,6 +372,74 @@
     thread_.call([&] { timers.clear(); });
 }
 
+/// A stream breaks at its second server as well, and its route allows two. Guards against a resume at a third server, which would run
+/// the request more often than the operator allows.
+TEST_F(OnlineTest, AStreamThatBreaksTwiceIsResumedOnlyAtAServerThatRanIt)
+{
+    FleetServer::Script const script = [](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        auto const last = request.headers.find("Last-Event-Id");
+        auto const next = last ? std::stoull(std::string(*last)) + 1 : 0;
+        if (next >= 6)
+            return answerEvents(request, writer, 10);
+        writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+        writer->write(eventTexts(next, next + 3), [writer](auto) { writer->abort(); });
+    };
+    auto &node = serve({script, script, script, script, script});
+    // Concurrent requests make the server of a broken stream busier than the others, so that it is not the first choice.
+    std::vector<std::future<Answer>> answers;
+    for (int number = 0; number < 20; ++number)
+        answers.push_back(sendTo(node, requestOf("/s/1", "a" + std::to_string(number))));
+    for (auto &answer : answers) {
+        auto const served = answer.get();
+        ASSERT_TRUE(served) << served.error().error.toString();
+        EXPECT_EQ(served->body, eventTexts(0, 10));
+    }
+    std::map<std::string, std::set<Address>> usedBy;
+    for (auto const &server : servers_) {
+        for (auto const &request : server->requests())
+            usedBy[std::string(request.headers.find("Anvilyard-Attempt-Id").value_or(""))].insert(server->address());
+    }
+    EXPECT_EQ(usedBy.size(), 20U);
+    for (auto const &[id, used] : usedBy)
+        EXPECT_EQ(used.size(), 2U) << id;
+}
+
+/// All servers pause their streams for longer than a silent connection is tolerated, as when they read long prompts. Guards against
+/// moving every stream to servers that are just as slow, where its prompt is read again.
+TEST_F(OnlineTest, AtPeakLoadFewStreamsAreMovedOffASilentServer)
+{
+    std::vector<std::unique_ptr<Http::Timer>> timers;
+    auto const pausing = [&](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        auto const last = request.headers.find("Last-Event-Id");
+        auto const next = last ? std::stoull(std::string(*last)) + 1 : 0;
+        writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+        writer->write(eventTexts(next, next + 1), nullptr);
+        timers.push_back(thread_.loop().at(readLocalClock() + 1500ms, [next, writer] {
+            writer->write(eventTexts(next + 1, 10), nullptr);
+            writer->finish();
+        }));
+    };
+    putState(1);
+    for (int number = 1; number <= 3; ++number) {
+        servers_.push_back(std::make_unique<FleetServer>(thread_, pausing));
+        putServer("s" + std::to_string(number), servers_.back()->address(), "ready", 100);
+    }
+    auto &node = startNode("entry-1");
+    waitUntilReady(node);
+    constexpr std::size_t Requests = 40;
+    std::vector<std::future<Answer>> answers;
+    for (std::size_t number = 0; number < Requests; ++number)
+        answers.push_back(sendTo(node, requestOf("/s/1", "a" + std::to_string(number))));
+    for (auto &answer : answers) {
+        auto const served = answer.get();
+        ASSERT_TRUE(served);
+        EXPECT_EQ(served->body, eventTexts(0, 10));
+    }
+    // The budget's maximum of 10, a tenth of the requests, and the accrual of two seconds.
+    EXPECT_LE(requestCount(), Requests + 10 + Requests / 10 + 1);
+    thread_.call([&] { timers.clear(); });
+}
+
 /// Guards against moving a request away from a slow server while no other server has a free slot.
 TEST_F(OnlineTest, ARequestIsNotMovedWhileNoOtherServerHasAFreeSlot)
 {
