--- a/Libraries/LibPlatform/ObjectStore.h
+++ b/Libraries/LibPlatform/ObjectStore.h
@@ -34,11 +34,19 @@
     std::string continueToken;
 };
 
+/// How current a list has to be.
+enum class ListConsistency {
+    Latest,
+    /// The list may be seconds old. Platforms charge less for it.
+    MayBeStale,
+};
+
 struct ListOptions {
     /// Lists only names with this prefix; empty for all objects of the kind.
     std::string namePrefix;
     std::size_t limit = 500;
     std::string continueToken;
+    ListConsistency consistency = ListConsistency::Latest;
 };
 
 enum class WatchChange {
--- /dev/null
+++ b/Libraries/LibServing/PeerExchange.cpp
@@ -0,0 +1,195 @@
+#include "LibServing/PeerExchange.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Anvilyard::Serving {
+
+PeerExchange::PeerExchange(PeerExchangeOptions options, PeerTable &peers, Instant now)
+    : options_(std::move(options))
+    , peers_(peers)
+    , schedule_({.self = options_.self, .ownRole = options_.role, .ownDataCentre = options_.dataCentre})
+    , relaysExpectedUntil_(now + options_.relayReportTimeout)
+{
+}
+
+void PeerExchange::addInstance(InstanceRegistration const &registration)
+{
+    if (registration.id == options_.self)
+        return;
+    // An address from the instance's own reports is newer.
+    if (!addresses_.try_emplace(registration.id, registration.address).second)
+        return;
+    schedule_.add(registration.id);
+    if (registration.role)
+        schedule_.setRoleAndDataCentre(registration.id, *registration.role, registration.dataCentre);
+}
+
+void PeerExchange::onInstancesListed()
+{
+    hasListed_ = true;
+}
+
+PeerExchange::Acceptance PeerExchange::onReport(PeerReport report, Instant now)
+{
+    if (report.sender == options_.self)
+        return Acceptance::Ignored;
+    auto const sender = report.sender;
+    addresses_[sender] = report.address;
+    schedule_.setRoleAndDataCentre(sender, report.role, report.dataCentre);
+    schedule_.onReported(sender, now);
+    schedule_.setKnownInstances(report.knownInstances);
+    bool const isNew = !peers_.find(sender);
+    // The peer may not have this instance's address yet.
+    if (isNew)
+        schedule_.scheduleNow(sender);
+    if (!peers_.onReport(std::move(report), now))
+        return Acceptance::Ignored;
+    ++receivedReports_;
+    refreshTopology();
+    return isNew ? Acceptance::AcceptedFromNewPeer : Acceptance::Accepted;
+}
+
+PeerExchange::Acceptance PeerExchange::onSummary(LoadSummary summary, Instant now)
+{
+    bool const isOwn = summary.relay == options_.self;
+    return !isOwn && peers_.onSummary(std::move(summary), now) ? Acceptance::Accepted : Acceptance::Ignored;
+}
+
+void PeerExchange::scheduleAllNow()
+{
+    schedule_.scheduleAllNow();
+}
+
+void PeerExchange::refreshTopology()
+{
+    if (std::exchange(seenTopology_, peers_.topologyVersion()) == peers_.topologyVersion())
+        return;
+    schedule_.setRelays(peers_.relays());
+    schedule_.setLiveRunners(peers_.runners());
+}
+
+PeerExchange::Outgoing PeerExchange::takeDue(OwnState const &own, Instant now)
+{
+    refreshTopology();
+    Outgoing outgoing;
+    for (auto const &group : schedule_.takeDue(own.changes, now)) {
+        OutgoingReport due{.report = compose(group, own)};
+        for (auto const &peer : group.peers)
+            due.receivers.push_back(addresses_.at(peer));
+        if (group.wantsSummaries)
+            peers_.onOwnReport({.startedAt = due.report.startedAt, .number = due.report.number}, due.report.inFlight);
+        outgoing.reports.push_back(std::move(due));
+    }
+    if (!schedule_.isSmallFleet())
+        addSummaries(outgoing, own, now);
+    return outgoing;
+}
+
+PeerReport PeerExchange::compose(ReportSchedule::ReportGroup const &group, OwnState const &own)
+{
+    PeerReport report{
+        .sender = options_.self,
+        .startedAt = own.startedAt,
+        .number = ++lastReportNumber_,
+        .nextWithin = group.nextWithin,
+        .role = options_.role,
+        .stage = own.stage,
+        .store = own.store,
+        .dataCentre = options_.dataCentre,
+        .address = own.address,
+        .stateVersion = own.stateVersion,
+        .serversRevision = own.serversRevision,
+        .runnersHash = peers_.runnersHash(),
+        .knownInstances = schedule_.fleetSize(),
+        .wantsSummaries = group.wantsSummaries,
+        .waitingTokens = own.waitingTokens,
+    };
+    report.statesObservedRunners = group.extent == ReportExtent::Full || group.extent == ReportExtent::WithoutLoad;
+    if (report.statesObservedRunners)
+        report.observedRunners = options_.role == InstanceRole::Entry ? peers_.relayedRunners() : peers_.observedRunners();
+    if (group.extent == ReportExtent::Full || group.extent == ReportExtent::LoadOnly)
+        report.inFlight = own.inFlight;
+    return report;
+}
+
+void PeerExchange::addSummaries(Outgoing &outgoing, OwnState const &own, Instant now)
+{
+    auto const receivers = peers_.summaryReceivers();
+    if (receivers.empty() && !peers_.isRelay())
+        return;
+    bool const isFarDue = schedule_.takeFarSummaryDue(now);
+    if (!schedule_.takeSummaryDue(receivedReports_ + own.changes, now) && !isFarDue)
+        return;
+    LoadSummary summary{
+        .relay = options_.self,
+        .position = {.startedAt = own.startedAt, .number = ++lastSummaryNumber_},
+        .dataCentre = options_.dataCentre,
+        .stateVersion = own.stateVersion,
+        .serversRevision = own.serversRevision,
+        .near = peers_.directLoad(),
+    };
+    for (auto const &[server, count] : own.inFlight) {
+        auto &sum = summary.near[server];
+        sum.online += count.online;
+        sum.batch += count.batch;
+    }
+    if (isFarDue) {
+        OutgoingSummary toFarRelays{.summary = summary};
+        std::set<DataCentreId> dataCentres;
+        for (auto const *peer : peers_.live())
+            dataCentres.insert(peer->dataCentre);
+        dataCentres.erase(options_.dataCentre);
+        for (auto const &dataCentre : dataCentres) {
+            for (auto const &relay : peers_.relaysOf(dataCentre))
+                toFarRelays.receivers.push_back({.address = addresses_.at(relay)});
+        }
+        outgoing.summaries.push_back(std::move(toFarRelays));
+        summary.far = peers_.farLoad();
+    }
+    OutgoingSummary toReceivers{.summary = std::move(summary)};
+    for (auto const *receiver : receivers)
+        toReceivers.receivers.push_back(
+            {.address = receiver->address, .included = ReportPosition{.startedAt = receiver->startedAt, .number = receiver->number}});
+    outgoing.summaries.push_back(std::move(toReceivers));
+}
+
+bool PeerExchange::mustWatchStore(Instant now) const
+{
+    if (!hasListed_ && now < relaysExpectedUntil_)
+        return false;
+    if (schedule_.isSmallFleet() || peers_.isRelay())
+        return true;
+    auto const &relays = peers_.relays();
+    bool const isRelayed = std::any_of(relays.begin(), relays.end(), [&](InstanceId const &relay) {
+        auto const *report = peers_.find(relay);
+        return report && report->store == StoreReachability::Reached;
+    });
+    return !isRelayed && now >= relaysExpectedUntil_;
+}
+
+ChangeSource PeerExchange::changeSource(Instant now)
+{
+    if (mustWatchStore(now)) {
+        relayedSince_.reset();
+        changeSource_ = ChangeSource::Store;
+        return changeSource_;
+    }
+    if (!relayedSince_)
+        relayedSince_ = now;
+    if (now - *relayedSince_ >= options_.relayedWatchDelay)
+        changeSource_ = ChangeSource::Peers;
+    return changeSource_;
+}
+
+Duration PeerExchange::nearLoadAge() const
+{
+    return schedule_.nearLoadAge();
+}
+
+Duration PeerExchange::farLoadAge() const
+{
+    return schedule_.farLoadAge();
+}
+
+} // namespace Anvilyard::Serving
--- /dev/null
+++ b/Libraries/LibServing/PeerExchange.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "LibServing/PeerTable.h"
+#include "LibServing/ReportSchedule.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Anvilyard::Serving {
+
+/// What an instance registers about itself in the platform's store for the others.
+struct InstanceRegistration {
+    InstanceId id;
+    Address address;
+    /// Unset in registrations of the previous version.
+    std::optional<InstanceRole> role;
+    DataCentreId dataCentre;
+};
+
+struct PeerExchangeOptions {
+    InstanceId self;
+    InstanceRole role = InstanceRole::Entry;
+    DataCentreId dataCentre;
+    /// Within this time of its start, an instance of a large fleet has received reports of its relays.
+    Duration relayReportTimeout = 1s;
+    /// Time for which relays must have reached the store before an instance stops watching it. Each change of the source costs lists.
+    Duration relayedWatchDelay = 5s;
+};
+
+/// State of this instance that its reports contain.
+struct OwnState {
+    std::int64_t startedAt = 0;
+    InstanceStage stage = InstanceStage::Serving;
+    StoreReachability store = StoreReachability::Reached;
+    Address address;
+    StateVersion stateVersion{0};
+    StoreRevision serversRevision{0};
+    std::uint64_t waitingTokens = 0;
+    LoadByServer const &inFlight;
+    /// Increases with each change of `inFlight` or `waitingTokens`.
+    std::uint64_t changes = 0;
+};
+
+/// Where an instance gets changes of the desired state and the servers from.
+enum class ChangeSource {
+    /// It watches the platform's store.
+    Store,
+    /// Its peers watch the store, and it requests changes from a peer that is ahead. Each watcher costs calls of the store.
+    Peers,
+};
+
+/// Composes the reports and load summaries of an instance and processes those of its peers. Designed for fleets of hundreds of instances
+/// whose load changes thousands of times a second: see ReportSchedule. Performs no I/O.
+class PeerExchange
+{
+public:
+    struct OutgoingReport {
+        std::vector<Address> receivers;
+        PeerReport report;
+    };
+
+    struct OutgoingSummary {
+        struct Receiver {
+            Address address;
+            /// The newest report of the receiver that the summary includes; unset for relays of other data centres.
+            std::optional<ReportPosition> included;
+        };
+
+        std::vector<Receiver> receivers;
+        LoadSummary summary;
+    };
+
+    struct Outgoing {
+        std::vector<OutgoingReport> reports;
+        std::vector<OutgoingSummary> summaries;
+    };
+
+    enum class Acceptance {
+        /// The message is older than the last one of its sender, or from this instance.
+        Ignored,
+        Accepted,
+        /// The sender was not known to be alive.
+        AcceptedFromNewPeer,
+    };
+
+    PeerExchange(PeerExchangeOptions options, PeerTable &peers, Instant now);
+
+    void addInstance(InstanceRegistration const &registration);
+    /// Called when the registrations of all other instances were added.
+    void onInstancesListed();
+    Acceptance onReport(PeerReport report, Instant now);
+    Acceptance onSummary(LoadSummary summary, Instant now);
+    /// Makes the next report to every peer due at once.
+    void scheduleAllNow();
+    /// Returns the messages that are due. Call about 20 times a second and after each change of load.
+    [[nodiscard]] Outgoing takeDue(OwnState const &own, Instant now);
+    /// Whether this instance watches the platform's store itself. In a large fleet the relays of a data centre do so for the others.
+    [[nodiscard]] ChangeSource changeSource(Instant now);
+    /// Average age of the known load.
+    [[nodiscard]] Duration nearLoadAge() const;
+    [[nodiscard]] Duration farLoadAge() const;
+
+private:
+    void refreshTopology();
+    [[nodiscard]] PeerReport compose(ReportSchedule::ReportGroup const &group, OwnState const &own);
+    void addSummaries(Outgoing &outgoing, OwnState const &own, Instant now);
+    [[nodiscard]] bool mustWatchStore(Instant now) const;
+
+    PeerExchangeOptions options_;
+    PeerTable &peers_;
+    ReportSchedule schedule_;
+    /// Addresses from registrations, updated from the reports received.
+    std::map<InstanceId, Address> addresses_;
+    std::uint64_t lastReportNumber_ = 0;
+    std::uint64_t lastSummaryNumber_ = 0;
+    std::uint64_t receivedReports_ = 0;
+    std::uint64_t seenTopology_ = 0;
+    bool hasListed_ = false;
+    Instant relaysExpectedUntil_;
+    /// Since when relays have watched the store for this instance.
+    std::optional<Instant> relayedSince_;
+    ChangeSource changeSource_ = ChangeSource::Peers;
+};
+
+} // namespace Anvilyard::Serving
--- a/Libraries/LibServing/PeerReport.cpp
+++ b/Libraries/LibServing/PeerReport.cpp
@@ -1,5 +1,6 @@
 #include "LibServing/PeerReport.h"
 
+#include "LibServing/LoadCodec.h"
 #include "LibServing/ServingError.h"
 
 #include <boost/json.hpp>
@@ -22,13 +23,11 @@
 
 std::string encodePeerReport(PeerReport const &report)
 {
-    json::array inFlight;
-    for (auto const &[server, count] : report.inFlight)
-        inFlight.push_back(json::array{server.value(), count.online, count.batch});
     json::array observed;
     for (auto const &runner : report.observedRunners)
-        observed.push_back(json::array{runner.id.value(), runner.store == StoreReachability::Reached});
-    return json::serialize(json::object{
+        observed.push_back(json::array{
+            runner.id.value(), runner.store == StoreReachability::Reached, runner.address.value(), runner.waitingTokens});
+    json::object object{
         {"sender", report.sender.value()},
         {"started", report.startedAt},
         {"number", report.number},
@@ -36,15 +35,19 @@
         {"role", report.role == InstanceRole::Entry ? EntryRole : RunnerRole},
         {"leaving", report.stage == InstanceStage::Leaving},
         {"store", report.store == StoreReachability::Reached},
-        {"heard", std::move(observed)},
         {"dc", report.dataCentre.value()},
         {"address", report.address.value()},
         {"state", report.stateVersion.value()},
         {"servers", report.serversRevision.value()},
         {"runners", report.runnersHash},
-        {"inflight", std::move(inFlight)},
+        {"inflight", encodeLoad(report.inFlight)},
+        {"instances", report.knownInstances},
+        {"summaries", report.wantsSummaries},
         {"tokens", report.waitingTokens},
-    });
+    };
+    if (report.statesObservedRunners)
+        object["heard"] = std::move(observed);
+    return json::serialize(object);
 }
 
 Result<PeerReport> decodePeerReport(std::string_view text)
@@ -66,18 +69,23 @@
         .stateVersion = StateVersion(number("state")),
         .serversRevision = StoreRevision(number("servers")),
         .runnersHash = number("runners"),
+        .inFlight = decodeLoad(object.at("inflight")),
+        .knownInstances = object.contains("instances") ? number("instances") : 0,
+        .wantsSummaries = object.contains("summaries") && object.at("summaries").as_bool(),
         .waitingTokens = number("tokens"),
     };
+    report.statesObservedRunners = object.contains("heard");
+    if (!report.statesObservedRunners)
+        return report;
     for (auto const &entry : object.at("heard").as_array()) {
         auto const &fields = entry.as_array();
-        report.observedRunners.push_back({.id = InstanceId(std::string(fields.at(0).as_string())), .store = reachabilityOf(fields.at(1))});
-    }
-    for (auto const &entry : object.at("inflight").as_array()) {
-        auto const &fields = entry.as_array();
-        report.inFlight[ServerId(std::string(fields.at(0).as_string()))] = {
-            .online = fields.at(1).to_number<std::uint32_t>(),
-            .batch = fields.at(2).to_number<std::uint32_t>(),
-        };
+        ObservedRunner runner{.id = InstanceId(std::string(fields.at(0).as_string())), .store = reachabilityOf(fields.at(1))};
+        // Instances of the previous version send only the first two fields.
+        if (fields.size() >= 4) {
+            runner.address = Address(std::string(fields.at(2).as_string()));
+            runner.waitingTokens = fields.at(3).to_number<std::uint64_t>();
+        }
+        report.observedRunners.push_back(std::move(runner));
     }
     return report;
 } catch (std::exception const &exception) {
--- a/Libraries/LibServing/PeerReport.h
+++ b/Libraries/LibServing/PeerReport.h
@@ -36,6 +36,8 @@
     bool operator==(InFlight const &) const = default;
 };
 
+using LoadByServer = std::map<ServerId, InFlight>;
+
 enum class StoreReachability {
     Reached,
     /// The platform's store stopped responding.
@@ -46,6 +48,10 @@
 struct ObservedRunner {
     InstanceId id;
     StoreReachability store = StoreReachability::Reached;
+    /// Address for calls between instances; empty if the sender does not state it.
+    Address address = {};
+    /// Tokens of the waiting and running items of the runner's jobs.
+    std::uint64_t waitingTokens = 0;
 
     bool operator==(ObservedRunner const &) const = default;
 };
@@ -73,7 +79,13 @@
     /// Serving runners whose reports the sender receives. A receiver that is cut off from one of them detects through this list that
     /// the runner is alive.
     std::vector<ObservedRunner> observedRunners;
-    std::map<ServerId, InFlight> inFlight;
+    /// Whether the report states the observed runners. If not, those of the sender's last report that did still hold.
+    bool statesObservedRunners = true;
+    LoadByServer inFlight;
+    /// Number of instances that the sender knows, itself included.
+    std::size_t knownInstances = 0;
+    /// Whether the sender expects load summaries from the receiver.
+    bool wantsSummaries = false;
     /// Runners: tokens of the waiting and running items of their jobs.
     std::uint64_t waitingTokens = 0;
 };
--- a/Libraries/LibServing/PeerTable.cpp
+++ b/Libraries/LibServing/PeerTable.cpp
@@ -8,8 +8,21 @@
 
 namespace Anvilyard::Serving {
 
+namespace {
+
+/// Whether both lists name the same runners with the same reachability of the store. Their tokens change with each report.
+bool nameSameRunners(std::vector<ObservedRunner> const &left, std::vector<ObservedRunner> const &right)
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](ObservedRunner const &one, ObservedRunner const &other) {
+        return one.id == other.id && one.store == other.store;
+    });
+}
+
+} // namespace
+
 PeerTable::PeerTable(PeerTableOptions options)
     : options_(std::move(options))
+    , summaries_({.dataCentre = options_.dataCentre})
 {
 }
 
@@ -27,12 +40,16 @@
         known != peers_.end() && known->second.report.stage == InstanceStage::Serving && report.stage == InstanceStage::Leaving;
     if (isLeaving)
         retainTokens(known->second.report, now);
+    bool const keepsObserved =
+        !report.statesObservedRunners && known != peers_.end() && known->second.report.startedAt == report.startedAt;
+    if (keepsObserved)
+        report.observedRunners = known->second.report.observedRunners;
     auto const sender = report.sender;
     auto const hash = report.runnersHash;
     // The runner set depends only on these fields, and most reports change only the load.
     bool const mayChangeRunners = known == peers_.end() || known->second.report.role != report.role
         || known->second.report.stage != report.stage || known->second.report.store != report.store
-        || known->second.report.observedRunners != report.observedRunners;
+        || !nameSameRunners(known->second.report.observedRunners, report.observedRunners);
     if (known != peers_.end())
         removeLoad(known->second.report);
     addLoad(report);
@@ -55,6 +72,7 @@
         removeLoad(report);
         return true;
     });
+    summaries_.onTick(now);
     std::erase_if(retainedTokens_, [&](auto const &entry) { return now >= entry.second.until; });
     if (removedCount > 0)
         updateRunners(now);
@@ -84,6 +102,8 @@
 
 void PeerTable::updateRunners(Instant now)
 {
+    ++topologyVersion_;
+    relays_ = firstRelays(options_.dataCentre, true);
     runners_ = findRunners();
     std::string names;
     for (auto const &runner : runners_)
@@ -136,12 +156,121 @@
     }
 }
 
-InFlight PeerTable::othersAt(ServerId const &server) const
+InFlight PeerTable::directAt(ServerId const &server) const
 {
     auto const found = sums_.find(server);
     return found == sums_.end() ? InFlight{} : found->second.all;
 }
 
+InFlight PeerTable::othersAt(ServerId const &server) const
+{
+    // A relay receives each report of its data centre itself.
+    bool const usesSummary = summaries_.hasNear() && !isRelay();
+    auto const near = usesSummary ? summaries_.nearAt(server) : directAt(server);
+    auto const far = summaries_.farAt(server);
+    return {.online = near.online + far.online, .batch = near.batch + far.batch};
+}
+
+LoadByServer PeerTable::directLoad() const
+{
+    LoadByServer load;
+    for (auto const &[server, sum] : sums_)
+        load.emplace_hint(load.end(), server, sum.all);
+    return load;
+}
+
+LoadByServer const &PeerTable::farLoad() const
+{
+    return summaries_.farFromRelays();
+}
+
+bool PeerTable::onSummary(LoadSummary summary, Instant now)
+{
+    return summaries_.onSummary(std::move(summary), now);
+}
+
+void PeerTable::onOwnReport(ReportPosition const &position, LoadByServer load)
+{
+    summaries_.onOwnReport(position, std::move(load));
+}
+
+std::vector<InstanceId> const &PeerTable::relays() const
+{
+    return relays_;
+}
+
+bool PeerTable::isRelay() const
+{
+    return std::find(relays_.begin(), relays_.end(), options_.self) != relays_.end();
+}
+
+std::vector<InstanceId> PeerTable::relaysOf(DataCentreId const &dataCentre) const
+{
+    return firstRelays(dataCentre, false);
+}
+
+std::vector<InstanceId> PeerTable::firstRelays(DataCentreId const &dataCentre, bool mayUseOthers) const
+{
+    struct Candidate {
+        bool isNear;
+        bool reachesStore;
+        std::uint64_t score;
+        InstanceId id;
+
+        auto operator<=>(Candidate const &) const = default;
+    };
+    std::vector<Candidate> candidates;
+    auto const add = [&](InstanceId const &id, DataCentreId const &where, StoreReachability store) {
+        if (where == dataCentre || mayUseOthers)
+            candidates.push_back({.isNear = where == dataCentre,
+                                  .reachesStore = store == StoreReachability::Reached,
+                                  .score = rendezvousScore(dataCentre.value(), id.value()),
+                                  .id = id});
+    };
+    for (auto const &[id, peer] : peers_) {
+        if (peer.report.role == InstanceRole::Runner && peer.report.stage == InstanceStage::Serving)
+            add(id, peer.report.dataCentre, peer.report.store);
+    }
+    if (options_.ownRole == InstanceRole::Runner && ownStage_ == InstanceStage::Serving)
+        add(options_.self, options_.dataCentre, ownStoreReachability_);
+    std::sort(candidates.begin(), candidates.end(), std::greater<>());
+    std::vector<InstanceId> relays;
+    for (auto const &candidate : candidates) {
+        // Runners of other data centres are used only if the own one has none.
+        if (relays.size() < options_.relaysPerDataCentre && candidate.isNear == candidates.front().isNear)
+            relays.push_back(candidate.id);
+    }
+    return relays;
+}
+
+std::vector<PeerReport const *> PeerTable::summaryReceivers() const
+{
+    std::vector<PeerReport const *> receivers;
+    for (auto const &[id, peer] : peers_) {
+        if (peer.report.wantsSummaries)
+            receivers.push_back(&peer.report);
+    }
+    return receivers;
+}
+
+std::optional<Address> PeerTable::addressOf(InstanceId const &id) const
+{
+    if (auto const *report = find(id))
+        return report->address;
+    for (auto const &[peerId, peer] : peers_) {
+        for (auto const &runner : peer.report.observedRunners) {
+            if (runner.id == id && !runner.address.value().empty())
+                return runner.address;
+        }
+    }
+    return std::nullopt;
+}
+
+std::uint64_t PeerTable::topologyVersion() const
+{
+    return topologyVersion_;
+}
+
 std::vector<std::pair<InstanceId, std::uint32_t>> PeerTable::batchAt(ServerId const &server) const
 {
     auto const found = sums_.find(server);
@@ -155,13 +284,35 @@
     std::vector<ObservedRunner> observed;
     for (auto const &[id, peer] : peers_) {
         if (peer.report.role == InstanceRole::Runner && peer.report.stage == InstanceStage::Serving)
-            observed.push_back({.id = id, .store = peer.report.store});
+            observed.push_back({
+                .id = id,
+                .store = peer.report.store,
+                .address = peer.report.address,
+                .waitingTokens = peer.report.waitingTokens,
+            });
     }
     if (options_.ownRole == InstanceRole::Runner && ownStage_ == InstanceStage::Serving)
         observed.push_back({.id = options_.self, .store = ownStoreReachability_});
     return observed;
 }
 
+std::vector<ObservedRunner> PeerTable::relayedRunners() const
+{
+    std::map<InstanceId, ObservedRunner> known;
+    for (auto const &[id, peer] : peers_) {
+        if (peer.report.role != InstanceRole::Runner || peer.report.dataCentre == options_.dataCentre)
+            continue;
+        for (auto const &runner : peer.report.observedRunners)
+            known.emplace(runner.id, runner);
+    }
+    for (auto const &runner : observedRunners())
+        known.insert_or_assign(runner.id, runner);
+    std::vector<ObservedRunner> runners;
+    for (auto &[id, runner] : known)
+        runners.push_back(std::move(runner));
+    return runners;
+}
+
 std::vector<InstanceId> const &PeerTable::runners() const
 {
     return runners_;
@@ -249,8 +400,18 @@
     std::uint64_t sum = 0;
     for (auto const &[id, retained] : retainedTokens_)
         sum += now < retained.until ? retained.tokens : 0;
-    for (auto const &[id, peer] : peers_)
+    std::map<InstanceId, std::uint64_t> observed;
+    for (auto const &[id, peer] : peers_) {
         sum += peer.report.waitingTokens;
+        for (auto const &runner : peer.report.observedRunners) {
+            if (!peers_.contains(runner.id) && runner.id != options_.self) {
+                auto &tokens = observed[runner.id];
+                tokens = std::max(tokens, runner.waitingTokens);
+            }
+        }
+    }
+    for (auto const &[id, tokens] : observed)
+        sum += tokens;
     return sum;
 }
 
--- a/Libraries/LibServing/PeerTable.h
+++ b/Libraries/LibServing/PeerTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibCore/Time.h"
+#include "LibServing/LoadSummaryTable.h"
 #include "LibServing/PeerReport.h"
 
 #include <map>
@@ -23,6 +24,8 @@
     /// Number of runners that send items to one server. It is small enough that each one has the current item counts of the others,
     /// and large enough that a runner with many items finds free slots.
     std::size_t runnersPerServer = 4;
+    /// Number of relays of each data centre. The second one replaces the first without a gap.
+    std::size_t relaysPerDataCentre = 2;
     /// Time within which another runner has loaded the jobs of a departed runner and reports their tokens.
     Duration takeoverTime = 3s;
 };
@@ -44,12 +47,37 @@
 
     [[nodiscard]] std::vector<PeerReport const *> live() const;
     [[nodiscard]] PeerReport const *find(InstanceId const &id) const;
-    /// Requests of all live peers at a server.
+    /// Returns whether the summary is newer than the last one of its relay.
+    bool onSummary(LoadSummary summary, Instant now);
+    /// Records the load that the own report contained.
+    void onOwnReport(ReportPosition const &position, LoadByServer load);
+
+    /// Runners that collect and distribute load in the own data centre in a large fleet: serving runners of the data centre, or of any if
+    /// it has none. Runners that reach the platform's store come first.
+    [[nodiscard]] std::vector<InstanceId> const &relays() const;
+    [[nodiscard]] bool isRelay() const;
+    /// Relays of another data centre in the view of this instance.
+    [[nodiscard]] std::vector<InstanceId> relaysOf(DataCentreId const &dataCentre) const;
+    /// Peers that expect load summaries from this instance.
+    [[nodiscard]] std::vector<PeerReport const *> summaryReceivers() const;
+    /// Load of all live peers with direct reports.
+    [[nodiscard]] LoadByServer directLoad() const;
+    /// Load of other data centres, for the instances of the own one.
+    [[nodiscard]] LoadByServer const &farLoad() const;
+    /// Address of a peer for calls between instances, from its own reports or from those of others; `std::nullopt` if unknown.
+    [[nodiscard]] std::optional<Address> addressOf(InstanceId const &id) const;
+    /// Increases with each change of the runners, their data centres or their reachability of the platform's store.
+    [[nodiscard]] std::uint64_t topologyVersion() const;
+
+    /// Requests of all other instances at a server: from the summaries of relays if there are any, else from the reports of live peers.
     [[nodiscard]] InFlight othersAt(ServerId const &server) const;
     /// Live peers with batch items at a server and their item counts.
     [[nodiscard]] std::vector<std::pair<InstanceId, std::uint32_t>> batchAt(ServerId const &server) const;
     /// Serving runners whose reports this instance receives, including itself if it is a runner.
     [[nodiscard]] std::vector<ObservedRunner> observedRunners() const;
+    /// Like observedRunners(), with the runners that live runners of other data centres observe. Entries report these, so that runners which
+    /// are cut off from other data centres know of the runners there. Runners must not pass them on, or a dead one would be reported forever.
+    [[nodiscard]] std::vector<ObservedRunner> relayedRunners() const;
     /// Runners that may own jobs, ordered by name: those that this instance or one of its live peers receives reports from. A runner
     /// that lost the platform's store cannot store outcomes, so it owns no jobs while another runner reaches the store.
     [[nodiscard]] std::vector<InstanceId> const &runners() const;
@@ -64,7 +92,7 @@
     /// the own one changed recently, or this process was paused. The views of entries count as well, since entries may receive
     /// reports of runners that are cut off from each other.
     [[nodiscard]] bool isUnsettled(Instant now) const;
-    /// Tokens waiting at other runners. The tokens of a dead or leaving runner are counted until another runner has taken over its
+    /// Tokens waiting at other runners, including those that only peers receive reports from. The tokens of a dead or leaving runner are counted until another runner has taken over its
     /// jobs. Counting them twice for a short time is preferred over not counting them.
     [[nodiscard]] std::uint64_t waitingTokens(Instant now) const;
     /// The runner that decides on accepting jobs of a route near its limit of waiting tokens; `std::nullopt` if no runner is known.
@@ -87,6 +115,7 @@
         std::map<InstanceId, std::uint32_t> batch;
     };
 
+    [[nodiscard]] InFlight directAt(ServerId const &server) const;
     void addLoad(PeerReport const &report);
     void removeLoad(PeerReport const &report);
     void retainTokens(PeerReport const &report, Instant now);
@@ -95,6 +124,7 @@
     [[nodiscard]] bool isTimedOut(PeerReport const &report, Instant receivedAt, Instant now) const;
     [[nodiscard]] std::vector<InstanceId> findRunners() const;
     void updateRunners(Instant now);
+    [[nodiscard]] std::vector<InstanceId> firstRelays(DataCentreId const &dataCentre, bool mayUseOthers) const;
 
     PeerTableOptions options_;
     InstanceStage ownStage_ = InstanceStage::Serving;
@@ -104,6 +134,9 @@
     /// reports.
     std::map<ServerId, ServerSum> sums_;
     std::map<InstanceId, RetainedTokens> retainedTokens_;
+    LoadSummaryTable summaries_;
+    std::vector<InstanceId> relays_;
+    std::uint64_t topologyVersion_ = 0;
     std::vector<InstanceId> runners_;
     std::uint64_t runnersHash_ = 0;
     /// Time of the last change of the own runner set, disagreement with a peer's, or process pause.
--- a/Services/Node/FleetFollower.cpp
+++ b/Services/Node/FleetFollower.cpp
@@ -2,6 +2,7 @@
 
 #include "LibObserve/Events.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace Anvilyard::Node {
@@ -12,6 +13,14 @@
 
 /// The latency of the store's watch explains being behind a peer for less than this.
 constexpr Duration ExpectedWatchLag = 400ms;
+/// Time over which the instances of a data centre spread their calls for the same change.
+constexpr Duration MaxPeerLag = 100ms;
+/// An instance that gets changes from peers calls one of another data centre only if none of its own has the change within this time.
+constexpr Duration ExpectedNearLag = 1500ms;
+/// Number of removed servers up to which a peer gets changes instead of the complete list.
+constexpr std::size_t MaxRemovals = 500;
+/// A peer that gets the complete list within this time after the return of the store keeps servers whose registrations lapsed.
+constexpr Duration RegistryReturnNotice = 5s;
 constexpr Duration PeerCallInterval = 300ms;
 constexpr Duration PeerCallTimeout = 600ms;
 /// Registrations lapse after three heartbeat intervals of more than a second each, so none lapses during a shorter outage.
@@ -32,6 +41,7 @@
           .store = context.store,
           .kind = context.protocol.records().desiredStateKind,
           .random = context.random,
+          .firstList = Platform::ListConsistency::MayBeStale,
           .hooks = {
               .onListed =
                   [this](std::vector<Platform::Object> objects, Platform::ResourceVersion const &) {
@@ -52,6 +62,7 @@
           .store = context.store,
           .kind = context.protocol.records().serverKind,
           .random = context.random,
+          .firstList = Platform::ListConsistency::MayBeStale,
           .hooks = {
               .onListed = [this](std::vector<Platform::Object> const &objects,
                                  Platform::ResourceVersion const &version) { applyServerList(objects, revisionNumber(version)); },
@@ -62,8 +73,10 @@
                   },
               .onRecovered =
                   [this](Duration outage) {
-                      if (outage >= MinOutageForLapse)
-                          context_.directory.onRegistryReturned(readLocalClock());
+                      if (outage < MinOutageForLapse)
+                          return;
+                      registryReturnedAt_ = readLocalClock();
+                      context_.directory.onRegistryReturned(*registryReturnedAt_);
                   },
           },
       })
@@ -72,10 +85,25 @@
 
 void FleetFollower::start()
 {
+    stateFollower_.pause();
+    serverFollower_.pause();
     stateFollower_.start();
     serverFollower_.start();
 }
 
+void FleetFollower::setChangeSource(Serving::ChangeSource source)
+{
+    if (std::exchange(source_, source) == source)
+        return;
+    Observe::log(Observe::Events::NodeChangeSource, {{"source", source == Serving::ChangeSource::Store ? "store" : "peers"}});
+    for (auto *follower : {&stateFollower_, &serverFollower_}) {
+        if (source == Serving::ChangeSource::Store)
+            follower->resume();
+        else
+            follower->pause();
+    }
+}
+
 void FleetFollower::applyState(std::string const &spec)
 {
     auto state = context_.protocol.readDesiredState(spec);
@@ -100,6 +128,8 @@
     serversRevision_ = revision;
     hasServers_ = true;
     servers_.clear();
+    removals_.clear();
+    removalsSince_ = revision;
     std::vector<Serving::ServerRecord> records;
     for (auto const &object : objects) {
         ServerId const id(object.name.value());
@@ -115,6 +145,12 @@
 }
 
 void FleetFollower::applyServerChange(Platform::WatchChange change, Platform::Object const &object)
+{
+    if (auto const now = readLocalClock(); recordServerChange(change, object, now))
+        publishServers(now);
+}
+
+bool FleetFollower::recordServerChange(Platform::WatchChange change, Platform::Object const &object, Instant now)
 {
     ServerId const id(object.name.value());
     auto const revision = revisionNumber(object.version);
@@ -122,10 +158,17 @@
     // The store's watch may deliver changes that are older than a snapshot of a peer that is already applied.
     if (known != servers_.end() ? revision < known->second.revision
                                 : revision <= serversRevision_ && change != Platform::WatchChange::Deleted)
-        return;
-    auto const now = readLocalClock();
+        return false;
     if (change == Platform::WatchChange::Deleted) {
         servers_.erase(id);
+        // The event may carry the revision of the last change before the removal, which peers have already.
+        auto const removedAt = std::max(revision, serversRevision_ + 1);
+        serversRevision_ = removedAt;
+        removals_.emplace_back(removedAt, id);
+        if (removals_.size() > MaxRemovals) {
+            removalsSince_ = removals_.front().first;
+            removals_.pop_front();
+        }
         context_.directory.onUnregistered(id, now);
         Observe::log(Observe::Events::NodeServerUnregistered, {{"server", id.value()}, {"revision", std::to_string(revision)}});
     } else {
@@ -143,7 +186,7 @@
         }
     }
     serversRevision_ = std::max(serversRevision_, revision);
-    publishServers(now);
+    return true;
 }
 
 void FleetFollower::publishServers(Instant now)
@@ -155,6 +198,7 @@
     context_.health.setServers(members);
     context_.placement.setServers(std::move(servers), context_.health.ejected());
     nextServerChange_ = context_.directory.nextChange(now);
+    ++context_.serversVersion;
 }
 
 void FleetFollower::onTick(Instant now)
@@ -168,41 +212,80 @@
     publishServers(readLocalClock());
 }
 
-void FleetFollower::onPeerReport(Serving::PeerReport const &peer, Instant now)
+/// For how long being behind the peer has a harmless reason.
+Duration FleetFollower::expectedLag(PeerProgress const &progress) const
+{
+    if (!isComplete())
+        return Duration::zero();
+    if (source_ == Serving::ChangeSource::Store)
+        return ExpectedWatchLag;
+    return progress.dataCentre == context_.settings.dataCentre ? peerLag_ : ExpectedNearLag;
+}
+
+void FleetFollower::onPeerProgress(PeerProgress const &progress, Instant now)
 {
     auto const ownVersion = context_.routes ? context_.routes->state().version : Serving::StateVersion(0);
-    bool const isBehind = peer.stateVersion > ownVersion || peer.serversRevision.value() > serversRevision_;
-    if (!isBehind) {
-        behindSince_.reset();
+    if (behind_ && ownVersion >= behind_->stateVersion && serversRevision_ >= behind_->serversRevision)
+        behind_.reset();
+    bool const isBehind = progress.stateVersion > ownVersion || progress.serversRevision.value() > serversRevision_;
+    if (!isBehind)
         return;
+    if (!behind_) {
+        behind_ = {.since = now, .stateVersion = progress.stateVersion, .serversRevision = progress.serversRevision.value()};
+        std::uniform_int_distribution<Duration::rep> spread(0, MaxPeerLag.count());
+        peerLag_ = Duration(spread(context_.random));
     }
-    if (!behindSince_)
-        behindSince_ = now;
-    bool const isUrgent = !isComplete();
-    if ((!isUrgent && now - *behindSince_ < ExpectedWatchLag) || now < nextPeerCall_)
-        return;
+    if (now - behind_->since >= expectedLag(progress) && now >= nextPeerCall_)
+        requestChanges(progress.peer, now);
+}
+
+void FleetFollower::requestChanges(Address const &peer, Instant now)
+{
     nextPeerCall_ = now + PeerCallInterval;
+    auto const version = context_.routes ? context_.routes->state().version : Serving::StateVersion(0);
+    auto const revision = hasServers_ ? serversRevision_ : 0;
     Http::ClientRequest request{
-        .server = peer.address,
-        .request = {.method = "GET", .target = "/fleet"},
+        .server = peer,
+        .request = {.method = "GET", .target = "/fleet?state=" + std::to_string(version.value()) + "&since=" + std::to_string(revision)},
         .deadline = now + PeerCallTimeout,
         .connectTimeout = PeerCallTimeout,
     };
     context_.peerClient->fetch(std::move(request), [this](tl::expected<Http::HttpResponse, Http::ExchangeFailure> answer) {
         if (answer && answer->status == 200)
-            applySnapshot(answer->body);
+            applyChanges(answer->body);
     });
 }
 
-std::string FleetFollower::snapshot() const
+std::string FleetFollower::changesSince(Serving::StateVersion version, std::uint64_t revision) const
 {
+    bool const hasAllRemovals = revision >= removalsSince_ && revision > 0;
     json::array servers;
-    for (auto const &[id, known] : servers_)
-        servers.push_back(json::array{id.value(), known.revision, known.spec});
-    return json::serialize(json::object{{"state", stateSpec_}, {"revision", serversRevision_}, {"servers", std::move(servers)}});
+    for (auto const &[id, known] : servers_) {
+        if (!hasAllRemovals || known.revision > revision)
+            servers.push_back(json::array{id.value(), known.revision, known.spec});
+    }
+    json::array removed;
+    if (hasAllRemovals) {
+        for (auto const &[removedAt, id] : removals_) {
+            if (removedAt > revision)
+                removed.push_back(json::array{id.value(), removedAt});
+        }
+    }
+    bool const hasNewerState = context_.routes && context_.routes->state().version > version;
+    json::object changes{
+        {"state", hasNewerState ? stateSpec_ : std::string()},
+        {"revision", serversRevision_},
+        {"complete", !hasAllRemovals},
+        {"servers", std::move(servers)},
+        {"removed", std::move(removed)},
+    };
+    auto const now = readLocalClock();
+    if (registryReturnedAt_ && now - *registryReturnedAt_ < RegistryReturnNotice)
+        changes["returned_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(now - *registryReturnedAt_).count();
+    return json::serialize(changes);
 }
 
-void FleetFollower::applySnapshot(std::string_view text)
+void FleetFollower::applyChanges(std::string_view text)
 try {
     auto const value = json::parse(text);
     auto const &object = value.as_object();
@@ -211,19 +294,40 @@
     auto const revision = object.at("revision").to_number<std::uint64_t>();
     if (revision <= serversRevision_)
         return;
-    std::vector<Platform::Object> objects;
-    for (auto const &entry : object.at("servers").as_array()) {
-        auto const &fields = entry.as_array();
-        objects.push_back({
+    Observe::log(Observe::Events::NodeLearntFromPeer, {{"revision", std::to_string(revision)}});
+    if (auto const *returned = object.if_contains("returned_ms")) {
+        registryReturnedAt_ = readLocalClock() - std::chrono::milliseconds(returned->to_number<std::int64_t>());
+        context_.directory.onRegistryReturned(*registryReturnedAt_);
+    }
+    auto const toObject = [](json::array const &fields) {
+        return Platform::Object{
             .name = Platform::ObjectName(std::string(fields.at(0).as_string())),
             .version = Platform::ResourceVersion(std::to_string(fields.at(1).to_number<std::uint64_t>())),
-            .spec = std::string(fields.at(2).as_string()),
-        });
-    }
-    Observe::log(Observe::Events::NodeLearntFromPeer, {{"revision", std::to_string(revision)}});
-    applyServerList(objects, revision);
+            .spec = fields.size() > 2 ? std::string(fields.at(2).as_string()) : std::string(),
+        };
+    };
+    std::vector<Platform::Object> objects;
+    for (auto const &entry : object.at("servers").as_array())
+        objects.push_back(toObject(entry.as_array()));
+    // Peers of the previous version always send the complete list.
+    if (!object.contains("complete") || object.at("complete").as_bool())
+        return applyServerList(objects, revision);
+    // In the order of their revisions, since an id may be removed and registered again.
+    std::vector<std::pair<Platform::WatchChange, Platform::Object>> changes;
+    for (auto const &entry : object.at("removed").as_array())
+        changes.emplace_back(Platform::WatchChange::Deleted, toObject(entry.as_array()));
+    for (auto &changed : objects)
+        changes.emplace_back(Platform::WatchChange::Modified, std::move(changed));
+    std::stable_sort(changes.begin(), changes.end(), [](auto const &left, auto const &right) {
+        return revisionNumber(left.second.version) < revisionNumber(right.second.version);
+    });
+    auto const now = readLocalClock();
+    for (auto const &[change, changed] : changes)
+        recordServerChange(change, changed, now);
+    serversRevision_ = std::max(serversRevision_, revision);
+    publishServers(now);
 } catch (std::exception const &exception) {
-    Observe::log(Observe::Events::NodeRecordRejected, {{"record", "snapshot of a peer"}, {"error", exception.what()}});
+    Observe::log(Observe::Events::NodeRecordRejected, {{"record", "changes from a peer"}, {"error", exception.what()}});
 }
 
 Serving::StoreRevision FleetFollower::serversRevision() const
--- a/Services/Node/JobApiHandler.cpp
+++ b/Services/Node/JobApiHandler.cpp
@@ -187,6 +187,7 @@
     Observe::log(
         Observe::Events::NodeJobAccepted,
         {{"job", submission->id.value()}, {"items", std::to_string(submission->items)}, {"tokens", std::to_string(submission->tokens)}});
+    notifyOwner({.job = submission->id, .event = PeerJobNotice::Event::Accepted});
     submission->writer->respond({.status = 202, .headers = {{"Content-Type", "application/json"}}, .body = "{}"});
 }
 
@@ -214,16 +215,22 @@
     });
 }
 
+/// A lost notice is harmless: the owner's watch of the store returns the change some seconds later.
+void JobApiHandler::notifyOwner(PeerJobNotice const &notice)
+{
+    callPeer(context_.peers.ownerOf(notice.job), toTarget(notice), Duration::zero(), [](std::optional<Http::HttpResponse> const &) {});
+}
+
 void JobApiHandler::callPeer(std::optional<InstanceId> const &id,
                              std::string target,
                              Duration wait,
                              std::function<void(std::optional<Http::HttpResponse>)> done)
 {
-    auto const *peer = id ? context_.peers.find(*id) : nullptr;
+    auto const peer = id ? context_.peers.addressOf(*id) : std::nullopt;
     if (!peer)
         return done(std::nullopt);
     Http::ClientRequest request{
-        .server = peer->address,
+        .server = *peer,
         .request = {.method = "GET", .target = std::move(target)},
         .deadline = readLocalClock() + wait + OwnerResponseTimeout,
         .connectTimeout = OwnerConnectTimeout,
@@ -314,6 +321,7 @@
         [this, call, writer = std::move(writer), deadline, wasOutcomeUnknown](Result<Platform::Object> replaced) {
             if (replaced) {
                 Observe::log(Observe::Events::NodeJobEnded, {{"job", call.job.value()}});
+                notifyOwner({.job = call.job, .event = PeerJobNotice::Event::Ended});
                 return writer->respond({.status = 200, .headers = {{"Content-Type", "application/json"}}, .body = "{}"});
             }
             auto const &code = replaced.error().code;
--- a/Services/Node/JobApiHandler.h
+++ b/Services/Node/JobApiHandler.h
@@ -39,6 +39,7 @@
     void read(ReadItemBody const &call, Writer writer);
     void readFromStore(ReadItemBody const &call, Writer writer);
     void end(EndJob const &call, Writer writer, Instant deadline, bool wasOutcomeUnknown);
+    void notifyOwner(PeerJobNotice const &notice);
     void callOwner(JobId const &job, std::string target, Duration wait, std::function<void(std::optional<Http::HttpResponse>)> done);
     /// Calls `done` with std::nullopt if the peer is unknown or does not respond.
     void callPeer(std::optional<InstanceId> const &id,
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -69,8 +69,13 @@
         jobs_.remove(job);
         return;
     }
+    onJobKnown(job, Jobs::isEnded(object.status));
+}
+
+void JobRunner::onJobKnown(JobId const &job, bool isEnded)
+{
     auto &known = knownJobs_[job];
-    known.isEnded = known.isEnded || Jobs::isEnded(object.status);
+    known.isEnded = known.isEnded || isEnded;
     if (known.isEnded) {
         jobs_.onEnded(job);
         cancelRuns(job);
@@ -176,25 +181,43 @@
         dispatch(now);
 }
 
-void JobRunner::dispatch(Instant now)
+void JobRunner::refreshAssignments(Instant now)
 {
-    std::map<PoolName, std::vector<Jobs::ServerSlots>> pools;
+    std::pair const versions(context_.serversVersion, context_.peers.topologyVersion());
+    if (assignmentVersions_ == versions)
+        return;
+    assignmentVersions_ = versions;
+    assignments_.clear();
     auto const ejected = context_.health.ejected();
     for (auto const &[record, use] : context_.directory.usable(now)) {
-        auto const own = context_.load.at(record.id);
         bool const isAssigned = context_.peers.isRunnerFor(record.id, record.dataCentre);
-        if (!isAssigned && own.batch == 0)
+        assignments_.push_back({
+            .server = record.id,
+            .pool = record.pool,
+            .slots = record.slots,
+            .isAssigned = isAssigned,
+            .acceptsNew = isAssigned && use == Serving::ServerUse::Usable && !ejected.contains(record.id),
+        });
+    }
+}
+
+void JobRunner::dispatch(Instant now)
+{
+    refreshAssignments(now);
+    std::map<PoolName, std::vector<Jobs::ServerSlots>> pools;
+    for (auto const &assignment : assignments_) {
+        auto const own = context_.load.at(assignment.server);
+        if (!assignment.isAssigned && own.batch == 0)
             continue;
-        auto const others = context_.peers.othersAt(record.id);
         std::vector<Jobs::BatchHolder> batch{{.runner = context_.settings.instance, .items = own.batch}};
-        for (auto &[runner, items] : context_.peers.batchAt(record.id))
+        for (auto &[runner, items] : context_.peers.batchAt(assignment.server))
             batch.push_back({.runner = runner, .items = items});
-        pools[record.pool].push_back({
-            .server = record.id,
-            .slots = record.slots,
-            .online = own.online + others.online,
+        pools[assignment.pool].push_back({
+            .server = assignment.server,
+            .slots = assignment.slots,
+            .online = own.online + context_.peers.othersAt(assignment.server).online,
             .batch = std::move(batch),
-            .acceptsNew = isAssigned && use == Serving::ServerUse::Usable && !ejected.contains(record.id),
+            .acceptsNew = assignment.acceptsNew,
         });
     }
     for (auto const &[pool, servers] : pools) {
@@ -338,6 +361,11 @@
         serveAdmission(*admission, writer);
         return true;
     }
+    if (auto const *notice = std::get_if<PeerJobNotice>(&*call)) {
+        onJobKnown(notice->job, notice->event == PeerJobNotice::Event::Ended);
+        writer->respond({.status = 200});
+        return true;
+    }
     auto const &read = std::get<PeerReadResults>(*call);
     auto const now = readLocalClock();
     PendingRead pendingRead{.call = read, .until = now + read.wait, .writer = writer};
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -46,11 +46,14 @@
         Writer writer;
     };
 
+    /// Records a job that exists in the store.
+    void onJobKnown(JobId const &job, bool isEnded);
     void onJobChanged(Platform::WatchChange change, Platform::Object const &object);
     void load(JobId const &job);
     void refreshPolicy(JobId const &job, Instant now);
     void reconcile(Instant now);
     void dispatch(Instant now);
+    void refreshAssignments(Instant now);
     void startItems(PoolName const &pool, ServerId const &server, std::uint32_t count, Instant now);
     void preempt(ServerId const &server, std::uint32_t count, Instant now);
     void cancelRuns(JobId const &job);
@@ -70,6 +73,21 @@
     NodeContext &context_;
     NodeMetrics &metrics_;
     PeerReportExchange &peerReports_;
+    /// A server as far as it matters for the items of this runner.
+    struct Assignment {
+        ServerId server;
+        PoolName pool;
+        std::uint32_t slots = 1;
+        /// Whether this runner is one of the few that send items to the server.
+        bool isAssigned = false;
+        /// Whether new items may be sent there.
+        bool acceptsNew = false;
+    };
+
+    /// Determined anew only after a change of servers or runners. Load changes many times a second, and ranking all runners for each of
+    /// hundreds of servers each time would take most of the processor time of a runner.
+    std::vector<Assignment> assignments_;
+    std::optional<std::pair<std::uint64_t, std::uint64_t>> assignmentVersions_;
     Jobs::JobTracker jobs_;
     StoreFollower jobFollower_;
     std::map<JobId, KnownJob> knownJobs_;
--- a/Services/Node/NodeContext.h
+++ b/Services/Node/NodeContext.h
@@ -36,6 +36,8 @@
     Serving::LoadTracker load;
     Serving::LoadAge loadAge;
     Serving::ServerDirectory directory;
+    /// Increases with each change of the usable or ejected servers.
+    std::uint64_t serversVersion = 0;
     Serving::OnlinePlacement placement;
     Routing::ServerHealth health;
     /// Limits the requests and streams that are moved away from a slow or silent server, as it may only be busy.
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -4,6 +4,7 @@
 #include "LibObserve/JsonLog.h"
 #include "Services/Node/NodeRefusals.h"
 #include "Services/Node/OnlineCall.h"
+#include "Services/Node/PeerJobCalls.h"
 
 #include <iostream>
 
@@ -203,8 +204,11 @@
 
 void NodeProgram::handlePeer(Http::HttpRequest const &request, Writer const &writer)
 {
-    if (request.path() == "/fleet")
-        return writer->respond({.status = fleet_.isComplete() ? 200 : 503, .body = fleet_.snapshot()});
+    if (request.path() == "/fleet") {
+        Serving::StateVersion const version(readNumberParameter(request, "state"));
+        return writer->respond({.status = fleet_.isComplete() ? 200 : 503,
+                                .body = fleet_.changesSince(version, readNumberParameter(request, "since"))});
+    }
     if (!runner_.handle(request, writer))
         writer->respond({.status = 404});
 }
--- a/Services/Node/PeerJobCalls.cpp
+++ b/Services/Node/PeerJobCalls.cpp
@@ -13,12 +13,16 @@
 constexpr std::string_view ResultsSegment = "results";
 constexpr std::string_view ItemsSegment = "items";
 constexpr std::string_view AdmissionSegment = "admission";
+constexpr std::string_view AcceptedSegment = "accepted";
+constexpr std::string_view EndedSegment = "ended";
 
 std::string percentEncode(std::string const &segment)
 {
     return boost::urls::encode(segment, boost::urls::unreserved_chars);
 }
 
+} // namespace
+
 std::uint64_t readNumberParameter(Http::HttpRequest const &request, std::string_view name)
 {
     auto const text = request.query(name).value_or("0");
@@ -27,8 +31,6 @@
     return number;
 }
 
-} // namespace
-
 std::string toTarget(PeerReadResults const &call)
 {
     auto const wait = std::chrono::duration_cast<std::chrono::milliseconds>(call.wait).count();
@@ -47,6 +49,12 @@
         + "&most=" + std::to_string(call.maxTokens);
 }
 
+std::string toTarget(PeerJobNotice const &call)
+{
+    auto const event = call.event == PeerJobNotice::Event::Accepted ? AcceptedSegment : EndedSegment;
+    return "/jobs/" + percentEncode(call.job.value()) + "/" + std::string(event);
+}
+
 std::optional<PeerJobCall> parsePeerJobCall(Http::HttpRequest const &request)
 {
     auto const parsed = boost::urls::parse_origin_form(request.target);
@@ -69,6 +77,10 @@
     if (segments.size() == 3 && segments[2] == AdmissionSegment)
         return PeerAdmission{
             .job = std::move(job), .tokens = readNumberParameter(request, "tokens"), .maxTokens = readNumberParameter(request, "most")};
+    if (segments.size() == 3 && segments[2] == AcceptedSegment)
+        return PeerJobNotice{.job = std::move(job), .event = PeerJobNotice::Event::Accepted};
+    if (segments.size() == 3 && segments[2] == EndedSegment)
+        return PeerJobNotice{.job = std::move(job), .event = PeerJobNotice::Event::Ended};
     if (segments.size() == 4 && segments[2] == ItemsSegment)
         return PeerReadBody{.job = std::move(job), .item = Jobs::ItemId(segments[3])};
     return std::nullopt;
--- a/Services/Node/PeerJobCalls.h
+++ b/Services/Node/PeerJobCalls.h
@@ -33,11 +33,23 @@
     std::uint64_t maxTokens = 0;
 };
 
-using PeerJobCall = std::variant<PeerReadResults, PeerReadBody, PeerAdmission>;
+/// Notifies the owner of a job that it was accepted or ended, ahead of the owner's watch, whose calls of the store are paced.
+struct PeerJobNotice {
+    JobId job;
+    enum class Event {
+        Accepted,
+        Ended,
+    } event = Event::Accepted;
+};
+
+using PeerJobCall = std::variant<PeerReadResults, PeerReadBody, PeerAdmission, PeerJobNotice>;
 
 std::string toTarget(PeerReadResults const &call);
 std::string toTarget(PeerReadBody const &call);
 std::string toTarget(PeerAdmission const &call);
+std::string toTarget(PeerJobNotice const &call);
+/// Returns the number in a query parameter, or 0 if there is none.
+std::uint64_t readNumberParameter(Http::HttpRequest const &request, std::string_view name);
 /// Returns std::nullopt if the request is not a call about a job.
 std::optional<PeerJobCall> parsePeerJobCall(Http::HttpRequest const &request);
 
--- a/Services/Node/PeerReportExchange.cpp
+++ b/Services/Node/PeerReportExchange.cpp
@@ -12,10 +12,23 @@
 
 Platform::Kind const instanceKind("instances");
 constexpr Duration RegistrationRetryDelay = 500ms;
+constexpr std::string_view EntryRole = "entry";
+constexpr std::string_view RunnerRole = "runner";
 
 std::string encodeRegistration(NodeSettings const &settings)
 {
-    return json::serialize(json::object{{"address", settings.peers.value()}});
+    return json::serialize(json::object{
+        {"address", settings.peers.value()},
+        {"role", settings.role == Serving::InstanceRole::Runner ? RunnerRole : EntryRole},
+        {"dc", settings.dataCentre.value()},
+    });
+}
+
+/// Returns the string member, or an empty string if there is none. Registrations of the previous version have only an address.
+std::string readString(json::object const *fields, std::string_view key)
+{
+    auto const *value = fields ? fields->if_contains(key) : nullptr;
+    return value && value->is_string() ? std::string(value->get_string()) : std::string();
 }
 
 } // namespace
@@ -36,10 +49,13 @@
                       [this](std::vector<Platform::Object> const &objects, Platform::ResourceVersion const &) {
                           for (auto const &object : objects)
                               addInstance(object);
+                          exchange_.onInstancesListed();
                       },
               },
       })
-    , schedule_({.ownRole = context.settings.role, .ownDataCentre = context.settings.dataCentre})
+    , exchange_({.self = context.settings.instance, .role = context.settings.role, .dataCentre = context.settings.dataCentre},
+                context.peers,
+                readLocalClock())
 {
 }
 
@@ -87,82 +103,111 @@
 
 void PeerReportExchange::addInstance(Platform::Object const &object)
 {
-    InstanceId const id(object.name.value());
-    if (id == context_.settings.instance)
-        return;
     boost::system::error_code error;
     auto const value = json::parse(object.spec, error);
     auto const *fields = error ? nullptr : value.if_object();
-    auto const *address = fields ? fields->if_contains("address") : nullptr;
-    if (!address || !address->is_string()) {
-        Observe::log(Observe::Events::NodeRecordRejected, {{"record", id.value()}, {"error", "no address"}});
+    Serving::InstanceRegistration registration{
+        .id = InstanceId(object.name.value()),
+        .address = Address(readString(fields, "address")),
+        .dataCentre = DataCentreId(readString(fields, "dc")),
+    };
+    if (registration.address.value().empty()) {
+        Observe::log(Observe::Events::NodeRecordRejected, {{"record", object.name.value()}, {"error", "no address"}});
         return;
     }
-    // An address from the instance's own reports is newer.
-    if (addresses_.try_emplace(id, std::string(address->get_string())).second)
-        schedule_.add(id);
+    if (auto const role = readString(fields, "role"); !role.empty())
+        registration.role = role == RunnerRole ? Serving::InstanceRole::Runner : Serving::InstanceRole::Entry;
+    exchange_.addInstance(registration);
 }
 
 void PeerReportExchange::onDatagram(std::string_view content)
 {
-    auto report = Serving::decodePeerReport(content);
-    if (!report) {
-        Observe::log(Observe::Events::NodeRecordRejected, {{"record", "report of a peer"}, {"error", report.error().toString()}});
-        return;
+    auto const reject = [](char const *record, Error const &error) {
+        Observe::log(Observe::Events::NodeRecordRejected, {{"record", record}, {"error", error.toString()}});
+    };
+    if (Serving::isLoadSummary(content)) {
+        auto summary = Serving::decodeLoadSummary(content);
+        return summary ? onSummary(std::move(*summary)) : reject("load summary of a peer", summary.error());
     }
-    if (report->sender == context_.settings.instance)
-        return;
+    auto report = Serving::decodePeerReport(content);
+    return report ? onReport(std::move(*report)) : reject("report of a peer", report.error());
+}
+
+void PeerReportExchange::onReport(Serving::PeerReport report)
+{
+    using Acceptance = Serving::PeerExchange::Acceptance;
     auto const now = readLocalClock();
-    addresses_[report->sender] = report->address;
-    auto const sender = report->sender;
-    schedule_.setRoleAndDataCentre(sender, report->role, report->dataCentre);
-    if (!context_.peers.find(sender)) {
-        Observe::log(Observe::Events::NodePeerHeard, {{"peer", sender.value()}});
-        // The peer may not have this instance's address yet.
-        schedule_.scheduleNow(sender);
-    }
-    if (!context_.peers.onReport(std::move(*report), now))
+    PeerProgress const progress{
+        .peer = report.address,
+        .dataCentre = report.dataCentre,
+        .stateVersion = report.stateVersion,
+        .serversRevision = report.serversRevision,
+    };
+    auto const sender = report.sender;
+    auto const acceptance = exchange_.onReport(std::move(report), now);
+    if (acceptance == Acceptance::Ignored)
         return;
+    if (acceptance == Acceptance::AcceptedFromNewPeer)
+        Observe::log(Observe::Events::NodePeerHeard, {{"peer", sender.value()}});
     if (context_.settings.role == Serving::InstanceRole::Runner)
         onLoadChanged_();
-    fleet_.onPeerReport(*context_.peers.find(sender), now);
+    fleet_.onPeerProgress(progress, now);
 }
 
-void PeerReportExchange::onTick(Instant now)
+void PeerReportExchange::onSummary(Serving::LoadSummary summary)
 {
-    context_.peers.onTick(now);
-    context_.loadAge = {.near = schedule_.nearLoadAge(), .far = schedule_.farLoadAge()};
-    for (auto const &group : schedule_.takeDue(context_.load.changes() + waitingTokensChanges_, now))
-        sendReport(group);
+    auto const now = readLocalClock();
+    auto const relay = context_.peers.addressOf(summary.relay);
+    PeerProgress progress{
+        .dataCentre = summary.dataCentre,
+        .stateVersion = summary.stateVersion,
+        .serversRevision = summary.serversRevision,
+    };
+    if (exchange_.onSummary(std::move(summary), now) == Serving::PeerExchange::Acceptance::Ignored)
+        return;
+    if (context_.settings.role == Serving::InstanceRole::Runner)
+        onLoadChanged_();
+    // A relay without a known address has sent no report yet. Its first report contains the versions again.
+    if (relay) {
+        progress.peer = *relay;
+        fleet_.onPeerProgress(progress, now);
+    }
 }
 
-void PeerReportExchange::sendReport(Serving::ReportSchedule::ReportGroup const &group)
+void PeerReportExchange::onTick(Instant now)
 {
-    auto const content = Serving::encodePeerReport({
-        .sender = context_.settings.instance,
-        .startedAt = startedAt_,
-        .number = ++lastReportNumber_,
-        .nextWithin = group.nextWithin,
-        .role = context_.settings.role,
-        .stage = stage_,
-        .store = storeReachability_,
-        .dataCentre = context_.settings.dataCentre,
-        .address = context_.settings.peers,
-        .stateVersion = context_.routes ? context_.routes->state().version : Serving::StateVersion(0),
-        .serversRevision = fleet_.serversRevision(),
-        .runnersHash = context_.peers.runnersHash(),
-        .observedRunners = context_.peers.observedRunners(),
-        .inFlight = context_.load.all(),
-        .waitingTokens = waitingTokens_,
-    });
-    for (auto const &peer : group.peers)
-        socket_->send(addresses_.at(peer), content);
+    context_.peers.onTick(now);
+    context_.loadAge = {.near = exchange_.nearLoadAge(), .far = exchange_.farLoadAge()};
+    auto const due = exchange_.takeDue(
+        {
+            .startedAt = startedAt_,
+            .stage = stage_,
+            .store = storeReachability_,
+            .address = context_.settings.peers,
+            .stateVersion = context_.routes ? context_.routes->state().version : Serving::StateVersion(0),
+            .serversRevision = fleet_.serversRevision(),
+            .waitingTokens = waitingTokens_,
+            .inFlight = context_.load.all(),
+            .changes = context_.load.changes() + waitingTokensChanges_,
+        },
+        now);
+    for (auto const &[receivers, report] : due.reports) {
+        auto const content = Serving::encodePeerReport(report);
+        for (auto const &receiver : receivers)
+            socket_->send(receiver, content);
+    }
+    for (auto const &[receivers, summary] : due.summaries) {
+        auto const content = Serving::encodeLoadSummary(summary);
+        for (auto const &[address, included] : receivers)
+            socket_->send(address, included ? Serving::addIncludedReport(content, *included) : content);
+    }
+    fleet_.setChangeSource(exchange_.changeSource(now));
 }
 
 void PeerReportExchange::setStage(Serving::InstanceStage stage)
 {
     stage_ = stage;
-    schedule_.scheduleAllNow();
+    exchange_.scheduleAllNow();
     auto const now = readLocalClock();
     context_.peers.setOwnStage(stage, now);
     onTick(now);
@@ -174,7 +219,7 @@
         return;
     Observe::log(Observe::Events::NodeStoreReachChanged,
                  {{"store", reachability == Serving::StoreReachability::Reached ? "reached" : "lost"}});
-    schedule_.scheduleAllNow();
+    exchange_.scheduleAllNow();
     context_.peers.setOwnStoreReachability(reachability, readLocalClock());
 }
 
--- a/Services/Node/PeerReportExchange.h
+++ b/Services/Node/PeerReportExchange.h
@@ -1,12 +1,10 @@
 #pragma once
 
-#include "LibServing/ReportSchedule.h"
+#include "LibServing/PeerExchange.h"
 #include "Services/Node/DatagramSocket.h"
 #include "Services/Node/FleetFollower.h"
 #include "Services/Node/NodeContext.h"
 
-#include <map>
-
 namespace Anvilyard::Node {
 
 /// Exchanges reports with the other instances. Each instance registers its address in the platform's store for the others.
@@ -29,7 +27,8 @@
     void registerSelf();
     void addInstance(Platform::Object const &object);
     void onDatagram(std::string_view content);
-    void sendReport(Serving::ReportSchedule::ReportGroup const &group);
+    void onReport(Serving::PeerReport report);
+    void onSummary(Serving::LoadSummary summary);
 
     NodeContext &context_;
     FleetFollower &fleet_;
@@ -37,13 +36,10 @@
     StoreFollower instanceFollower_;
     std::unique_ptr<DatagramSocket> socket_;
     std::unique_ptr<Http::Timer> registerTimer_;
-    /// Addresses from registrations, updated from the reports received.
-    std::map<InstanceId, Address> addresses_;
-    Serving::ReportSchedule schedule_;
+    Serving::PeerExchange exchange_;
     Serving::InstanceStage stage_ = Serving::InstanceStage::Serving;
     Serving::StoreReachability storeReachability_ = Serving::StoreReachability::Reached;
     std::int64_t startedAt_ = 0;
-    std::uint64_t lastReportNumber_ = 0;
     std::uint64_t waitingTokens_ = 0;
     std::uint64_t waitingTokensChanges_ = 0;
 };
--- a/Services/Node/StoreFollower.cpp
+++ b/Services/Node/StoreFollower.cpp
@@ -22,13 +22,37 @@
     return unreachableSince_;
 }
 
+void StoreFollower::pause()
+{
+    isPaused_ = true;
+    watch_.reset();
+    if (!hasListed_)
+        return;
+    timer_.reset();
+    unreachableSince_.reset();
+}
+
+void StoreFollower::resume()
+{
+    if (!std::exchange(isPaused_, false))
+        return;
+    // The first list still runs or is retried, and the watch follows it.
+    if (!hasListed_ || isListing_)
+        return;
+    watch(version_);
+}
+
 void StoreFollower::list(std::string continueToken)
 {
+    isListing_ = true;
     if (continueToken.empty())
         listed_.clear();
     options_.store.list(Platform::CallClass::Read,
                         options_.kind,
-                        {.continueToken = std::move(continueToken)},
+                        {
+                            .continueToken = std::move(continueToken),
+                            .consistency = hasListed_ ? Platform::ListConsistency::Latest : options_.firstList,
+                        },
                         [this, weak = std::weak_ptr(alive_)](Result<Platform::ObjectList> page) {
                             if (!weak.expired())
                                 onPage(std::move(page));
@@ -45,6 +69,8 @@
     listed_.insert(listed_.end(), std::make_move_iterator(page->objects.begin()), std::make_move_iterator(page->objects.end()));
     if (!page->continueToken.empty())
         return list(page->continueToken);
+    isListing_ = false;
+    hasListed_ = true;
     backoff_ = options_.initialBackoff;
     if (auto const lostAt = std::exchange(unreachableSince_, std::nullopt)) {
         auto const outage = readLocalClock() - *lostAt;
@@ -55,7 +81,7 @@
             options_.hooks.onRecovered(outage);
     }
     options_.hooks.onListed(std::exchange(listed_, {}), version_);
-    if (options_.extent == StoreFollowerOptions::Extent::Changes)
+    if (options_.extent == StoreFollowerOptions::Extent::Changes && !isPaused_)
         watch(version_);
 }
 
@@ -76,6 +102,9 @@
 
 void StoreFollower::retryLater(Error const &error)
 {
+    isListing_ = false;
+    if (isPaused_ && hasListed_)
+        return;
     // A compacted history is not an outage, so the backoff before the next list does not grow.
     bool const isOutage = error.code != PlatformError::VersionTooOld;
     if (isOutage && !unreachableSince_) {
--- a/Services/Node/StoreFollower.h
+++ b/Services/Node/StoreFollower.h
@@ -31,6 +31,8 @@
         /// Lists the existing objects once, without a watch.
         ListOnce,
     } extent = Extent::Changes;
+    /// Consistency of the first list. Later lists may follow an outage, after which a stale one would show the state before it.
+    Platform::ListConsistency firstList = Platform::ListConsistency::Latest;
     StoreFollowerHooks hooks;
     /// Backoff before the retry after a failure, doubled with each failure up to `maxBackoff`. The actual wait is a random share of
     /// one half to all of it so that instances do not retry at the same time.
@@ -47,6 +49,10 @@
     StoreFollower &operator=(StoreFollower const &) = delete;
 
     void start();
+    /// Stops watching. A list that never succeeded is still retried.
+    void pause();
+    /// Watches again after a pause, from the version of the last list. If the store no longer has that history, it is listed again.
+    void resume();
     /// Time since which the store has not responded; std::nullopt while it responds.
     [[nodiscard]] std::optional<Instant> unreachableSince() const;
 
@@ -63,6 +69,9 @@
     std::unique_ptr<Http::Timer> timer_;
     Duration backoff_;
     std::optional<Instant> unreachableSince_;
+    bool isListing_ = false;
+    bool hasListed_ = false;
+    bool isPaused_ = false;
     std::shared_ptr<std::monostate> alive_ = std::make_shared<std::monostate>();
 };
 
--- /dev/null
+++ b/Tests/LibServing/TestPeerExchange.cpp
@@ -0,0 +1,132 @@
+#include "Tests/LibServing/ExchangeSimulation.h"
+
+#include <gtest/gtest.h>
+
+using namespace Anvilyard;
+using namespace Anvilyard::Serving;
+using namespace Anvilyard::Tests;
+
+namespace {
+
+/// Starts and ends of requests a second at each entry, as on a fleet whose entries receive 4.5 requests a second.
+constexpr double BusyChanges = 9;
+
+std::uint32_t ownAt(ExchangeSimulation::Instance const &instance, ServerId const &server)
+{
+    auto const found = instance.inFlight.find(server);
+    return found == instance.inFlight.end() ? 0 : found->second.online;
+}
+
+/// Number of servers whose load an instance knows wrongly, over all live instances.
+std::size_t wrongLoads(ExchangeSimulation &fleet)
+{
+    std::size_t wrong = 0;
+    for (auto const &server : fleet.servers()) {
+        auto const actual = fleet.actualAt(server).online;
+        for (auto const &instance : fleet.instances()) {
+            if (instance.isAlive)
+                wrong += instance.peers->othersAt(server).online + ownAt(instance, server) == actual ? 0 : 1;
+        }
+    }
+    return wrong;
+}
+
+/// Datagrams that an entry receives in a busy second, on average.
+double receivedByAnEntry(std::size_t instances)
+{
+    ExchangeSimulation fleet({.instances = instances});
+    fleet.run(1500ms, BusyChanges);
+    for (auto &instance : fleet.instances())
+        instance.received = 0;
+    fleet.run(2s, BusyChanges);
+    double received = 0;
+    double entries = 0;
+    for (auto const &instance : fleet.instances()) {
+        if (instance.role != InstanceRole::Entry)
+            continue;
+        received += static_cast<double>(instance.received);
+        entries += 1;
+    }
+    return received / entries / 2;
+}
+
+} // namespace
+
+/// Reports of each load change to all instances of a data centre took all processor time of the small machines of a fleet of 295.
+TEST(PeerExchangeTest, DatagramsAtAnEntryHardlyGrowWithTheFleet)
+{
+    auto const at100 = receivedByAnEntry(100);
+    auto const at300 = receivedByAnEntry(300);
+    EXPECT_LT(at300, 1.3 * at100);
+    EXPECT_LT(at300, 100);
+}
+
+TEST(PeerExchangeTest, InAFleetOfAThousandAllInstancesLearnTheLoadAndTheRunners)
+{
+    ExchangeSimulation fleet({.instances = 1000, .instancesPerRunner = 40});
+    fleet.run(2s, 1);
+    fleet.run(1s, 0);
+    EXPECT_EQ(wrongLoads(fleet), 0U);
+    std::set<std::uint64_t> hashes;
+    for (auto const &instance : fleet.instances())
+        hashes.insert(instance.peers->runnersHash());
+    EXPECT_EQ(hashes.size(), 1U);
+}
+
+TEST(PeerExchangeTest, LostDatagramsDelayTheLoadButDoNotFalsifyIt)
+{
+    ExchangeSimulation fleet({.instances = 150, .lossShare = 0.05});
+    fleet.run(4s, BusyChanges);
+    fleet.run(2s, 0);
+    EXPECT_EQ(wrongLoads(fleet), 0U);
+}
+
+/// Both relays of a data centre die, as when the machines that write most lose power. Guards against instances that wait for them.
+TEST(PeerExchangeTest, OtherRunnersTakeOverFromDeadRelays)
+{
+    ExchangeSimulation fleet({.instances = 150});
+    fleet.run(3s, BusyChanges);
+    auto const relays = fleet.instances().back().peers->relays();
+    ASSERT_EQ(relays.size(), 2U);
+    for (auto const &relay : relays)
+        fleet.kill(fleet.find(relay));
+    fleet.run(3s, BusyChanges);
+    fleet.run(1s, 0);
+    EXPECT_EQ(wrongLoads(fleet), 0U);
+    auto const after = fleet.instances().back().peers->relays();
+    EXPECT_EQ(after.size(), 2U);
+    EXPECT_NE(after, relays);
+}
+
+/// The runners are split into two halves while entries reach all of them (core_cut). Guards against two halves that each own all jobs and
+/// do not know of each other.
+TEST(PeerExchangeTest, RunnersOfTwoHalvesStillCountAsAlive)
+{
+    ExchangeSimulation fleet({.instances = 150});
+    fleet.run(3s, BusyChanges);
+    auto const before = fleet.instances().front().peers->runners();
+    fleet.setCut([](auto const &from, auto const &to) {
+        auto const half = [](auto const &instance) { return instance.dataCentre < DataCentreId("dc2"); };
+        bool const areRunners = from.role == InstanceRole::Runner && to.role == InstanceRole::Runner;
+        return areRunners && half(from) != half(to);
+    });
+    fleet.run(6s, BusyChanges);
+    for (auto const &instance : fleet.instances())
+        ASSERT_EQ(instance.peers->runners(), before) << instance.id.value();
+}
+
+/// Only relays and instances without a relay watch the store, since each watcher costs calls.
+TEST(PeerExchangeTest, FewInstancesOfALargeFleetWatchTheStore)
+{
+    ExchangeSimulation fleet({.instances = 300});
+    fleet.run(1500ms, BusyChanges);
+    auto const now = Instant(std::chrono::hours(1)) + 1500ms;
+    std::size_t watchers = 0;
+    for (auto &instance : fleet.instances())
+        watchers += instance.exchange->changeSource(now) == ChangeSource::Store ? 1 : 0;
+    EXPECT_EQ(watchers, 10U) << "two relays in each of five data centres";
+    ExchangeSimulation small({.instances = 20});
+    small.run(1500ms, BusyChanges);
+    for (auto &instance : small.instances())
+        EXPECT_EQ(instance.exchange->changeSource(now), ChangeSource::Store);
+}
--- a/Tests/LibServing/TestPeers.cpp
+++ b/Tests/LibServing/TestPeers.cpp
@@ -37,7 +37,13 @@
     report.runnersHash = ~std::uint64_t{0};
     report.inFlight[ServerId("s")] = {.online = 3, .batch = 4};
     report.store = StoreReachability::Lost;
-    report.observedRunners = {{.id = InstanceId("r1")}, {.id = InstanceId("r2"), .store = StoreReachability::Lost}};
+    report.observedRunners = {{.id = InstanceId("r1")},
+                              {.id = InstanceId("r2"),
+                               .store = StoreReachability::Lost,
+                               .address = Address("10.0.0.2:7"),
+                               .waitingTokens = 1'000'000'000'000}};
+    report.knownInstances = 295;
+    report.wantsSummaries = true;
     report.waitingTokens = 1'000'000'000'000;
     auto const decoded = decodePeerReport(encodePeerReport(report));
     ASSERT_TRUE(decoded) << decoded.error().toString();
@@ -49,6 +55,8 @@
     EXPECT_EQ(decoded->store, StoreReachability::Lost);
     EXPECT_EQ(decoded->observedRunners, report.observedRunners);
     EXPECT_EQ(decoded->waitingTokens, report.waitingTokens);
+    EXPECT_EQ(decoded->knownInstances, 295U);
+    EXPECT_TRUE(decoded->wantsSummaries);
 }
 
 TEST(PeerReportTest, MalformedDatagramsAreRejected)
@@ -60,6 +68,129 @@
         EXPECT_FALSE(decodePeerReport(std::string_view(complete).substr(0, length)));
 }
 
+namespace {
+
+PeerReport runnerIn(std::string sender, std::string dataCentre, std::uint64_t number = 1)
+{
+    auto report = reportOf(std::move(sender), number);
+    report.dataCentre = DataCentreId(std::move(dataCentre));
+    return report;
+}
+
+PeerTable tableIn(std::string self, InstanceRole role, std::string dataCentre)
+{
+    PeerTable table({.self = InstanceId(std::move(self)), .ownRole = role, .dataCentre = DataCentreId(std::move(dataCentre))});
+    table.setOwnStage(InstanceStage::Serving, Start);
+    return table;
+}
+
+} // namespace
+
+TEST(PeerTableTest, AllInstancesOfADataCentreAgreeOnItsRelays)
+{
+    auto entry = tableIn("entry", InstanceRole::Entry, "a");
+    auto runner = tableIn("r1", InstanceRole::Runner, "a");
+    auto farRunner = tableIn("far", InstanceRole::Runner, "b");
+    for (auto const *const name : {"r1", "r2", "r3", "r4", "r5"}) {
+        entry.onReport(runnerIn(name, "a"), Start);
+        runner.onReport(runnerIn(name, "a"), Start);
+        farRunner.onReport(runnerIn(name, "a"), Start);
+    }
+    entry.onReport(runnerIn("far", "b"), Start);
+    ASSERT_EQ(entry.relays().size(), 2U);
+    EXPECT_EQ(entry.relays(), runner.relays());
+    EXPECT_EQ(entry.relays(), farRunner.relaysOf(DataCentreId("a")));
+    EXPECT_FALSE(entry.isRelay());
+}
+
+/// Both relays lose the store while the other runners reach it. Guards against entries that learn of no change of the desired state.
+TEST(PeerTableTest, RunnersThatReachTheStoreAreThePreferredRelays)
+{
+    auto table = tableIn("entry", InstanceRole::Entry, "a");
+    for (auto const *const name : {"r1", "r2", "r3", "r4"})
+        table.onReport(runnerIn(name, "a"), Start);
+    auto const before = table.relays();
+    for (auto const &relay : before) {
+        auto report = runnerIn(relay.value(), "a", 2);
+        report.store = StoreReachability::Lost;
+        table.onReport(report, Start);
+    }
+    for (auto const &relay : table.relays())
+        EXPECT_EQ(std::count(before.begin(), before.end(), relay), 0) << relay.value();
+    EXPECT_EQ(table.relays().size(), 2U);
+}
+
+TEST(PeerTableTest, ADataCentreWithoutRunnersUsesRelaysOfOthers)
+{
+    auto table = tableIn("entry", InstanceRole::Entry, "a");
+    table.onReport(runnerIn("r1", "b"), Start);
+    table.onReport(runnerIn("r2", "a"), Start);
+    EXPECT_EQ(table.relays(), std::vector{InstanceId("r2")});
+    auto leaving = runnerIn("r2", "a", 2);
+    leaving.stage = InstanceStage::Leaving;
+    table.onReport(leaving, Start);
+    EXPECT_EQ(table.relays(), std::vector{InstanceId("r1")});
+}
+
+/// In a large fleet an instance receives no reports of most runners. Guards against a limit of waiting tokens that leaves out their
+/// jobs, and against job calls that cannot reach an owner that is alive.
+TEST(PeerTableTest, TokensAndAddressesOfRunnersAreKnownThroughPeers)
+{
+    auto table = tableIn("entry", InstanceRole::Entry, "a");
+    auto report = runnerIn("r1", "a");
+    report.waitingTokens = 10;
+    report.observedRunners = {{.id = InstanceId("r1"), .waitingTokens = 9},
+                              {.id = InstanceId("r2"), .address = Address("10.0.0.2:7"), .waitingTokens = 20}};
+    table.onReport(report, Start);
+    auto other = runnerIn("r3", "a");
+    other.observedRunners = {{.id = InstanceId("r2"), .address = Address("10.0.0.2:7"), .waitingTokens = 25}};
+    table.onReport(other, Start);
+    EXPECT_EQ(table.waitingTokens(Start), 35U);
+    EXPECT_EQ(table.addressOf(InstanceId("r1")), Address("10.0.0.1:7"));
+    EXPECT_EQ(table.addressOf(InstanceId("r2")), Address("10.0.0.2:7"));
+    EXPECT_FALSE(table.addressOf(InstanceId("r9")));
+}
+
+/// Reports of load changes leave out the observed runners. Guards against runners that vanish with each of them.
+TEST(PeerTableTest, AReportWithoutObservedRunnersKeepsTheEarlierOnes)
+{
+    auto table = tableIn("r0", InstanceRole::Runner, "a");
+    auto report = runnerIn("r1", "a");
+    report.observedRunners = {{.id = InstanceId("r2")}};
+    table.onReport(report, Start);
+    auto change = decodePeerReport([&] {
+        auto next = runnerIn("r1", "a", 2);
+        next.statesObservedRunners = false;
+        return encodePeerReport(next);
+    }());
+    ASSERT_TRUE(change);
+    table.onReport(*change, Start);
+    EXPECT_EQ(table.runners().size(), 3U);
+    auto restarted = runnerIn("r1", "a", 1);
+    restarted.startedAt = 2;
+    restarted.statesObservedRunners = false;
+    table.onReport(restarted, Start);
+    EXPECT_EQ(table.runners().size(), 2U);
+}
+
+/// Guards against adding the reports of a few peers to a summary that includes them already.
+TEST(PeerTableTest, ASummaryReplacesTheLoadOfDirectReports)
+{
+    auto table = tableIn("entry", InstanceRole::Entry, "a");
+    auto report = runnerIn("r1", "a");
+    report.inFlight[ServerId("s")] = {.batch = 2};
+    table.onReport(report, Start);
+    EXPECT_EQ(table.othersAt(ServerId("s")).batch, 2U);
+    table.onSummary({.relay = InstanceId("r1"),
+                     .position = {.startedAt = 1, .number = 1},
+                     .dataCentre = DataCentreId("a"),
+                     .near = {{ServerId("s"), {.online = 4, .batch = 3}}}},
+                    Start);
+    EXPECT_EQ(table.othersAt(ServerId("s")), (InFlight{.online = 4, .batch = 3}));
+    table.onTick(Start + 1s);
+    EXPECT_EQ(table.othersAt(ServerId("s")).batch, 2U) << "without relays the direct reports count";
+}
+
 /// Guards against adding up reports and against replacing a newer report by an older one.
 RC_GTEST_PROP(PeerTableProperty, LostDuplicatedAndReorderedReportsKeepTheNewestCounts, ())
 {
--- a/Tests/Node/NodeFixture.h
+++ b/Tests/Node/NodeFixture.h
@@ -156,7 +156,7 @@
     {
         auto &node = nodes_[name];
         thread_.call([&] {
-            node.store = Adapter::FleetStore::create({.loop = thread_.loop(), .platform = store_->address(), .callTimeout = 400ms});
+            node.store = Adapter::FleetStore::create({.loop = thread_.loop(), .platform = store_->address(), .callTimeout = 400ms, .pacingByKind = watchPacing_});
             Address const any("127.0.0.1:0");
             node.program = std::make_unique<Node::NodeProgram>(Node::NodeProgramOptions{
                 .loop = thread_.loop(),
@@ -253,6 +253,8 @@
     std::unique_ptr<FleetStoreServer> store_;
     std::shared_ptr<Http::HttpClient> client_;
     std::map<std::string, RunningNode> nodes_;
+    /// Pacing of the watches of nodes that are started later.
+    std::map<Platform::Kind, Platform::WatchPacingOptions> watchPacing_;
 };
 
 } // namespace Anvilyard::Tests
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -81,6 +81,24 @@
 
 } // namespace
 
+/// The watches of hundreds of instances are paced, as each return costs a call of the store. Guards against jobs that start, and end, only
+/// with the next return of their owner's watch.
+TEST_F(JobsTest, TheOwnerIsNotifiedOfAJobAheadOfItsWatch)
+{
+    watchPacing_ = {{Jobs::jobKind, {.minPause = 60s, .maxPause = 60s}}};
+    addServer("s1", complete);
+    auto &entry = startNode("entry-1");
+    auto &runner = startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    waitUntilReady(runner);
+    waitUntil([&] { return entry.runnersHash() == runner.runnersHash() && runner.runnersHash() != 0; });
+    // The first job ends the first watch, and the second one comes during the pause.
+    for (auto const *const job : {"first", "second"}) {
+        ASSERT_EQ(ask(entry, submissionOf(job, 2))->status, 202);
+        EXPECT_EQ(readResults(entry, job, 2).size(), 2U);
+    }
+}
+
 TEST_F(JobsTest, AJobIsAcceptedOnceThenRunAndReadByPosition)
 {
     addServer("s1", complete);
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -1,6 +1,7 @@
 #include "Tests/Fakes/ScriptedServer.h"
 #include "Tests/Node/NodeFixture.h"
 
+#include <boost/json.hpp>
 #include <map>
 #include <set>
 
@@ -300,6 +301,39 @@
     EXPECT_EQ(ask(again, requestOf("/i/1", "a"))->status, 200);
 }
 
+/// In a large fleet relays watch the store for the others, which request the changes since their own revision. Guards against a
+/// complete list for each change and against a removed server that stays in use.
+TEST_F(OnlineTest, APeerReceivesOnlyTheChangesSinceItsRevision)
+{
+    auto &node = serve({respondWith("x"), respondWith("x"), respondWith("x")});
+    auto const fetch = [&](std::string const &query) {
+        auto const address = thread_.call([&] { return node.peerAddress(); });
+        auto const answer =
+            sendTo(address, {.method = "GET", .target = "/fleet" + query, .headers = {{"Host", address.value()}}}).get();
+        EXPECT_EQ(answer->status, 200);
+        return boost::json::parse(answer->body).as_object();
+    };
+    auto const all = fetch("");
+    EXPECT_TRUE(all.at("complete").as_bool());
+    EXPECT_EQ(all.at("servers").as_array().size(), 3U);
+    EXPECT_FALSE(all.at("state").as_string().empty());
+    auto const since = "?state=1&since=" + std::to_string(all.at("revision").to_number<std::uint64_t>());
+    EXPECT_TRUE(fetch(since).at("state").as_string().empty());
+    thread_.call([&] { store_->remove("servers", "s1"); });
+    putServer("s2", servers_[1]->address(), "draining");
+    putState(2);
+    boost::json::object changes;
+    do
+        changes = fetch(since);
+    while (changes.at("servers").as_array().empty() || changes.at("removed").as_array().empty()
+           || changes.at("state").as_string().empty());
+    EXPECT_FALSE(changes.at("complete").as_bool());
+    ASSERT_EQ(changes.at("servers").as_array().size(), 1U);
+    EXPECT_EQ(changes.at("servers").as_array()[0].as_array()[0].as_string(), "s2");
+    ASSERT_EQ(changes.at("removed").as_array().size(), 1U);
+    EXPECT_EQ(changes.at("removed").as_array()[0].as_array()[0].as_string(), "s1");
+}
+
 TEST_F(OnlineTest, AStoppingNodeFinishesItsRequestsAndIsNotReady)
 {
     std::promise<FleetServer::Writer> arrived;
