Spread requests over the least loaded servers when the load is known late

Load pattern: peaks that take all slots of a large pool while its load is known tens of milliseconds late.

Change: the requests expected since the load was reported (requests in flight over the mean run, times the age of the load) fill the servers with the least load to one level, and each choice takes a server with the probability of its share (ArrivalSpread, pure). With a load that is not late the least loaded server is chosen as before.

--- a/Libraries/LibRouting/ServerChooser.cpp
+++ b/Libraries/LibRouting/ServerChooser.cpp
@@ -1,6 +1,7 @@
 #include "LibRouting/ServerChooser.h"
 
 #include "LibCore/Rendezvous.h"
+#include "LibRouting/ArrivalSpread.h"
 
 #include <algorithm>
 #include <limits>
@@ -15,6 +16,8 @@
 constexpr double HomeCachedShare = 0.5;
 /// Represents the load of a server that gets no further requests.
 constexpr double Full = std::numeric_limits<double>::infinity();
+/// Takes the place of an id in the draw that chooses among servers.
+constexpr std::uint64_t SpreadDraw = 1;
 constexpr std::size_t InvalidIndex = std::numeric_limits<std::size_t>::max();
 
 /// Mixes two hashes. It must be cheap, as it runs for each candidate of a choice.
@@ -333,8 +336,7 @@
     // The load reported by servers includes batch work. Without a bound on our own requests, affinity could send a complete
     // burst to one server of a pool full of batch work.
     auto const ownBound = options_.affinityLoadBound * (ownTotal / count) + 1;
-    std::size_t chosen = InvalidIndex;
-    double lowest = std::numeric_limits<double>::max();
+    costs_.assign(end - begin, Full);
     for (std::size_t index = begin; index < end; ++index) {
         auto const &candidate = candidates_[index];
         if (candidate.isEjected || !hasModel(candidate, modelBit) || loads_[index] == Full || isExcluded(index, request.excluded))
@@ -342,12 +344,10 @@
         auto score = loads_[index] + candidate.distanceCost;
         if (request.prefix && loads_[index] <= bound && candidate.ownInFlight <= ownBound)
             score -= options_.affinityWeight * cachedShares_[index];
-        if (score < lowest) {
-            lowest = score;
-            chosen = index;
-        }
+        costs_[index - begin] = score;
     }
-    return chosen;
+    auto const chosen = chooseBySpread(costs_, request.unreportedArrivals, drawFor(seed, SpreadDraw));
+    return chosen ? begin + *chosen : InvalidIndex;
 }
 
 Fleet::BackendServer const *ServerChooser::choose(ChoiceRequest const &request, Instant now, RandomSource &random)
--- a/Libraries/LibRouting/ServerChooser.h
+++ b/Libraries/LibRouting/ServerChooser.h
@@ -60,6 +60,8 @@
     PromptPrefix const *prefix = nullptr;
     /// Servers already tried.
     std::span<ServerId const> excluded;
+    /// Expected number of requests that other instances sent to the servers of the subset since the load was reported.
+    double unreportedArrivals = 0;
 };
 
 /// Chooses among the backend servers of one pool for one traffic thread. Time and randomness are passed in. Performs no I/O.
@@ -135,6 +137,7 @@
     std::vector<double> cachedShares_;
     std::vector<std::size_t> matched_;
     std::vector<double> loads_;
+    std::vector<double> costs_;
     std::size_t subsetCount_ = 0;
     double meanOthers_ = 0;
     std::unordered_map<ServerId, std::size_t> indexOf_;
--- a/Libraries/LibServing/OnlinePlacement.cpp
+++ b/Libraries/LibServing/OnlinePlacement.cpp
@@ -19,6 +19,16 @@
     return own.at(server).online + peers.othersAt(server).online;
 }
 
+/// As many requests start within the time of a run as are in flight.
+double unreportedArrivals(std::span<ServerLoad const> servers, Duration meanRun, Duration loadAge)
+{
+    std::uint64_t online = 0;
+    for (auto const &server : servers)
+        online += server.online;
+    auto const runs = static_cast<double>(loadAge.count()) / static_cast<double>(std::max<Duration::rep>(1, meanRun.count()));
+    return static_cast<double>(online) * runs;
+}
+
 } // namespace
 
 OnlinePlacement::OnlinePlacement(OnlinePlacementOptions options)
@@ -117,7 +127,14 @@
                 .servers = loads.size(),
                 .shortestWait = verdict.shortestWait};
     refreshLoads(pool, own, peers, request.loadAge, now);
-    auto const *chosen = pool.chooser.choose({.prefix = request.prefix, .excluded = request.excluded}, now, random);
+    auto const *chosen = pool.chooser.choose(
+        {
+            .prefix = request.prefix,
+            .excluded = request.excluded,
+            .unreportedArrivals = unreportedArrivals(loads, pool.meanRun, request.loadAge.near),
+        },
+        now,
+        random);
     if (!chosen)
         return {};
     auto const &record = pool.servers.at(chosen->id);
