Assign servers only to runners of their data centre in a large fleet

Cause: runners of different data centres no longer receive each other's items, but with two or three runners in a data centre up to two far runners were assigned to a server and filled slots that near ones had filled.

Change: in a large fleet only runners of the server's data centre send it items, and a single one if the data centre has none.

Test, red before: InALargeFleetTheRunnersOfAServerAreInOneDataCentre.

--- a/Libraries/LibServing/PeerExchange.cpp
+++ b/Libraries/LibServing/PeerExchange.cpp
@@ -63,6 +63,7 @@
 
 void PeerExchange::refreshTopology()
 {
+    peers_.setFleetKind(schedule_.isSmallFleet() ? FleetKind::Small : FleetKind::Large);
     if (std::exchange(seenTopology_, peers_.topologyVersion()) == peers_.topologyVersion())
         return;
     schedule_.setRelays(peers_.relays());
--- a/Libraries/LibServing/PeerTable.cpp
+++ b/Libraries/LibServing/PeerTable.cpp
@@ -94,6 +94,12 @@
     updateRunners(now);
 }
 
+void PeerTable::setFleetKind(FleetKind kind)
+{
+    if (std::exchange(fleetKind_, kind) != kind)
+        ++topologyVersion_;
+}
+
 void PeerTable::setOwnStoreReachability(StoreReachability reachability, Instant now)
 {
     ownStoreReachability_ = reachability;
@@ -345,7 +351,7 @@
 
 bool PeerTable::isRunnerFor(ServerId const &server, DataCentreId const &dataCentre) const
 {
-    if (runners_.size() <= options_.runnersPerServer)
+    if (fleetKind_ == FleetKind::Small && runners_.size() <= options_.runnersPerServer)
         return true;
     auto const isNear = [&](InstanceId const &runner) {
         auto const *report = find(runner);
@@ -356,9 +362,16 @@
         return std::pair(isNear(runner), rendezvousScore(server.value(), runner.value()));
     };
     auto const own = rankOf(options_.self);
-    auto const before = std::count_if(
-        runners_.begin(), runners_.end(), [&](InstanceId const &runner) { return runner != options_.self && rankOf(runner) > own; });
-    return static_cast<std::size_t>(before) < options_.runnersPerServer;
+    std::size_t before = 0;
+    bool hasNear = own.first;
+    for (auto const &runner : runners_) {
+        auto const rank = rankOf(runner);
+        hasNear = hasNear || rank.first;
+        before += runner != options_.self && rank > own ? 1 : 0;
+    }
+    if (fleetKind_ == FleetKind::Small)
+        return before < options_.runnersPerServer;
+    return hasNear ? own.first && before < options_.runnersPerServer : before == 0;
 }
 
 std::optional<InstanceId> PeerTable::ownerOf(JobId const &job) const
--- a/Libraries/LibServing/PeerTable.h
+++ b/Libraries/LibServing/PeerTable.h
@@ -10,6 +10,14 @@
 
 namespace Anvilyard::Serving {
 
+/// Which reports the instances of a fleet exchange.
+enum class FleetKind {
+    /// Every instance receives the load of all others.
+    Small,
+    /// Instances receive the load of other data centres as sums only.
+    Large,
+};
+
 struct PeerTableOptions {
     InstanceId self;
     InstanceRole ownRole = InstanceRole::Entry;
@@ -43,6 +51,7 @@
     /// Called after this process was paused. Peers may have considered it dead in the meantime.
     void onProcessPaused(Instant now);
     void setOwnStage(InstanceStage stage, Instant now);
+    void setFleetKind(FleetKind kind);
     void setOwnStoreReachability(StoreReachability reachability, Instant now);
 
     [[nodiscard]] std::vector<PeerReport const *> live() const;
@@ -84,7 +93,8 @@
     /// The runner that owns a job in the view of this instance; `std::nullopt` if no runner is known.
     [[nodiscard]] std::optional<InstanceId> ownerOf(JobId const &job) const;
     /// Whether this runner may send items to a server: it is among the first `runnersPerServer` runners by rendezvous hashing, where
-    /// runners in the server's data centre rank before all others.
+    /// runners in the server's data centre rank before all others. Runners of one server have to know each other's items there. In a large
+    /// fleet those of different data centres do not, so a server without runners in its data centre has a single one.
     [[nodiscard]] bool isRunnerFor(ServerId const &server, DataCentreId const &dataCentre) const;
     /// Hash over runners(), compared between instances.
     [[nodiscard]] std::uint64_t runnersHash() const;
@@ -127,6 +137,7 @@
     [[nodiscard]] std::vector<InstanceId> firstRelays(DataCentreId const &dataCentre, bool mayUseOthers) const;
 
     PeerTableOptions options_;
+    FleetKind fleetKind_ = FleetKind::Small;
     InstanceStage ownStage_ = InstanceStage::Serving;
     StoreReachability ownStoreReachability_ = StoreReachability::Reached;
     std::map<InstanceId, Peer> peers_;
--- a/Tests/LibServing/TestPeers.cpp
+++ b/Tests/LibServing/TestPeers.cpp
@@ -2,6 +2,7 @@
 #include "LibServing/ServingError.h"
 
 #include <algorithm>
+#include <map>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -173,6 +174,30 @@
     EXPECT_EQ(table.runners().size(), 2U);
 }
 
+/// In a large fleet runners of different data centres receive no item counts of each other. On kookhuur-anvil-grown, with two or three
+/// runners in each of four data centres, far runners started items in slots that near ones had filled, and streams waited behind them.
+TEST(PeerTableTest, InALargeFleetTheRunnersOfAServerAreInOneDataCentre)
+{
+    std::vector<std::pair<std::string, std::string>> const runners{{"a1", "a"}, {"a2", "a"}, {"b1", "b"}, {"b2", "b"}, {"b3", "b"}};
+    std::map<std::string, std::size_t> senders;
+    std::size_t sendersToC = 0;
+    for (auto const &[self, dataCentre] : runners) {
+        auto table = tableIn(self, InstanceRole::Runner, dataCentre);
+        for (auto const &[other, otherDataCentre] : runners)
+            table.onReport(runnerIn(other, otherDataCentre), Start);
+        table.setFleetKind(FleetKind::Large);
+        for (int number = 0; number < 20; ++number) {
+            ServerId const server("s" + std::to_string(number));
+            senders[dataCentre] += table.isRunnerFor(server, DataCentreId(dataCentre)) ? 1 : 0;
+            EXPECT_FALSE(table.isRunnerFor(server, DataCentreId(dataCentre == "a" ? "b" : "a")));
+            sendersToC += table.isRunnerFor(server, DataCentreId("c")) ? 1 : 0;
+        }
+    }
+    EXPECT_EQ(senders["a"], 40U);
+    EXPECT_EQ(senders["b"], 60U);
+    EXPECT_EQ(sendersToC, 20U) << "one runner for each server of a data centre without runners";
+}
+
 /// Guards against adding the reports of a few peers to a summary that includes them already.
 TEST(PeerTableTest, ASummaryReplacesTheLoadOfDirectReports)
 {
