Confirm an empty read of an unsettled owner with one call of the store

Cause: while runners disagree about owners, for five seconds after each change of the fleet, an owner without news was not believed and each poll read the job and all its segments.

Change: an owner whose listed outcomes end where the reader asks says so, and the entry reads only the segment that would begin there.

Test, red before (three calls): AnEmptyReadOfAnUnsettledOwnerCostsOneCall.

--- a/Services/Node/JobApiHandler.cpp
+++ b/Services/Node/JobApiHandler.cpp
@@ -210,7 +210,7 @@
 {
     callPeer(context_.peers.ownerOf(job), std::move(target), wait, [done = std::move(done)](std::optional<Http::HttpResponse> answer) {
         // After any other response the entry reads the store.
-        bool const isUsable = answer && answer->status == 200;
+        bool const isUsable = answer && (answer->status == 200 || answer->status == UnconfirmedStatus);
         done(isUsable ? std::move(answer) : std::nullopt);
     });
 }
@@ -251,10 +251,26 @@
               [this, call, writer = std::move(writer)](std::optional<Http::HttpResponse> answer) {
                   if (!answer)
                       return readFromStore(call, writer);
+                  if (answer->status == UnconfirmedStatus)
+                      return confirmNoResults(call, std::move(answer->body), writer);
                   writer->respond({.status = 200, .headers = {{"Content-Type", "application/json"}}, .body = std::move(answer->body)});
               });
 }
 
+/// While runners disagree about the owner, each read would otherwise read a job and all its segments from the store. All outcomes before
+/// the position are known to the owner, so that the segment that begins there is the only one that can be new.
+void JobApiHandler::confirmNoResults(ReadResults const &call, std::string emptyPage, Writer const &writer)
+{
+    Jobs::loadSegment(context_.store,
+                      call.job,
+                      call.from,
+                      [this, call, emptyPage = std::move(emptyPage), writer](Result<std::optional<Jobs::ResultSegment>> segment) {
+                          if (!segment || *segment)
+                              return readFromStore(call, writer);
+                          writer->respond({.status = 200, .headers = {{"Content-Type", "application/json"}}, .body = emptyPage});
+                      });
+}
+
 void JobApiHandler::readFromStore(ReadResults const &call, Writer writer)
 {
     Jobs::loadJob(context_.store, call.job, Jobs::LoadExtent::Full, [this, call, writer = std::move(writer)](Result<Jobs::LoadedJob> job) {
--- a/Services/Node/JobApiHandler.h
+++ b/Services/Node/JobApiHandler.h
@@ -35,6 +35,7 @@
     void refuse(JobId const &job, Writer const &writer, Http::Refusal const &refusal);
 
     void read(ReadResults const &call, Writer writer);
+    void confirmNoResults(ReadResults const &call, std::string emptyPage, Writer const &writer);
     void readFromStore(ReadResults const &call, Writer writer);
     void read(ReadItemBody const &call, Writer writer);
     void readFromStore(ReadItemBody const &call, Writer writer);
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -417,10 +417,15 @@
     // While two runners may both consider themselves the owner, only the store shows that there is no new result.
     bool const mayHaveTwoOwners =
         read.call.runnersHash != context_.peers.runnersHash() || context_.peers.isUnsettled(now) || unconfirmed_.contains(read.call.job);
-    if (page->outcomes.empty() && mayHaveTwoOwners)
-        read.writer->respond({.status = NotOwnerStatus});
-    else
-        read.writer->respond(context_.protocol.writeResults(*page));
+    auto response = context_.protocol.writeResults(*page);
+    if (page->outcomes.empty() && mayHaveTwoOwners) {
+        // Only at the end of the listed outcomes would a segment of another runner begin.
+        if (read.call.from != jobs_.listedCount(read.call.job))
+            response = {.status = NotOwnerStatus};
+        else
+            response.status = UnconfirmedStatus;
+    }
+    read.writer->respond(std::move(response));
     return true;
 }
 
--- a/Services/Node/PeerJobCalls.h
+++ b/Services/Node/PeerJobCalls.h
@@ -55,6 +55,9 @@
 
 /// Status sent by a runner that does not own the job. The entry then reads the store.
 constexpr int NotOwnerStatus = 421;
+/// Status sent by a runner that has no further results, if another runner may have stored some. The entry then reads the store at this
+/// position only.
+constexpr int UnconfirmedStatus = 203;
 /// Status sent by the admitter if the job does not fit.
 constexpr int QuotaFullStatus = 429;
 
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -121,6 +121,34 @@
     EXPECT_EQ(ask(entry, {.method = "GET", .target = "/api/lots/other", .headers = {{"Host", "h.example"}}})->status, 404);
 }
 
+/// Runners disagree about the owners of jobs for seconds after each change of the fleet, in which clients poll hundreds of jobs. Guards
+/// against polls that each read a job and all its segments from the store.
+TEST_F(JobsTest, AnEmptyReadOfAnUnsettledOwnerCostsOneCall)
+{
+    addServer("s1", [](int number, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        // The first two items are completed, and the third one never ends.
+        if (number <= 2)
+            complete(number, request, writer);
+    });
+    auto &entry = startNode("entry-1");
+    auto &runner = startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    waitUntil([&] { return entry.runnersHash() == runner.runnersHash() && runner.runnersHash() != 0; });
+    ASSERT_EQ(ask(entry, submissionOf("job", 3))->status, 202);
+    EXPECT_EQ(readResults(entry, "job", 2).size(), 2U);
+    auto const countReads = [&] {
+        std::size_t count = 0;
+        for (auto const &[call, number] : thread_.call([&] { return store_->calls(); }))
+            count += call.starts_with("GET batch") ? number : 0;
+        return count;
+    };
+    auto const before = countReads();
+    auto const page = read(entry, "job", 2, 10);
+    EXPECT_TRUE(page.at("results").as_array().empty());
+    EXPECT_EQ(page.at("total").to_number<int>(), 3);
+    EXPECT_EQ(countReads(), before + 1);
+}
+
 /// Guards against storing empty segments, which happened when encoding and moving the segment were arguments of the same call.
 TEST_F(JobsTest, ResultsAreReadFromTheStoreWhenNoRunnerIsLeft)
 {
