Rank preempted items by what is left of them and store outcomes by due time

A preempted item was given up as late as if all of it were left, and any waiting item of its job could go first.

Change: an item counts by its remaining events; those of a job closest to their end go first.

--- a/Libraries/LibJobs/JobTracker.cpp
+++ b/Libraries/LibJobs/JobTracker.cpp
@@ -5,6 +5,13 @@
 
 namespace Anvilyard::Jobs {
 
+namespace {
+
+/// Weight of one completed item in the moving average of events.
+constexpr double MeanEventsWeight = 0.1;
+
+} // namespace
+
 JobTracker::JobTracker(JobTrackerOptions options)
     : options_(options)
 {
@@ -111,13 +118,16 @@
     for (auto const &[id, job] : jobs_) {
         if (!mayRun(job, pool))
             continue;
-        auto const waitingItem = std::find_if(job.items.begin(), job.items.end(), [&](Item const &item) {
-            return item.state == Item::State::Waiting && item.notBefore <= now;
-        });
+        auto waitingItem = job.items.end();
+        for (auto item = job.items.begin(); item != job.items.end(); ++item) {
+            bool const mayStart = item->state == Item::State::Waiting && item->notBefore <= now;
+            if (mayStart && (waitingItem == job.items.end() || item->events > waitingItem->events))
+                waitingItem = item;
+        }
         if (waitingItem == job.items.end())
             continue;
         auto const due = job.acceptedAt + job.policy.completionTarget;
-        Rank const rank{.isLate = now + runTime > due, .due = due};
+        Rank const rank{.isLate = now + timeLeft(*waitingItem, runTime) > due, .due = due};
         bool const isBetter = !best || std::tie(rank.isLate, rank.due) < std::tie(best->isLate, best->due);
         if (!isBetter)
             continue;
@@ -127,6 +137,14 @@
     return start;
 }
 
+Duration JobTracker::timeLeft(Item const &item, Duration runTime) const
+{
+    if (meanEvents_ <= 0)
+        return runTime;
+    auto const left = std::max(0.0, 1 - static_cast<double>(item.events) / meanEvents_);
+    return std::chrono::duration_cast<Duration>(runTime * left);
+}
+
 std::size_t JobTracker::waiting(PoolName const &pool, Instant now) const
 {
     std::size_t count = 0;
@@ -152,7 +170,7 @@
     if (!job || job->items[index].state != Item::State::Running)
         return;
     auto &item = job->items[index];
-    if (std::exchange(item.hasEvents, true))
+    if (item.events++ > 0)
         item.output += '\n';
     item.output += data;
     item.lastEventId = eventId;
@@ -168,6 +186,8 @@
     item.state = Item::State::Waiting;
     switch (end) {
     case SendEnd::Complete:
+        meanEvents_ += meanEvents_ > 0 ? (static_cast<double>(item.events) - meanEvents_) * MeanEventsWeight
+                                       : static_cast<double>(item.events);
         return decide(*job, index, OutcomeState::Completed, now);
     case SendEnd::Impossible:
         return decide(*job, index, OutcomeState::GivenUp, now);
@@ -183,7 +203,7 @@
     // Without an event id the servers cannot resume the item, so it restarts from the beginning.
     if (!item.lastEventId) {
         item.output.clear();
-        item.hasEvents = false;
+        item.events = 0;
     }
 }
 
@@ -194,7 +214,7 @@
     item.notBefore = now + std::min(options_.maxRetryPause, options_.retryPause * (1U << doublings));
     if (!item.lastEventId) {
         item.output.clear();
-        item.hasEvents = false;
+        item.events = 0;
     }
 }
 
@@ -225,6 +245,13 @@
     }
 }
 
+Duration JobTracker::commitDelay(Job const &job, Instant now) const
+{
+    auto const timeLeft = job.acceptedAt + job.policy.completionTarget - now;
+    auto const share = std::chrono::duration_cast<Duration>(timeLeft * options_.commitShareOfTimeLeft);
+    return std::clamp(share, options_.commitDelay, std::max(options_.commitDelay, options_.maxCommitDelay));
+}
+
 std::vector<std::pair<JobId, ResultSegment>> JobTracker::takeCommits(Instant now)
 {
     std::vector<std::pair<JobId, ResultSegment>> commits;
@@ -232,7 +259,7 @@
         if (job.decided.empty() || job.isStoring || now < job.storeNotBefore)
             continue;
         bool const isLast = job.listed.size() + job.decided.size() == job.items.size();
-        if (!isLast && now - *job.firstDecidedAt < options_.commitDelay)
+        if (!isLast && now - *job.firstDecidedAt < commitDelay(job, now))
             continue;
         ResultSegment segment{.first = job.listed.size()};
         std::size_t bytes = 0;
--- a/Libraries/LibJobs/JobTracker.h
+++ b/Libraries/LibJobs/JobTracker.h
@@ -22,8 +22,13 @@
 };
 
 struct JobTrackerOptions {
-    /// Time over which outcomes are collected before they are stored together.
+    /// Minimum time over which outcomes are collected before they are stored together.
     Duration commitDelay = 400ms;
+    /// Share of the time left until a job is due over which its outcomes are collected. Each commit costs a call of the store, and results
+    /// that are due later may be stored later.
+    double commitShareOfTimeLeft = 0.1;
+    /// Upper limit of that time. Outcomes that are not stored when a runner is lost have to be produced again.
+    Duration maxCommitDelay = 1500ms;
     /// Maximum output size of a segment, so that it fits into one object.
     std::size_t maxSegmentBytes = 512 * 1024;
     /// Pause before an unserved item is sent again. It doubles with each attempt up to maxRetryPause.
@@ -67,7 +72,9 @@
 };
 
 /// Tracks the jobs that a runner owns and the state of their items. Items of the job with the earliest due time run first. Items that
-/// cannot be on time run after all others, so that some jobs are on time under overload. Performs no I/O.
+/// cannot be on time run after all others, so that some jobs are on time under overload. Items are preempted many times where online
+/// requests come in bursts, so an item counts by what is left of it, and those of a job that are closest to their end go first. Performs no
+/// I/O.
 class JobTracker
 {
 public:
@@ -128,7 +135,7 @@
             Listed,
         } state = State::Waiting;
         std::string output;
-        bool hasEvents = false;
+        std::size_t events = 0;
         std::optional<std::uint64_t> lastEventId;
         std::uint32_t failures = 0;
         std::uint32_t pauses = 0;
@@ -154,6 +161,9 @@
     };
 
     [[nodiscard]] Job *find(JobId const &job, std::size_t index);
+    /// Expected run time of what is left of an item.
+    [[nodiscard]] Duration timeLeft(Item const &item, Duration runTime) const;
+    [[nodiscard]] Duration commitDelay(Job const &job, Instant now) const;
     void decide(Job &job, std::size_t index, OutcomeState outcome, Instant now);
     void pause(Item &item, Instant now) const;
     void list(Job &job, ResultSegment &segment);
@@ -161,6 +171,8 @@
 
     JobTrackerOptions options_;
     std::map<JobId, Job> jobs_;
+    /// Moving average of the events of completed items; 0 before the first.
+    double meanEvents_ = 0;
 };
 
 } // namespace Anvilyard::Jobs
