Hold requests for some milliseconds after a start instead of refusing them

Change: within a second of its start a node holds such a request for up to 60 ms, a fifth of the shortest latency target; when the first one has waited in vain the store is away, and the others are refused at once.

Tests: ARequestShortlyBeforeTheFirstListsIsServed (503 before), ARequestAtAStartDuringAStoreOutageIsRefusedSoon.

--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -33,6 +33,10 @@
 /// Part of the stop timeout that is reserved for the exit of the process.
 constexpr Duration ExitReserve = 500ms;
 
+/// Time after its start in which a node may hold requests.
+constexpr Duration HoldPeriod = 1s;
+constexpr Duration HoldCheckInterval = 5ms;
+
 Routing::ServerHealthOptions healthOptions()
 {
     return {
@@ -103,12 +107,14 @@
                            },
                        .isEmpty = [this] { return runner_.isIdle(); },
                    })
+    , maxRequestHold_(options.maxRequestHold)
     , loadedSettings_(options.settings)
 {
 }
 
 Result<std::monostate> NodeProgram::start()
 {
+    holdsUntil_ = readLocalClock() + std::max(HoldPeriod, maxRequestHold_);
     Observe::log(Observe::Events::NodeStarted,
                  {{"instance", context_.settings.instance.value()},
                   {"role", context_.settings.role == InstanceRole::Entry ? "entry" : "runner"},
@@ -261,6 +267,30 @@
         set("anvilyard_node_log_lines_left_out", "Log lines left out since the start", static_cast<double>(droppedLogLines_()));
 }
 
+/// After all processes restarted at once, clients reach a node some milliseconds before it has the desired state and the servers.
+void NodeProgram::holdUntilReady(Http::HttpRequest request, Writer writer, Instant now)
+{
+    // Once its time has passed, the request is handled as if it had arrived after the hold period.
+    heldRequests_.push_back({.request = std::move(request), .writer = std::move(writer), .until = now + maxRequestHold_});
+    if (!heldRequestsTimer_)
+        heldRequestsTimer_ = context_.loop.at(now + HoldCheckInterval, [this] { releaseHeldRequests(); });
+}
+
+void NodeProgram::releaseHeldRequests()
+{
+    heldRequestsTimer_.reset();
+    auto const now = readLocalClock();
+    if (!fleet_.isComplete() && now < heldRequests_.front().until) {
+        heldRequestsTimer_ = context_.loop.at(now + HoldCheckInterval, [this] { releaseHeldRequests(); });
+        return;
+    }
+    // If the oldest request has waited long enough in vain, the store does not answer, and the others need not wait either.
+    if (!fleet_.isComplete())
+        holdsUntil_ = now;
+    for (auto &held : std::exchange(heldRequests_, {}))
+        handleCaller(std::move(held.request), std::move(held.writer));
+}
+
 void NodeProgram::handleCaller(Http::HttpRequest request, Writer writer)
 {
     auto const refuse = [&](Http::Refusal const &refusal) {
@@ -279,8 +309,11 @@
             return refuse(Refusals::badRequest(call->error().detail));
         return jobApi_.handle(**call, std::move(writer));
     }
-    if (!fleet_.isComplete())
+    if (!fleet_.isComplete()) {
+        if (auto const now = readLocalClock(); now < holdsUntil_ && !stoppingSince_)
+            return holdUntilReady(std::move(request), std::move(writer), now);
         return refuse(Refusals::notReady());
+    }
     auto const *route = context_.routes->find(request.headers.find("Host").value_or(""), request.path());
     if (!route)
         return refuse(Refusals::noRoute());
--- a/Services/Node/NodeProgram.h
+++ b/Services/Node/NodeProgram.h
@@ -8,6 +8,7 @@
 #include "Services/Node/RetirementHandler.h"
 #include "Services/Node/Signals.h"
 
+#include <list>
 #include <memory>
 
 namespace Anvilyard::Node {
@@ -18,6 +19,9 @@
     ServingProtocol const &protocol;
     Platform::ObjectStore &store;
     Platform::StatusStore &statuses;
+    /// Time for which a request may wait for the first lists of the store after a start. The store answers them within 4 ms each, and a
+    /// refusal after a longer wait would leave the caller less time for a retry.
+    Duration maxRequestHold = 60ms;
     /// Called about 20 times a second.
     std::function<void()> onTick = {};
     /// Returns the number of dropped log lines for the metrics. Unset if the program writes no log.
@@ -51,6 +55,9 @@
 
 private:
     void handleCaller(Http::HttpRequest request, Writer writer);
+    /// Keeps a request that arrived before the first lists of the store until these arrive or a short time has passed.
+    void holdUntilReady(Http::HttpRequest request, Writer writer, Instant now);
+    void releaseHeldRequests();
     void handleReadiness(Http::HttpRequest const &request, Writer const &writer);
     void handlePeer(Http::HttpRequest const &request, Writer const &writer);
     void refreshGauges();
@@ -82,6 +89,17 @@
     std::unique_ptr<Http::HttpServer> metricsServer_;
     std::unique_ptr<Http::Timer> ticker_;
     std::unique_ptr<Http::Timer> loadChangeTimer_;
+    struct HeldRequest {
+        Http::HttpRequest request;
+        Writer writer;
+        Instant until;
+    };
+
+    std::list<HeldRequest> heldRequests_;
+    std::unique_ptr<Http::Timer> heldRequestsTimer_;
+    Duration maxRequestHold_;
+    /// Requests that arrive before this time are held; later the node lacks data because the store is away.
+    Instant holdsUntil_;
     std::optional<Instant> lastTickByBootClock_;
     bool wasReady_ = false;
     std::optional<Instant> stoppingSince_;
--- a/Tests/Node/NodeFixture.h
+++ b/Tests/Node/NodeFixture.h
@@ -170,6 +170,7 @@
                 .protocol = protocol_,
                 .store = *node.store,
                 .statuses = *node.store,
+                .maxRequestHold = maxRequestHold_,
                 .onStopped = [&node] { node.isStopped = true; },
             });
             auto const started = node.program->start();
@@ -253,6 +254,8 @@
     std::unique_ptr<FleetStoreServer> store_;
     std::shared_ptr<Http::HttpClient> client_;
     std::map<std::string, RunningNode> nodes_;
+    /// Of nodes that are started later.
+    Duration maxRequestHold_ = 60ms;
     /// Pacing of the watches of nodes that are started later.
     std::map<Platform::Kind, Platform::WatchPacingOptions> watchPacing_;
 };
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -56,6 +56,30 @@
     EXPECT_FALSE(answer->headers.contains("Anvilyard-Response-Signature"));
 }
 
+/// All processes restart at once (incident inc-0315 on kookhuur-anvil), and clients reach a node before the store has answered its first
+/// lists. Guards against refusing requests that can be served some milliseconds later.
+TEST_F(OnlineTest, ARequestShortlyBeforeTheFirstListsIsServed)
+{
+    putState(1);
+    servers_.push_back(std::make_unique<FleetServer>(thread_, respondWith("pong")));
+    putServer("s1", servers_.back()->address());
+    thread_.call([&] { store_->faults().setFaults({.delay = 30ms}); });
+    maxRequestHold_ = 20s;
+    auto &node = startNode("entry-1");
+    auto const answer = ask(node, requestOf("/i/1", "a"));
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200);
+}
+
+/// Guards against requests that wait for a store which does not answer.
+TEST_F(OnlineTest, ARequestAtAStartDuringAStoreOutageIsRefusedSoon)
+{
+    thread_.call([&] { store_->faults().setFaults({.outage = OutageMode::Silent}); });
+    auto &node = startNode("entry-1");
+    for (auto const *const id : {"a", "b", "c"})
+        EXPECT_EQ(ask(node, requestOf("/i/1", id))->status, 503);
+}
+
 TEST_F(OnlineTest, AResponseIsRelayedWithItsHeaders)
 {
     auto &node = serve({respondWith("pong")});
