--- a/Libraries/LibJobs/JobTracker.cpp
+++ b/Libraries/LibJobs/JobTracker.cpp
@@ -186,8 +186,8 @@
     item.state = Item::State::Waiting;
     switch (end) {
     case SendEnd::Complete:
-        meanEvents_ += meanEvents_ > 0 ? (static_cast<double>(item.events) - meanEvents_) * MeanEventsWeight
-                                       : static_cast<double>(item.events);
+        meanEvents_ +=
+            meanEvents_ > 0 ? (static_cast<double>(item.events) - meanEvents_) * MeanEventsWeight : static_cast<double>(item.events);
         return decide(*job, index, OutcomeState::Completed, now);
     case SendEnd::Impossible:
         return decide(*job, index, OutcomeState::GivenUp, now);
--- a/Libraries/LibServing/LoadSummaryTable.cpp
+++ b/Libraries/LibServing/LoadSummaryTable.cpp
@@ -93,8 +93,8 @@
         relayedFarAt_.reset();
         relayedFar_.clear();
     }
-    auto const dropped = std::erase_if(
-        farByDataCentre_, [&](auto const &entry) { return now - entry.second.at >= options_.summaryTimeout; });
+    auto const dropped =
+        std::erase_if(farByDataCentre_, [&](auto const &entry) { return now - entry.second.at >= options_.summaryTimeout; });
     if (dropped > 0)
         sumFar();
     std::erase_if(lastOfRelay_, [&](auto const &entry) { return now - entry.second.at >= options_.summaryTimeout; });
--- a/Libraries/LibServing/PeerReport.cpp
+++ b/Libraries/LibServing/PeerReport.cpp
@@ -25,8 +25,8 @@
 {
     json::array observed;
     for (auto const &runner : report.observedRunners)
-        observed.push_back(json::array{
-            runner.id.value(), runner.store == StoreReachability::Reached, runner.address.value(), runner.waitingTokens});
+        observed.push_back(
+            json::array{runner.id.value(), runner.store == StoreReachability::Reached, runner.address.value(), runner.waitingTokens});
     json::object object{
         {"sender", report.sender.value()},
         {"started", report.startedAt},
--- a/Libraries/LibServing/PeerTable.cpp
+++ b/Libraries/LibServing/PeerTable.cpp
@@ -40,8 +40,7 @@
         known != peers_.end() && known->second.report.stage == InstanceStage::Serving && report.stage == InstanceStage::Leaving;
     if (isLeaving)
         retainTokens(known->second.report, now);
-    bool const keepsObserved =
-        !report.statesObservedRunners && known != peers_.end() && known->second.report.startedAt == report.startedAt;
+    bool const keepsObserved = !report.statesObservedRunners && known != peers_.end() && known->second.report.startedAt == report.startedAt;
     if (keepsObserved)
         report.observedRunners = known->second.report.observedRunners;
     auto const sender = report.sender;
--- a/Libraries/LibServing/PeerTable.h
+++ b/Libraries/LibServing/PeerTable.h
@@ -86,8 +86,9 @@
     [[nodiscard]] std::vector<std::pair<InstanceId, std::uint32_t>> batchAt(ServerId const &server) const;
     /// Serving runners whose reports this instance receives, including itself if it is a runner.
     [[nodiscard]] std::vector<ObservedRunner> observedRunners() const;
-    /// Like observedRunners(), with the runners that live runners of other data centres observe. Entries report these, so that runners which
-    /// are cut off from other data centres know of the runners there. Runners must not pass them on, or a dead one would be reported forever.
+    /// Like observedRunners(), with the runners that live runners of other data centres observe. Entries report these, so that runners
+    /// which are cut off from other data centres know of the runners there. Runners must not pass them on, or a dead one would be reported
+    /// forever.
     [[nodiscard]] std::vector<ObservedRunner> relayedRunners() const;
     /// Runners that may own jobs, ordered by name: those that this instance or one of its live peers receives reports from. A runner
     /// that lost the platform's store cannot store outcomes, so it owns no jobs while another runner reaches the store.
@@ -104,8 +105,8 @@
     /// the own one changed recently, or this process was paused. The views of entries count as well, since entries may receive
     /// reports of runners that are cut off from each other.
     [[nodiscard]] bool isUnsettled(Instant now) const;
-    /// Tokens waiting at other runners, including those that only peers receive reports from. The tokens of a dead or leaving runner are counted until another runner has taken over its
-    /// jobs. Counting them twice for a short time is preferred over not counting them.
+    /// Tokens waiting at other runners, including those that only peers receive reports from. The tokens of a dead or leaving runner are
+    /// counted until another runner has taken over its jobs. Counting them twice for a short time is preferred over not counting them.
     [[nodiscard]] std::uint64_t waitingTokens(Instant now) const;
     /// The runner that decides on accepting jobs of a route near its limit of waiting tokens; `std::nullopt` if no runner is known.
     [[nodiscard]] std::optional<InstanceId> admitterOf(RouteName const &route) const;
--- a/Libraries/LibServing/ReportSchedule.cpp
+++ b/Libraries/LibServing/ReportSchedule.cpp
@@ -123,8 +123,7 @@
     return cadence || !isNearLimit ? cadence : Cadence{.heartbeat = options_.entryHeartbeat, .extent = ReportExtent::Liveness};
 }
 
-std::optional<ReportSchedule::Cadence>
-ReportSchedule::cadenceInLargeFleet(InstanceId const &id, Peer const &peer, Instant now) const
+std::optional<ReportSchedule::Cadence> ReportSchedule::cadenceInLargeFleet(InstanceId const &id, Peer const &peer, Instant now) const
 {
     auto const isRelay = [&](InstanceId const &instance) { return std::find(relays_.begin(), relays_.end(), instance) != relays_.end(); };
     if (isRelay(id)) {
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -95,8 +95,8 @@
     Jobs::JobTracker jobs_;
     StoreFollower jobFollower_;
     std::map<JobId, KnownJob> knownJobs_;
-    /// Runners for which `KnownJob::isOwned` holds. Ranking all runners for each of hundreds of jobs in every tick would take a third of the
-    /// processor time of a runner.
+    /// Runners for which `KnownJob::isOwned` holds. Ranking all runners for each of hundreds of jobs in every tick would take a third of
+    /// the processor time of a runner.
     std::optional<std::uint64_t> ownershipHash_;
     std::list<std::shared_ptr<ItemRun>> runs_;
     std::list<PendingRead> pendingReads_;
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -212,8 +212,8 @@
 {
     if (request.path() == "/fleet") {
         Serving::StateVersion const version(readNumberParameter(request, "state"));
-        return writer->respond({.status = fleet_.isComplete() ? 200 : 503,
-                                .body = fleet_.changesSince(version, readNumberParameter(request, "since"))});
+        return writer->respond(
+            {.status = fleet_.isComplete() ? 200 : 503, .body = fleet_.changesSince(version, readNumberParameter(request, "since"))});
     }
     if (!runner_.handle(request, writer))
         writer->respond({.status = 404});
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -397,8 +397,7 @@
         lastPieceAt_ = now;
     if (now < lastPieceAt_ + *silenceLimit())
         return scheduleSilenceCheck();
-    bool const mayMove =
-        plan_.mayMoveFrom(server_->id) ? mayMoveToFreeSlot() : parts_.context.moveBudget.tryTake(now);
+    bool const mayMove = plan_.mayMoveFrom(server_->id) ? mayMoveToFreeSlot() : parts_.context.moveBudget.tryTake(now);
     if (mayMove)
         return abortAttempt(HttpError::Silent);
     lastPieceAt_ = now;
--- a/Tests/LibServing/ExchangeSimulation.cpp
+++ b/Tests/LibServing/ExchangeSimulation.cpp
@@ -47,15 +47,16 @@
 
 void ExchangeSimulation::start(Instance &instance)
 {
-    instance.peers = std::make_unique<PeerTable>(
-        PeerTableOptions{.self = instance.id, .ownRole = instance.role, .dataCentre = instance.dataCentre});
+    instance.peers =
+        std::make_unique<PeerTable>(PeerTableOptions{.self = instance.id, .ownRole = instance.role, .dataCentre = instance.dataCentre});
     instance.exchange = std::make_unique<PeerExchange>(
         PeerExchangeOptions{.self = instance.id, .role = instance.role, .dataCentre = instance.dataCentre}, *instance.peers, now_);
     instance.peers->setOwnStage(InstanceStage::Serving, now_);
     for (std::size_t index = 0; index < instances_.size(); ++index) {
         auto const &other = instances_[index];
         if (other.peers && &other != &instance)
-            instance.exchange->addInstance({.id = other.id, .address = addressOf(index), .role = other.role, .dataCentre = other.dataCentre});
+            instance.exchange->addInstance(
+                {.id = other.id, .address = addressOf(index), .role = other.role, .dataCentre = other.dataCentre});
     }
     instance.exchange->onInstancesListed();
 }
@@ -85,7 +86,8 @@
 {
     if (std::bernoulli_distribution(options_.lossShare)(random_))
         return;
-    network_.push({.at = now_ + Latency, .order = ++lastOrder_, .from = from, .to = byAddress_.at(to), .message = message, .included = included});
+    network_.push(
+        {.at = now_ + Latency, .order = ++lastOrder_, .from = from, .to = byAddress_.at(to), .message = message, .included = included});
 }
 
 void ExchangeSimulation::deliver(Delivery const &delivery)
--- a/Tests/LibServing/ExchangeSimulation.h
+++ b/Tests/LibServing/ExchangeSimulation.h
@@ -69,7 +69,10 @@
 
     void start(Instance &instance);
     void tick(std::size_t index);
-    void send(std::size_t from, Address const &to, std::shared_ptr<Message const> const &message, std::optional<Serving::ReportPosition> included);
+    void send(std::size_t from,
+              Address const &to,
+              std::shared_ptr<Message const> const &message,
+              std::optional<Serving::ReportPosition> included);
     void deliver(Delivery const &delivery);
     void changeLoad(Instance &instance);
 
--- a/Tests/LibServing/TestPeers.cpp
+++ b/Tests/LibServing/TestPeers.cpp
@@ -2,8 +2,8 @@
 #include "LibServing/ServingError.h"
 
 #include <algorithm>
-#include <map>
 #include <gtest/gtest.h>
+#include <map>
 #include <rapidcheck/gtest.h>
 
 using namespace Anvilyard;
@@ -38,11 +38,9 @@
     report.runnersHash = ~std::uint64_t{0};
     report.inFlight[ServerId("s")] = {.online = 3, .batch = 4};
     report.store = StoreReachability::Lost;
-    report.observedRunners = {{.id = InstanceId("r1")},
-                              {.id = InstanceId("r2"),
-                               .store = StoreReachability::Lost,
-                               .address = Address("10.0.0.2:7"),
-                               .waitingTokens = 1'000'000'000'000}};
+    report.observedRunners = {
+        {.id = InstanceId("r1")},
+        {.id = InstanceId("r2"), .store = StoreReachability::Lost, .address = Address("10.0.0.2:7"), .waitingTokens = 1'000'000'000'000}};
     report.knownInstances = 295;
     report.wantsSummaries = true;
     report.waitingTokens = 1'000'000'000'000;
--- a/Tests/Node/NodeFixture.h
+++ b/Tests/Node/NodeFixture.h
@@ -156,7 +156,8 @@
     {
         auto &node = nodes_[name];
         thread_.call([&] {
-            node.store = Adapter::FleetStore::create({.loop = thread_.loop(), .platform = store_->address(), .callTimeout = 400ms, .pacingByKind = watchPacing_});
+            node.store = Adapter::FleetStore::create(
+                {.loop = thread_.loop(), .platform = store_->address(), .callTimeout = 400ms, .pacingByKind = watchPacing_});
             Address const any("127.0.0.1:0");
             node.program = std::make_unique<Node::NodeProgram>(Node::NodeProgramOptions{
                 .loop = thread_.loop(),
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -332,8 +332,7 @@
     auto &node = serve({respondWith("x"), respondWith("x"), respondWith("x")});
     auto const fetch = [&](std::string const &query) {
         auto const address = thread_.call([&] { return node.peerAddress(); });
-        auto const answer =
-            sendTo(address, {.method = "GET", .target = "/fleet" + query, .headers = {{"Host", address.value()}}}).get();
+        auto const answer = sendTo(address, {.method = "GET", .target = "/fleet" + query, .headers = {{"Host", address.value()}}}).get();
         EXPECT_EQ(answer->status, 200);
         return boost::json::parse(answer->body).as_object();
     };
@@ -349,8 +348,7 @@
     boost::json::object changes;
     do
         changes = fetch(since);
-    while (changes.at("servers").as_array().empty() || changes.at("removed").as_array().empty()
-           || changes.at("state").as_string().empty());
+    while (changes.at("servers").as_array().empty() || changes.at("removed").as_array().empty() || changes.at("state").as_string().empty());
     EXPECT_FALSE(changes.at("complete").as_bool());
     ASSERT_EQ(changes.at("servers").as_array().size(), 1U);
     EXPECT_EQ(changes.at("servers").as_array()[0].as_array()[0].as_string(), "s2");
