Leave an outage of the store to the relays

Change: an instance without a relay that reaches the store watches it itself only if some runner reaches it, and after 1.5 s, in which it learns whether one does.

--- a/Libraries/LibServing/PeerExchange.cpp
+++ b/Libraries/LibServing/PeerExchange.cpp
@@ -165,7 +165,7 @@
     outgoing.summaries.push_back(std::move(toReceivers));
 }
 
-bool PeerExchange::mustWatchStore(Instant now) const
+bool PeerExchange::mustWatchStore(Instant now)
 {
     if (!hasListed_ && now < relaysExpectedUntil_)
         return false;
@@ -176,7 +176,14 @@
         auto const *report = peers_.find(relay);
         return report && report->store == StoreReachability::Reached;
     });
-    return !isRelayed && now >= relaysExpectedUntil_;
+    if (isRelayed) {
+        unrelayedSince_.reset();
+        return false;
+    }
+    if (!unrelayedSince_)
+        unrelayedSince_ = now;
+    // During an outage of the store, the relays find out when it returns. Hundreds of instances that all try would meet it then.
+    return !peers_.isStoreLostForAllRunners() && now >= relaysExpectedUntil_ && now - *unrelayedSince_ >= options_.relayLossDelay;
 }
 
 ChangeSource PeerExchange::changeSource(Instant now)
--- a/Libraries/LibServing/PeerExchange.h
+++ b/Libraries/LibServing/PeerExchange.h
@@ -30,6 +30,9 @@
     Duration summarySourcesHold = 3s;
     /// Within this time of its start, an instance of a large fleet has received reports of its relays.
     Duration relayReportTimeout = 1s;
+    /// Time without a relay that reaches the store after which an instance watches it itself. Within this time it learns whether any runner
+    /// reaches the store.
+    Duration relayLossDelay = 1500ms;
     /// Time for which relays must have reached the store before an instance stops watching it. Each change of the source costs lists.
     Duration relayedWatchDelay = 5s;
 };
@@ -112,7 +115,7 @@
     void chooseSummarySources(Instant now);
     [[nodiscard]] PeerReport compose(ReportSchedule::ReportGroup const &group, OwnState const &own);
     void addSummaries(Outgoing &outgoing, OwnState const &own, Instant now);
-    [[nodiscard]] bool mustWatchStore(Instant now) const;
+    [[nodiscard]] bool mustWatchStore(Instant now);
 
     PeerExchangeOptions options_;
     PeerTable &peers_;
@@ -126,6 +129,8 @@
     std::optional<Instant> lastSummarySilenceAt_;
     bool hasListed_ = false;
     Instant relaysExpectedUntil_;
+    /// Since when no relay has reached the store.
+    std::optional<Instant> unrelayedSince_;
     /// Since when relays have watched the store for this instance.
     std::optional<Instant> relayedSince_;
     ChangeSource changeSource_ = ChangeSource::Peers;
--- a/Libraries/LibServing/PeerTable.cpp
+++ b/Libraries/LibServing/PeerTable.cpp
@@ -109,7 +109,10 @@
 {
     ++topologyVersion_;
     relays_ = firstRelays(options_.dataCentre, true);
-    runners_ = findRunners();
+    auto const known = knownRunners();
+    isStoreLostForAllRunners_ = !known.empty()
+        && std::all_of(known.begin(), known.end(), [](auto const &entry) { return entry.second == StoreReachability::Lost; });
+    runners_ = findRunners(known);
     std::string names;
     for (auto const &runner : runners_)
         names += runner.value() + '\n';
@@ -328,7 +331,12 @@
     return runners_;
 }
 
-std::vector<InstanceId> PeerTable::findRunners() const
+bool PeerTable::isStoreLostForAllRunners() const
+{
+    return isStoreLostForAllRunners_;
+}
+
+std::map<InstanceId, StoreReachability> PeerTable::knownRunners() const
 {
     std::map<InstanceId, StoreReachability> known;
     for (auto const &[id, peer] : peers_) {
@@ -343,6 +351,11 @@
     known.erase(options_.self);
     for (auto const &runner : observedRunners())
         known[runner.id] = runner.store;
+    return known;
+}
+
+std::vector<InstanceId> PeerTable::findRunners(std::map<InstanceId, StoreReachability> const &known)
+{
     bool const isAnyReached =
         std::any_of(known.begin(), known.end(), [](auto const &entry) { return entry.second == StoreReachability::Reached; });
     std::vector<InstanceId> ids;
--- a/Libraries/LibServing/PeerTable.h
+++ b/Libraries/LibServing/PeerTable.h
@@ -71,6 +71,8 @@
     [[nodiscard]] std::vector<PeerReport const *> summaryReceivers() const;
     /// When the last load summary of the own data centre arrived; `std::nullopt` if none counts.
     [[nodiscard]] std::optional<Instant> lastSummaryAt() const;
+    /// Whether this instance knows runners and none of them reaches the platform's store.
+    [[nodiscard]] bool isStoreLostForAllRunners() const;
     /// Load of all live peers with direct reports.
     [[nodiscard]] LoadByServer directLoad() const;
     /// Load of other data centres, for the instances of the own one.
@@ -135,7 +137,10 @@
     [[nodiscard]] std::optional<InstanceId> firstRunnerFor(std::string const &key) const;
 
     [[nodiscard]] bool isTimedOut(PeerReport const &report, Instant receivedAt, Instant now) const;
-    [[nodiscard]] std::vector<InstanceId> findRunners() const;
+    /// All runners that this instance or a live peer observes.
+    [[nodiscard]] std::map<InstanceId, StoreReachability> knownRunners() const;
+    /// Those of knownRunners() that may own jobs.
+    [[nodiscard]] static std::vector<InstanceId> findRunners(std::map<InstanceId, StoreReachability> const &known);
     void updateRunners(Instant now);
     [[nodiscard]] std::vector<InstanceId> firstRelays(DataCentreId const &dataCentre, bool mayUseOthers) const;
 
@@ -150,6 +155,7 @@
     std::map<InstanceId, RetainedTokens> retainedTokens_;
     LoadSummaryTable summaries_;
     std::vector<InstanceId> relays_;
+    bool isStoreLostForAllRunners_ = false;
     std::uint64_t topologyVersion_ = 0;
     std::vector<InstanceId> runners_;
     std::uint64_t runnersHash_ = 0;
--- a/Tests/LibServing/ExchangeSimulation.cpp
+++ b/Tests/LibServing/ExchangeSimulation.cpp
@@ -65,8 +65,13 @@
 {
     auto &instance = instances_[index];
     instance.peers->onTick(now_);
-    auto const due = instance.exchange->takeDue(
-        {.startedAt = 1, .address = addressOf(index), .inFlight = instance.inFlight, .changes = instance.changes}, now_);
+    auto const due =
+        instance.exchange->takeDue({.startedAt = 1,
+                                    .store = isStoreLost_ && isStoreLost_(instance) ? StoreReachability::Lost : StoreReachability::Reached,
+                                    .address = addressOf(index),
+                                    .inFlight = instance.inFlight,
+                                    .changes = instance.changes},
+                                   now_);
     for (auto const &[receivers, report] : due.reports) {
         auto const message = std::make_shared<Message const>(report);
         for (auto const &receiver : receivers)
@@ -150,6 +155,17 @@
     isCut_ = std::move(isCut);
 }
 
+void ExchangeSimulation::setLostStore(std::function<bool(Instance const &)> isLost)
+{
+    isStoreLost_ = std::move(isLost);
+    for (auto &instance : instances_) {
+        auto const store = isStoreLost_(instance) ? StoreReachability::Lost : StoreReachability::Reached;
+        if (instance.role == InstanceRole::Runner)
+            instance.peers->setOwnStoreReachability(store, now_);
+        instance.exchange->scheduleAllNow();
+    }
+}
+
 std::vector<ExchangeSimulation::Instance> &ExchangeSimulation::instances()
 {
     return instances_;
--- a/Tests/LibServing/ExchangeSimulation.h
+++ b/Tests/LibServing/ExchangeSimulation.h
@@ -47,6 +47,9 @@
     /// Sets which messages the network drops.
     void setCut(std::function<bool(Instance const &from, Instance const &to)> isCut);
 
+    /// Sets which instances do not reach the platform's store.
+    void setLostStore(std::function<bool(Instance const &)> isLost);
+
     [[nodiscard]] std::vector<Instance> &instances();
     [[nodiscard]] Instance &find(InstanceId const &id);
     /// Requests of all live instances at a server.
@@ -85,6 +88,7 @@
     std::priority_queue<Delivery, std::vector<Delivery>, std::greater<>> network_;
     std::uint64_t lastOrder_ = 0;
     std::function<bool(Instance const &, Instance const &)> isCut_;
+    std::function<bool(Instance const &)> isStoreLost_;
 };
 
 } // namespace Anvilyard::Tests
--- a/Tests/LibServing/TestPeerExchange.cpp
+++ b/Tests/LibServing/TestPeerExchange.cpp
@@ -134,7 +134,8 @@
         ASSERT_EQ(instance.peers->runners(), before) << instance.id.value();
 }
 
-/// Only relays and instances without a relay watch the store, since each watcher costs calls.
+/// Only relays and instances without a relay watch the store, since each watcher costs calls. On coldline-kr-large trouble-3
+/// (platform_down) all 295 instances tried to watch a store that was away for all, and listed it when it returned.
 TEST(PeerExchangeTest, FewInstancesOfALargeFleetWatchTheStore)
 {
     ExchangeSimulation fleet({.instances = 300});
@@ -144,6 +145,21 @@
     for (auto &instance : fleet.instances())
         watchers += instance.exchange->changeSource(now) == ChangeSource::Store ? 1 : 0;
     EXPECT_EQ(watchers, 10U) << "two relays in each of five data centres";
+    fleet.setLostStore([](auto const &) { return true; });
+    for (auto &instance : fleet.instances())
+        static_cast<void>(instance.exchange->changeSource(now));
+    fleet.run(1500ms, BusyChanges);
+    watchers = 0;
+    for (auto &instance : fleet.instances())
+        watchers += instance.exchange->changeSource(now + 1500ms) == ChangeSource::Store ? 1 : 0;
+    EXPECT_EQ(watchers, 10U) << "an outage for all does not make others try";
+    auto const cutOff = fleet.instances().front().dataCentre;
+    fleet.setLostStore([&](auto const &instance) { return instance.dataCentre == cutOff; });
+    fleet.run(1500ms, BusyChanges);
+    for (auto &instance : fleet.instances()) {
+        bool const isStore = instance.exchange->changeSource(now + 3s) == ChangeSource::Store;
+        EXPECT_TRUE(isStore || instance.dataCentre != cutOff) << "others reach the store";
+    }
     ExchangeSimulation small({.instances = 20});
     small.run(1500ms, BusyChanges);
     for (auto &instance : small.instances())
