Ignore a removal that a peer reported first

Cause, found when reading the change: a removal whose event may carry an old revision advances the revision of the servers by one. If a peer that was ahead of the watch had reported the removal, the watch's event advanced it once more, past the store; the next server to register had a revision that was taken for old and was never used.

Change: the removal of an unknown server changes nothing.

Test: ARemovalThatAPeerReportedFirstDoesNotHideTheNextServer, which never ended before.

--- a/Services/Node/FleetFollower.cpp
+++ b/Services/Node/FleetFollower.cpp
@@ -160,6 +160,9 @@
                                 : revision <= serversRevision_ && change != Platform::WatchChange::Deleted)
         return false;
     if (change == Platform::WatchChange::Deleted) {
+        // A peer reported the removal first, or the watch resumed from an older revision.
+        if (known == servers_.end())
+            return false;
         servers_.erase(id);
         // The event may carry the revision of the last change before the removal, which peers have already.
         auto const removedAt = std::max(revision, serversRevision_ + 1);
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -356,6 +356,48 @@
     EXPECT_EQ(changes.at("removed").as_array()[0].as_array()[0].as_string(), "s1");
 }
 
+/// A peer is ahead of this node's watch and has told it of a removal, and then the watch returns the same removal. Guards against a
+/// revision that runs ahead of the store, by which the next server to register would be taken for an old one and never used.
+TEST_F(OnlineTest, ARemovalThatAPeerReportedFirstDoesNotHideTheNextServer)
+{
+    watchPacing_ = {{protocol_.records().serverKind, {.minPause = 1500ms, .maxPause = 1500ms}}};
+    std::uint64_t removedAt = 0;
+    FleetServer peer(thread_, [&](int, Http::HttpRequest const &, FleetServer::Writer const &writer) {
+        boost::json::object const changes{{"state", ""},
+                                          {"revision", removedAt},
+                                          {"complete", true},
+                                          {"servers", boost::json::array{}},
+                                          {"removed", boost::json::array{}}};
+        writer->respond({.status = 200, .body = boost::json::serialize(changes)});
+    });
+    auto &node = serve({respondWith("x")});
+    auto const serversOf = [&] {
+        auto const address = thread_.call([&] { return node.peerAddress(); });
+        auto const answer = sendTo(address, {.method = "GET", .target = "/fleet", .headers = {{"Host", address.value()}}}).get();
+        return answer->body;
+    };
+    // The first change ends the watch, and the removal comes during the pause that follows.
+    putServer("s1", servers_[0]->address(), "draining");
+    while (serversOf().find("draining") == std::string::npos) { }
+    thread_.call([&] {
+        store_->remove("servers", "s1");
+        removedAt = store_->table().revision();
+    });
+    Serving::PeerReport report{
+        .sender = InstanceId("peer"), .startedAt = 1, .address = peer.address(), .serversRevision = Serving::StoreRevision(removedAt)};
+    while (serversOf().find("s1") != std::string::npos) {
+        ++report.number;
+        thread_.call([&] {
+            auto const socket = Node::DatagramSocket::open(thread_.loop(), Address("127.0.0.1:0"), [](auto) {});
+            (*socket)->send(node.peerAddress(), Serving::encodePeerReport(report));
+        });
+    }
+    auto const watches = thread_.call([&] { return store_->calls().at("GET servers"); });
+    waitUntil([&] { return store_->calls().at("GET servers") > watches + 1; });
+    putServer("s2", servers_[0]->address());
+    while (serversOf().find("s2") == std::string::npos) { }
+}
+
 TEST_F(OnlineTest, AStoppingNodeFinishesItsRequestsAndIsNotReady)
 {
     std::promise<FleetServer::Writer> arrived;
