Restore the check of each report against its announced interval

EachPeerReceivesAReportWithinTheAnnouncedInterval no longer compared a report with the time announced by the one before, which let it be up to one step late; the check is back. Comments reworded.

--- a/Libraries/LibJobs/JobTracker.h
+++ b/Libraries/LibJobs/JobTracker.h
@@ -27,7 +27,7 @@
     /// Share of the time left until a job is due over which its outcomes are collected. Each commit costs a call of the store, and results
     /// that are due later may be stored later.
     double commitShareOfTimeLeft = 0.1;
-    /// Upper limit of that time. Outcomes that are not stored when a runner is lost have to be produced again.
+    /// Maximum time over which outcomes are collected. If a runner is lost, the items whose outcomes are not stored yet run again.
     Duration maxCommitDelay = 1500ms;
     /// Maximum output size of a segment, so that it fits into one object.
     std::size_t maxSegmentBytes = 512 * 1024;
--- a/Libraries/LibServing/PeerTable.h
+++ b/Libraries/LibServing/PeerTable.h
@@ -32,7 +32,7 @@
     /// Number of runners that send items to one server. It is small enough that each one has the current item counts of the others,
     /// and large enough that a runner with many items finds free slots.
     std::size_t runnersPerServer = 4;
-    /// Number of relays of each data centre. The second one replaces the first without a gap.
+    /// Number of relays of each data centre. The second one takes over when the first falls silent.
     std::size_t relaysPerDataCentre = 2;
     /// Time within which another runner has loaded the jobs of a departed runner and reports their tokens.
     Duration takeoverTime = 3s;
--- a/Tests/LibServing/TestReportSchedule.cpp
+++ b/Tests/LibServing/TestReportSchedule.cpp
@@ -82,6 +82,8 @@
             for (auto const &group : schedule.takeDue(0, now)) {
                 for (auto const &peer : group.peers) {
                     EXPECT_TRUE(now < Start + 1050ms || until.contains(peer)) << "every receiver gets its first report early";
+                    bool const isLate = until.contains(peer) && now > until.at(peer);
+                    EXPECT_FALSE(isLate) << peer.value();
                     until[peer] = now + group.nextWithin + 50ms;
                 }
             }
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -356,8 +356,8 @@
     EXPECT_EQ(changes.at("removed").as_array()[0].as_array()[0].as_string(), "s1");
 }
 
-/// A peer is ahead of this node's watch and has told it of a removal, and then the watch returns the same removal. Guards against a
-/// revision that runs ahead of the store, by which the next server to register would be taken for an old one and never used.
+/// A node applies the removal of a server from a peer, and its own watch returns the same removal later. Guards against counting it twice:
+/// the node's revision would exceed the store's, and the next server to register would be ignored as outdated.
 TEST_F(OnlineTest, ARemovalThatAPeerReportedFirstDoesNotHideTheNextServer)
 {
     watchPacing_ = {{protocol_.records().serverKind, {.minPause = 1500ms, .maxPause = 1500ms}}};
