--- a/Meta/anvilyard.sh
+++ b/Meta/anvilyard.sh
@@ -60,8 +60,20 @@
     ! grep -q -E '(error|warning):' "$BUILD_FOLDER/lint.log"
 }
 
+# Tests that fail for a known fault: the second word of each entry in KNOWN-RED.txt is the test's full name.
+known_red_tests() {
+    [ ! -f KNOWN-RED.txt ] || awk 'NF && !/^#/ { sub(/;$/, "", $2); print $2 }' KNOWN-RED.txt
+}
+
 run_tests() {
     build
+    local red
+    red=$(known_red_tests | paste -sd:)
+    if [ -n "$red" ]; then
+        echo "Left out, listed in KNOWN-RED.txt:"
+        grep -v '^#' KNOWN-RED.txt
+        export GTEST_FILTER="-$red"
+    fi
     ctest --test-dir "$BUILD_FOLDER" --output-on-failure -j "$JOBS" "$@"
 }
 
