Log how an attempt ended within a stream and what followed

The incident's hypotheses could not be told apart by logs or metrics: nothing showed whether a failed attempt had relayed events or ended within one, on which kind of connection it ran, what was done next, and with which events a stream began and ended.

node-attempt-failed now has connection, events, unfinished_bytes and next; node-request-ended has after_event and last_event; the counter anvilyard_node_unfinished_events_total counts sends that ended within an event.

MetricsCountSendsThatEndWithinAnEvent passes; it had no metric to read before.

--- a/Libraries/LibServing/EventSequence.cpp
+++ b/Libraries/LibServing/EventSequence.cpp
@@ -109,7 +109,12 @@
 
 bool EventSequence::hasPartialEvent() const
 {
-    return splitter_.unfinishedBytes() > 0;
+    return unfinishedBytes() > 0;
+}
+
+std::size_t EventSequence::unfinishedBytes() const
+{
+    return splitter_.unfinishedBytes();
 }
 
 } // namespace Anvilyard::Serving
--- a/Libraries/LibServing/EventSequence.h
+++ b/Libraries/LibServing/EventSequence.h
@@ -32,6 +32,8 @@
     [[nodiscard]] bool isBroken() const;
     /// Whether an incomplete event is buffered.
     [[nodiscard]] bool hasPartialEvent() const;
+    /// Number of bytes received of the incomplete event.
+    [[nodiscard]] std::size_t unfinishedBytes() const;
 
 private:
     /// Returns whether the event is new.
--- a/Services/Node/NodeMetrics.h
+++ b/Services/Node/NodeMetrics.h
@@ -50,6 +50,7 @@
     Observe::Counter &requests;
     Observe::Counter &sends;
     Observe::Counter &resumes;
+    Observe::Counter &unfinishedEvents;
     Observe::Counter &brokenStreams;
     Observe::Counter &callersGone;
     Observe::Counter &itemStarts;
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -58,6 +58,30 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+std::string eventIdText(std::optional<std::uint64_t> id)
+{
+    return id ? std::to_string(*id) : "none";
+}
+
+char const *nameOf(NextStep step)
+{
+    switch (step) {
+    case NextStep::SendOnFreshConnection:
+        return "send-on-fresh-connection";
+    case NextStep::SendToOtherServer:
+        return "send-to-other-server";
+    case NextStep::ResumeStream:
+        return "resume";
+    case NextStep::RelayResponse:
+        return "relay-response";
+    case NextStep::Refuse:
+        return "refuse";
+    case NextStep::AbortResponse:
+        return "abort";
+    }
+    return "unknown";
+}
+
 std::string millisecondsSince(Instant since, Instant now)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count());
@@ -331,20 +355,27 @@
         if (isConnectFailure)
             parts_.health.onEvidence(server, Routing::ServerEvidence::FreshConnectionFailed);
     }
+    if (events_.hasPartialEvent())
+        parts_.metrics.unfinishedEvents.add();
+    auto const step = plan_.onEnded(server,
+                                    Routing::ExchangeFailed{
+                                        .reached = failure.reached,
+                                        .connection = failure.connection,
+                                        .relayed = isRelaying_ ? Routing::Relayed::Part : Routing::Relayed::Nothing,
+                                    },
+                                    now);
     Observe::log(Observe::Events::NodeAttemptFailed,
                  {{"request", parts_.head.id.value()},
                   {"server", server.value()},
                   {"error", failure.error.toString()},
+                  {"connection", failure.connection == Http::ConnectionUse::Fresh ? "fresh" : "reused"},
+                  {"events", std::to_string(events_.count())},
+                  {"unfinished_bytes", std::to_string(events_.unfinishedBytes())},
+                  {"next", nameOf(step)},
                   {"after_ms", millisecondsSince(sentAt_, now)},
                   {"send", std::to_string(attempts_)}});
     finishAttempt();
-    perform(plan_.onEnded(server,
-                          Routing::ExchangeFailed{
-                              .reached = failure.reached,
-                              .connection = failure.connection,
-                              .relayed = isRelaying_ ? Routing::Relayed::Part : Routing::Relayed::Nothing,
-                          },
-                          now));
+    perform(step);
 }
 
 void OnlineCall::scheduleSlowStartCheck(Instant until)
@@ -506,6 +537,8 @@
                   {"sends", std::to_string(attempts_)},
                   {"server", server_ ? server_->id.value() : ""},
                   {"events", std::to_string(events_.count())},
+                  {"after_event", eventIdText(parts_.head.lastEventId)},
+                  {"last_event", eventIdText(events_.lastId())},
                   {"ms", millisecondsSince(startedAt_, now)}});
     parts_.writer.reset();
 }
--- a/Tests/Node/TestObservation.cpp
+++ b/Tests/Node/TestObservation.cpp
@@ -50,6 +50,17 @@
     EXPECT_THAT(metricsOf(node), HasSubstr(R"(anvilyard_node_refusals_total{reason="route_not_found"} 1)"));
 }
 
+/// Guards against attempts that end within an event and leave no trace in the metrics: a server crashes while it sends.
+TEST_F(ObservationTest, MetricsCountSendsThatEndWithinAnEvent)
+{
+    auto &node = serve([](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+        writer->write(eventTexts(0, 1) + "id: 1\nda", [writer](auto) { writer->abort(); });
+    });
+    EXPECT_FALSE(ask(node, requestOf("/o/1", "a")));
+    EXPECT_THAT(metricsOf(node), HasSubstr("anvilyard_node_unfinished_events_total 1"));
+}
+
 /// Guards against unbounded memory use by metrics when route names keep changing.
 TEST(NodeMetricsTest, RoutesBeyondTheLimitShareALabel)
 {
