Add failing tests of a first event cut short

Reproduces the incident: a server sends a part of its first event and breaks off; the next attempt's first event is relayed joined with that part, with status 200 and a well-formed stream. Seen on the current code, for instance

id: 0 data: tid: 0 data: t0

in place of "id: 0, data: t0", by anvilyard-node after a retry at another server and after one on a fresh connection, and by anvilyard-entry alike.

--- a/Tests/Entry/TestEntryFaults.cpp
+++ b/Tests/Entry/TestEntryFaults.cpp
@@ -138,6 +138,26 @@
     EXPECT_EQ(asked, 2);
 }
 
+// A server crashes within the first event of a completion, and another one runs the request. Guards against relaying the part joined with
+// the other server's first event.
+TEST_F(EntryFaultTest, FirstEventCutShortIsNotJoinedWithTheNextAttempt)
+{
+    std::atomic<int> asked = 0;
+    for (int server = 0; server < 2; ++server) {
+        addEngine([&asked](int, auto const &, Writer const &writer) {
+            if (++asked > 1)
+                return streamComplete(writer, {"one "});
+            writer->start({.status = 200, .headers = {{"Content-Type", "text/event-stream"}}});
+            writer->write("data: {\"id\":", [writer](auto) { writer->abort(); });
+        });
+    }
+    startEntry();
+    auto const answer = fetch(completion());
+    ASSERT_TRUE(answer) << answer.error().error.toString();
+    EXPECT_EQ(answer->body, tokenEvent("one ") + "data: [DONE]\n\n");
+    EXPECT_EQ(asked, 2);
+}
+
 // Guards against a request that continues after the caller's deadline, and against a refusal with a code that does not reflect it.
 TEST_F(EntryFaultTest, CallerDeadlineEndsTheRequest)
 {
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -124,6 +124,46 @@
     EXPECT_EQ(servers_[0]->requests().size(), 1U) << "the second attempt goes to the other server";
 }
 
+/// A server crashes within the first event of a stream, and the request is sent again. Guards against relaying the part joined with the
+/// first event of the next attempt.
+TEST_F(OnlineTest, AFirstEventCutShortIsNotJoinedWithTheNextAttempt)
+{
+    std::map<std::string, std::string> const partByRequest{
+        {"cut-in-id", "i"}, {"cut-after-id", "id: 0\n"}, {"cut-in-data", "id: 0\ndata: t"}, {"cut-before-the-end", "id: 0\ndata: t0\n"}};
+    std::map<std::string, int> sends;
+    FleetServer::Script const script = [&](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        auto const id = std::string(request.headers.find("Anvilyard-Attempt-Id").value_or(""));
+        if (++sends[id] > 1)
+            return answerEvents(request, writer, 10);
+        writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+        writer->write(partByRequest.at(id), [writer](auto) { writer->abort(); });
+    };
+    auto &node = serve({script, script});
+    for (auto const &[id, part] : partByRequest) {
+        auto const answer = ask(node, requestOf("/s/1", id));
+        ASSERT_TRUE(answer) << id << ": " << answer.error().error.toString();
+        EXPECT_EQ(answer->body, eventTexts(0, 10)) << id;
+    }
+}
+
+/// As above, on a reused connection, where the same server gets the request again. Guards against a fix of one kind of retry only.
+TEST_F(OnlineTest, AFirstEventCutShortOnAReusedConnectionIsNotJoinedWithTheNextAttempt)
+{
+    std::map<std::string, int> sends;
+    auto &node = serve({[&](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        auto const id = std::string(request.headers.find("Anvilyard-Attempt-Id").value_or(""));
+        if (++sends[id] > 1 || id == "warm-up")
+            return answerEvents(request, writer, 10);
+        writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+        writer->write("id: 0\nda", [writer](auto) { writer->abort(); });
+    }});
+    ASSERT_TRUE(ask(node, requestOf("/s/1", "warm-up")));
+    auto const answer = ask(node, requestOf("/s/1", "a"));
+    ASSERT_TRUE(answer) << answer.error().error.toString();
+    EXPECT_EQ(answer->body, eventTexts(0, 10));
+    EXPECT_EQ(requestCount(), 3U);
+}
+
 TEST_F(OnlineTest, ANonResumableStreamThatBreaksIsNotEndedAsComplete)
 {
     auto &node = serve({[](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
