Keep what a response leaves unfinished within its attempt

What callers saw: a stream with status 200 whose first event was joined from bytes of two servers (or of two runs at one server), mostly after a mass restart when callers resume with the id of the last event they have.

Cause: OnlineCall kept the splitter of events, and other state of one response, for the whole request. A server that crashed within its first event left a part of it; nothing was relayed yet, so the request was sent again rather than resumed, and only a resume dropped the part. The next response's first event was appended to it.

AFirstEventCutShort... fail before this change in all their variants (another server, fresh connection, caller's resume); they pass now.

Fix: an Attempt holds everything that one send brings: splitter, head, body, pause, timer. A send makes a new one, so no retry has to remember what to drop; EventSequence keeps only the position in the stream, EventReader reads one response. Handlers of an attempt that is no longer the current one are ignored. A gap or an oversized event now breaks the response instead of the request, so another server fills the gap (AGapInOneServersEventsIsFilledByAnother, failed before).

The tests of EventSequence now use one EventReader a response; the property checks the same with onResumed() gone, since there is nothing left to drop.

--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -26,7 +26,8 @@
     , server_(std::move(server))
     , item_(std::move(item))
     , hooks_(std::move(hooks))
-    , events_(item_.lastEventId)
+    , sequence_(item_.lastEventId)
+    , events_(sequence_)
     , startedAt_(readLocalClock())
 {
 }
@@ -102,7 +103,7 @@
 {
     if (status_ != Ok || isEnded_)
         return;
-    events_.take(piece, [this](std::string_view data) { hooks_.onEvent(events_.lastId(), data); });
+    events_.take(piece, [this](std::string_view data) { hooks_.onEvent(sequence_.lastId(), data); });
     if (events_.isBroken())
         finish(SendEnd::Unserved);
 }
--- a/Services/Node/ItemRun.h
+++ b/Services/Node/ItemRun.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "LibJobs/JobTracker.h"
-#include "LibServing/EventSequence.h"
+#include "LibServing/EventReader.h"
 #include "Services/Node/NodeContext.h"
 
 namespace Anvilyard::Node {
@@ -37,7 +37,8 @@
     Jobs::ItemStart item_;
     Jobs::ItemId itemId_;
     Hooks hooks_;
-    Serving::EventSequence events_;
+    Serving::EventSequence sequence_;
+    Serving::EventReader events_;
     std::shared_ptr<Http::Exchange> exchange_;
     Instant startedAt_;
     int status_ = 0;
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -126,7 +126,7 @@
 {
     if (!isStream() || !parts_.route.isResumable || !parts_.route.eventGapTarget)
         return std::nullopt;
-    auto const factor = plan_.mayMoveFrom(server_->id) ? SilenceShareOfGapTarget : SilenceGapTargetsAtLastServer;
+    auto const factor = plan_.mayMoveFrom(attempt_->server.id) ? SilenceShareOfGapTarget : SilenceGapTargetsAtLastServer;
     return std::chrono::duration_cast<Duration>(*parts_.route.eventGapTarget * factor);
 }
 
@@ -196,10 +196,7 @@
     ++attempts_;
     parts_.metrics.sends.add();
     plan_.onSent(server.id);
-    server_ = server;
-    sentAt_ = now;
-    isEventStream_ = false;
-    body_.clear();
+    attempt_ = std::make_shared<Attempt>(Attempt{.server = server, .sentAt = now, .events = Serving::EventReader(events_)});
     context.load.onStarted(server.id, Serving::WorkClass::Online);
     context.placement.onStarted(server, &parts_.head.prefix);
     // If the server has no free slot or no other server is allowed, the request can only wait.
@@ -209,9 +206,8 @@
     bool const mayRunOnlyOnce = repeatabilityOf(parts_.route) == Repeatability::Unsafe;
     Http::ClientRequest request{
         .server = server.address,
-        .request = context.protocol.makeServerRequest(
-            parts_.request,
-            {.server = server.id, .timeLeft = deadline_ - now, .lastEventId = attempts_ > 1 ? events_.lastId() : parts_.head.lastEventId}),
+        .request = context.protocol.makeServerRequest(parts_.request,
+                                                      {.server = server.id, .timeLeft = deadline_ - now, .lastEventId = events_.lastId()}),
         .deadline = deadline_,
         .connectTimeout = ConnectTimeout,
         .headTimeout = responseTimeout,
@@ -226,87 +222,92 @@
                 return !answeredRequest || *answeredRequest == id;
             },
     };
-    auto const self = shared_from_this();
-    exchange_ = context.serverClient->send(std::move(request),
-                                           {
-                                               .onHead = [self](Http::ResponseHead head) { self->onHead(std::move(head)); },
-                                               .onPiece = [self](std::string_view piece) { self->onPiece(piece); },
-                                               .onEnd = [self] { self->onEnd(); },
-                                               .onFailure = [self](Http::ExchangeFailure const &failure) { self->onFailure(failure); },
-                                           });
+    // Handlers of an earlier attempt are ignored.
+    auto const guarded = [self = shared_from_this(), attempt = attempt_](auto action) {
+        if (self->attempt_ == attempt && attempt->exchange)
+            action(*self);
+    };
+    attempt_->exchange = context.serverClient->send(
+        std::move(request),
+        {
+            .onHead = [guarded](Http::ResponseHead head) { guarded([&](OnlineCall &call) { call.onHead(std::move(head)); }); },
+            .onPiece = [guarded](std::string_view piece) { guarded([&](OnlineCall &call) { call.onPiece(piece); }); },
+            .onEnd = [guarded] { guarded([](OnlineCall &call) { call.onEnd(); }); },
+            .onFailure = [guarded](Http::ExchangeFailure const &failure) { guarded([&](OnlineCall &call) { call.onFailure(failure); }); },
+        });
 }
 
 void OnlineCall::onHead(Http::ResponseHead head)
 {
-    responseHead_ = std::move(head);
-    responseTraits_ = parts_.context.protocol.readResponseHead(responseHead_);
-    progressTimer_.reset();
-    bool const isSuccess = responseHead_.status >= Ok && responseHead_.status < FirstNonSuccess;
+    attempt_->head = std::move(head);
+    attempt_->traits = parts_.context.protocol.readResponseHead(attempt_->head);
+    attempt_->progressTimer.reset();
+    bool const isSuccess = attempt_->head.status >= Ok && attempt_->head.status < FirstNonSuccess;
     // A success without the server's signature is not a valid response of that server.
-    if (isSuccess && (!responseTraits_.isSigned || responseTraits_.isEncoded))
+    if (isSuccess && (!attempt_->traits.isSigned || attempt_->traits.isEncoded))
         return abortAttempt(HttpError::Malformed);
-    parts_.health.onEvidence(server_->id, Routing::ServerEvidence::Answered);
-    isEventStream_ = isSuccess && isStream() && isEventStream(responseHead_.headers);
-    if (isEventStream_) {
-        lastPieceAt_ = readLocalClock();
+    parts_.health.onEvidence(attempt_->server.id, Routing::ServerEvidence::Answered);
+    attempt_->isEventStream = isSuccess && isStream() && isEventStream(attempt_->head.headers);
+    if (attempt_->isEventStream) {
+        attempt_->lastPieceAt = readLocalClock();
         scheduleSilenceCheck();
     }
     // A resumed response must be an event stream, too.
-    if (isRelaying_ && !isEventStream_ && isSuccess)
+    if (isRelaying_ && !attempt_->isEventStream && isSuccess)
         abortAttempt(HttpError::Malformed);
 }
 
 void OnlineCall::onPiece(std::string_view piece)
 {
-    if (isEventStream_)
+    if (attempt_->isEventStream)
         return relayEvents(piece);
-    body_ += piece;
-    if (body_.size() > MaxBufferedResponseBytes)
+    attempt_->body += piece;
+    if (attempt_->body.size() > MaxBufferedResponseBytes)
         abortAttempt(HttpError::BodyTooLarge);
 }
 
 void OnlineCall::relayEvents(std::string_view piece)
 {
-    lastPieceAt_ = readLocalClock();
-    auto completeEvents = events_.take(piece);
+    attempt_->lastPieceAt = readLocalClock();
+    auto completeEvents = attempt_->events.take(piece);
     if (!completeEvents.empty()) {
         auto const now = readLocalClock();
         if (!std::exchange(isRelaying_, true)) {
             // The caller receives the head of the first server even if another server resumes the stream.
             parts_.writer->start(
-                {.status = responseHead_.status, .headers = parts_.context.protocol.makeCallerHeaders(responseHead_.headers)});
+                {.status = attempt_->head.status, .headers = parts_.context.protocol.makeCallerHeaders(attempt_->head.headers)});
             routeMetrics_.firstEventSeconds.record(toSeconds(now - startedAt_));
         } else {
             routeMetrics_.eventGapSeconds.record(toSeconds(now - lastEventAt_));
         }
         lastEventAt_ = now;
-        parts_.writer->write(std::move(completeEvents), [weak = weak_from_this()](Http::WriteOutcome outcome) {
-            auto const self = weak.lock();
-            if (self && outcome == Http::WriteOutcome::Written && std::exchange(self->isPaused_, false) && self->exchange_)
-                self->exchange_->resume();
+        parts_.writer->write(std::move(completeEvents), [weak = std::weak_ptr(attempt_)](Http::WriteOutcome outcome) {
+            auto const attempt = weak.lock();
+            if (attempt && outcome == Http::WriteOutcome::Written && std::exchange(attempt->isPaused, false) && attempt->exchange)
+                attempt->exchange->resume();
         });
-        if (parts_.writer->pendingBytes() > MaxUnreadBytes && exchange_) {
-            isPaused_ = true;
-            exchange_->pause();
+        if (parts_.writer->pendingBytes() > MaxUnreadBytes) {
+            attempt_->isPaused = true;
+            attempt_->exchange->pause();
         }
     }
-    if (events_.isBroken())
+    if (attempt_->events.isBroken())
         abortAttempt(HttpError::Malformed);
 }
 
 void OnlineCall::onEnd()
 {
-    exchange_.reset();
-    return isEventStream_ ? endStream() : endBuffered();
+    return attempt_->isEventStream ? endStream() : endBuffered();
 }
 
 void OnlineCall::endStream()
 {
-    if (events_.hasPartialEvent())
+    if (attempt_->events.hasPartialEvent())
         return abortAttempt(HttpError::ClosedEarly);
     if (!isRelaying_)
-        parts_.writer->start({.status = responseHead_.status, .headers = parts_.context.protocol.makeCallerHeaders(responseHead_.headers)});
-    parts_.context.placement.onRunFinished(pool_, readLocalClock() - sentAt_);
+        parts_.writer->start(
+            {.status = attempt_->head.status, .headers = parts_.context.protocol.makeCallerHeaders(attempt_->head.headers)});
+    parts_.context.placement.onRunFinished(pool_, readLocalClock() - attempt_->sentAt);
     finishAttempt();
     parts_.writer->finish();
     finish("served");
@@ -314,39 +315,38 @@
 
 void OnlineCall::endBuffered()
 {
-    bool const isSuccess = responseHead_.status >= Ok && responseHead_.status < FirstNonSuccess;
+    bool const isSuccess = attempt_->head.status >= Ok && attempt_->head.status < FirstNonSuccess;
     if (isSuccess) {
-        parts_.context.placement.onRunFinished(pool_, readLocalClock() - sentAt_);
+        parts_.context.placement.onRunFinished(pool_, readLocalClock() - attempt_->sentAt);
         finishAttempt();
-        parts_.writer->respond({.status = responseHead_.status,
-                                .headers = parts_.context.protocol.makeCallerHeaders(responseHead_.headers),
-                                .body = std::move(body_)});
+        parts_.writer->respond({.status = attempt_->head.status,
+                                .headers = parts_.context.protocol.makeCallerHeaders(attempt_->head.headers),
+                                .body = std::move(attempt_->body)});
         return finish("served");
     }
-    auto const server = server_->id;
+    auto const server = attempt_->server.id;
     auto const now = readLocalClock();
     auto const others = parts_.context.peers.othersAt(server);
     auto const own = parts_.context.load.at(server);
     Observe::log(Observe::Events::NodeAttemptRejected,
                  {{"request", parts_.head.id.value()},
                   {"server", server.value()},
-                  {"status", std::to_string(responseHead_.status)},
-                  {"not_run", responseTraits_.isNotRun ? "true" : "false"},
+                  {"status", std::to_string(attempt_->head.status)},
+                  {"not_run", attempt_->traits.isNotRun ? "true" : "false"},
                   {"own_online", std::to_string(own.online)},
                   {"others_online", std::to_string(others.online)},
                   {"others_batch", std::to_string(others.batch)},
-                  {"slots", std::to_string(server_->slots)},
-                  {"after_ms", millisecondsSince(sentAt_, now)},
+                  {"slots", std::to_string(attempt_->server.slots)},
+                  {"after_ms", millisecondsSince(attempt_->sentAt, now)},
                   {"send", std::to_string(attempts_)}});
     finishAttempt();
-    auto const evidence = responseTraits_.isNotRun ? Routing::NotRunEvidence::Stated : Routing::NotRunEvidence::Withheld;
-    perform(plan_.onEnded(server, Routing::ServerErrorResponse{.status = responseHead_.status, .evidence = evidence}, now));
+    auto const evidence = attempt_->traits.isNotRun ? Routing::NotRunEvidence::Stated : Routing::NotRunEvidence::Withheld;
+    perform(plan_.onEnded(server, Routing::ServerErrorResponse{.status = attempt_->head.status, .evidence = evidence}, now));
 }
 
 void OnlineCall::onFailure(Http::ExchangeFailure const &failure)
 {
-    exchange_.reset();
-    auto const server = server_->id;
+    auto const server = attempt_->server.id;
     auto const now = readLocalClock();
     bool const isConnectFailure = failure.error.code == HttpError::ConnectFailed || failure.error.code == HttpError::ConnectTimeout;
     // At the deadline the server may merely be slow.
@@ -355,7 +355,7 @@
         if (isConnectFailure)
             parts_.health.onEvidence(server, Routing::ServerEvidence::FreshConnectionFailed);
     }
-    if (events_.hasPartialEvent())
+    if (attempt_->events.hasPartialEvent())
         parts_.metrics.unfinishedEvents.add();
     auto const step = plan_.onEnded(server,
                                     Routing::ExchangeFailed{
@@ -370,9 +370,9 @@
                   {"error", failure.error.toString()},
                   {"connection", failure.connection == Http::ConnectionUse::Fresh ? "fresh" : "reused"},
                   {"events", std::to_string(events_.count())},
-                  {"unfinished_bytes", std::to_string(events_.unfinishedBytes())},
+                  {"unfinished_bytes", std::to_string(attempt_->events.unfinishedBytes())},
                   {"next", nameOf(step)},
-                  {"after_ms", millisecondsSince(sentAt_, now)},
+                  {"after_ms", millisecondsSince(attempt_->sentAt, now)},
                   {"send", std::to_string(attempts_)}});
     finishAttempt();
     perform(step);
@@ -380,7 +380,7 @@
 
 void OnlineCall::scheduleSlowStartCheck(Instant until)
 {
-    progressTimer_ = parts_.context.loop.at(until, [weak = weak_from_this()] {
+    attempt_->progressTimer = parts_.context.loop.at(until, [weak = weak_from_this()] {
         if (auto const self = weak.lock())
             self->onSlowStart();
     });
@@ -391,7 +391,7 @@
 /// the budget allows.
 void OnlineCall::onSlowStart()
 {
-    if (!exchange_)
+    if (!attempt_->exchange)
         return;
     if (mayMoveToFreeSlot())
         abortAttempt(HttpError::Silent, Http::Reached::Sent);
@@ -410,7 +410,7 @@
     auto const limit = silenceLimit();
     if (!limit)
         return;
-    progressTimer_ = parts_.context.loop.at(lastPieceAt_ + *limit, [weak = weak_from_this()] {
+    attempt_->progressTimer = parts_.context.loop.at(attempt_->lastPieceAt + *limit, [weak = weak_from_this()] {
         if (auto const self = weak.lock())
             self->onSilenceCheck();
     });
@@ -420,63 +420,61 @@
 /// stream that is resumed elsewhere has its prompt read again. A stream is therefore moved only to a free slot and within the budget.
 void OnlineCall::onSilenceCheck()
 {
-    if (!exchange_)
+    if (!attempt_->exchange)
         return;
     auto const now = readLocalClock();
     // While reading is paused for a slow caller, the server is not silent.
-    if (isPaused_)
-        lastPieceAt_ = now;
-    if (now < lastPieceAt_ + *silenceLimit())
+    if (attempt_->isPaused)
+        attempt_->lastPieceAt = now;
+    if (now < attempt_->lastPieceAt + *silenceLimit())
         return scheduleSilenceCheck();
-    bool const mayMove = plan_.mayMoveFrom(server_->id) ? mayMoveToFreeSlot() : parts_.context.moveBudget.tryTake(now);
+    bool const mayMove = plan_.mayMoveFrom(attempt_->server.id) ? mayMoveToFreeSlot() : parts_.context.moveBudget.tryTake(now);
     if (mayMove)
         return abortAttempt(HttpError::Silent);
-    lastPieceAt_ = now;
+    attempt_->lastPieceAt = now;
     scheduleSilenceCheck();
 }
 
 /// Cancels the current attempt and handles it as failed with `error`.
 void OnlineCall::abortAttempt(HttpError error, Http::Reached reached)
 {
-    if (auto const exchange = std::exchange(exchange_, nullptr))
+    if (auto const exchange = std::exchange(attempt_->exchange, nullptr))
         exchange->cancel();
-    onFailure({.error = {.code = make_error_code(error), .detail = server_->address.value()},
+    onFailure({.error = {.code = make_error_code(error), .detail = attempt_->server.address.value()},
                .reached = reached,
                .connection = Http::ConnectionUse::Fresh});
 }
 
 void OnlineCall::finishAttempt()
 {
-    progressTimer_.reset();
-    if (!server_)
-        return;
-    parts_.context.load.onFinished(server_->id, Serving::WorkClass::Online);
-    parts_.context.placement.onFinished(*server_);
+    attempt_->progressTimer.reset();
+    attempt_->exchange.reset();
+    parts_.context.load.onFinished(attempt_->server.id, Serving::WorkClass::Online);
+    parts_.context.placement.onFinished(attempt_->server);
 }
 
 void OnlineCall::perform(NextStep step)
 {
     switch (step) {
     case NextStep::SendOnFreshConnection:
-        return send(Serving::ServerRecord(*server_), true, Connection::Fresh);
+        return send(Serving::ServerRecord(attempt_->server), true, Connection::Fresh);
     case NextStep::SendToOtherServer:
         return placeAndSend();
     case NextStep::ResumeStream:
         // Without event ids the position to resume from is unknown.
-        if (events_.isBroken() || !events_.lastId())
+        if (!events_.lastId())
             return abortStream();
         parts_.metrics.resumes.add();
-        events_.onResumed();
         return placeAndSend();
     case NextStep::RelayResponse:
         if (isRelaying_)
             return abortStream();
         // A status that guarantees "not run" is relayed only if the server itself states it.
-        if (guaranteesNotRun(responseHead_.status) && (!responseTraits_.isNotRun || plan_.mayHaveRun()))
+        if (guaranteesNotRun(attempt_->head.status) && (!attempt_->traits.isNotRun || plan_.mayHaveRun()))
             return refuse(Refusals::outcomeUnknown());
-        parts_.writer->respond({.status = responseHead_.status,
-                                .headers = parts_.context.protocol.makeCallerHeaders(responseHead_.headers),
-                                .body = std::move(body_)});
+        parts_.writer->respond({.status = attempt_->head.status,
+                                .headers = parts_.context.protocol.makeCallerHeaders(attempt_->head.headers),
+                                .body = std::move(attempt_->body)});
         return finish("error-relayed");
     case NextStep::Refuse:
         return refuseAfterAttempts();
@@ -517,8 +515,8 @@
     if (isFinished_)
         return;
     parts_.metrics.callersGone.add();
-    if (auto const exchange = std::exchange(exchange_, nullptr)) {
-        exchange->cancel();
+    if (attempt_ && attempt_->exchange) {
+        attempt_->exchange->cancel();
         finishAttempt();
     }
     finish("caller-gone");
@@ -535,7 +533,7 @@
                   {"route", parts_.route.name.value()},
                   {"outcome", outcome},
                   {"sends", std::to_string(attempts_)},
-                  {"server", server_ ? server_->id.value() : ""},
+                  {"server", attempt_ ? attempt_->server.id.value() : ""},
                   {"events", std::to_string(events_.count())},
                   {"after_event", eventIdText(parts_.head.lastEventId)},
                   {"last_event", eventIdText(events_.lastId())},
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -2,7 +2,7 @@
 
 #include "LibHttp/HttpServer.h"
 #include "LibServing/AttemptPlan.h"
-#include "LibServing/EventSequence.h"
+#include "LibServing/EventReader.h"
 #include "Services/Node/HealthProber.h"
 #include "Services/Node/NodeContext.h"
 #include "Services/Node/NodeMetrics.h"
@@ -33,6 +33,26 @@
         Fresh,
     };
 
+    /// One send to a server and what its response has brought so far. Nothing of it is used for the next send.
+    struct Attempt {
+        Serving::ServerRecord server;
+        Instant sentAt;
+        Serving::EventReader events;
+        /// Null once the attempt has ended.
+        std::shared_ptr<Http::Exchange> exchange;
+        Http::ResponseHead head;
+        ResponseTraits traits;
+        /// Body of a response that is not an event stream.
+        std::string body;
+        bool isEventStream = false;
+        /// Reading is paused because the caller is slow.
+        bool isPaused = false;
+        /// When bytes of the stream last arrived, or its silence was last tolerated.
+        Instant lastPieceAt;
+        /// Checks whether the response starts, and then whether its stream goes on.
+        std::unique_ptr<Http::Timer> progressTimer;
+    };
+
     void placeAndSend();
     void send(Serving::ServerRecord const &server, bool hasFreeSlot, Connection connection);
     void logNoPlacement(Serving::Placement const &placement, Duration latencyTarget) const;
@@ -67,24 +87,13 @@
     Instant deadline_;
     Serving::AttemptPlan plan_;
     Serving::EventSequence events_;
-    std::optional<Serving::ServerRecord> server_;
-    Instant sentAt_;
-    Instant lastEventAt_;
-    /// When bytes of the current stream last arrived, or its silence was last tolerated.
-    Instant lastPieceAt_;
-    std::shared_ptr<Http::Exchange> exchange_;
-    Http::ResponseHead responseHead_;
-    ResponseTraits responseTraits_;
-    std::string body_;
-    /// The response to the current attempt is an event stream.
-    bool isEventStream_ = false;
+    /// The current or last attempt; null before the first.
+    std::shared_ptr<Attempt> attempt_;
+    std::size_t attempts_ = 0;
     /// The response head, and perhaps events, were sent to the caller.
     bool isRelaying_ = false;
-    bool isPaused_ = false;
-    /// Checks whether the current attempt starts, and then whether its stream goes on.
-    std::unique_ptr<Http::Timer> progressTimer_;
+    Instant lastEventAt_;
     bool isFinished_ = false;
-    std::size_t attempts_ = 0;
 };
 
 } // namespace Anvilyard::Node
--- a/Tests/LibServing/TestEventReader.cpp
+++ b/Tests/LibServing/TestEventReader.cpp
@@ -1,4 +1,4 @@
-#include "LibServing/EventSequence.h"
+#include "LibServing/EventReader.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -14,41 +14,55 @@
 
 } // namespace
 
-TEST(EventSequenceTest, OnlyCompleteEventsAreRelayedUnchanged)
+TEST(EventReaderTest, OnlyCompleteEventsAreRelayedUnchanged)
 {
-    EventSequence events;
+    EventSequence sequence;
+    EventReader events(sequence);
     EXPECT_EQ(events.take("id: 0\nda"), "");
     EXPECT_TRUE(events.hasPartialEvent());
     EXPECT_EQ(events.take("ta: x\r\n\r\nid: 1\n"), "id: 0\ndata: x\r\n\r\n");
-    EXPECT_EQ(events.lastId(), 0U);
+    EXPECT_EQ(sequence.lastId(), 0U);
     EXPECT_EQ(events.take("data: y\n\n"), "id: 1\ndata: y\n\n");
     EXPECT_FALSE(events.hasPartialEvent());
 }
 
-TEST(EventSequenceTest, DataLinesOfAnEventAreJoined)
+TEST(EventReaderTest, DataLinesOfAnEventAreJoined)
 {
     std::string data;
-    EventSequence events;
+    EventSequence sequence;
+    EventReader events(sequence);
     events.take("some-header: 3\nid:7\ndata: a\ndata:b\n\n", [&](std::string_view text) { data = text; });
     EXPECT_EQ(data, "a\nb");
-    EXPECT_EQ(events.lastId(), 7U);
+    EXPECT_EQ(sequence.lastId(), 7U);
 }
 
-TEST(EventSequenceTest, AGapBreaksTheSequence)
+TEST(EventReaderTest, AGapBreaksTheResponse)
 {
-    EventSequence events(4);
+    EventSequence sequence(4);
+    EventReader events(sequence);
     EXPECT_EQ(events.take(event(6)), "");
     EXPECT_TRUE(events.isBroken());
     EXPECT_EQ(events.take(event(5)), "") << "no events are relayed after a gap";
 }
 
-TEST(EventSequenceTest, AnEndlessEventBreaksTheSequence)
+TEST(EventReaderTest, AnEndlessEventBreaksTheResponse)
 {
-    EventSequence events;
+    EventSequence sequence;
+    EventReader events(sequence);
     events.take(std::string(1024 * 1024 + 1, 'x'));
     EXPECT_TRUE(events.isBroken());
 }
 
+/// One server sends a gap, another one the missing events. Guards against giving a stream up because of one server's broken response.
+TEST(EventReaderTest, AnotherResponseContinuesAfterAGap)
+{
+    EventSequence sequence(4);
+    EventReader(sequence).take(event(6));
+    EventReader next(sequence);
+    EXPECT_EQ(next.take(event(5) + event(6)), event(5) + event(6));
+    EXPECT_FALSE(next.isBroken());
+}
+
 namespace {
 
 /// Draws from the full range regardless of the case size, so that streams make progress in small cases as well.
@@ -61,28 +75,28 @@
 } // namespace
 
 /// The stream is split into arbitrary pieces, interrupted within an event and repeated from an earlier event. The caller must receive
-/// each event once and in order. This fails if onResumed() keeps the partial event or acceptEvent() accepts a repeated one.
-RC_GTEST_PROP(EventSequenceProperty, EachEventIsRelayedOnceAfterAnyInterruptions, ())
+/// each event once and in order. This fails if a part of one response is joined with the next one, or if a repeated event is accepted.
+RC_GTEST_PROP(EventReaderProperty, EachEventIsRelayedOnceAfterAnyInterruptions, ())
 {
     constexpr std::uint64_t Count = 12;
     std::string complete;
     for (std::uint64_t id = 0; id < Count; ++id)
         complete += event(id, id % 2 == 0 ? "\n" : "\r\n");
-    EventSequence events;
+    EventSequence sequence;
     std::string relayed;
-    while (events.lastId() != Count - 1) {
-        auto const from = *inRange<std::uint64_t>(0, events.lastId() ? *events.lastId() + 2 : 1);
+    while (sequence.lastId() != Count - 1) {
+        auto const from = *inRange<std::uint64_t>(0, sequence.lastId() ? *sequence.lastId() + 2 : 1);
         std::string stream;
         for (auto id = from; id < Count; ++id)
             stream += event(id, id % 2 == 0 ? "\n" : "\r\n");
         auto const cut = *inRange<std::size_t>(1, stream.size() + 1);
+        EventReader events(sequence);
         std::string_view rest = std::string_view(stream).substr(0, cut);
         while (!rest.empty()) {
             auto const size = *inRange<std::size_t>(1, rest.size() + 1);
             relayed += events.take(rest.substr(0, size));
             rest.remove_prefix(size);
         }
-        events.onResumed();
         RC_ASSERT(!events.isBroken());
     }
     RC_ASSERT(relayed == complete);
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -146,6 +146,25 @@
     }
 }
 
+/// All entries restart, callers resume their streams with the id of the last event they have, and a server crashes within the first event
+/// that it sends. Guards against relaying the part joined with the next attempt's first event.
+TEST_F(OnlineTest, AFirstEventCutShortAfterAResumeByTheCallerIsNotJoinedWithTheNextAttempt)
+{
+    int sends = 0;
+    FleetServer::Script const script = [&](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        if (++sends > 1)
+            return answerEvents(request, writer, 10);
+        writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+        writer->write("id: 5\ndata: t", [writer](auto) { writer->abort(); });
+    };
+    auto &node = serve({script, script});
+    auto request = requestOf("/s/1", "a");
+    request.headers.set("Last-Event-Id", "4");
+    auto const answer = ask(node, std::move(request));
+    ASSERT_TRUE(answer) << answer.error().error.toString();
+    EXPECT_EQ(answer->body, eventTexts(5, 10));
+}
+
 /// As above, on a reused connection, where the same server gets the request again. Guards against a fix of one kind of retry only.
 TEST_F(OnlineTest, AFirstEventCutShortOnAReusedConnectionIsNotJoinedWithTheNextAttempt)
 {
@@ -164,6 +183,23 @@
     EXPECT_EQ(requestCount(), 3U);
 }
 
+/// A server skips an event in the middle of a stream. Guards against giving the stream up although another server has the missing event.
+TEST_F(OnlineTest, AGapInOneServersEventsIsFilledByAnother)
+{
+    int sends = 0;
+    FleetServer::Script const script = [&](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        if (++sends > 1)
+            return answerEvents(request, writer, 10);
+        writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+        writer->write(eventTexts(0, 4) + eventTexts(5, 10), nullptr);
+        writer->finish();
+    };
+    auto &node = serve({script, script});
+    auto const answer = ask(node, requestOf("/s/1", "a"));
+    ASSERT_TRUE(answer) << answer.error().error.toString();
+    EXPECT_EQ(answer->body, eventTexts(0, 10));
+}
+
 TEST_F(OnlineTest, ANonResumableStreamThatBreaksIsNotEndedAsComplete)
 {
     auto &node = serve({[](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
