Split the events of each response apart in anvilyard-entry

BackendCall kept one splitter for all attempts and emptied it before a resume, but not before a retry at another server or on a fresh connection.

Evidence: EntryFaultTest.FirstEventCutShortIsNotJoinedWithTheNextAttempt failed before ("data: {"id":data: {"id":"cmpl-1"...) and passes now.

Fix: each Attempt has its own EventSplitter; CompletionProgress (before: EventStreamReader) counts what whole events delivered and holds no bytes. EventSplitter has no way to drop a part any more, since a part ends with its response.

--- a/Libraries/LibHttp/EventSplitter.cpp
+++ b/Libraries/LibHttp/EventSplitter.cpp
@@ -38,11 +38,6 @@
     return complete;
 }
 
-void EventSplitter::dropUnfinished()
-{
-    unfinished_.clear();
-}
-
 std::size_t EventSplitter::unfinishedBytes() const
 {
     return unfinished_.size();
--- a/Libraries/LibHttp/EventSplitter.h
+++ b/Libraries/LibHttp/EventSplitter.h
@@ -7,7 +7,8 @@
 
 namespace Anvilyard::Http {
 
-/// Splits a stream of server-sent events into complete events.
+/// Splits the server-sent events of one response into complete events. Each response needs a splitter of its own, because bytes of an
+/// incomplete event must not be joined with those of another response.
 class EventSplitter
 {
 public:
@@ -16,8 +17,6 @@
 
     /// Adds a piece of the stream and returns the bytes of the events that it completes, unchanged.
     std::string take(std::string_view piece, OnEvent const &onEvent);
-    /// Discards the unfinished event after the stream broke, because a resumed stream sends it again.
-    void dropUnfinished();
     /// Number of bytes received of the unfinished event.
     [[nodiscard]] std::size_t unfinishedBytes() const;
 
--- a/Services/Entry/BackendCall.cpp
+++ b/Services/Entry/BackendCall.cpp
@@ -87,11 +87,11 @@
     attempt_.span->tag("server", attempt_.inFlight->server().id.value());
     Http::HttpRequest resume{
         .method = "POST",
-        .target = "/v1/completions/" + events_.completionId() + "/resume",
+        .target = "/v1/completions/" + progress_.completionId() + "/resume",
         .headers = {{"Content-Type", "application/json"},
                     {"X-Request-Id", request_->id.value()},
                     {"traceparent", attempt_.span->traceparent()}},
-        .body = R"({"offset":)" + std::to_string(events_.tokens()) + "}",
+        .body = R"({"offset":)" + std::to_string(progress_.tokens()) + "}",
     };
     auto request = clientRequest(attempt_.inFlight->server(), std::move(resume));
     request.connection = Http::ClientRequest::Connection::FreshOnly;
@@ -179,13 +179,13 @@
 
 void BackendCall::relayEvents(std::string_view piece)
 {
-    auto events = events_.consume(piece);
+    auto events = attempt_.events.take(piece, [this](std::string_view event, std::string_view) { progress_.onEvent(event); });
     if (!events.empty()) {
         startRelay();
         context_.metrics.relayedEvents.add();
         relay_->write(std::move(events));
     }
-    if (events_.isOverLimit()) {
+    if (attempt_.events.unfinishedBytes() > MaxEventBytes) {
         attempt_.exchange->cancel();
         onAttemptEnd(Routing::ExchangeFailed{.error = Http::HttpError::BodyTooLarge,
                                              .reached = Http::Reached::ResponseStarted,
@@ -215,7 +215,7 @@
     if (!isEventStream())
         return relayCompleteAnswer();
     // An event stream is complete only with its last event, even if its connection was closed cleanly.
-    if (!events_.isDone()) {
+    if (!progress_.isDone()) {
         return onAttemptEnd(Routing::ExchangeFailed{.error = Http::HttpError::ClosedEarly,
                                                     .reached = Http::Reached::ResponseStarted,
                                                     .relayed = relay_->isStarted() ? Routing::Relayed::Part : Routing::Relayed::Nothing});
@@ -286,7 +286,7 @@
     auto const now = readLocalClock();
     bool const isAffordable = now < request_->deadline && attempts_ < MaxAttempts && context_.retryBudget.tryTake(now);
     if (step == NextStep::ResumeStream)
-        return isAffordable && isEventStream() && !events_.completionId().empty() ? step : NextStep::AbortResponse;
+        return isAffordable && isEventStream() && !progress_.completionId().empty() ? step : NextStep::AbortResponse;
     return isAffordable ? step : NextStep::Refuse;
 }
 
@@ -302,7 +302,6 @@
         context_.metrics.retries.add();
         return sendToNextServer();
     case NextStep::ResumeStream:
-        events_.dropUnfinished();
         return sendResume();
     case NextStep::RelayResponse:
         return relayCompleteAnswer();
@@ -355,7 +354,7 @@
 {
     isFinished_ = true;
     context_.abandonCallbacks.erase(this);
-    request_->tokens = std::max(request_->tokens, events_.tokens());
+    request_->tokens = std::max(request_->tokens, progress_.tokens());
     if (attempt_.exchange)
         attempt_.exchange->cancel();
     relay_->setSource(nullptr);
--- a/Services/Entry/BackendCall.h
+++ b/Services/Entry/BackendCall.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "LibHttp/EventSplitter.h"
 #include "Services/Entry/AnswerRelay.h"
-#include "Services/Entry/EventStreamReader.h"
+#include "Services/Entry/CompletionProgress.h"
 #include "Services/Entry/InFlightGuard.h"
 #include "Services/Entry/ThreadContext.h"
 
@@ -25,11 +26,13 @@
     void abandon();
 
 private:
+    /// One exchange with a server and what its response has brought so far. Nothing of it is used for the next exchange.
     struct Attempt {
         std::unique_ptr<InFlightGuard> inFlight;
         std::shared_ptr<Http::Exchange> exchange;
         std::unique_ptr<Observe::Span> span;
         Http::ResponseHead head;
+        Http::EventSplitter events;
         /// The part of the answer that is buffered and not yet relayed.
         std::string body;
         enum class Purpose {
@@ -68,12 +71,13 @@
     void end(CallResult result, std::function<void()> answer);
 
     static constexpr std::size_t MaxBufferedBytes = 256 * 1024;
+    static constexpr std::size_t MaxEventBytes = 1024 * 1024;
     static constexpr std::size_t MaxAttempts = 4;
 
     ThreadContext &context_;
     OnlineRequestPointer request_;
     std::shared_ptr<AnswerRelay> relay_;
-    EventStreamReader events_;
+    CompletionProgress progress_;
     Attempt attempt_;
     std::vector<ServerId> tried_;
     std::uint64_t attempts_ = 0;
--- a/Services/Entry/CacheEventFollower.h
+++ b/Services/Entry/CacheEventFollower.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Services/Entry/EventStreamReader.h"
+#include "LibHttp/EventSplitter.h"
 #include "Services/Entry/ThreadContext.h"
 
 #include <cstdint>
--- a/Services/Entry/CompletionProgress.cpp
+++ b/Services/Entry/CompletionProgress.cpp
@@ -1,4 +1,4 @@
-#include "Services/Entry/EventStreamReader.h"
+#include "Services/Entry/CompletionProgress.h"
 
 #include <boost/json/parse.hpp>
 
@@ -31,12 +31,7 @@
 
 } // namespace
 
-std::string EventStreamReader::consume(std::string_view piece)
-{
-    return splitter_.take(piece, [this](std::string_view event, std::string_view) { inspectEvent(event); });
-}
-
-void EventStreamReader::inspectEvent(std::string_view event)
+void CompletionProgress::onEvent(std::string_view event)
 {
     static constexpr std::string_view Data = "data:";
     if (!event.starts_with(Data))
@@ -54,29 +49,19 @@
         ++tokens_;
 }
 
-void EventStreamReader::dropUnfinished()
-{
-    splitter_.dropUnfinished();
-}
-
-bool EventStreamReader::isDone() const
+bool CompletionProgress::isDone() const
 {
     return isDone_;
 }
 
-std::uint64_t EventStreamReader::tokens() const
+std::uint64_t CompletionProgress::tokens() const
 {
     return tokens_;
 }
 
-std::string const &EventStreamReader::completionId() const
+std::string const &CompletionProgress::completionId() const
 {
     return completionId_;
 }
 
-bool EventStreamReader::isOverLimit() const
-{
-    return splitter_.unfinishedBytes() > MaxEventBytes;
-}
-
 } // namespace Anvilyard::Entry
