Log a stream that the node breaks off as broken-off

What on-call engineers saw: node-request-ended with caller-gone, and anvilyard_node_callers_gone_total rising, for streams that the node itself broke off; broken-off never appeared for a stream of which a part was relayed.

Cause: abortStream() aborted the response before it ended the call, and an abort reports the caller as gone. The call now ends first.

MetricsReportAStreamThatTheNodeBreaksOff failed before (both expectations).

--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -503,11 +503,13 @@
 void OnlineCall::abortStream()
 {
     parts_.metrics.brokenStreams.add();
+    auto const writer = parts_.writer;
+    // Aborting the response reports its caller as gone, which must not count as the outcome.
+    finish("broken-off");
     if (isRelaying_)
-        parts_.writer->abort();
+        writer->abort();
     else
-        parts_.writer->respond(Refusals::write(Refusals::outcomeUnknown(), parts_.context.protocol));
-    finish("broken-off");
+        writer->respond(Refusals::write(Refusals::outcomeUnknown(), parts_.context.protocol));
 }
 
 void OnlineCall::onCallerGone()
--- a/Tests/Node/TestObservation.cpp
+++ b/Tests/Node/TestObservation.cpp
@@ -50,6 +50,19 @@
     EXPECT_THAT(metricsOf(node), HasSubstr(R"(anvilyard_node_refusals_total{reason="route_not_found"} 1)"));
 }
 
+/// Guards against counting a stream that the node breaks off as one whose caller left, which hides what servers did.
+TEST_F(ObservationTest, MetricsReportAStreamThatTheNodeBreaksOff)
+{
+    auto &node = serve([](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+        writer->write(eventTexts(0, 1), [writer](auto) { writer->abort(); });
+    });
+    EXPECT_FALSE(ask(node, requestOf("/o/1", "a")));
+    auto const text = metricsOf(node);
+    EXPECT_THAT(text, HasSubstr(R"(anvilyard_node_requests_ended_total{outcome="broken-off",route="o"} 1)"));
+    EXPECT_THAT(text, HasSubstr("anvilyard_node_callers_gone_total 0"));
+}
+
 /// Guards against attempts that end within an event and leave no trace in the metrics: a server crashes while it sends.
 TEST_F(ObservationTest, MetricsCountSendsThatEndWithinAnEvent)
 {
