Send no new requests to a server that states it is leaving

Until now a server left the choice only by its registration, which lags and may come back unchanged after an outage of the store. ServerDirectory now takes the server's own statement: a last resort for one second, then unused until another process registers under its id, whatever the registration says. A statement counts for the process that the request was sent to; an answer that names another server, and a 421, do not count. All answers are read: of online requests whatever their status, of batch items and of probes.

AServerThatStatesThatItLeavesGetsNoNewRequests and ...GetsNoNewItems failed with the header left unread; the tests of the directory and of the adapter did not compile before.

--- a/Libraries/LibServing/ServerDirectory.cpp
+++ b/Libraries/LibServing/ServerDirectory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace Anvilyard::Serving {
 
@@ -43,7 +44,8 @@
     bool const wasLeaving = entry.leavingUntil.has_value() && isSameProcess;
     entry.record = std::move(record);
     entry.lapsedUntil.reset();
-    if (entry.record.state == ServerRecord::State::Ready) {
+    entry.hasStatedLeaving = entry.hasStatedLeaving && isSameProcess;
+    if (entry.record.state == ServerRecord::State::Ready && !entry.hasStatedLeaving) {
         entry.leavingUntil.reset();
         return;
     }
@@ -73,6 +75,21 @@
         markLeaving(entry, now);
 }
 
+bool ServerDirectory::onLeavingStated(ServerRecord const &server, Instant now)
+{
+    auto const found = entries_.find(server.id);
+    if (found == entries_.end() || found->second.record.startedAt != server.startedAt)
+        return false;
+    auto &entry = found->second;
+    if (std::exchange(entry.hasStatedLeaving, true))
+        return false;
+    expireLapse(entry, now);
+    entry.lapsedUntil.reset();
+    if (!entry.leavingUntil)
+        markLeaving(entry, now);
+    return true;
+}
+
 void ServerDirectory::markLeaving(Entry &entry, Instant now)
 {
     entry.leavingUntil = now + options_.lastResortTime;
--- a/Libraries/LibServing/ServerDirectory.h
+++ b/Libraries/LibServing/ServerDirectory.h
@@ -50,9 +50,9 @@
     Duration departedRetention = 10min;
 };
 
-/// Known backend servers, according to their registrations. Designed for two situations: an outage of the registry after which many
-/// registrations have lapsed although all servers are still running, and servers that disappear from it without notice. Performs no
-/// I/O.
+/// Known backend servers, according to their registrations and their own statements that they leave. Designed for three situations: an
+/// outage of the registry after which many registrations have lapsed although all servers are still running, servers that disappear from
+/// it without notice, and servers that leave before their registration shows it. Performs no I/O.
 class ServerDirectory
 {
 public:
@@ -62,6 +62,9 @@
     void onListed(std::vector<ServerRecord> records, Instant now);
     void onRegistered(ServerRecord record, Instant now);
     void onUnregistered(ServerId const &id, Instant now);
+    /// Called when a server stated in a response that it is leaving. This holds until another process registers under its id, whatever
+    /// the registration of this process says, as registrations lag. Returns whether it is new.
+    bool onLeavingStated(ServerRecord const &server, Instant now);
     /// Called when the registry responds again after an outage.
     void onRegistryReturned(Instant now);
 
@@ -78,6 +81,8 @@
         std::optional<Instant> lapsedUntil;
         /// The server is a last resort until this time and unusable afterwards.
         std::optional<Instant> leavingUntil;
+        /// The server process itself stated that it is leaving.
+        bool hasStatedLeaving = false;
     };
 
     void markLeaving(Entry &entry, Instant now);
--- a/Services/Node/FleetFollower.cpp
+++ b/Services/Node/FleetFollower.cpp
@@ -215,6 +215,15 @@
     publishServers(readLocalClock());
 }
 
+void FleetFollower::onServerLeaving(Serving::ServerRecord const &server)
+{
+    auto const now = readLocalClock();
+    if (!context_.directory.onLeavingStated(server, now))
+        return;
+    Observe::log(Observe::Events::NodeServerLeaving, {{"server", server.id.value()}});
+    publishServers(now);
+}
+
 /// For how long being behind the peer has a harmless reason.
 Duration FleetFollower::expectedLag(PeerProgress const &progress) const
 {
--- a/Services/Node/FleetFollower.h
+++ b/Services/Node/FleetFollower.h
@@ -34,6 +34,8 @@
     void onTick(Instant now);
     /// Called when servers were ejected or restored.
     void onEjectionsChanged();
+    /// Called when a server stated in a response that it is leaving.
+    void onServerLeaving(Serving::ServerRecord const &server);
     /// Requests a snapshot from the peer if it has followed the store further than this instance.
     void onPeerProgress(PeerProgress const &progress, Instant now);
     /// Returns the desired state and the servers for a peer, without what the peer has: a desired state of `version` and the servers up to
--- a/Services/Node/HealthProber.cpp
+++ b/Services/Node/HealthProber.cpp
@@ -64,10 +64,15 @@
         .connectTimeout = ProbeConnectTimeout,
         .connection = Http::ClientRequest::Connection::FreshOnly,
     };
-    context_.serverClient->fetch(std::move(request), [report](tl::expected<Http::HttpResponse, Http::ExchangeFailure> answer) {
-        // Any response will do: a server without a free slot refuses the probe but is reachable.
-        report(answer ? Routing::ProbeOutcome::Answered : Routing::ProbeOutcome::Failed);
-    });
+    auto const record = server->record;
+    context_.serverClient->fetch(
+        std::move(request), [this, record, report](tl::expected<Http::HttpResponse, Http::ExchangeFailure> answer) {
+            if (answer)
+                reportIfLeaving(
+                    context_, record, context_.protocol.readResponseHead({.status = answer->status, .headers = answer->headers}));
+            // Any response will do: a server without a free slot refuses the probe but is reachable.
+            report(answer ? Routing::ProbeOutcome::Answered : Routing::ProbeOutcome::Failed);
+        });
 }
 
 } // namespace Anvilyard::Node
--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -82,6 +82,7 @@
 {
     auto const traits = context_.protocol.readResponseHead(head);
     status_ = head.status;
+    reportIfLeaving(context_, server_, traits);
     bool const isInvalid = status_ == Ok && (!traits.isSigned || traits.isEncoded);
     if (isInvalid)
         finish(SendEnd::Unserved);
--- a/Services/Node/NodeContext.h
+++ b/Services/Node/NodeContext.h
@@ -15,6 +15,7 @@
 #include "Services/Node/NodeSettings.h"
 #include "Services/Node/ServingProtocol.h"
 
+#include <functional>
 #include <memory>
 
 namespace Anvilyard::Node {
@@ -44,6 +45,16 @@
     Routing::RetryBudget moveBudget;
     /// The desired state in force; null until the first one is read.
     std::shared_ptr<Serving::RouteTable const> routes;
+    /// Called when a server states in a response that it is leaving.
+    std::function<void(Serving::ServerRecord const &)> onServerLeaving;
 };
 
+/// Calls onServerLeaving if the response is from the server and states that it is leaving.
+inline void reportIfLeaving(NodeContext const &context, Serving::ServerRecord const &server, ResponseTraits const &response)
+{
+    bool const isFromServer = !response.server || *response.server == server.id;
+    if (response.isServerLeaving && isFromServer && context.onServerLeaving)
+        context.onServerLeaving(server);
+}
+
 } // namespace Anvilyard::Node
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -81,6 +81,7 @@
         .health = Routing::ServerHealth(healthOptions(), RandomSource(healthSeed)),
         .moveBudget = Routing::RetryBudget(moveBudgetOptions(), readLocalClock()),
         .routes = nullptr,
+        .onServerLeaving = {},
     };
 }
 
@@ -141,6 +142,7 @@
     if (auto exchangeStarted = peerReports_.start(); !exchangeStarted)
         return exchangeStarted;
     context_.load.onChange([this] { onLoadChanged(); });
+    context_.onServerLeaving = [this](Serving::ServerRecord const &server) { fleet_.onServerLeaving(server); };
     peerReports_.setStage(Serving::InstanceStage::Serving);
     fleet_.start();
     if (context_.settings.role == InstanceRole::Runner) {
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -242,6 +242,7 @@
     attempt_->head = std::move(head);
     attempt_->traits = parts_.context.protocol.readResponseHead(attempt_->head);
     attempt_->progressTimer.reset();
+    reportIfLeaving(parts_.context, attempt_->server, attempt_->traits);
     bool const isSuccess = attempt_->head.status >= Ok && attempt_->head.status < FirstNonSuccess;
     // A success without the server's signature is not a valid response of that server.
     if (isSuccess && (!attempt_->traits.isSigned || attempt_->traits.isEncoded))
--- a/Services/Node/ServingProtocol.h
+++ b/Services/Node/ServingProtocol.h
@@ -38,12 +38,16 @@
 struct ResponseTraits {
     /// Id of the request that the response belongs to, if stated.
     std::optional<RequestId> answeredRequest;
+    /// Id of the server that responded, if stated.
+    std::optional<ServerId> server;
     /// The response carries the server's signature.
     bool isSigned = false;
     /// The server states that it did not run the request.
     bool isNotRun = false;
     /// The body is encoded although no encoding was requested.
     bool isEncoded = false;
+    /// The server states that it is leaving and must receive no new requests.
+    bool isServerLeaving = false;
 };
 
 /// Reads the results of a job from a position on.
--- a/Tests/FleetAdapter/TestFleetProtocol.cpp
+++ b/Tests/FleetAdapter/TestFleetProtocol.cpp
@@ -184,6 +184,18 @@
     EXPECT_EQ(protocol.readResponseHead({.headers = {{"anvilyard-attempt-id", "7"}}}).answeredRequest, RequestId("7"));
 }
 
+/// Guards against missing that a server leaves, and against taking a statement for another server's: a 421 comes from the server that has
+/// the address now.
+TEST(FleetProtocolTest, AResponseStatesWhetherItsServerIsLeaving)
+{
+    for (auto const status : {200, 404, 429, 500, 503})
+        EXPECT_TRUE(protocol.readResponseHead({.status = status, .headers = {{"server-leaving", "1"}}}).isServerLeaving) << status;
+    EXPECT_FALSE(protocol.readResponseHead({.status = 421, .headers = {{"Server-Leaving", "1"}}}).isServerLeaving);
+    EXPECT_FALSE(protocol.readResponseHead({.status = 200, .headers = {{"Server-Leaving", "0"}}}).isServerLeaving);
+    EXPECT_FALSE(protocol.readResponseHead({.status = 200}).isServerLeaving);
+    EXPECT_EQ(protocol.readResponseHead({.status = 200, .headers = {{"Anvilyard-Instance-Id", "i-1"}}}).server, ServerId("i-1"));
+}
+
 TEST(FleetProtocolTest, JobCallsAreDistinguishedFromRequests)
 {
     auto const read = protocol.readJobCall(requestOf("GET", "/api/lots/j1?after=12", {{"Anvilyard-Wait-Ms", "1000"}}));
--- a/Tests/LibServing/TestServerDirectory.cpp
+++ b/Tests/LibServing/TestServerDirectory.cpp
@@ -49,6 +49,46 @@
     EXPECT_EQ(useOf(directory, "a", Start + 1s), "none");
 }
 
+/// A server states in its responses that it is leaving while the registry still shows it as ready, or shows it so again after an outage.
+/// Guards against sending it requests until the registry catches up.
+TEST(ServerDirectoryTest, AServerThatStatesThatItLeavesIsNotUsedWhateverItsRegistrationSays)
+{
+    ServerDirectory directory({});
+    directory.onRegistered(recordOf("a"), Start);
+    EXPECT_TRUE(directory.onLeavingStated(recordOf("a"), Start));
+    EXPECT_EQ(useOf(directory, "a", Start), "last resort");
+    EXPECT_FALSE(directory.onLeavingStated(recordOf("a"), Start + 500ms)) << "a repeated statement does not extend the time";
+    directory.onRegistered(recordOf("a"), Start + 900ms);
+    EXPECT_EQ(useOf(directory, "a", Start + 900ms), "last resort");
+    EXPECT_EQ(useOf(directory, "a", Start + 1s), "none");
+    directory.onUnregistered(ServerId("a"), Start + 2s);
+    directory.onListed({recordOf("a")}, Start + 3s);
+    EXPECT_EQ(useOf(directory, "a", Start + 3s), "none");
+}
+
+/// Guards against a lapse in an outage that keeps a leaving server usable.
+TEST(ServerDirectoryTest, AServerWithALapsedRegistrationThatStatesThatItLeavesIsNotUsed)
+{
+    ServerDirectory directory({});
+    directory.onRegistered(recordOf("a"), Start);
+    directory.onRegistryReturned(Start);
+    directory.onListed({}, Start);
+    EXPECT_TRUE(directory.onLeavingStated(recordOf("a"), Start));
+    EXPECT_EQ(useOf(directory, "a", Start + 1s), "none");
+}
+
+/// A server restarts under its id. Guards against excluding the new process for what the old one stated, also when that arrives late.
+TEST(ServerDirectoryTest, AStatementToLeaveHoldsForItsProcessOnly)
+{
+    ServerDirectory directory({});
+    directory.onRegistered(recordOf("a"), Start);
+    EXPECT_TRUE(directory.onLeavingStated(recordOf("a"), Start));
+    directory.onRegistered(recordOf("a", ServerRecord::State::Ready, 2), Start + 2s);
+    EXPECT_EQ(useOf(directory, "a", Start + 2s), "usable");
+    EXPECT_FALSE(directory.onLeavingStated(recordOf("a"), Start + 3s));
+    EXPECT_EQ(useOf(directory, "a", Start + 5s), "usable");
+}
+
 /// Guards against treating registrations that lapsed in an outage as departures.
 TEST(ServerDirectoryTest, RegistrationsLapsedInAnOutageStayUsableForTheReregistrationTime)
 {
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -227,6 +227,28 @@
     EXPECT_EQ(servers_[0]->requests().at(1).headers.find("Last-Event-Id"), "2");
 }
 
+/// A server states in its responses to items that it is leaving; its registration still says ready. Guards against starting more items
+/// there.
+TEST_F(JobsTest, AServerThatStatesThatItLeavesGetsNoNewItems)
+{
+    addServer("s1", [](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        auto headers = signedHeaders(request, "text/event-stream");
+        headers.set("Server-Leaving", "1");
+        writer->respond({.status = 200, .headers = std::move(headers), .body = eventTexts(0, 3)});
+    });
+    addServer("s2", complete);
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    ask(entry, submissionOf("j", 20));
+    readResults(entry, "j", 20);
+    auto const sent = servers_[0]->requests().size();
+    EXPECT_GE(sent, 1U);
+    ask(entry, submissionOf("k", 20));
+    readResults(entry, "k", 20);
+    EXPECT_EQ(servers_[0]->requests().size(), sent);
+}
+
 TEST_F(JobsTest, BodiesAreReadUntilTheirItemIsListed)
 {
     auto &entry = startNode("entry-1");
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -360,6 +360,50 @@
     thread_.call([&] { held.clear(); });
 }
 
+/// A server states in a response of any kind that it is leaving; its registration still says ready. Guards against sending it requests for
+/// as long as its registration lags.
+TEST_F(OnlineTest, AServerThatStatesThatItLeavesGetsNoNewRequests)
+{
+    enum class Kind {
+        Response,
+        Stream,
+        Rejection,
+    };
+    for (auto const kind : {Kind::Response, Kind::Stream, Kind::Rejection}) {
+        SCOPED_TRACE(static_cast<int>(kind));
+        servers_.clear();
+        auto &node = serve({[kind](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+                                auto headers = signedHeaders(request, kind == Kind::Stream ? "text/event-stream" : "text/plain");
+                                headers.set("Server-Leaving", "1");
+                                if (kind == Kind::Rejection)
+                                    headers.set("Anvilyard-Not-Executed", "1");
+                                writer->respond({.status = kind == Kind::Rejection ? 503 : 200,
+                                                 .headers = std::move(headers),
+                                                 .body = kind == Kind::Stream ? eventTexts(0, 10) : "pong"});
+                            },
+                            [](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+                                if (request.target.starts_with("/s/"))
+                                    return answerEvents(request, writer, 10);
+                                respondWith("pong")(0, request, writer);
+                            }});
+        auto const target = kind == Kind::Stream ? "/s/1" : "/i/1";
+        // Enough requests at once that each server gets some of them.
+        auto const sendMany = [&](std::string const &prefix) {
+            std::vector<std::future<Answer>> answers;
+            for (int number = 0; number < 20; ++number)
+                answers.push_back(sendTo(node, requestOf(target, prefix + std::to_string(number))));
+            for (auto &answer : answers)
+                EXPECT_EQ(answer.get()->status, 200);
+        };
+        sendMany("a");
+        auto const sent = servers_[0]->requests().size();
+        EXPECT_GE(sent, 1U);
+        sendMany("b");
+        EXPECT_EQ(servers_[0]->requests().size(), sent);
+        killNode("entry-1");
+    }
+}
+
 TEST_F(OnlineTest, ADrainingServerGetsNoRequestsWhileAnotherIsReady)
 {
     auto &node = serve({respondWith("1"), respondWith("2")});
