Keep a statement to leave while no later process registers

Cause: a record with any other start time was taken for a new process. A record of another writer that lacks the start time (read as 0), or an older one from a list that lags, cleared the statement, and the registration of the leaving process made it usable again. A statement that arrived after such a record was ignored.

A statement now holds until a record with a later start time is registered.

AStatementToLeaveOutlastsARecordWithAnOlderStartTime and AStatementToLeaveCountsAlthoughTheRecordHasAnOlderStartTimeSince failed before.

--- a/Libraries/LibServing/ServerDirectory.cpp
+++ b/Libraries/LibServing/ServerDirectory.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <set>
-#include <utility>
 
 namespace Anvilyard::Serving {
 
@@ -40,12 +39,15 @@
 {
     auto &entry = entries_[record.id];
     expireLapse(entry, now);
-    bool const isSameProcess = entry.record.startedAt == record.startedAt;
+    // After a statement only a later start time shows a new process. A record of another writer may have none, and an old list an
+    // earlier one.
+    if (entry.leavingStatedBy && record.startedAt > *entry.leavingStatedBy)
+        entry.leavingStatedBy.reset();
+    bool const isSameProcess = entry.record.startedAt == record.startedAt || entry.leavingStatedBy.has_value();
     bool const wasLeaving = entry.leavingUntil.has_value() && isSameProcess;
     entry.record = std::move(record);
     entry.lapsedUntil.reset();
-    entry.hasStatedLeaving = entry.hasStatedLeaving && isSameProcess;
-    if (entry.record.state == ServerRecord::State::Ready && !entry.hasStatedLeaving) {
+    if (entry.record.state == ServerRecord::State::Ready && !entry.leavingStatedBy) {
         entry.leavingUntil.reset();
         return;
     }
@@ -78,11 +80,12 @@
 bool ServerDirectory::onLeavingStated(ServerRecord const &server, Instant now)
 {
     auto const found = entries_.find(server.id);
-    if (found == entries_.end() || found->second.record.startedAt != server.startedAt)
+    if (found == entries_.end() || found->second.record.startedAt > server.startedAt)
         return false;
     auto &entry = found->second;
-    if (std::exchange(entry.hasStatedLeaving, true))
+    if (entry.leavingStatedBy && *entry.leavingStatedBy >= server.startedAt)
         return false;
+    entry.leavingStatedBy = server.startedAt;
     expireLapse(entry, now);
     entry.lapsedUntil.reset();
     if (!entry.leavingUntil)
--- a/Libraries/LibServing/ServerDirectory.h
+++ b/Libraries/LibServing/ServerDirectory.h
@@ -81,8 +81,8 @@
         std::optional<Instant> lapsedUntil;
         /// The server is a last resort until this time and unusable afterwards.
         std::optional<Instant> leavingUntil;
-        /// The server process itself stated that it is leaving.
-        bool hasStatedLeaving = false;
+        /// Start time of the server process that stated that it is leaving.
+        std::optional<std::int64_t> leavingStatedBy;
     };
 
     void markLeaving(Entry &entry, Instant now);
--- a/Tests/LibServing/TestServerDirectory.cpp
+++ b/Tests/LibServing/TestServerDirectory.cpp
@@ -89,6 +89,36 @@
     EXPECT_EQ(useOf(directory, "a", Start + 5s), "usable");
 }
 
+/// A record may come from another writer and lack the start time, or come from a list that is older than the process. Guards against taking
+/// such a record for a new process, which would make the server that stated that it is leaving usable again.
+TEST(ServerDirectoryTest, AStatementToLeaveOutlastsARecordWithAnOlderStartTime)
+{
+    for (std::int64_t const olderStart : {0, 1}) {
+        SCOPED_TRACE(olderStart);
+        ServerDirectory directory({});
+        directory.onRegistered(recordOf("a", ServerRecord::State::Ready, 2), Start);
+        EXPECT_TRUE(directory.onLeavingStated(recordOf("a", ServerRecord::State::Ready, 2), Start));
+        directory.onRegistered(recordOf("a", ServerRecord::State::Ready, olderStart), Start + 2s);
+        EXPECT_EQ(useOf(directory, "a", Start + 2s), "none");
+        directory.onRegistered(recordOf("a", ServerRecord::State::Ready, 2), Start + 3s);
+        EXPECT_EQ(useOf(directory, "a", Start + 3s), "none");
+        directory.onRegistered(recordOf("a", ServerRecord::State::Ready, 3), Start + 4s);
+        EXPECT_EQ(useOf(directory, "a", Start + 4s), "usable");
+    }
+}
+
+/// Guards against ignoring a statement because a record of another writer, or an older one, arrived while the request ran.
+TEST(ServerDirectoryTest, AStatementToLeaveCountsAlthoughTheRecordHasAnOlderStartTimeSince)
+{
+    ServerDirectory directory({});
+    directory.onRegistered(recordOf("a", ServerRecord::State::Ready, 2), Start);
+    directory.onRegistered(recordOf("a", ServerRecord::State::Ready, 0), Start);
+    EXPECT_TRUE(directory.onLeavingStated(recordOf("a", ServerRecord::State::Ready, 2), Start));
+    EXPECT_EQ(useOf(directory, "a", Start + 1s), "none");
+    directory.onRegistered(recordOf("a", ServerRecord::State::Ready, 2), Start + 2s);
+    EXPECT_EQ(useOf(directory, "a", Start + 2s), "none");
+}
+
 /// Guards against treating registrations that lapsed in an outage as departures.
 TEST(ServerDirectoryTest, RegistrationsLapsedInAnOutageStayUsableForTheReregistrationTime)
 {
