Skip later views of a generation whose rules a follower cannot read

The follower refused the view whose rules it could not read, but not the next view of that generation, which carries no rules: it read them as an empty rule set and took that into force. What one side had sent on the stream and what the other had kept of it differed.

The follower now remembers for the time of a stream which generation it could not read.

--- a/Libraries/LibPeer/AgentFollower.cpp
+++ b/Libraries/LibPeer/AgentFollower.cpp
@@ -7,6 +7,7 @@
 #include "peer.grpc.pb.h"
 
 #include <atomic>
+#include <optional>
 #include <thread>
 
 namespace Anvilyard::Peer {
@@ -107,9 +108,10 @@
         auto const reader = stub.Follow(&context, request);
         peer::FleetViewMessage message;
         std::size_t received = 0;
+        std::optional<Generation> unreadable;
         while (reader->Read(&message)) {
             ++received;
-            onMessage(message);
+            onMessage(message, unreadable);
         }
         reader->Finish();
         setStream(nullptr);
@@ -125,13 +127,17 @@
         return !isStopping_;
     }
 
-    void onMessage(peer::FleetViewMessage const &message)
+    /// `unreadable`: generation whose rules could not be read on this stream. A stream carries the rules of a generation only once, so
+    /// later views of the generation would seem to have no rules at all.
+    void onMessage(peer::FleetViewMessage const &message, std::optional<Generation> &unreadable)
     {
         Generation const generation(message.generation());
-        if (generation < rules_->generation)
+        if (generation < rules_->generation || generation == unreadable)
             return;
-        if (generation > rules_->generation && !updateRules(message.rules_text(), generation))
+        if (generation > rules_->generation && !updateRules(message.rules_text(), generation)) {
+            unreadable = generation;
             return;
+        }
         auto view = std::make_shared<Fleet::FleetView>();
         view->rules = rules_;
         for (auto const &server : message.servers())
--- a/Tests/LibPeer/TestAgentPeers.cpp
+++ b/Tests/LibPeer/TestAgentPeers.cpp
@@ -262,6 +262,29 @@
         EXPECT_NE(view->rules->generation, Generation(2));
 }
 
+/// A stream carries the rules once per generation. Guards against taking a later view of a generation whose rules could not be read, which
+/// carries no rules, for one without any rules: the follower would then have no route.
+TEST(AgentFollowerTest, ALaterViewOfInvalidRulesLeavesTheOldOnesInForce)
+{
+    auto const server = AgentServer::create(echoOptions(""));
+    WaitableValue<Views> views;
+    auto const follower = AgentFollower::create({
+        .agent = (*server)->address(),
+        .role = "entry",
+        .onView = [&](auto view) { views.update([&](Views &list) { list.push_back(view); }); },
+    });
+    (*server)->publish(makeView(1, 1));
+    views.waitFor(hasMark(1));
+    // Views may be merged while one is written, so several of the generation are published apart.
+    for (std::uint64_t mark = 2; mark < 6; ++mark) {
+        (*server)->publish(makeView(2, mark, "{leaving: e}\n"));
+        std::this_thread::sleep_for(20ms);
+    }
+    (*server)->publish(makeView(3, 6));
+    for (auto const &view : views.waitFor(hasMark(6)))
+        EXPECT_NE(view->rules->generation, Generation(2)) << view->rules->leaving.size();
+}
+
 TEST(AgentFollowerTest, FollowerWithAWrongKeyReceivesNoView)
 {
     auto const server = AgentServer::create(echoOptions("k"));
