Repeat a resume in anvilyard-entry that got no answer

What callers would see: a completion broken off with an error event, although its engine could still resume it.

Cause: whether a stream may be resumed was read from the head of the current attempt. A resume whose connection failed before a head has none, so it counted as an answer without events and was not repeated within the attempts left. That a completion has relayed events is a fact of the request; its id, which only relayed events set, shows it.

AResumeThatGetsNoAnswerIsRepeated failed before (the connection ended before the message was complete).

--- a/Services/Entry/BackendCall.cpp
+++ b/Services/Entry/BackendCall.cpp
@@ -286,7 +286,7 @@
     auto const now = readLocalClock();
     bool const isAffordable = now < request_->deadline && attempts_ < MaxAttempts && context_.retryBudget.tryTake(now);
     if (step == NextStep::ResumeStream)
-        return isAffordable && isEventStream() && !progress_.completionId().empty() ? step : NextStep::AbortResponse;
+        return isAffordable && !progress_.completionId().empty() ? step : NextStep::AbortResponse;
     return isAffordable ? step : NextStep::Refuse;
 }
 
--- a/Tests/Entry/TestEntryRelay.cpp
+++ b/Tests/Entry/TestEntryRelay.cpp
@@ -135,6 +135,23 @@
     EXPECT_EQ(engine.requests().at(1).body, R"({"offset":2})");
 }
 
+// Guards against breaking off a stream because its engine answered the first attempt to resume it with nothing, as a restarting one does.
+TEST_F(EntryRelayTest, AResumeThatGetsNoAnswerIsRepeated)
+{
+    auto &engine = addEngine([](int number, auto const &, auto writer) {
+        if (number == 1)
+            return streamAndBreak(writer, {"one "});
+        if (number == 2)
+            return writer->abort();
+        streamComplete(writer, {"two "});
+    });
+    startEntry();
+    auto const answer = fetch(completion());
+    ASSERT_TRUE(answer) << answer.error().error.toString();
+    EXPECT_EQ(answer->body, tokenEvent("one ") + tokenEvent("two ") + "data: [DONE]\n\n");
+    EXPECT_EQ(engine.requests().at(2).body, R"({"offset":1})");
+}
+
 TEST_F(EntryRelayTest, StreamWithoutItsLastEventEndsWithAnError)
 {
     addEngine([](int number, auto const &, auto writer) {
