Split events whose two line ends are of different kinds

An event that ends with a line feed and an empty line of carriage return and line feed had no end for the splitter, so it was joined with the next event, and the pair was taken for a gap in the stream or for an unfinished event.

The splitter looks for an empty line after any line end.

--- a/Libraries/LibHttp/EventSplitter.cpp
+++ b/Libraries/LibHttp/EventSplitter.cpp
@@ -9,14 +9,18 @@
     std::size_t length = 0;
 };
 
-/// Finds the empty line that ends an event, for both kinds of line endings.
+/// Finds the empty line that ends an event. Its line end and the one before it may be of different kinds.
 EventEnd findEventEnd(std::string_view text, std::size_t from)
 {
-    auto const plain = text.find("\n\n", from);
-    auto const carriage = text.find("\r\n\r\n", from);
-    if (carriage < plain)
-        return {.position = carriage, .length = 4};
-    return {.position = plain, .length = 2};
+    for (auto lineEnd = text.find('\n', from); lineEnd != std::string::npos; lineEnd = text.find('\n', lineEnd + 1)) {
+        auto const rest = text.substr(lineEnd + 1);
+        std::size_t const emptyLine = rest.starts_with('\n') ? 1 : rest.starts_with("\r\n") ? 2 : 0;
+        if (emptyLine == 0)
+            continue;
+        std::size_t const carriage = lineEnd > 0 && text[lineEnd - 1] == '\r' ? 1 : 0;
+        return {.position = lineEnd - carriage, .length = carriage + 1 + emptyLine};
+    }
+    return {};
 }
 
 } // namespace
