--- a/Services/Node/FleetFollower.cpp
+++ b/Services/Node/FleetFollower.cpp
@@ -180,6 +180,7 @@
             Observe::log(Observe::Events::NodeServerRegistered,
                          {{"server", id.value()},
                           {"state", record->state == Serving::ServerRecord::State::Ready ? "ready" : "draining"},
+                          {"started_at", std::to_string(record->startedAt)},
                           {"revision", std::to_string(revision)}});
             context_.directory.onRegistered(std::move(*record), now);
         } else {
