Keep the deadlines of an exchange that is paused before its response

What callers would see: a stream of anvilyard-entry broken off, or its engine blamed as silent, when a slow caller of a resumed stream reads on later than the time for progress; and a resume at a host that does not answer that waits until the end of the request instead of the connect timeout.

Cause: pause() set the deadline of whatever stage the exchange was in, and the next stage replaced it. That is right only while the body is read; AnswerRelay pauses the exchange of a resume right after it is sent. The deadline of the body now follows from the pause, and the earlier stages keep theirs.

AnExchangePausedBeforeItsResponseIsNotSilent failed before (nothing arrived in time).

--- a/Libraries/LibHttp/ClientExchange.cpp
+++ b/Libraries/LibHttp/ClientExchange.cpp
@@ -243,7 +243,9 @@
 void ClientExchange::pause()
 {
     paused_ = true;
-    deadline_ = request_.deadline;
+    // The deadlines of the earlier stages concern the server, which a pause does not delay.
+    if (stage_ == Stage::ReadingBody)
+        deadline_ = request_.deadline;
 }
 
 void ClientExchange::resume()
@@ -269,7 +271,8 @@
 void ClientExchange::setStage(Stage stage, Duration timeout)
 {
     stage_ = stage;
-    deadline_ = std::min(readLocalClock() + timeout, request_.deadline);
+    bool const isPausedBody = paused_ && stage == Stage::ReadingBody;
+    deadline_ = isPausedBody ? request_.deadline : std::min(readLocalClock() + timeout, request_.deadline);
 }
 
 } // namespace Anvilyard::Http
--- a/Tests/LibHttp/TestHttpExchange.cpp
+++ b/Tests/LibHttp/TestHttpExchange.cpp
@@ -77,6 +77,33 @@
     EXPECT_EQ(response->body, "piece 0\npiece 1\npiece 2\npiece 3\npiece 4\n");
 }
 
+/// A stream that is resumed for a caller that is still slow starts paused. Guards against taking the pause for a silent server.
+TEST_F(HttpExchangeTest, AnExchangePausedBeforeItsResponseIsNotSilent)
+{
+    serve([](HttpRequest, auto writer) { writer->respond({.status = 200, .body = "whole"}); });
+    std::string body;
+    std::promise<std::string> ended;
+    std::unique_ptr<Timer> timer;
+    thread_.call([&] {
+        auto const exchange = client_->send(
+            {
+                .server = server_->address(),
+                .request = {.method = "GET", .target = "/"},
+                .deadline = readLocalClock() + 10s,
+                .progressTimeout = 100ms,
+            },
+            {
+                .onPiece = [&](std::string_view piece) { body += piece; },
+                .onEnd = [&] { ended.set_value(body); },
+                .onFailure = [&](ExchangeFailure const &failure) { ended.set_value(failure.error.toString()); },
+            });
+        exchange->pause();
+        timer = thread_.loop().at(readLocalClock() + 600ms, [exchange] { exchange->resume(); });
+    });
+    EXPECT_EQ(ended.get_future().get(), "whole");
+    thread_.call([&] { timer.reset(); });
+}
+
 TEST_F(HttpExchangeTest, AbortedStreamIsReportedAsIncomplete)
 {
     serve([](HttpRequest, auto writer) {
