Break a response at an event whose id cannot be read

What callers saw: with a faulty server, a stream with an event of no run, or with an event twice. Found by a test; not seen in a record of the users.

Cause: an event without a readable id was taken as the next one, also in a stream whose events have ids. It was relayed, but the position stayed before it. The response's next event was then a gap or the stream broke, and the resumed run sent that event again.

Change: once an id is known, from the caller or from an event, an event without one breaks the response, and another server goes on after the last id. Streams whose events have no ids are relayed as before.

EventReaderTest.AnEventWithoutAnIdAmongEventsWithIdsBreaksTheResponse failed before.

--- a/Libraries/LibServing/EventReader.cpp
+++ b/Libraries/LibServing/EventReader.cpp
@@ -60,7 +60,7 @@
             return;
         auto const fields = parse(event);
         auto const order = sequence_.advance(fields.id);
-        isBroken_ = order == EventSequence::Order::Gap;
+        isBroken_ = order == EventSequence::Order::Gap || order == EventSequence::Order::Unplaced;
         if (order != EventSequence::Order::Next)
             return;
         newEvents += withEnd;
--- a/Libraries/LibServing/EventSequence.cpp
+++ b/Libraries/LibServing/EventSequence.cpp
@@ -9,7 +9,9 @@
 
 EventSequence::Order EventSequence::advance(std::optional<std::uint64_t> id)
 {
-    if (id && lastId_) {
+    if (lastId_) {
+        if (!id)
+            return Order::Unplaced;
         if (*id <= *lastId_)
             return Order::Repeated;
         if (*id != *lastId_ + 1)
--- a/Libraries/LibServing/EventSequence.h
+++ b/Libraries/LibServing/EventSequence.h
@@ -16,12 +16,14 @@
         Repeated,
         /// Events are missing before this one.
         Gap,
+        /// The event has no id, in a stream whose events have ids. Its place is unknown, so a resume would lose or repeat it.
+        Unplaced,
     };
 
     /// `lastId`: id of the event after which the stream begins, if the caller specified one.
     explicit EventSequence(std::optional<std::uint64_t> lastId = std::nullopt);
 
-    /// Moves the position to an event unless it is repeated or after a gap. An event without an id is taken as the next one.
+    /// Moves the position to the event if it is the next one. An event without an id is, as long as no id is known.
     Order advance(std::optional<std::uint64_t> id);
 
     [[nodiscard]] std::optional<std::uint64_t> lastId() const;
--- a/Tests/LibServing/TestEventReader.cpp
+++ b/Tests/LibServing/TestEventReader.cpp
@@ -45,6 +45,31 @@
     EXPECT_EQ(events.take(event(5)), "") << "no events are relayed after a gap";
 }
 
+/// A faulty server sends an event without a readable id. Guards against relaying it: after a resume the caller would have it twice, or
+/// have an event that is of no run.
+TEST(EventReaderTest, AnEventWithoutAnIdAmongEventsWithIdsBreaksTheResponse)
+{
+    for (std::string const spoilt : {"data: x\n\n", "id: 6x\ndata: x\n\n", "id:\ndata: x\n\n", ": comment\n\n", "\n\n"}) {
+        EventSequence sequence;
+        EventReader events(sequence);
+        EXPECT_EQ(events.take(event(5) + spoilt + event(6)), event(5)) << spoilt;
+        EXPECT_TRUE(events.isBroken()) << spoilt;
+        EXPECT_EQ(sequence.lastId(), 5U) << spoilt;
+        EventReader next(sequence);
+        EXPECT_EQ(next.take(spoilt), "") << spoilt;
+        EXPECT_TRUE(next.isBroken()) << "the ids of an earlier response count, too: " << spoilt;
+    }
+}
+
+TEST(EventReaderTest, AStreamWithoutIdsIsRelayed)
+{
+    EventSequence sequence;
+    EventReader events(sequence);
+    EXPECT_EQ(events.take("data: x\n\ndata: y\n\n"), "data: x\n\ndata: y\n\n");
+    EXPECT_FALSE(events.isBroken());
+    EXPECT_EQ(sequence.count(), 2U);
+}
+
 TEST(EventReaderTest, AnEndlessEventBreaksTheResponse)
 {
     EventSequence sequence;
