Relay comments of a stream without taking them for events

Since responses break at an event without a readable id, a comment that keeps a connection alive would have broken a stream whose events have ids. A block of comments only is relayed as it is and moves nothing.

--- a/Libraries/LibServing/EventReader.cpp
+++ b/Libraries/LibServing/EventReader.cpp
@@ -9,6 +9,8 @@
 struct EventFields {
     std::optional<std::uint64_t> id;
     std::string data;
+    /// Whether it has no field of an event, as a comment has none.
+    bool isComment = true;
 };
 
 std::string_view valueOf(std::string_view line, std::size_t nameLength)
@@ -29,6 +31,8 @@
         event.remove_prefix(std::min(event.size(), end + 1));
         if (line.ends_with('\r'))
             line.remove_suffix(1);
+        if (!line.empty() && !line.starts_with(':'))
+            fields.isComment = false;
         if (line.starts_with("id:")) {
             auto const text = valueOf(line, 2);
             std::uint64_t id = 0;
@@ -59,6 +63,10 @@
         if (isBroken_)
             return;
         auto const fields = parse(event);
+        if (fields.isComment) {
+            newEvents += withEnd;
+            return;
+        }
         auto const order = sequence_.advance(fields.id);
         isBroken_ = order == EventSequence::Order::Gap || order == EventSequence::Order::Unplaced;
         if (order != EventSequence::Order::Next)
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -462,8 +462,8 @@
     case NextStep::SendToOtherServer:
         return placeAndSend();
     case NextStep::ResumeStream:
-        // Without event ids the position to resume from is unknown.
-        if (!events_.lastId())
+        // Without event ids the position to resume from is unknown, unless the caller has no event yet.
+        if (!events_.lastId() && events_.count() > 0)
             return abortStream();
         parts_.metrics.resumes.add();
         return placeAndSend();
--- a/Tests/LibServing/TestEventReader.cpp
+++ b/Tests/LibServing/TestEventReader.cpp
@@ -49,7 +49,7 @@
 /// have an event that is of no run.
 TEST(EventReaderTest, AnEventWithoutAnIdAmongEventsWithIdsBreaksTheResponse)
 {
-    for (std::string const spoilt : {"data: x\n\n", "id: 6x\ndata: x\n\n", "id:\ndata: x\n\n", ": comment\n\n", "\n\n"}) {
+    for (std::string const spoilt : {"data: x\n\n", "id: 6x\ndata: x\n\n", "id:\ndata: x\n\n", "event: x\n\n"}) {
         EventSequence sequence;
         EventReader events(sequence);
         EXPECT_EQ(events.take(event(5) + spoilt + event(6)), event(5)) << spoilt;
@@ -61,6 +61,17 @@
     }
 }
 
+/// Servers send comments to keep a connection alive. Guards against taking one for an event, which would break the response for want of an
+/// id.
+TEST(EventReaderTest, ACommentIsRelayedWithoutMovingThePosition)
+{
+    EventSequence sequence;
+    EventReader events(sequence);
+    EXPECT_EQ(events.take(event(5) + ": alive\r\n\r\n" + event(6)), event(5) + ": alive\r\n\r\n" + event(6));
+    EXPECT_FALSE(events.isBroken());
+    EXPECT_EQ(sequence.count(), 2U);
+}
+
 TEST(EventReaderTest, AStreamWithoutIdsIsRelayed)
 {
     EventSequence sequence;
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -200,6 +200,23 @@
     EXPECT_EQ(answer->body, eventTexts(0, 10));
 }
 
+/// A server sends a comment to keep its connection alive and breaks off before its first event. Guards against giving the stream up
+/// although the caller has nothing of it.
+TEST_F(OnlineTest, AStreamThatBreaksAfterACommentIsSentAgain)
+{
+    int sends = 0;
+    FleetServer::Script const script = [&](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        if (++sends > 1)
+            return answerEvents(request, writer, 10);
+        writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+        writer->write(": alive\n\n", [writer](auto) { writer->abort(); });
+    };
+    auto &node = serve({script, script});
+    auto const answer = ask(node, requestOf("/s/1", "a"));
+    ASSERT_TRUE(answer) << answer.error().error.toString();
+    EXPECT_EQ(answer->body, ": alive\n\n" + eventTexts(0, 10));
+}
+
 TEST_F(OnlineTest, ANonResumableStreamThatBreaksIsNotEndedAsComplete)
 {
     auto &node = serve({[](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
