Relay no stream without an event as complete

What callers would see: 200 and an empty stream that looks complete. A server that crashes after the head of a response without a length leaves one that looks whole. As for batch items, a stream has at least one event, except one that goes on after its last event. The attempt counts as broken now.

AStreamWithoutEventsIsNotEndedAsComplete failed before (empty body, status 200).

--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -303,7 +303,9 @@
 
 void OnlineCall::endStream()
 {
-    if (attempt_->events.hasPartialEvent())
+    // A stream has at least one event. Only one that goes on after its last event has none left.
+    bool const hasNoEvent = events_.count() == 0 && !events_.lastId();
+    if (attempt_->events.hasPartialEvent() || hasNoEvent)
         return abortAttempt(HttpError::ClosedEarly);
     if (!isRelaying_)
         parts_.writer->start(
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -217,6 +217,21 @@
     EXPECT_EQ(answer->body, ": alive\n\n" + eventTexts(0, 10));
 }
 
+/// A server crashes after the head of a response without a length, which then looks complete. Guards against relaying an empty stream.
+TEST_F(OnlineTest, AStreamWithoutEventsIsNotEndedAsComplete)
+{
+    int sends = 0;
+    FleetServer::Script const script = [&](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        if (++sends == 2)
+            return answerEvents(request, writer, 10);
+        writer->respond({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+    };
+    auto &node = serve({script, script});
+    EXPECT_EQ(ask(node, requestOf("/s/1", "a"))->body, eventTexts(0, 10));
+    EXPECT_EQ(ask(node, requestOf("/o/1", "b"))->status, 502) << "a stream that runs once is not sent again";
+    EXPECT_EQ(sends, 3);
+}
+
 TEST_F(OnlineTest, ANonResumableStreamThatBreaksIsNotEndedAsComplete)
 {
     auto &node = serve({[](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
