Log the kind of connection only where it is known

node-attempt-failed said "fresh" for every attempt that the node ended itself, since abortAttempt() has no other value to pass on, and so could not speak against bytes of an earlier response on a reused connection. It says "unknown" there.

--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -367,11 +367,12 @@
                                         .relayed = isRelaying_ ? Routing::Relayed::Part : Routing::Relayed::Nothing,
                                     },
                                     now);
+    char const *const connection = attempt_->isAborted ? "unknown" : failure.connection == Http::ConnectionUse::Fresh ? "fresh" : "reused";
     Observe::log(Observe::Events::NodeAttemptFailed,
                  {{"request", parts_.head.id.value()},
                   {"server", server.value()},
                   {"error", failure.error.toString()},
-                  {"connection", failure.connection == Http::ConnectionUse::Fresh ? "fresh" : "reused"},
+                  {"connection", connection},
                   {"events", std::to_string(events_.count())},
                   {"unfinished_bytes", std::to_string(attempt_->events.unfinishedBytes())},
                   {"next", nameOf(step)},
@@ -443,6 +444,7 @@
 {
     if (auto const exchange = std::exchange(attempt_->exchange, nullptr))
         exchange->cancel();
+    attempt_->isAborted = true;
     onFailure({.error = {.code = make_error_code(error), .detail = attempt_->server.address.value()},
                .reached = reached,
                .connection = Http::ConnectionUse::Fresh});
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -45,6 +45,8 @@
         /// Body of a response that is not an event stream.
         std::string body;
         bool isEventStream = false;
+        /// The node ended the attempt, so the kind of its connection was not reported.
+        bool isAborted = false;
         /// Reading is paused because the caller is slow.
         bool isPaused = false;
         /// When bytes of the stream last arrived, or its silence was last tolerated.
