End a completion that breaks after its last event as complete

What callers of anvilyard-entry saw: the last event of a stream twice, if its server broke off after that event and before the end of the response's framing.

Cause: a broken stream was resumed without regard to whether its last event had been relayed. The resumed response consisted of the last event.

Change: an attempt that ends after the stream's last event ends the response as complete.

EntryRelayTest.StreamThatBreaksAfterItsLastEventIsComplete failed before: the body ended with two last events.

--- a/Services/Entry/BackendCall.cpp
+++ b/Services/Entry/BackendCall.cpp
@@ -266,6 +266,9 @@
 
 void BackendCall::onAttemptEnd(Routing::AttemptEnd const &end)
 {
+    // The caller has the last event of the stream; a resume would send it again.
+    if (progress_.isDone())
+        return this->end({.kind = CallResult::Kind::Answered}, [relay = relay_] { relay->finish(); });
     // A failed resume is not a run of its own. The run that it resumes is already counted.
     if (Routing::runStateAfter(end) == RunState::MayHaveRun)
         runState_ = RunState::MayHaveRun;
--- a/Tests/Entry/TestEntryRelay.cpp
+++ b/Tests/Entry/TestEntryRelay.cpp
@@ -135,6 +135,23 @@
     EXPECT_EQ(engine.requests().at(1).body, R"({"offset":2})");
 }
 
+// A server crashes after the last event of a stream, before the end of its framing. Guards against a resume that sends the last event
+// again.
+TEST_F(EntryRelayTest, StreamThatBreaksAfterItsLastEventIsComplete)
+{
+    auto &engine = addEngine([](int number, auto const &, auto writer) {
+        if (number > 1)
+            return streamComplete(writer, {});
+        writer->start(streamHead());
+        writer->write(tokenEvent("one ") + "data: [DONE]\n\n", [writer](auto) { writer->abort(); });
+    });
+    startEntry();
+    auto const answer = fetch(completion());
+    ASSERT_TRUE(answer) << answer.error().error.toString();
+    EXPECT_EQ(answer->body, tokenEvent("one ") + "data: [DONE]\n\n");
+    EXPECT_EQ(engine.count(), 1);
+}
+
 TEST_F(EntryRelayTest, StreamWithoutItsLastEventEndsWithAnError)
 {
     addEngine([](int number, auto const &, auto writer) {
