Let the unfinished line of a batch item end with its attempt

The one place that resumes did call it, so no caller saw a joined line.

The splitter of lines belongs to the attempt now. The assembler takes whole lines and keeps only what they contained, and beginResumedStream() is gone.

Tests: a property with random cuts and pieces, and an item preempted within a line and resumed over a connection.

--- a/Libraries/LibBatch/CompletionAssembler.cpp
+++ b/Libraries/LibBatch/CompletionAssembler.cpp
@@ -46,27 +46,9 @@
     return true;
 }
 
-void CompletionAssembler::feed(std::string_view piece)
-{
-    partialLine_.append(piece);
-    std::size_t begin = 0;
-    for (auto end = partialLine_.find('\n'); end != std::string::npos; end = partialLine_.find('\n', begin)) {
-        readLine(std::string_view(partialLine_).substr(begin, end - begin));
-        begin = end + 1;
-    }
-    partialLine_.erase(0, begin);
-}
-
-void CompletionAssembler::beginResumedStream()
-{
-    partialLine_.clear();
-}
-
-void CompletionAssembler::readLine(std::string_view line)
+void CompletionAssembler::takeLine(std::string_view line)
 {
     static constexpr std::string_view Data = "data: ";
-    if (line.ends_with('\r'))
-        line.remove_suffix(1);
     if (!line.starts_with(Data))
         return;
     line.remove_prefix(Data.size());
@@ -132,7 +114,7 @@
 
 std::size_t CompletionAssembler::bytes() const
 {
-    return text_.size() + partialLine_.size();
+    return text_.size();
 }
 
 std::string CompletionAssembler::assembledResponse() const
--- a/Libraries/LibBatch/CompletionAssembler.h
+++ b/Libraries/LibBatch/CompletionAssembler.h
@@ -13,14 +13,14 @@
 /// to be worth resuming.
 bool isWorthStreaming(boost::json::value const &body);
 
-/// Assembles the response to a completions call from its server-sent events. Keeps the tokens received before the stream was
-/// interrupted, so that it can be resumed. Performs no I/O.
+/// Assembles the response to a completions call from the lines of its server-sent events. Several responses may contribute to it one after
+/// the other, each resumed where the last one was interrupted. It holds only what complete lines contained: the bytes of an unfinished line
+/// end with the response that sent them. Performs no I/O.
 class CompletionAssembler
 {
 public:
-    void feed(std::string_view piece);
-    /// Prepares for a resumed stream: keeps the received tokens and drops an incomplete event.
-    void beginResumedStream();
+    /// Takes a complete line without its line break.
+    void takeLine(std::string_view line);
 
     /// Returns whether the end marker was received and no event before it was malformed.
     [[nodiscard]] bool isComplete() const;
@@ -33,11 +33,9 @@
     [[nodiscard]] std::string assembledResponse() const;
 
 private:
-    void readLine(std::string_view line);
     void readEvent(boost::json::object const &event);
     void readChoice(boost::json::object const &choice);
 
-    std::string partialLine_;
     std::string id_;
     std::string model_;
     std::string object_;
--- a/Libraries/LibBatch/ItemSender.cpp
+++ b/Libraries/LibBatch/ItemSender.cpp
@@ -1,5 +1,7 @@
 #include "LibBatch/ItemSender.h"
 
+#include "LibBatch/LineSplitter.h"
+
 #include <algorithm>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -89,7 +91,9 @@
     Repeat repeat = Repeat::Allowed;
     std::string requestId;
     Http::HttpResponse response;
-    /// Set if the response is streamed.
+    /// Splits this attempt's response, if it is streamed.
+    LineSplitter lines{MaxResponseBytes};
+    /// Set if the response is streamed. Unlike all else here, it outlives an attempt that is preempted.
     std::optional<CompletionAssembler> assembler;
     bool isResumed = false;
     std::uint32_t tokensSeen = 0;
@@ -157,7 +161,6 @@
         request.request.target = "/v1/completions/" + preempted->assembler.id() + "/resume";
         request.request.body = R"({"offset":)" + std::to_string(preempted->assembler.tokens()) + "}";
         attempt.assembler = std::move(preempted->assembler);
-        attempt.assembler->beginResumedStream();
         attempt.tokensSeen = attempt.assembler->tokens();
         attempt.isResumed = true;
         return request;
@@ -202,7 +205,7 @@
         attempt.response.body.append(piece);
         return;
     }
-    attempt.assembler->feed(piece);
+    attempt.lines.feed(piece, [&](std::string_view line) { attempt.assembler->takeLine(line); });
     countTokens(attempt, readLocalClock());
 }
 
--- a/Tests/LibBatch/TestInput.cpp
+++ b/Tests/LibBatch/TestInput.cpp
@@ -150,16 +150,33 @@
     EXPECT_EQ(MultipartReader::boundaryOf("Multipart/Form-Data; charset=x; boundary=\"a b\""), "a b");
 }
 
+namespace {
+
+/// Feeds the body of one response as a sender does, in the given pieces.
+void takeResponse(CompletionAssembler &assembler, std::vector<std::string> const &pieces)
+{
+    LineSplitter lines(1000);
+    for (auto const &piece : pieces)
+        lines.feed(piece, [&](std::string_view line) { assembler.takeLine(line); });
+}
+
+std::string tokenEvent(std::string const &id, std::string const &token, std::string const &lineBreak = "\n")
+{
+    return R"(data: {"id":")" + id + R"(","model":"m","object":"text_completion","choices":[{"text":")" + token + R"("}]})" + lineBreak
+        + lineBreak;
+}
+
+} // namespace
+
 TEST(CompletionAssemblerTest, AssemblesResumedStream)
 {
     CompletionAssembler assembler;
-    assembler.feed(
-        "data: {\"id\":\"c-1\",\"model\":\"m\",\"object\":\"text_completion\",\"choices\":[{\"text\":\"one \"}]}\n\ndata: {\"id\"");
+    takeResponse(assembler, {tokenEvent("c-1", "one ") + "data: {\"id\""});
     EXPECT_EQ(assembler.tokens(), 1U);
     EXPECT_FALSE(assembler.isComplete());
-    assembler.beginResumedStream();
-    assembler.feed("data: {\"id\":\"c-1\",\"choices\":[{\"text\":\"two\"}]}\r\n\r\n");
-    assembler.feed("data: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}],\"usage\":{\"total_tokens\":4}}\n\ndata: [DONE]\n\n");
+    takeResponse(assembler,
+                 {"data: {\"id\":\"c-1\",\"choices\":[{\"text\":\"two\"}]}\r\n\r\n",
+                  "data: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}],\"usage\":{\"total_tokens\":4}}\n\ndata: [DONE]\n\n"});
     ASSERT_TRUE(assembler.isComplete());
     auto const assembledResponse = boost::json::parse(assembler.assembledResponse());
     EXPECT_EQ(assembledResponse.at("choices").at(0).at("text").as_string(), "one two");
@@ -167,11 +184,35 @@
     EXPECT_EQ(assembledResponse.at("usage").at("total_tokens").as_int64(), 4);
 }
 
+// The stream is cut at any byte by preemptions, resumed at the offset of received tokens and split into any pieces. Guards against bytes of
+// a cut line that are joined with the first line of the resumed stream, and against tokens that are lost or taken twice.
+RC_GTEST_PROP(CompletionAssemblerProperty, TextIsWholeAfterAnyPreemptions, ())
+{
+    constexpr std::uint32_t Tokens = 10;
+    std::string text;
+    for (std::uint32_t token = 0; token < Tokens; ++token)
+        text += "t" + std::to_string(token) + " ";
+    CompletionAssembler assembler;
+    for (int preemptions = *rc::gen::inRange(0, 8); preemptions >= 0 && !assembler.isComplete(); --preemptions) {
+        std::string stream;
+        for (auto token = assembler.tokens(); token < Tokens; ++token)
+            stream += tokenEvent("c-1", "t" + std::to_string(token) + " ", token % 2 == 0 ? "\n" : "\r\n");
+        stream += "data: [DONE]\n\n";
+        if (preemptions > 0)
+            stream.resize(*rc::gen::resize(rc::kNominalSize, rc::gen::inRange<std::size_t>(0, stream.size())));
+        takeResponse(assembler, drawPieces(stream));
+    }
+    RC_ASSERT(assembler.isComplete());
+    RC_ASSERT(assembler.tokens() == Tokens);
+    auto const response = boost::json::parse(assembler.assembledResponse());
+    RC_ASSERT(std::string(response.at("choices").at(0).at("text").as_string()) == text);
+}
+
 // Guards against a stream with an error event that is reported as a complete response.
 TEST(CompletionAssemblerTest, ErrorEventLeavesResponseIncomplete)
 {
     CompletionAssembler assembler;
-    assembler.feed("data: {\"error\":{\"message\":\"x\"}}\n\ndata: [DONE]\n\n");
+    takeResponse(assembler, {"data: {\"error\":{\"message\":\"x\"}}\n\ndata: [DONE]\n\n"});
     EXPECT_FALSE(assembler.isComplete());
 }
 
