Take no event of another completion into a batch item's text

CompletionAssembler appended the tokens of whatever the resume path returned. A server that starts the completion anew instead of resuming it, or returns another one, gave a text made of two. Its events have another id, so an event with another id than the first one's makes the response malformed now, and the item runs again from its start. The fake engine answers 404 to an unknown resume, so no caller was seen to get such a text.

The test failed before: three tokens were taken in place of one.

--- a/Libraries/LibBatch/CompletionAssembler.cpp
+++ b/Libraries/LibBatch/CompletionAssembler.cpp
@@ -67,8 +67,14 @@
 
 void CompletionAssembler::readEvent(json::object const &event)
 {
+    auto id = stringField(event, "id");
+    // An event of another completion does not continue this one's text.
+    if (!id.empty() && !id_.empty() && id != id_) {
+        isMalformed_ = true;
+        return;
+    }
     if (id_.empty()) {
-        id_ = stringField(event, "id");
+        id_ = std::move(id);
         model_ = stringField(event, "model");
         object_ = stringField(event, "object");
         if (auto const *created = event.if_contains("created"); created && created->is_int64())
--- a/Tests/LibBatch/TestInput.cpp
+++ b/Tests/LibBatch/TestInput.cpp
@@ -208,6 +208,17 @@
     RC_ASSERT(std::string(response.at("choices").at(0).at("text").as_string()) == text);
 }
 
+// A server that restarts, or that ignores the offset, sends another completion or the same one from its start under a new id. Guards
+// against a text made of two completions.
+TEST(CompletionAssemblerTest, EventsOfAnotherCompletionLeaveResponseIncomplete)
+{
+    CompletionAssembler assembler;
+    takeResponse(assembler, {tokenEvent("c-1", "one ")});
+    takeResponse(assembler, {tokenEvent("c-2", "one ") + tokenEvent("c-2", "two ") + "data: [DONE]\n\n"});
+    EXPECT_FALSE(assembler.isComplete());
+    EXPECT_EQ(assembler.tokens(), 1U);
+}
+
 // Guards against a stream with an error event that is reported as a complete response.
 TEST(CompletionAssemblerTest, ErrorEventLeavesResponseIncomplete)
 {
