Log each failed attempt at a batch item with its position

node-item-attempt-failed was logged only if the connection failed. A response with a gap, an invalid head, or an end within an event was retried without a line, and no line showed after which event the run was asked to go on, how many events it brought and whether it ended within one. It has after_event, events and unfinished_bytes now, and stands for each run that failed without a status.

The test failed before: one line in place of three.

--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -1,5 +1,6 @@
 #include "Services/Node/ItemRun.h"
 
+#include "LibHttp/HttpError.h"
 #include "LibObserve/Events.h"
 
 namespace Anvilyard::Node {
@@ -55,26 +56,8 @@
                                             {
                                                 .onHead = [self](Http::ResponseHead const &head) { self->onHead(head); },
                                                 .onPiece = [self](std::string_view piece) { self->onPiece(piece); },
-                                                .onEnd =
-                                                    [self] {
-                                                        if (self->status_ != Ok)
-                                                            self->logRejection();
-                                                        if (self->status_ == Ok)
-                                                            return self->finish(self->events_.hasPartialEvent() ? SendEnd::Unserved
-                                                                                                                : SendEnd::Complete);
-                                                        self->finish(self->status_ == InternalServerError        ? SendEnd::Failed
-                                                                         : self->status_ == UnprocessableContent ? SendEnd::Impossible
-                                                                                                                 : SendEnd::Unserved);
-                                                    },
-                                                .onFailure =
-                                                    [self](Http::ExchangeFailure const &failure) {
-                                                        Observe::log(Observe::Events::NodeItemAttemptFailed,
-                                                                     {{"job", self->item_.job.value()},
-                                                                      {"item", self->itemId_.value()},
-                                                                      {"server", self->server_.id.value()},
-                                                                      {"error", failure.error.toString()}});
-                                                        self->finish(SendEnd::Unserved);
-                                                    },
+                                                .onEnd = [self] { self->onResponseEnd(); },
+                                                .onFailure = [self](Http::ExchangeFailure const &failure) { self->fail(failure.error); },
                                             });
 }
 
@@ -85,7 +68,7 @@
     reportIfLeaving(context_, server_, traits);
     bool const isInvalid = status_ == Ok && (!traits.isSigned || traits.isEncoded);
     if (isInvalid)
-        finish(SendEnd::Unserved);
+        fail({.code = Http::HttpError::Malformed});
 }
 
 void ItemRun::logRejection() const
@@ -106,7 +89,31 @@
         return;
     events_.take(piece, [this](std::string_view data) { hooks_.onEvent(sequence_.lastId(), data); });
     if (events_.isBroken())
-        finish(SendEnd::Unserved);
+        fail({.code = Http::HttpError::Malformed});
+}
+
+void ItemRun::onResponseEnd()
+{
+    if (status_ == Ok) {
+        if (events_.hasPartialEvent())
+            return fail({.code = Http::HttpError::ClosedEarly});
+        return finish(SendEnd::Complete);
+    }
+    logRejection();
+    finish(status_ == InternalServerError ? SendEnd::Failed : status_ == UnprocessableContent ? SendEnd::Impossible : SendEnd::Unserved);
+}
+
+void ItemRun::fail(Error const &error)
+{
+    Observe::log(Observe::Events::NodeItemAttemptFailed,
+                 {{"job", item_.job.value()},
+                  {"item", itemId_.value()},
+                  {"server", server_.id.value()},
+                  {"error", error.toString()},
+                  {"after_event", item_.lastEventId ? std::to_string(*item_.lastEventId) : "none"},
+                  {"events", std::to_string(sequence_.count())},
+                  {"unfinished_bytes", std::to_string(events_.unfinishedBytes())}});
+    finish(SendEnd::Unserved);
 }
 
 void ItemRun::finish(SendEnd end)
--- a/Services/Node/ItemRun.h
+++ b/Services/Node/ItemRun.h
@@ -29,6 +29,9 @@
 private:
     void onHead(Http::ResponseHead const &head);
     void onPiece(std::string_view piece);
+    void onResponseEnd();
+    /// Ends a run whose response is not complete or not valid.
+    void fail(Error const &error);
     void logRejection() const;
     void finish(Jobs::SendEnd end);
 
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -1,5 +1,6 @@
 #include "LibJobs/JobCodec.h"
 #include "LibJobs/ResultChain.h"
+#include "LibObserve/Events.h"
 #include "Tests/Node/NodeFixture.h"
 
 #include <boost/json.hpp>
@@ -227,6 +228,41 @@
     EXPECT_EQ(servers_[0]->requests().at(1).headers.find("Last-Event-Id"), "2");
 }
 
+/// Guards against failed attempts that leave no trace, or whose line does not show whether they ended within an event.
+TEST_F(JobsTest, AFailedAttemptIsLoggedWithItsPosition)
+{
+    std::vector<std::map<std::string, std::string>> lines;
+    Observe::setLogSink([&](Observe::EventDefinition const &event, std::initializer_list<Observe::Field> fields) {
+        if (event.name != Observe::Events::NodeItemAttemptFailed.name)
+            return;
+        auto &line = lines.emplace_back();
+        for (auto const &field : fields)
+            line.emplace(field.name, field.value);
+    });
+    addServer("s1", [](int number, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        if (number > 3)
+            return answerEvents(request, writer, 4);
+        writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+        // The first response breaks within an event, the second one has a gap, and the third one ends within an event.
+        if (number == 1)
+            return writer->write(eventTexts(0, 2) + "id: 2", [writer](auto) { writer->abort(); });
+        writer->write(number == 2 ? eventText(3) : eventText(2) + "id: 3\n", nullptr);
+        writer->finish();
+    });
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    ask(entry, submissionOf("j", 1));
+    EXPECT_EQ(readResults(entry, "j", 1)[0].as_object().at("output").as_string(), "t0\nt1\nt2\nt3");
+    thread_.call([] { Observe::setLogSink(nullptr); });
+    ASSERT_EQ(lines.size(), 3U);
+    using Fields = std::vector<std::string>;
+    auto const position = [](auto const &line) { return Fields{line.at("after_event"), line.at("events"), line.at("unfinished_bytes")}; };
+    EXPECT_EQ(position(lines[0]), (Fields{"none", "2", "5"}));
+    EXPECT_EQ(position(lines[1]), (Fields{"1", "0", "0"}));
+    EXPECT_EQ(position(lines[2]), (Fields{"1", "1", "6"}));
+}
+
 /// A server states in its responses to items that it is leaving; its registration still says ready. Guards against starting more items
 /// there.
 TEST_F(JobsTest, AServerThatStatesThatItLeavesGetsNoNewItems)
