Complete no batch item without an event

A response without a length may end with its connection. A server that crashed right after the head of one left a response that looked whole, and its item was completed with an empty text. A run from the start needs an event to complete its item now; one that goes on after the last event still needs none.

AResponseWithoutEventsDoesNotCompleteAnItem failed before; AResumeAfterTheLastEventCompletesAnItem passed and guards the exception.

--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -95,7 +95,9 @@
 void ItemRun::onResponseEnd()
 {
     if (status_ == Ok) {
-        if (events_.hasPartialEvent())
+        // An item has at least one event. Only a run that goes on after the last one has none.
+        bool const hasNoEvent = sequence_.count() == 0 && !item_.lastEventId;
+        if (events_.hasPartialEvent() || hasNoEvent)
             return fail({.code = Http::HttpError::ClosedEarly});
         return finish(SendEnd::Complete);
     }
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -228,6 +228,40 @@
     EXPECT_EQ(servers_[0]->requests().at(1).headers.find("Last-Event-Id"), "2");
 }
 
+/// A server that crashes right after the head of a response without a length leaves one that looks whole, but has no event. Guards against
+/// items that are completed without any output.
+TEST_F(JobsTest, AResponseWithoutEventsDoesNotCompleteAnItem)
+{
+    addServer("s1", [](int number, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        if (number > 2)
+            return answerEvents(request, writer, 3);
+        writer->respond({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+    });
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    ask(entry, submissionOf("j", 1));
+    EXPECT_EQ(readResults(entry, "j", 1)[0].as_object().at("output").as_string(), "t0\nt1\nt2");
+}
+
+/// A server breaks its connection after the last event of an item. Guards against an item that is never completed because the rest has no
+/// event.
+TEST_F(JobsTest, AResumeAfterTheLastEventCompletesAnItem)
+{
+    addServer("s1", [](int number, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        if (number > 1)
+            return answerEvents(request, writer, 3);
+        writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+        writer->write(eventTexts(0, 3), [writer](auto) { writer->abort(); });
+    });
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    ask(entry, submissionOf("j", 1));
+    EXPECT_EQ(readResults(entry, "j", 1)[0].as_object().at("output").as_string(), "t0\nt1\nt2");
+    EXPECT_EQ(servers_[0]->requests().at(1).headers.find("Last-Event-Id"), "2");
+}
+
 /// Guards against failed attempts that leave no trace, or whose line does not show whether they ended within an event.
 TEST_F(JobsTest, AFailedAttemptIsLoggedWithItsPosition)
 {
