--- a/Tests/LibJobs/TestJobTracker.cpp
+++ b/Tests/LibJobs/TestJobTracker.cpp
@@ -1,4 +1,5 @@
 #include "LibJobs/JobTracker.h"
+#include "LibServing/EventReader.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -356,3 +357,69 @@
             RC_ASSERT(page->outcomes[position].id == listed[position]);
     }
 }
+
+namespace {
+
+constexpr std::uint64_t EventsOfItem = 6;
+
+template<typename Number>
+Number draw(Number from, Number to)
+{
+    return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<Number>(from, to));
+}
+
+/// Runs the item's next attempt at a server that may ignore after which event it was asked to go on, leave events out, send no ids and
+/// break off at any byte.
+void runAtAnyServer(JobTracker &tracker, bool isSound, Instant now)
+{
+    auto const start = tracker.next(batchPool, RunTime, now);
+    RC_ASSERT(start);
+    tracker.onStarted(start->job, start->index);
+    auto const asked = start->lastEventId ? *start->lastEventId + 1 : 0;
+    auto const from = isSound ? asked : draw<std::uint64_t>(0, asked + 1);
+    bool const hasIds = isSound || draw(0, 4) > 0;
+    auto const leftOut = isSound || !hasIds ? EventsOfItem : draw<std::uint64_t>(asked, 2 * EventsOfItem);
+    std::string stream;
+    for (auto id = hasIds ? from : 0; id < EventsOfItem; ++id) {
+        // A fresh run whose first event is missing cannot be told from one that begins there.
+        if (id == leftOut && id > 0)
+            continue;
+        stream += (hasIds ? "id: " + std::to_string(id) + "\n" : "") + "data: t" + std::to_string(id) + "\n\n";
+    }
+    bool const endsWithGap = leftOut > 0 && leftOut + 1 == EventsOfItem;
+    bool const isCut = !isSound && (endsWithGap || draw(0, 3) > 0);
+    if (isCut)
+        stream.resize(draw<std::size_t>(0, stream.size() + 1));
+    Serving::EventSequence sequence(start->lastEventId);
+    Serving::EventReader reader(sequence);
+    std::string_view rest = stream;
+    while (!rest.empty() && !reader.isBroken()) {
+        auto const size = draw<std::size_t>(1, rest.size() + 1);
+        reader.take(rest.substr(0, size),
+                    [&](std::string_view data) { tracker.onEvent(start->job, start->index, sequence.lastId(), data); });
+        rest.remove_prefix(size);
+    }
+    auto const end =
+        !isCut && !reader.isBroken() ? SendEnd::Complete : *rc::gen::element(SendEnd::Unserved, SendEnd::Preempted, SendEnd::Failed);
+    tracker.onSendEnded(start->job, start->index, end, now);
+}
+
+} // namespace
+
+/// An item is run by servers that cut, repeat, leave out and restart at random places, with and without event ids. Guards against a text
+/// with parts of two runs, and against events that are missing or stand twice.
+RC_GTEST_PROP(JobTrackerProperty, TheTextIsWholeWhateverItsRunsDid, ())
+{
+    JobTracker tracker(JobTrackerOptions{.commitDelay = 0s});
+    tracker.add(recordOf("j", 1), {}, 0s, Start);
+    auto always = policy();
+    always.maxAttempts = 1000;
+    tracker.setPolicy(JobId("j"), always, Start);
+    auto now = Start;
+    auto const faults = draw(0, 10);
+    for (int run = 0; tracker.counts().decided == 0; ++run) {
+        RC_ASSERT(run <= faults + 1);
+        runAtAnyServer(tracker, run >= faults, now += 3s);
+    }
+    RC_ASSERT(tracker.takeCommits(now).at(0).second.outcomes.at(0).output == "t0\nt1\nt2\nt3\nt4\nt5");
+}
