Test that a route's timeout ends a request

No test had a caller that would wait longer than its route allows. With the route's timeout left out of the deadline, the new test fails (the request ends after 15 s instead of 300 ms).

--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -14,9 +14,9 @@
 {
 protected:
     /// Starts a node and one server per script.
-    Node::NodeProgram &serve(std::vector<FleetServer::Script> scripts)
+    Node::NodeProgram &serve(std::vector<FleetServer::Script> scripts, std::string const &extraRoutes = "")
     {
-        putState(1);
+        putState(1, extraRoutes);
         for (auto &script : scripts) {
             servers_.push_back(std::make_unique<FleetServer>(thread_, std::move(script)));
             putServer("s" + std::to_string(servers_.size()), servers_.back()->address());
@@ -360,6 +360,25 @@
     thread_.call([&] { held.clear(); });
 }
 
+/// The caller would wait much longer than the route allows. Guards against a deadline that ignores the route's timeout.
+TEST_F(OnlineTest, ARequestWithoutAResponseEndsAtItsRoutesTimeout)
+{
+    std::vector<FleetServer::Writer> held;
+    std::string const shortRoute =
+        R"(,{"name":"t","host":"h.example","pathPrefix":"/t/","kind":"non_idempotent","timeoutMs":300,"sloMs":100,"priority":0,)"
+        R"("service":"p","attempts":2})";
+    auto &node = serve({[&](int, Http::HttpRequest const &, FleetServer::Writer const &writer) { held.push_back(writer); }}, shortRoute);
+    auto request = requestOf("/t/1", "a");
+    request.headers.set("Anvilyard-Deadline-Ms", "15000");
+    auto const sentAt = readLocalClock();
+    EXPECT_EQ(ask(node, std::move(request))->status, 504);
+    auto const waited = readLocalClock() - sentAt;
+    EXPECT_GE(waited, 300ms);
+    EXPECT_LT(waited, 10s);
+    EXPECT_EQ(requestCount(), 1U);
+    thread_.call([&] { held.clear(); });
+}
+
 /// A server states in a response of any kind that it is leaving; its registration still says ready. Guards against sending it requests for
 /// as long as its registration lags.
 TEST_F(OnlineTest, AServerThatStatesThatItLeavesGetsNoNewRequests)
