Test bodies that are cut, joined, paused or pipelined

For what had no test: a reset in a body without a length, also while the exchange is paused; surplus bytes in any pieces before, between and after responses; bodies and chunks around the size of the client's buffer; trailers that look like framing; pause and resume while a read is pending; pipelined requests in any pieces; a caller that resets halfway through a response. All pass without a change of the code.

--- a/Tests/Fakes/ScriptedServer.cpp
+++ b/Tests/Fakes/ScriptedServer.cpp
@@ -47,6 +47,13 @@
         flush();
     }
 
+    void reset() override
+    {
+        // Closing a socket that does not linger resets the connection.
+        socket_.set_option(asio::socket_base::linger(true, 0));
+        close();
+    }
+
     void read()
     {
         socket_.async_read_some(asio::buffer(piece_), [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
--- a/Tests/Fakes/ScriptedServer.h
+++ b/Tests/Fakes/ScriptedServer.h
@@ -25,6 +25,8 @@
         virtual void send(std::string bytes) = 0;
         /// Closes the connection once all pending bytes are sent.
         virtual void close() = 0;
+        /// Resets the connection once all pending bytes are sent.
+        virtual void reset() = 0;
     };
 
     /// Called for each completely received request head. `request` is its number on the connection, starting at 0.
--- a/Tests/LibHttp/RawConnection.cpp
+++ b/Tests/LibHttp/RawConnection.cpp
@@ -56,7 +56,8 @@
         received.append(piece.data(), static_cast<std::size_t>(size));
         return true;
     }
-    isEnded_ = size == 0 || errno == ECONNRESET;
+    isReset_ = size < 0 && errno == ECONNRESET;
+    isEnded_ = size == 0 || isReset_;
     return false;
 }
 
@@ -81,4 +82,9 @@
     return isEnded_;
 }
 
+bool RawConnection::isReset() const
+{
+    return isReset_;
+}
+
 } // namespace Anvilyard::Tests
--- a/Tests/LibHttp/RawConnection.h
+++ b/Tests/LibHttp/RawConnection.h
@@ -27,6 +27,8 @@
     std::string readAll();
     /// Returns whether the server closed or reset the connection, as opposed to a timeout.
     [[nodiscard]] bool isEnded() const;
+    /// Returns whether the server reset the connection.
+    [[nodiscard]] bool isReset() const;
 
 private:
     bool readSome(std::string &received);
@@ -34,6 +36,7 @@
     struct Socket;
     std::unique_ptr<Socket> socket_;
     bool isEnded_ = false;
+    bool isReset_ = false;
 };
 
 } // namespace Anvilyard::Tests
--- a/Tests/LibHttp/TestHostileCallers.cpp
+++ b/Tests/LibHttp/TestHostileCallers.cpp
@@ -3,6 +3,7 @@
 #include "Tests/LibHttp/LoopThread.h"
 #include "Tests/LibHttp/RawConnection.h"
 
+#include <algorithm>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -315,3 +316,70 @@
     auto const answer = exchange("GET /good HTTP/1.1\r\nConnection: close\r\n\r\n");
     RC_ASSERT(answer.find("GET /good ") != std::string::npos);
 }
+
+/// Pipelined requests in any pieces must each reach the handler once, in order, with exactly their own body.
+RC_GTEST_FIXTURE_PROP(HostileCallersTest, PipelinedRequestsInAnyPiecesKeepTheirBodies, ())
+{
+    if (!server_)
+        serve();
+    (void)handled();
+    auto const bodies = *rc::gen::container<std::vector<std::string>>(
+        rc::gen::element<std::string>("", "a", "0\r\n\r\n", "GET /smuggled HTTP/1.1\r\n\r\n", std::string(500, 'x')));
+    std::string bytes;
+    for (auto const &body : bodies) {
+        auto const isChunked = *rc::gen::arbitrary<bool>();
+        if (!isChunked) {
+            bytes += "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            continue;
+        }
+        bytes += "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        for (auto const byte : body.substr(0, 30))
+            bytes += std::string("1\r\n") + byte + "\r\n";
+        if (body.size() > 30)
+            bytes += "1d6\r\n" + body.substr(30) + "\r\n";
+        bytes += "0\r\nTrailer: x\r\n\r\n";
+    }
+    bytes += "GET /end HTTP/1.1\r\nConnection: close\r\n\r\n";
+    auto const segment = *rc::gen::inRange<std::size_t>(1, 3000);
+    RawConnection connection(server_->address());
+    for (std::size_t at = 0; at < bytes.size(); at += segment)
+        RC_ASSERT(connection.send(std::string_view(bytes).substr(at, segment)));
+    (void)connection.readAll();
+    auto const requests = handled();
+    RC_ASSERT(requests.size() == bodies.size() + 1);
+    for (std::size_t index = 0; index < bodies.size(); ++index)
+        RC_ASSERT(requests[index].body == bodies[index]);
+    RC_ASSERT(requests.back().target == "/end");
+}
+
+/// A caller resets its connection while a response is written. Every write must be reported once, and none after the first failure as
+/// written, or a relay would wait for ever or go on with a stream that nobody reads.
+TEST_F(HostileCallersTest, AWriteThatFailsHalfwayFailsAllQueuedWrites)
+{
+    constexpr int Writes = 100;
+    std::string const piece(400'000, 'x');
+    std::vector<WriteOutcome> outcomes;
+    std::promise<void> reported;
+    serve({}, [&](HttpRequest const &, std::shared_ptr<ResponseWriter> const &writer) {
+        writer->start({.status = 200});
+        for (int count = 0; count < Writes; ++count) {
+            writer->write(piece, [&, writer](WriteOutcome outcome) {
+                outcomes.push_back(outcome);
+                if (outcomes.size() == Writes)
+                    reported.set_value();
+            });
+        }
+    });
+    {
+        RawConnection connection(server_->address());
+        connection.send("GET / HTTP/1.1\r\n\r\n");
+        EXPECT_THAT(connection.readUntil("xx"), HasSubstr("200"));
+    }
+    reported.get_future().wait();
+    thread_.call([&] {
+        EXPECT_EQ(outcomes.size(), static_cast<std::size_t>(Writes));
+        EXPECT_TRUE(std::is_partitioned(outcomes.begin(), outcomes.end(), [](auto outcome) { return outcome == WriteOutcome::Written; }));
+        EXPECT_EQ(outcomes.back(), WriteOutcome::CallerGone);
+        EXPECT_EQ(server_->openExchanges(), 0U);
+    });
+}
--- a/Tests/LibHttp/TestHostileServers.cpp
+++ b/Tests/LibHttp/TestHostileServers.cpp
@@ -3,6 +3,8 @@
 #include "Tests/Fakes/ScriptedServer.h"
 #include "Tests/LibHttp/LoopThread.h"
 
+#include <array>
+#include <charconv>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -46,7 +48,10 @@
         });
     }
 
-    std::future<Answer> start(std::string target = "/", Duration timeout = 10s)
+    std::future<Answer> start(std::string target = "/",
+                              Duration timeout = 10s,
+                              ClientRequest::Framing framing = ClientRequest::Framing::Delimited,
+                              std::function<bool(ResponseHead const &)> matchesRequest = nullptr)
     {
         auto promise = std::make_shared<std::promise<Answer>>();
         thread_.call([&] {
@@ -55,7 +60,9 @@
                             .deadline = readLocalClock() + timeout,
                             .headTimeout = timeout,
                             .progressTimeout = timeout,
-                            .bodyLimitBytes = 1000},
+                            .bodyLimitBytes = bodyLimitBytes_,
+                            .framing = framing,
+                            .matchesRequest = std::move(matchesRequest)},
                            [promise](Answer answer) { promise->set_value(std::move(answer)); });
         });
         return promise->get_future();
@@ -69,8 +76,15 @@
     Tests::LoopThread thread_;
     std::unique_ptr<ScriptedServer> server_;
     std::unique_ptr<HttpClient> client_;
+    std::size_t bodyLimitBytes_ = 1000;
 };
 
+/// Like a server of the platform, a response names its request in a header; one that names none is accepted.
+bool matchesThis(ResponseHead const &head)
+{
+    return head.headers.find("Id").value_or("this") == "this";
+}
+
 struct BadResponseCase {
     std::string name;
     std::string bytes;
@@ -340,3 +354,195 @@
     RC_ASSERT(next.has_value());
     RC_ASSERT(next->body == "hello");
 }
+
+/// A body without a length or chunks ends with an orderly close. Guards against taking a reset for its end: the response would look
+/// complete although the server broke off.
+TEST_F(HostileServersTest, OnlyAnOrderlyCloseEndsABodyWithoutALength)
+{
+    for (auto const isReset : {false, true}) {
+        serve([isReset](ScriptedServer::Connection &connection, std::size_t) {
+            connection.send("HTTP/1.1 200 OK\r\n\r\nhello");
+            isReset ? connection.reset() : connection.close();
+        });
+        auto const answer = start("/", 10s, ClientRequest::Framing::CloseMayEnd).get();
+        EXPECT_EQ(answer.has_value(), !isReset);
+        if (answer)
+            EXPECT_EQ(answer->body, "hello");
+        else
+            EXPECT_EQ(answer.error().error.code, HttpError::ClosedEarly);
+        TearDown();
+    }
+    serveOnce("");
+}
+
+/// A body without a length is cut by a reset that arrives while the exchange is paused. Guards against taking the end of the connection at
+/// the resume for the end of the body.
+TEST_F(HostileServersTest, AResetWhileTheExchangeIsPausedIsAFailure)
+{
+    ScriptedServer::Connection *peer = nullptr;
+    serve([&](ScriptedServer::Connection &connection, std::size_t) {
+        peer = &connection;
+        connection.send("HTTP/1.1 200 OK\r\n\r\nhello");
+    });
+    std::promise<void> pieceReceived;
+    std::promise<bool> ended;
+    std::shared_ptr<Exchange> exchange;
+    thread_.call([&] {
+        exchange = client_->send({.server = server_->address(),
+                                  .request = {.method = "GET", .target = "/"},
+                                  .deadline = readLocalClock() + 10s,
+                                  .framing = ClientRequest::Framing::CloseMayEnd},
+                                 {.onPiece =
+                                      [&](std::string_view) {
+                                          exchange->pause();
+                                          pieceReceived.set_value();
+                                      },
+                                  .onEnd = [&] { ended.set_value(true); },
+                                  .onFailure = [&](ExchangeFailure const &) { ended.set_value(false); }});
+    });
+    pieceReceived.get_future().wait();
+    thread_.call([&] { peer->reset(); });
+    thread_.call([&] { exchange->resume(); });
+    EXPECT_FALSE(ended.get_future().get());
+}
+
+/// Surplus bytes may arrive in any pieces: with the response, while the connection is idle or before the next response. Guards against
+/// handing them to the next request.
+RC_GTEST_FIXTURE_PROP(HostileServersTest, SurplusBytesInAnyPiecesReachNoRequest, ())
+{
+    std::string const surplus = *rc::gen::element<std::string>("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 7\r\n\r\nforeign",
+                                                               "HTTP/1.1 200 OK\r\nId: other\r\n\r\nforeign",
+                                                               "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nId: other\r\n\r\n",
+                                                               "garbage\r\n\r\n");
+    auto const withFirst = *rc::gen::inRange<std::size_t>(0, surplus.size() + 1);
+    auto const whileIdle = *rc::gen::inRange<std::size_t>(withFirst, surplus.size() + 1);
+    std::string const own = "HTTP/1.1 200 OK\r\nId: this\r\nContent-Length: 5\r\n\r\nhello";
+    if (server_)
+        TearDown();
+    ScriptedServer::Connection *first = nullptr;
+    serve([&](ScriptedServer::Connection &connection, std::size_t request) {
+        if (connection.index() > 0)
+            return connection.send(own);
+        if (request > 0) {
+            connection.send(surplus.substr(whileIdle) + own);
+            return connection.close();
+        }
+        first = &connection;
+        connection.send(own + surplus.substr(0, withFirst));
+    });
+    auto const answer = start("/", 10s, ClientRequest::Framing::CloseMayEnd, matchesThis).get();
+    RC_ASSERT(answer.has_value());
+    RC_ASSERT(answer->body == "hello");
+    // Sent only if nothing came with the first response, because the connection is closed then.
+    if (withFirst == 0 && whileIdle > 0)
+        thread_.call([&] { first->send(surplus.substr(0, whileIdle)); });
+    auto const next = start("/", 10s, ClientRequest::Framing::CloseMayEnd, matchesThis).get();
+    if (next)
+        RC_ASSERT(next->body == "hello");
+    else
+        RC_ASSERT(whileIdle < surplus.size());
+}
+
+/// A body of any size in chunks of any size must arrive unchanged, also where its end meets the end of the client's buffer, and bytes that
+/// follow it in the same segment must not become part of it.
+RC_GTEST_FIXTURE_PROP(HostileServersTest, BodiesOfAnySizeArriveUnchanged, ())
+{
+    auto const size = *rc::gen::element<std::size_t>(0, 1, 5, 16383, 16384, 16385, 32768, 40000);
+    auto const chunkSize = *rc::gen::element<std::size_t>(0, 1000, 16383, 16384, 16385, 50000);
+    auto const segment = *rc::gen::element<std::size_t>(777, 16384, 100000);
+    std::string body;
+    for (std::size_t index = 0; index < size; ++index)
+        body += static_cast<char>('a' + index % 23);
+    std::string bytes = "HTTP/1.1 200 OK\r\n";
+    if (chunkSize == 0) {
+        bytes += "Content-Length: " + std::to_string(size) + "\r\n\r\n" + body;
+    } else {
+        bytes += "Transfer-Encoding: chunked\r\n\r\n";
+        for (std::size_t at = 0; at < size; at += chunkSize) {
+            auto const chunk = body.substr(at, chunkSize);
+            std::array<char, 20> hex{};
+            auto const end = std::to_chars(hex.data(), hex.data() + hex.size(), chunk.size(), 16).ptr;
+            bytes += std::string(hex.data(), end) + "\r\n" + chunk + "\r\n";
+        }
+        bytes += "0\r\nTrailer: x\r\n\r\n";
+    }
+    bytes += *rc::gen::element<std::string>("", "surplus", std::string(CompleteResponse));
+    if (server_)
+        TearDown();
+    serve([&](ScriptedServer::Connection &connection, std::size_t) {
+        for (std::size_t at = 0; at < bytes.size(); at += segment)
+            connection.send(bytes.substr(at, segment));
+    });
+    bodyLimitBytes_ = 100'000;
+    auto const answer = fetch();
+    RC_ASSERT(answer.has_value());
+    RC_ASSERT(answer->body == body);
+}
+
+/// Trailers that look like framing or name another request must neither end the response differently nor change its head.
+TEST_F(HostileServersTest, TrailersChangeNeitherHeadNorFraming)
+{
+    for (std::string const trailer : {"Content-Length: 3", "Transfer-Encoding: chunked", "Id: other", "Connection: close", "x"}) {
+        serve([&](ScriptedServer::Connection &connection, std::size_t) {
+            connection.send("HTTP/1.1 200 OK\r\nId: this\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n" + trailer + "\r\n\r\n");
+            connection.close();
+        });
+        auto const answer = start("/", 10s, ClientRequest::Framing::Delimited, matchesThis).get();
+        if (answer) {
+            EXPECT_EQ(answer->body, "hello") << trailer;
+            EXPECT_EQ(answer->headers.find("Id"), "this") << trailer;
+            EXPECT_FALSE(answer->headers.contains("Content-Length")) << trailer;
+        } else {
+            EXPECT_EQ(answer.error().error.code, HttpError::Malformed) << trailer;
+        }
+        TearDown();
+    }
+    serveOnce("");
+}
+
+/// Guards against an end that is reported while the exchange is paused, and against bytes that are lost, repeated or reordered when it is
+/// paused and resumed while a read is pending.
+TEST_F(HostileServersTest, PauseAndResumeWhileAReadIsPendingKeepTheOrder)
+{
+    ScriptedServer::Connection *peer = nullptr;
+    serve([&](ScriptedServer::Connection &connection, std::size_t) {
+        peer = &connection;
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
+    });
+    std::string received;
+    bool isEnded = false;
+    bool isPaused = false;
+    std::promise<void> headReceived;
+    std::promise<void> ended;
+    std::shared_ptr<Exchange> exchange;
+    thread_.call([&] {
+        exchange =
+            client_->send({.server = server_->address(), .request = {.method = "GET", .target = "/"}, .deadline = readLocalClock() + 10s},
+                          {.onHead = [&](ResponseHead const &) { headReceived.set_value(); },
+                           .onPiece = [&](std::string_view piece) { received += piece; },
+                           .onEnd =
+                               [&] {
+                                   EXPECT_FALSE(isPaused);
+                                   isEnded = true;
+                                   ended.set_value();
+                               }});
+    });
+    headReceived.get_future().wait();
+    // The read of the body is pending from now on.
+    thread_.call([&] {
+        exchange->pause();
+        exchange->resume();
+        exchange->pause();
+        isPaused = true;
+        peer->send("01234");
+    });
+    thread_.call([&] { peer->send("56789"); });
+    thread_.call([&] { EXPECT_FALSE(isEnded); });
+    thread_.call([&] {
+        isPaused = false;
+        exchange->resume();
+        exchange->resume();
+    });
+    ended.get_future().wait();
+    EXPECT_EQ(thread_.call([&] { return received; }), "0123456789");
+}
