Refuse a response head that is joined from two

A server that sends a part of a surplus response in place of the expected one could have that part joined with the expected response: a part that is cut within its reason or within a header's value forms a valid head with the next status line in it. The head then had the status of the surplus response and the id, signature and body of the expected one, so a 503 could look like a 200.

A head whose reason or headers contain a status line is malformed now. The test puts a surplus response, cut at every byte, before the expected one; it failed before.

--- a/Libraries/LibHttp/ClientExchange.cpp
+++ b/Libraries/LibHttp/ClientExchange.cpp
@@ -3,12 +3,14 @@
 #include "LibHttp/AddressParser.h"
 #include "LibHttp/TransferCoding.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <string_view>
 #include <sys/socket.h>
 
 namespace Anvilyard::Http {
@@ -16,6 +18,35 @@
 namespace asio = boost::asio;
 namespace wire = boost::beast::http;
 
+namespace {
+
+bool containsStatusLine(std::string_view text)
+{
+    constexpr std::string_view Version = "HTTP/1.";
+    constexpr std::string_view Digits = "0123456789";
+    constexpr std::size_t StatusDigits = 3;
+    for (auto at = text.find(Version); at != std::string_view::npos; at = text.find(Version, at + 1)) {
+        auto const rest = text.substr(at + Version.size());
+        bool const hasVersion = rest.size() > 1 + StatusDigits && Digits.find(rest[0]) != std::string_view::npos && rest[1] == ' ';
+        if (hasVersion && rest.find_first_not_of(Digits, 2) >= 2 + StatusDigits)
+            return true;
+    }
+    return false;
+}
+
+/// Returns whether the head contains the status line of another response. A part of a surplus response that is cut within its reason or
+/// within a header's value forms a valid head together with the next response.
+bool containsStatusLine(wire::response_header<> const &head)
+{
+    if (containsStatusLine(std::string_view(head.reason().data(), head.reason().size())))
+        return true;
+    return std::any_of(head.begin(), head.end(), [](auto const &field) {
+        return containsStatusLine(std::string_view(field.value().data(), field.value().size()));
+    });
+}
+
+} // namespace
+
 ClientExchange::ClientExchange(std::shared_ptr<ClientShared> shared, ClientRequest request, ExchangeHandlers handlers)
     : shared_(std::move(shared))
     , request_(std::move(request))
@@ -131,6 +162,8 @@
     if (error)
         return failRead(error);
     auto const &message = parser_->get();
+    if (containsStatusLine(message))
+        return fail(HttpError::Malformed, "the head is joined from those of two responses");
     if (message.result() == wire::status::switching_protocols)
         return fail(HttpError::Malformed, "the server switched to a protocol that was not asked for");
     if (message.result_int() >= 100 && message.result_int() < 200)
--- a/Tests/LibHttp/TestHostileServers.cpp
+++ b/Tests/LibHttp/TestHostileServers.cpp
@@ -546,3 +546,39 @@
     ended.get_future().wait();
     EXPECT_EQ(thread_.call([&] { return received; }), "0123456789");
 }
+
+/// A part of a surplus response stands before the expected one. Guards against a head made of both: a status line that is cut within its
+/// reason, or a header that is cut within its value, leaves a valid head with the status of the one and the headers of the other.
+TEST_F(HostileServersTest, AResponseIsNeverJoinedWithAPartOfAnotherOne)
+{
+    std::vector<std::string> const surpluses = {
+        "HTTP/1.1 200 OK\r\nServer: s\r\nId: other\r\nContent-Length: 7\r\n\r\nforeign",
+        "HTTP/1.1 200 OK\r\nServer: s\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nforeign\r\n0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 7\r\n\r\nforeign",
+    };
+    std::vector<std::string> const expected = {
+        "HTTP/1.1 503 Service Unavailable\r\nId: this\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 503 Service Unavailable\r\nId: this\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    };
+    std::string bytes;
+    serve([&](ScriptedServer::Connection &connection, std::size_t) {
+        connection.send(bytes);
+        connection.close();
+    });
+    for (auto const &surplus : surpluses) {
+        for (auto const &own : expected) {
+            for (std::size_t size = 0; size <= surplus.size(); ++size) {
+                thread_.call([&] { bytes = surplus.substr(0, size) + own; });
+                auto const answer = start("/", 10s, ClientRequest::Framing::CloseMayEnd, matchesThis).get();
+                if (!answer) {
+                    EXPECT_GT(size, 0U);
+                    EXPECT_LT(size, surplus.size());
+                    continue;
+                }
+                EXPECT_EQ(answer->status, 503) << bytes;
+                EXPECT_EQ(answer->body, "hello") << bytes;
+                EXPECT_FALSE(answer->headers.contains("Server")) << bytes;
+            }
+        }
+    }
+}
