Keep the handlers of an exchange in place while one of them runs

A handler that cancels its exchange had its captures moved away while it ran. std::function keeps small captures within itself, so the handler then read what the assignment left there. No handler of the programs uses its captures after such a call.

The end of an exchange clears the handlers in place, in a later turn of the loop. The test crashed before.

--- a/Libraries/LibHttp/ClientExchange.cpp
+++ b/Libraries/LibHttp/ClientExchange.cpp
@@ -264,8 +264,9 @@
         boost::system::error_code ignored;
         connection_->socket.close(ignored);
     }
-    // The handlers are destroyed later by the loop, because this function may have been called from one of them.
-    asio::post(shared_->io, [handlers = std::exchange(handlers_, {})] {});
+    // The handlers are destroyed later by the loop, because this function may have been called from one of them. Even moving them would
+    // invalidate captures that std::function stores within itself.
+    asio::post(shared_->io, [self = shared_from_this()] { self->handlers_ = {}; });
 }
 
 void ClientExchange::cancel()
--- a/Tests/LibHttp/TestHostileServers.cpp
+++ b/Tests/LibHttp/TestHostileServers.cpp
@@ -582,3 +582,24 @@
         }
     }
 }
+
+/// Guards against a handler whose captures are moved away while it runs. std::function keeps small captures in itself, so a handler that
+/// cancels its exchange would read what the next assignment left there.
+TEST_F(HostileServersTest, SmallCapturesOutliveACancelFromWithinTheirHandler)
+{
+    struct Context {
+        std::shared_ptr<Exchange> exchange;
+        std::promise<std::string> received;
+    };
+    Context context;
+    serve([](ScriptedServer::Connection &connection, std::size_t) { connection.send(std::string(CompleteResponse)); });
+    thread_.call([&] {
+        context.exchange =
+            client_->send({.server = server_->address(), .request = {.method = "GET", .target = "/"}, .deadline = readLocalClock() + 10s},
+                          {.onPiece = [&context](std::string_view piece) {
+                              context.exchange->cancel();
+                              context.received.set_value(std::string(piece));
+                          }});
+    });
+    EXPECT_EQ(context.received.get_future().get(), "hello");
+}
