Reset the connection of a caller of HTTP/1.0 when its stream is cut

A streamed body for a caller of HTTP/1.0 ends with the connection, so a stream that was broken off by an orderly close looked complete. A connection that is closed within such a response is reset now. The test failed before.

--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -470,9 +470,12 @@
         return;
     if (state_ == State::Handling || state_ == State::Streaming || state_ == State::Finishing)
         --shared_->openExchanges;
+    boost::system::error_code ignored;
+    // For a caller of HTTP/1.0 an orderly close ends a streamed body. Only a reset shows that it is incomplete.
+    if (http10_ && (state_ == State::Streaming || state_ == State::Finishing))
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     state_ = State::Closed;
     shared_->sweep->remove(this);
-    boost::system::error_code ignored;
     socket_.close(ignored);
     if (auto const callback = std::exchange(callerGone_, nullptr))
         callback();
--- a/Tests/LibHttp/TestHostileCallers.cpp
+++ b/Tests/LibHttp/TestHostileCallers.cpp
@@ -383,3 +383,36 @@
         EXPECT_EQ(server_->openExchanges(), 0U);
     });
 }
+
+/// An aborted response must not look complete, however much of it is still queued: no last chunk, or a reset where only the connection's
+/// end ends the body, as for a caller of HTTP/1.0.
+TEST_F(HostileCallersTest, AnAbortedResponseNeverLooksComplete)
+{
+    std::string const piece(100'000, 'x');
+    for (auto const isQueued : {false, true}) {
+        for (std::string const version : {"1.0", "1.1"}) {
+            std::promise<void> aborted;
+            serve({}, [&](HttpRequest const &, std::shared_ptr<ResponseWriter> const &writer) {
+                writer->start({.status = 200});
+                auto const abort = [&, writer](WriteOutcome) {
+                    writer->abort();
+                    aborted.set_value();
+                };
+                writer->write("some", isQueued ? std::function<void(WriteOutcome)>() : abort);
+                if (!isQueued)
+                    return;
+                for (int count = 0; count < 20; ++count)
+                    writer->write(piece, nullptr);
+                abort(WriteOutcome::Written);
+            });
+            RawConnection connection(server_->address());
+            connection.send("GET / HTTP/" + version + "\r\n\r\n");
+            aborted.get_future().wait();
+            auto const received = connection.readAll();
+            EXPECT_TRUE(connection.isEnded());
+            EXPECT_EQ(received.find("0\r\n\r\n"), std::string::npos);
+            EXPECT_TRUE(version == "1.1" || connection.isReset()) << (isQueued ? "queued" : "written");
+            TearDown();
+        }
+    }
+}
