Read no request from a body that a started response left unread

A handler that starts a streamed response before it has read the request's body, and finishes it, left the connection open, and the rest of the body was read as the caller's next request. Only respond() closed the connection in that case. No handler of the programs does so.

start() ends the delivery of the body and announces the close as respond() does. The test failed before.

--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -27,7 +27,7 @@
 
     /// Sends a complete response with a Content-Length.
     virtual void respond(HttpResponse response) = 0;
-    /// Starts a chunked response; write() and finish() follow.
+    /// Starts a chunked response; write() and finish() follow. Like respond(), it ends the delivery of a body that is not read yet.
     virtual void start(ResponseHead head) = 0;
     /// Sends a piece of the body. The callback is called once the piece has left the write buffer. Writing the next piece only
     /// then keeps memory bounded.
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -336,10 +336,7 @@
         ++shared_->openExchanges;
         keepAlive_ = false;
     }
-    if (std::exchange(bodyPending_, false)) {
-        keepAlive_ = false;
-        sink_.reset();
-    }
+    stopReadingBody();
     state_ = State::Finishing;
     auto bytes = renderHead(response.status, response.headers, response.body.size());
     if (!headOnly_)
@@ -351,10 +348,20 @@
 {
     if (!isCurrent(exchange) || state_ != State::Handling)
         return;
+    stopReadingBody();
     state_ = State::Streaming;
     queue(renderHead(head.status, head.headers, std::nullopt), nullptr);
 }
 
+void ServerConnection::stopReadingBody()
+{
+    if (!std::exchange(bodyPending_, false))
+        return;
+    // The rest of the body must not be read as the next request.
+    keepAlive_ = false;
+    sink_.reset();
+}
+
 void ServerConnection::write(std::uint64_t exchange, std::string piece, std::function<void(WriteOutcome)> done)
 {
     if (!isCurrent(exchange) || state_ != State::Streaming) {
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -77,6 +77,8 @@
     void readPiece();
     void deliverPiece(boost::system::error_code error, std::size_t size);
     void failBody(boost::system::error_code error);
+    /// Called once a response starts, which ends the delivery of the request's body.
+    void stopReadingBody();
     void continueIfExpected(std::function<void()> next);
     void dispatchRequest(HttpRequest request);
     void watchForDisconnect();
--- a/Tests/LibHttp/TestHostileCallers.cpp
+++ b/Tests/LibHttp/TestHostileCallers.cpp
@@ -416,3 +416,33 @@
         }
     }
 }
+
+/// A handler starts a response before it has read the body. Guards against reading the rest of that body as the caller's next request.
+TEST_F(HostileCallersTest, AResponseStartedWithinTheBodyLeavesNoRequest)
+{
+    std::vector<std::string> handled;
+    HttpServerOptions options;
+    options.streamedBody = [&](HttpRequest const &head, std::shared_ptr<ResponseWriter> const &writer) {
+        handled.push_back(head.target);
+        return std::optional(BodySink{
+            .onPiece =
+                [writer](std::string_view, std::function<void()> const &) {
+                    writer->start({.status = 200});
+                    writer->write("early", nullptr);
+                    writer->finish();
+                },
+            .onEnd = [] {},
+            .onError = [](Error const &) {},
+        });
+    };
+    serve(options, [](HttpRequest const &, std::shared_ptr<ResponseWriter> const &) {});
+    RawConnection connection(server_->address());
+    connection.send("POST /first HTTP/1.1\r\nContent-Length: 1000\r\n\r\nx");
+    auto received = connection.readUntil("0\r\n\r\n");
+    connection.send("GET /smuggled HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+    connection.finishSending();
+    received += connection.readAll();
+    EXPECT_THAT(received, HasSubstr("early"));
+    EXPECT_TRUE(connection.isEnded());
+    EXPECT_THAT(thread_.call([&] { return handled; }), ::testing::ElementsAre("/first"));
+}
