Send no body after a status that allows none

A response of 204 or 304 was followed by its body, or by a last chunk if it was streamed. The caller reads such bytes as its next response. Only the head is sent now, without a length or chunks. The test failed before.

--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -40,6 +40,12 @@
     return request;
 }
 
+/// Returns whether responses with this status end with their head.
+bool hasNoBody(int status)
+{
+    return status == static_cast<int>(wire::status::no_content) || status == static_cast<int>(wire::status::not_modified);
+}
+
 Refusal makeRefusal(int status, std::string code, std::string message)
 {
     return {.status = status, .type = "invalid_request_error", .code = std::move(code), .message = std::move(message)};
@@ -315,12 +321,15 @@
         message.insert(field.name, field.value);
     if (shared_->leaving)
         keepAlive_ = false;
-    if (contentLength)
-        message.content_length(*contentLength);
-    else if (!http10_)
-        message.chunked(true);
-    else
-        keepAlive_ = false;
+    bool const isBodyEndedByClose = !contentLength && http10_;
+    if (!hasNoBody(status)) {
+        if (contentLength)
+            message.content_length(*contentLength);
+        else if (isBodyEndedByClose)
+            keepAlive_ = false;
+        else
+            message.chunked(true);
+    }
     message.keep_alive(keepAlive_);
     std::ostringstream text;
     text << message.base();
@@ -338,6 +347,7 @@
     }
     stopReadingBody();
     state_ = State::Finishing;
+    headOnly_ = headOnly_ || hasNoBody(response.status);
     auto bytes = renderHead(response.status, response.headers, response.body.size());
     if (!headOnly_)
         bytes += response.body;
@@ -350,6 +360,7 @@
         return;
     stopReadingBody();
     state_ = State::Streaming;
+    headOnly_ = headOnly_ || hasNoBody(head.status);
     queue(renderHead(head.status, head.headers, std::nullopt), nullptr);
 }
 
--- a/Tests/LibHttp/TestHostileCallers.cpp
+++ b/Tests/LibHttp/TestHostileCallers.cpp
@@ -446,3 +446,28 @@
     EXPECT_TRUE(connection.isEnded());
     EXPECT_THAT(thread_.call([&] { return handled; }), ::testing::ElementsAre("/first"));
 }
+
+/// Responses without a body must not be followed by bytes that the caller reads as its next response.
+TEST_F(HostileCallersTest, AResponseWithoutABodyIsFollowedByTheNextResponse)
+{
+    for (auto const status : {204, 304}) {
+        for (auto const isStreamed : {false, true}) {
+            serve({}, [&](HttpRequest const &request, std::shared_ptr<ResponseWriter> const &writer) {
+                if (request.target == "/next")
+                    return writer->respond({.body = "next"});
+                if (!isStreamed)
+                    return writer->respond({.status = status, .body = "surplus"});
+                writer->start({.status = status});
+                writer->write("surplus", nullptr);
+                writer->finish();
+            });
+            RawConnection connection(server_->address());
+            connection.send("GET / HTTP/1.1\r\n\r\nGET /next HTTP/1.1\r\nConnection: close\r\n\r\n");
+            auto const received = connection.readAll();
+            auto const end = received.find("\r\n\r\n");
+            ASSERT_NE(end, std::string::npos);
+            EXPECT_THAT(received.substr(end + 4), StartsWith("HTTP/1.1 200")) << status << isStreamed;
+            TearDown();
+        }
+    }
+}
