--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -40,6 +40,12 @@
     return request;
 }
 
+/// Returns whether responses with this status end with their head.
+bool hasNoBody(int status)
+{
+    return status == static_cast<int>(wire::status::no_content) || status == static_cast<int>(wire::status::not_modified);
+}
+
 Refusal makeRefusal(int status, std::string code, std::string message)
 {
     return {.status = status, .type = "invalid_request_error", .code = std::move(code), .message = std::move(message)};
@@ -315,12 +321,15 @@
         message.insert(field.name, field.value);
     if (shared_->leaving)
         keepAlive_ = false;
-    if (contentLength)
-        message.content_length(*contentLength);
-    else if (!http10_)
-        message.chunked(true);
-    else
-        keepAlive_ = false;
+    bool const isBodyEndedByClose = !contentLength && http10_;
+    if (!hasNoBody(status)) {
+        if (contentLength)
+            message.content_length(*contentLength);
+        else if (isBodyEndedByClose)
+            keepAlive_ = false;
+        else
+            message.chunked(true);
+    }
     message.keep_alive(keepAlive_);
     std::ostringstream text;
     text << message.base();
@@ -336,11 +345,9 @@
         ++shared_->openExchanges;
         keepAlive_ = false;
     }
-    if (std::exchange(bodyPending_, false)) {
-        keepAlive_ = false;
-        sink_.reset();
-    }
+    stopReadingBody();
     state_ = State::Finishing;
+    headOnly_ = headOnly_ || hasNoBody(response.status);
     auto bytes = renderHead(response.status, response.headers, response.body.size());
     if (!headOnly_)
         bytes += response.body;
@@ -351,10 +358,21 @@
 {
     if (!isCurrent(exchange) || state_ != State::Handling)
         return;
+    stopReadingBody();
     state_ = State::Streaming;
+    headOnly_ = headOnly_ || hasNoBody(head.status);
     queue(renderHead(head.status, head.headers, std::nullopt), nullptr);
 }
 
+void ServerConnection::stopReadingBody()
+{
+    if (!std::exchange(bodyPending_, false))
+        return;
+    // The rest of the body must not be read as the next request.
+    keepAlive_ = false;
+    sink_.reset();
+}
+
 void ServerConnection::write(std::uint64_t exchange, std::string piece, std::function<void(WriteOutcome)> done)
 {
     if (!isCurrent(exchange) || state_ != State::Streaming) {
@@ -470,9 +488,12 @@
         return;
     if (state_ == State::Handling || state_ == State::Streaming || state_ == State::Finishing)
         --shared_->openExchanges;
+    boost::system::error_code ignored;
+    // For a caller of HTTP/1.0 an orderly close ends a streamed body. Only a reset shows that it is incomplete.
+    if (http10_ && (state_ == State::Streaming || state_ == State::Finishing))
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     state_ = State::Closed;
     shared_->sweep->remove(this);
-    boost::system::error_code ignored;
     socket_.close(ignored);
     if (auto const callback = std::exchange(callerGone_, nullptr))
         callback();
--- a/Tests/LibHttp/TestHostileCallers.cpp
+++ b/Tests/LibHttp/TestHostileCallers.cpp
@@ -3,6 +3,7 @@
 #include "Tests/LibHttp/LoopThread.h"
 #include "Tests/LibHttp/RawConnection.h"
 
+#include <algorithm>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -315,3 +316,158 @@
     auto const answer = exchange("GET /good HTTP/1.1\r\nConnection: close\r\n\r\n");
     RC_ASSERT(answer.find("GET /good ") != std::string::npos);
 }
+
+/// Pipelined requests in any pieces must each reach the handler once, in order, with exactly their own body.
+RC_GTEST_FIXTURE_PROP(HostileCallersTest, PipelinedRequestsInAnyPiecesKeepTheirBodies, ())
+{
+    if (!server_)
+        serve();
+    (void)handled();
+    auto const bodies = *rc::gen::container<std::vector<std::string>>(
+        rc::gen::element<std::string>("", "a", "0\r\n\r\n", "GET /smuggled HTTP/1.1\r\n\r\n", std::string(500, 'x')));
+    std::string bytes;
+    for (auto const &body : bodies) {
+        auto const isChunked = *rc::gen::arbitrary<bool>();
+        if (!isChunked) {
+            bytes += "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            continue;
+        }
+        bytes += "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        for (auto const byte : body.substr(0, 30))
+            bytes += std::string("1\r\n") + byte + "\r\n";
+        if (body.size() > 30)
+            bytes += "1d6\r\n" + body.substr(30) + "\r\n";
+        bytes += "0\r\nTrailer: x\r\n\r\n";
+    }
+    bytes += "GET /end HTTP/1.1\r\nConnection: close\r\n\r\n";
+    auto const segment = *rc::gen::inRange<std::size_t>(1, 3000);
+    RawConnection connection(server_->address());
+    for (std::size_t at = 0; at < bytes.size(); at += segment)
+        RC_ASSERT(connection.send(std::string_view(bytes).substr(at, segment)));
+    (void)connection.readAll();
+    auto const requests = handled();
+    RC_ASSERT(requests.size() == bodies.size() + 1);
+    for (std::size_t index = 0; index < bodies.size(); ++index)
+        RC_ASSERT(requests[index].body == bodies[index]);
+    RC_ASSERT(requests.back().target == "/end");
+}
+
+/// A caller resets its connection while a response is written. Every write must be reported once, and none after the first failure as
+/// written, or a relay would wait for ever or go on with a stream that nobody reads.
+TEST_F(HostileCallersTest, AWriteThatFailsHalfwayFailsAllQueuedWrites)
+{
+    constexpr int Writes = 100;
+    std::string const piece(400'000, 'x');
+    std::vector<WriteOutcome> outcomes;
+    std::promise<void> reported;
+    serve({}, [&](HttpRequest const &, std::shared_ptr<ResponseWriter> const &writer) {
+        writer->start({.status = 200});
+        for (int count = 0; count < Writes; ++count) {
+            writer->write(piece, [&, writer](WriteOutcome outcome) {
+                outcomes.push_back(outcome);
+                if (outcomes.size() == Writes)
+                    reported.set_value();
+            });
+        }
+    });
+    {
+        RawConnection connection(server_->address());
+        connection.send("GET / HTTP/1.1\r\n\r\n");
+        EXPECT_THAT(connection.readUntil("xx"), HasSubstr("200"));
+    }
+    reported.get_future().wait();
+    thread_.call([&] {
+        EXPECT_EQ(outcomes.size(), static_cast<std::size_t>(Writes));
+        EXPECT_TRUE(std::is_partitioned(outcomes.begin(), outcomes.end(), [](auto outcome) { return outcome == WriteOutcome::Written; }));
+        EXPECT_EQ(outcomes.back(), WriteOutcome::CallerGone);
+        EXPECT_EQ(server_->openExchanges(), 0U);
+    });
+}
+
+/// An aborted response must not look complete, however much of it is still queued: no last chunk, or a reset where only the connection's
+/// end ends the body, as for a caller of HTTP/1.0.
+TEST_F(HostileCallersTest, AnAbortedResponseNeverLooksComplete)
+{
+    std::string const piece(100'000, 'x');
+    for (auto const isQueued : {false, true}) {
+        for (std::string const version : {"1.0", "1.1"}) {
+            std::promise<void> aborted;
+            serve({}, [&](HttpRequest const &, std::shared_ptr<ResponseWriter> const &writer) {
+                writer->start({.status = 200});
+                auto const abort = [&, writer](WriteOutcome) {
+                    writer->abort();
+                    aborted.set_value();
+                };
+                writer->write("some", isQueued ? std::function<void(WriteOutcome)>() : abort);
+                if (!isQueued)
+                    return;
+                for (int count = 0; count < 20; ++count)
+                    writer->write(piece, nullptr);
+                abort(WriteOutcome::Written);
+            });
+            RawConnection connection(server_->address());
+            connection.send("GET / HTTP/" + version + "\r\n\r\n");
+            aborted.get_future().wait();
+            auto const received = connection.readAll();
+            EXPECT_TRUE(connection.isEnded());
+            EXPECT_EQ(received.find("0\r\n\r\n"), std::string::npos);
+            EXPECT_TRUE(version == "1.1" || connection.isReset()) << (isQueued ? "queued" : "written");
+            TearDown();
+        }
+    }
+}
+
+/// A handler starts a response before it has read the body. Guards against reading the rest of that body as the caller's next request.
+TEST_F(HostileCallersTest, AResponseStartedWithinTheBodyLeavesNoRequest)
+{
+    std::vector<std::string> handled;
+    HttpServerOptions options;
+    options.streamedBody = [&](HttpRequest const &head, std::shared_ptr<ResponseWriter> const &writer) {
+        handled.push_back(head.target);
+        return std::optional(BodySink{
+            .onPiece =
+                [writer](std::string_view, std::function<void()> const &) {
+                    writer->start({.status = 200});
+                    writer->write("early", nullptr);
+                    writer->finish();
+                },
+            .onEnd = [] {},
+            .onError = [](Error const &) {},
+        });
+    };
+    serve(options, [](HttpRequest const &, std::shared_ptr<ResponseWriter> const &) {});
+    RawConnection connection(server_->address());
+    connection.send("POST /first HTTP/1.1\r\nContent-Length: 1000\r\n\r\nx");
+    auto received = connection.readUntil("0\r\n\r\n");
+    connection.send("GET /smuggled HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+    connection.finishSending();
+    received += connection.readAll();
+    EXPECT_THAT(received, HasSubstr("early"));
+    EXPECT_TRUE(connection.isEnded());
+    EXPECT_THAT(thread_.call([&] { return handled; }), ::testing::ElementsAre("/first"));
+}
+
+/// Responses without a body must not be followed by bytes that the caller reads as its next response.
+TEST_F(HostileCallersTest, AResponseWithoutABodyIsFollowedByTheNextResponse)
+{
+    for (auto const status : {204, 304}) {
+        for (auto const isStreamed : {false, true}) {
+            serve({}, [&](HttpRequest const &request, std::shared_ptr<ResponseWriter> const &writer) {
+                if (request.target == "/next")
+                    return writer->respond({.body = "next"});
+                if (!isStreamed)
+                    return writer->respond({.status = status, .body = "surplus"});
+                writer->start({.status = status});
+                writer->write("surplus", nullptr);
+                writer->finish();
+            });
+            RawConnection connection(server_->address());
+            connection.send("GET / HTTP/1.1\r\n\r\nGET /next HTTP/1.1\r\nConnection: close\r\n\r\n");
+            auto const received = connection.readAll();
+            auto const end = received.find("\r\n\r\n");
+            ASSERT_NE(end, std::string::npos);
+            EXPECT_THAT(received.substr(end + 4), StartsWith("HTTP/1.1 200")) << status << isStreamed;
+            TearDown();
+        }
+    }
+}
