Drop the tracker's own check of events without an id

The reader of a response breaks it at such an event, so the tracker never gets one and its two flags could not be set.

The property TheTextIsWholeWhateverItsRunsDid stays and passes without them, also with 5,000 cases.

--- a/Libraries/LibJobs/JobTracker.cpp
+++ b/Libraries/LibJobs/JobTracker.cpp
@@ -160,12 +160,8 @@
 
 void JobTracker::onStarted(JobId const &id, std::size_t index)
 {
-    auto *job = find(id, index);
-    if (!job || job->items[index].state != Item::State::Waiting)
-        return;
-    auto &item = job->items[index];
-    item.state = Item::State::Running;
-    item.isResumed = item.lastEventId.has_value();
+    if (auto *job = find(id, index); job && job->items[index].state == Item::State::Waiting)
+        job->items[index].state = Item::State::Running;
 }
 
 void JobTracker::onEvent(JobId const &id, std::size_t index, std::optional<std::uint64_t> eventId, std::string_view data)
@@ -177,7 +173,6 @@
     if (item.events++ > 0)
         item.output += '\n';
     item.output += data;
-    item.hasUnknownPosition = item.hasUnknownPosition || (eventId && eventId == item.lastEventId);
     item.lastEventId = eventId;
     item.pauses = 0;
 }
@@ -189,9 +184,6 @@
         return;
     auto &item = job->items[index];
     item.state = Item::State::Waiting;
-    // A resumed run whose events have no ids may have started from the beginning.
-    if (end == SendEnd::Complete && item.isResumed && item.hasUnknownPosition)
-        end = SendEnd::Unserved;
     switch (end) {
     case SendEnd::Complete:
         meanEvents_ +=
@@ -208,17 +200,11 @@
     case SendEnd::Preempted:
         break;
     }
-    discardUnlessResumable(item);
-}
-
-void JobTracker::discardUnlessResumable(Item &item)
-{
-    if (item.lastEventId && !item.hasUnknownPosition)
-        return;
-    item.output.clear();
-    item.events = 0;
-    item.lastEventId.reset();
-    item.hasUnknownPosition = false;
+    // Without an event id the servers cannot resume the item, so it restarts from the beginning.
+    if (!item.lastEventId) {
+        item.output.clear();
+        item.events = 0;
+    }
 }
 
 void JobTracker::pause(Item &item, Instant now) const
@@ -226,7 +212,10 @@
     constexpr std::uint32_t MaxDoublings = 10;
     auto const doublings = std::min(item.pauses++, MaxDoublings);
     item.notBefore = now + std::min(options_.maxRetryPause, options_.retryPause * (1U << doublings));
-    discardUnlessResumable(item);
+    if (!item.lastEventId) {
+        item.output.clear();
+        item.events = 0;
+    }
 }
 
 void JobTracker::decide(Job &job, std::size_t index, OutcomeState outcome, Instant now)
--- a/Libraries/LibJobs/JobTracker.h
+++ b/Libraries/LibJobs/JobTracker.h
@@ -100,7 +100,7 @@
     /// Number of items waiting for a server of the pool.
     [[nodiscard]] std::size_t waiting(PoolName const &pool, Instant now) const;
     void onStarted(JobId const &job, std::size_t index);
-    /// Records one event of the item's stream. `eventId`: id of the last event that had one, as an event need not have its own.
+    /// Records one event of the item's stream.
     void onEvent(JobId const &job, std::size_t index, std::optional<std::uint64_t> eventId, std::string_view data);
     void onSendEnded(JobId const &job, std::size_t index, SendEnd end, Instant now);
     /// Gives up items that are too old or whose route is missing.
@@ -137,10 +137,6 @@
         std::string output;
         std::size_t events = 0;
         std::optional<std::uint64_t> lastEventId;
-        /// Whether the current run was asked to go on after an event.
-        bool isResumed = false;
-        /// Whether an event without an id followed one with an id. It is not known then after which event another run would go on.
-        bool hasUnknownPosition = false;
         std::uint32_t failures = 0;
         std::uint32_t pauses = 0;
         Instant notBefore = Instant::min();
@@ -170,8 +166,6 @@
     [[nodiscard]] Duration commitDelay(Job const &job, Instant now) const;
     void decide(Job &job, std::size_t index, OutcomeState outcome, Instant now);
     void pause(Item &item, Instant now) const;
-    /// Discards what an item has received, unless another run can go on after its last event.
-    static void discardUnlessResumable(Item &item);
     void list(Job &job, ResultSegment &segment);
     [[nodiscard]] bool mayRun(Job const &job, PoolName const &pool) const;
 
