Hold no reference to an ended connection in a test of interim responses

One of 30 runs of TestLibHttp, three at a time, crashed in EndlessInterimResponsesTimeOut. Its timer kept a reference to the server's connection, which ends when the client gives up; if the thread of the test is slow to stop the timer, the next turn uses the freed connection.

The script holds a weak handle now.

--- a/Tests/Fakes/ScriptedServer.cpp
+++ b/Tests/Fakes/ScriptedServer.cpp
@@ -30,6 +30,11 @@
         return index_;
     }
 
+    [[nodiscard]] std::weak_ptr<Connection> handle() override
+    {
+        return weak_from_this();
+    }
+
     [[nodiscard]] std::string const &head() const override
     {
         return head_;
--- a/Tests/Fakes/ScriptedServer.h
+++ b/Tests/Fakes/ScriptedServer.h
@@ -20,6 +20,8 @@
         virtual ~Connection() = default;
         /// Position of the connection in the order of acceptance, starting at 0.
         [[nodiscard]] virtual std::size_t index() const = 0;
+        /// For a script that sends later: empty once the connection has ended.
+        [[nodiscard]] virtual std::weak_ptr<Connection> handle() = 0;
         /// The request head that the script is called for.
         [[nodiscard]] virtual std::string const &head() const = 0;
         virtual void send(std::string bytes) = 0;
--- a/Tests/LibHttp/TestHostileServers.cpp
+++ b/Tests/LibHttp/TestHostileServers.cpp
@@ -263,11 +263,14 @@
 TEST_F(HostileServersTest, EndlessInterimResponsesTimeOut)
 {
     std::unique_ptr<Timer> timer;
-    std::function<void(ScriptedServer::Connection &)> hint = [&](ScriptedServer::Connection &connection) {
-        connection.send("HTTP/1.1 103 Early Hints\r\n\r\n");
-        timer = thread_.loop().at(readLocalClock() + 10ms, [&] { hint(connection); });
+    std::function<void(std::weak_ptr<ScriptedServer::Connection> const &)> hint = [&](auto const &handle) {
+        auto const connection = handle.lock();
+        if (!connection)
+            return;
+        connection->send("HTTP/1.1 103 Early Hints\r\n\r\n");
+        timer = thread_.loop().at(readLocalClock() + 10ms, [&hint, handle] { hint(handle); });
     };
-    serve([&](ScriptedServer::Connection &connection, std::size_t) { hint(connection); });
+    serve([&](ScriptedServer::Connection &connection, std::size_t) { hint(connection.handle()); });
     auto const answer = fetch("/", 300ms);
     ASSERT_FALSE(answer);
     EXPECT_EQ(answer.error().error.code, HttpError::Silent);
