--- a/Tests/LibHttp/TestHostileCallers.cpp
+++ b/Tests/LibHttp/TestHostileCallers.cpp
@@ -353,7 +353,7 @@
 }
 
 /// A caller resets its connection while a response is written. Every write must be reported once, and none after the first failure as
-/// written, or a relay would wait for ever or go on with a stream that nobody reads.
+/// written. Otherwise a relay waits without end, or reads on from its server for a caller that is gone.
 TEST_F(HostileCallersTest, AWriteThatFailsHalfwayFailsAllQueuedWrites)
 {
     constexpr int Writes = 100;
--- a/Tests/LibJobs/TestJobTracker.cpp
+++ b/Tests/LibJobs/TestJobTracker.cpp
@@ -381,7 +381,7 @@
     auto const leftOut = isSound || !hasIds ? EventsOfItem : draw<std::uint64_t>(asked, 2 * EventsOfItem);
     std::string stream;
     for (auto id = hasIds ? from : 0; id < EventsOfItem; ++id) {
-        // A fresh run whose first event is missing cannot be told from one that begins there.
+        // A fresh run whose first event is missing cannot be distinguished from one that begins there.
         if (id == leftOut && id > 0)
             continue;
         stream += (hasIds ? "id: " + std::to_string(id) + "\n" : "") + "data: t" + std::to_string(id) + "\n\n";
--- a/Tests/Node/TestStreams.cpp
+++ b/Tests/Node/TestStreams.cpp
@@ -259,7 +259,7 @@
         body += event;
     auto const signature = send.behaviour == Behaviour::Unsigned ? "" : signatureField(send.run);
     auto const head = headText(200, call.id, signature + "Content-Type: text/event-stream\r\n");
-    // Where the end of the connection ends the body, a cut at the border of an event cannot be told from the end.
+    // Where the end of the connection ends the body, a cut at the border of an event cannot be distinguished from the end.
     bool const isCut = send.behaviour == Behaviour::CutAnywhere || send.behaviour == Behaviour::CutWithinFirstEvent
         || send.behaviour == Behaviour::CutAtEventBorder || send.behaviour == Behaviour::SilentWithinStream;
     auto const framing = std::array{Framing::Chunked, Framing::Length, Framing::Close}.at(draw.number(0, isCut ? 2 : 3));
