Log items that wait without being started and loads of jobs that do not end

A runner now logs node-items-stalled once the items of a pool have waited for five seconds with none started, with the number of the pool's servers, of those assigned to it and of those that accept items, and with the load that it assumes there. node-job-load-overdue names a job that has been loading for five seconds. The gauge anvilyard_node_items_stalled_seconds shows the longest such wait.

--- a/Libraries/LibJobs/JobTracker.cpp
+++ b/Libraries/LibJobs/JobTracker.cpp
@@ -158,6 +158,20 @@
     return count;
 }
 
+std::map<PoolName, std::size_t> JobTracker::waitingByPool() const
+{
+    std::map<PoolName, std::size_t> counts;
+    for (auto const &[id, job] : jobs_) {
+        if (!mayRun(job, job.policy.pool))
+            continue;
+        auto const waiting =
+            std::count_if(job.items.begin(), job.items.end(), [](Item const &item) { return item.state == Item::State::Waiting; });
+        if (waiting > 0)
+            counts[job.policy.pool] += static_cast<std::size_t>(waiting);
+    }
+    return counts;
+}
+
 void JobTracker::onStarted(JobId const &id, std::size_t index)
 {
     if (auto *job = find(id, index); job && job->items[index].state == Item::State::Waiting)
--- a/Libraries/LibJobs/JobTracker.h
+++ b/Libraries/LibJobs/JobTracker.h
@@ -99,6 +99,8 @@
     [[nodiscard]] std::optional<ItemStart> next(PoolName const &pool, Duration runTime, Instant now) const;
     /// Number of items waiting for a server of the pool.
     [[nodiscard]] std::size_t waiting(PoolName const &pool, Instant now) const;
+    /// Number of waiting items by pool, including those that are not sent again yet.
+    [[nodiscard]] std::map<PoolName, std::size_t> waitingByPool() const;
     void onStarted(JobId const &job, std::size_t index);
     /// Records one event of the item's stream.
     void onEvent(JobId const &job, std::size_t index, std::optional<std::uint64_t> eventId, std::string_view data);
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -18,6 +18,8 @@
 constexpr Duration InitialMeanRunTime = 4s;
 constexpr double MeanRunTimeWeight = 0.1;
 constexpr Duration LoadRetryDelay = 200ms;
+/// Reading a job takes some calls of the store, each of which ends after a second or two at the latest.
+constexpr Duration LoadOverdueAfter = 5s;
 /// Within this time the owner of an admitted job has read it and counts its tokens.
 constexpr Duration AdmissionRetention = 3s;
 /// After this time without reaching the platform's store, in which several attempts failed, a runner leaves its jobs to other
@@ -52,6 +54,7 @@
           },
       })
     , meanRunTime_(InitialMeanRunTime)
+    , stalls_(Jobs::StallDetectorOptions{})
 {
 }
 
@@ -111,7 +114,10 @@
 
 void JobRunner::load(JobId const &job)
 {
-    knownJobs_[job].isLoading = true;
+    auto &known = knownJobs_[job];
+    known.isLoading = true;
+    known.loadingSince = readLocalClock();
+    known.isOverdueLogged = false;
     Jobs::loadJob(context_.store, job, Jobs::LoadExtent::Full, [this, job](Result<Jobs::LoadedJob> loaded) {
         auto const now = readLocalClock();
         auto const found = knownJobs_.find(job);
@@ -187,8 +193,10 @@
 {
     reconcile(now);
     jobs_.onTick(now);
-    if (!isLeaving_)
+    if (!isLeaving_) {
         dispatch(now);
+        logStalls(now);
+    }
     storeOutcomes(now);
     confirmJobs(now);
     servePendingReads(now);
@@ -254,6 +262,51 @@
     }
 }
 
+void JobRunner::logStalls(Instant now)
+{
+    auto const toMilliseconds = [](Duration duration) {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    };
+    for (auto const &[pool, waiting, lasting] : stalls_.onTick(jobs_.waitingByPool(), now)) {
+        std::size_t servers = 0;
+        std::size_t assigned = 0;
+        std::size_t accepting = 0;
+        std::uint32_t slots = 0;
+        std::uint32_t online = 0;
+        std::uint32_t batch = 0;
+        for (auto const &assignment : assignments_) {
+            if (assignment.pool != pool)
+                continue;
+            ++servers;
+            assigned += assignment.isAssigned ? 1 : 0;
+            if (!assignment.acceptsNew)
+                continue;
+            ++accepting;
+            auto const own = context_.load.at(assignment.server);
+            auto const others = context_.peers.othersAt(assignment.server);
+            slots += assignment.slots;
+            online += own.online + others.online;
+            batch += own.batch + others.batch;
+        }
+        Observe::log(Observe::Events::NodeItemsStalled,
+                     {{"pool", pool.value()},
+                      {"waiting", std::to_string(waiting)},
+                      {"lasting_ms", toMilliseconds(lasting)},
+                      {"runners", std::to_string(context_.peers.runners().size())},
+                      {"servers", std::to_string(servers)},
+                      {"assigned", std::to_string(assigned)},
+                      {"accepting", std::to_string(accepting)},
+                      {"slots", std::to_string(slots)},
+                      {"online", std::to_string(online)},
+                      {"batch", std::to_string(batch)}});
+    }
+    for (auto &[job, known] : knownJobs_) {
+        if (!known.isLoading || now - known.loadingSince < LoadOverdueAfter || std::exchange(known.isOverdueLogged, true))
+            continue;
+        Observe::log(Observe::Events::NodeJobLoadOverdue, {{"job", job.value()}, {"after_ms", toMilliseconds(now - known.loadingSince)}});
+    }
+}
+
 void JobRunner::startItems(PoolName const &pool, ServerId const &serverId, std::uint32_t count, Instant now)
 {
     auto const server = context_.directory.find(serverId, now);
@@ -266,6 +319,7 @@
         auto const *record = jobs_.find(next->job);
         jobs_.onStarted(next->job, next->index);
         metrics_.itemStarts.add();
+        stalls_.onStarted(pool, now);
         auto const run = std::make_shared<ItemRun>(
             context_,
             server->record,
@@ -503,6 +557,11 @@
     return jobs_.counts();
 }
 
+Duration JobRunner::longestStall(Instant now) const
+{
+    return stalls_.longest(now);
+}
+
 bool JobRunner::isIdle() const
 {
     return pendingStores_ == 0 && runs_.empty();
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -3,6 +3,7 @@
 #include "LibHttp/HttpServer.h"
 #include "LibJobs/JobTracker.h"
 #include "LibJobs/SlotPlan.h"
+#include "LibJobs/StallDetector.h"
 #include "Services/Node/ItemRun.h"
 #include "Services/Node/JobApiHandler.h"
 #include "Services/Node/PeerReportExchange.h"
@@ -31,12 +32,16 @@
     /// Whether no item is running and no outcome is being stored.
     [[nodiscard]] bool isIdle() const;
     [[nodiscard]] Jobs::ItemCounts itemCounts() const;
+    /// The longest time for which items of a pool have waited with none started.
+    [[nodiscard]] Duration longestStall(Instant now) const;
 
 private:
     struct KnownJob {
         bool isOwned = false;
         bool isEnded = false;
         bool isLoading = false;
+        Instant loadingSince = Instant::min();
+        bool isOverdueLogged = false;
         Instant loadNotBefore = Instant::min();
     };
 
@@ -55,6 +60,8 @@
     void reconcile(Instant now);
     void dispatch(Instant now);
     void refreshAssignments(Instant now);
+    /// Logs items that wait without being started, with the state of their servers, and loads of jobs that take too long.
+    void logStalls(Instant now);
     void startItems(PoolName const &pool, ServerId const &server, std::uint32_t count, Instant now);
     void preempt(ServerId const &server, std::uint32_t count, Instant now);
     void cancelRuns(JobId const &job);
@@ -111,6 +118,7 @@
     std::map<JobId, Admission> admissions_;
     /// Moving average of the duration of item runs that were not resumed.
     Duration meanRunTime_;
+    Jobs::StallDetector stalls_;
     std::size_t pendingStores_ = 0;
     bool isLeaving_ = false;
 };
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -273,6 +273,9 @@
     setItems("running", items.running);
     setItems("decided", items.decided);
     setItems("listed", items.listed);
+    set("anvilyard_node_items_stalled_seconds",
+        "The longest time for which items of a pool have waited with none started",
+        std::chrono::duration<double>(runner_.longestStall(now)).count());
     if (droppedLogLines_)
         set("anvilyard_node_log_lines_left_out", "Log lines left out since the start", static_cast<double>(droppedLogLines_()));
 }
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -465,3 +465,25 @@
     }
     thread_.call([&] { held.clear(); });
 }
+
+/// Guards against items that wait for a server without a line that says why.
+TEST_F(JobsTest, ItemsThatWaitForAServerAreLogged)
+{
+    std::vector<std::map<std::string, std::string>> lines;
+    Observe::setLogSink([&](Observe::EventDefinition const &event, std::initializer_list<Observe::Field> fields) {
+        if (event.name != Observe::Events::NodeItemsStalled.name)
+            return;
+        auto &line = lines.emplace_back();
+        for (auto const &field : fields)
+            line.emplace(field.name, field.value);
+    });
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    ASSERT_EQ(ask(entry, submissionOf("j", 2))->status, 202);
+    waitUntil([&] { return !lines.empty(); });
+    thread_.call([] { Observe::setLogSink(nullptr); });
+    EXPECT_EQ(lines[0].at("pool"), "p");
+    EXPECT_EQ(lines[0].at("waiting"), "2");
+    EXPECT_EQ(lines[0].at("accepting"), "0");
+}
