Add failing tests of a request dropped at the exit and of items without a server

- A stopping entry leaves although it has read a part of a request, which no count of open requests includes.
HostileCallersTest.ARequestIsOpenFromItsFirstByte: "open() Which is: 0" in place of 2.
OnlineTest.AStoppingNodeAnswersARequestThatItHasBegunToRead: node-stopped with open_requests 0 and reading 1; stopped is true.
- A job whose owner has no server of the pool in its data centre is never run, though servers elsewhere are idle.
JobsTest.ItemsOfAnOwnerWithoutServersInItsDataCentreRunElsewhere does not end (stopped after 30 s); node-items-stalled says waiting 2, servers 1, assigned 0.

--- a/Tests/LibHttp/TestHostileCallers.cpp
+++ b/Tests/LibHttp/TestHostileCallers.cpp
@@ -492,3 +492,28 @@
     EXPECT_EQ(closed.get_future().get(), std::pair(ConnectionState::Handling, CloseReason::Aborted));
     EXPECT_EQ(thread_.call([&] { return server_->connections(); }), Counts{});
 }
+
+/// A stopping program waits until no exchange is open. Guards against an exit that drops a request of which a part has been read: its
+/// caller gets no response, although the rest may already have arrived.
+TEST_F(HostileCallersTest, ARequestIsOpenFromItsFirstByte)
+{
+    serve();
+    auto const countOf = [&](ConnectionState state) { return thread_.call([&] { return server_->connections()[state]; }); };
+    auto const open = [&] { return thread_.call([&] { return server_->openExchanges(); }); };
+    std::string const head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n";
+    RawConnection withinHead(server_->address());
+    withinHead.send(head.substr(0, 20));
+    RawConnection withinBody(server_->address());
+    withinBody.send(head + "hel");
+    while (countOf(ConnectionState::ReadingRequest) < 2)
+        continue;
+    EXPECT_EQ(open(), 2U);
+    thread_.call([&] { server_->closeIdle(); });
+    withinHead.send(head.substr(20) + "hello");
+    withinBody.send("lo");
+    EXPECT_THAT(withinHead.readUntil("hello"), StartsWith("HTTP/1.1 200"));
+    EXPECT_THAT(withinBody.readUntil("hello"), StartsWith("HTTP/1.1 200"));
+    while (countOf(ConnectionState::Idle) < 2)
+        continue;
+    EXPECT_EQ(open(), 0U);
+}
--- a/Tests/Node/NodeFixture.h
+++ b/Tests/Node/NodeFixture.h
@@ -129,7 +129,7 @@
 
     /// Routes "/s/" (resumable streams), "/o/" (streams that are not resumable), "/i/" (idempotent), "/b/" (batch), "/u/" (at most
     /// once), all to the pool "p".
-    void putState(std::uint64_t version, std::string const &extraRoutes = "")
+    void putState(std::uint64_t version, std::string const &extraRoutes = "", std::uint64_t maxWaitingTokens = 100'000)
     {
         auto const route = [](std::string const &name, std::string const &kind, std::string const &rest) {
             return R"({"name":")" + name + R"(","host":"h.example","pathPrefix":"/)" + name + R"(/","kind":")" + kind
@@ -139,16 +139,20 @@
             + route("s", "streaming", R"("attempts":2,"resumable":true,"gapAimMs":2000)") + ","
             + route("o", "streaming", R"("attempts":1,"resumable":false,"gapAimMs":2000)") + ","
             + route("i", "idempotent", R"("attempts":2)") + "," + route("u", "non_idempotent", R"("attempts":2)") + ","
-            + route("b", "batch", R"("attempts":3,"completionTargetMs":18000,"queueTtlS":60,"cap":100000)") + extraRoutes
-            + R"(],"services":[{"name":"p","healthPath":"/healthz","maxConns":100}],)"
+            + route("b", "batch", R"("attempts":3,"completionTargetMs":18000,"queueTtlS":60,"cap":)" + std::to_string(maxWaitingTokens))
+            + extraRoutes + R"(],"services":[{"name":"p","healthPath":"/healthz","maxConns":100}],)"
             + R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
         thread_.call([&] { store_->put("config", "main", state); });
     }
 
-    void putServer(std::string const &id, Address const &address, std::string const &state = "ready", int slots = 8)
+    void putServer(std::string const &id,
+                   Address const &address,
+                   std::string const &state = "ready",
+                   int slots = 8,
+                   std::string const &dataCentre = "dc")
     {
-        auto const spec = R"({"service":"p","address":")" + address.value() + R"(","zone":"dc","slots":)" + std::to_string(slots)
-            + R"(,"state":")" + state + R"(","born":1})";
+        auto const spec = R"({"service":"p","address":")" + address.value() + R"(","zone":")" + dataCentre + R"(","slots":)"
+            + std::to_string(slots) + R"(,"state":")" + state + R"(","born":1})";
         thread_.call([&] { store_->put("servers", id, spec); });
     }
 
@@ -156,8 +160,11 @@
     {
         auto &node = nodes_[name];
         thread_.call([&] {
-            node.store = Adapter::FleetStore::create(
-                {.loop = thread_.loop(), .platform = store_->address(), .callTimeout = 400ms, .pacingByKind = watchPacing_});
+            node.store = Adapter::FleetStore::create({.loop = thread_.loop(),
+                                                      .platform = store_->address(),
+                                                      .callTimeout = 400ms,
+                                                      .watchHoldTime = watchHoldTime_,
+                                                      .pacingByKind = watchPacing_});
             Address const any("127.0.0.1:0");
             node.program = std::make_unique<Node::NodeProgram>(Node::NodeProgramOptions{
                 .loop = thread_.loop(),
@@ -257,6 +264,8 @@
     std::map<std::string, RunningNode> nodes_;
     /// Of nodes that are started later.
     Duration maxRequestHold_ = 60ms;
+    /// How long the store may hold the watch calls of nodes that are started later.
+    std::chrono::milliseconds watchHoldTime_ = 28s;
     /// Pacing of the watches of nodes that are started later.
     std::map<Platform::Kind, Platform::WatchPacingOptions> watchPacing_;
 };
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -1,3 +1,4 @@
+#include "LibCore/Rendezvous.h"
 #include "LibJobs/JobCodec.h"
 #include "LibJobs/ResultChain.h"
 #include "LibObserve/Events.h"
@@ -73,6 +74,64 @@
         return *ask(node, {.method = "GET", .target = "/api/items/" + job + "?id=" + item, .headers = {{"Host", "h.example"}}});
     }
 
+    /// Sends the report of a runner that never times out.
+    void reportRunner(Node::NodeProgram &receiver, Serving::PeerReport report)
+    {
+        report.startedAt = 1;
+        report.number = 1;
+        report.nextWithin = 1h;
+        report.role = InstanceRole::Runner;
+        report.address = Address("127.0.0.1:9");
+        thread_.call([&] {
+            auto const socket = Node::DatagramSocket::open(thread_.loop(), Address("127.0.0.1:0"), [](auto) {});
+            (*socket)->send(receiver.peerAddress(), Serving::encodePeerReport(report));
+        });
+    }
+
+    /// Returns a name for a job that the runner owns among the given ones.
+    static std::string jobOwnedBy(std::string const &owner, std::vector<std::string> const &runners)
+    {
+        for (int number = 0;; ++number) {
+            auto job = "job-" + std::to_string(number);
+            if (*rendezvousOwner(job, runners, [](std::string const &name) -> std::string const & { return name; }) == owner)
+                return job;
+        }
+    }
+
+    /// Asks a runner for results as an entry with the same view of the fleet does.
+    Answer readFromRunner(Node::NodeProgram &runner, std::string const &job, std::size_t from)
+    {
+        std::promise<Answer> answered;
+        thread_.call([&] {
+            client_->fetch({.server = runner.peerAddress(),
+                            .request = {.method = "GET",
+                                        .target = Node::toTarget(
+                                            Node::PeerReadResults{.job = JobId(job), .from = from, .runnersHash = runner.runnersHash()})},
+                            .deadline = readLocalClock() + 20s},
+                           [&](Answer answer) { answered.set_value(std::move(answer)); });
+        });
+        return answered.get_future().get();
+    }
+
+    /// Waits until the runner answers for the job without a look at the store.
+    void waitUntilConfirmed(Node::NodeProgram &runner, std::string const &job)
+    {
+        for (;;) {
+            auto const answer = readFromRunner(runner, job, 0);
+            if (answer && answer->status == 200)
+                return;
+            auto const passed = std::make_shared<std::promise<void>>();
+            auto const timer = thread_.call([&] { return thread_.loop().at(readLocalClock() + 50ms, [passed] { passed->set_value(); }); });
+            passed->get_future().wait();
+            thread_.call([&] { timer->cancel(); });
+        }
+    }
+
+    bool isStored(Platform::Kind const &kind, Platform::ObjectName const &name)
+    {
+        return thread_.call([&] { return store_->table().get(kind, name).has_value(); });
+    }
+
     std::vector<std::unique_ptr<FleetServer>> servers_;
 };
 
@@ -487,3 +546,22 @@
     EXPECT_EQ(lines[0].at("waiting"), "2");
     EXPECT_EQ(lines[0].at("accepting"), "0");
 }
+
+/// A pool has servers in one data centre only, and runners there and elsewhere. Guards against items that wait for ever at an owner whose
+/// data centre has no server of their pool, while servers elsewhere are idle.
+TEST_F(JobsTest, ItemsOfAnOwnerWithoutServersInItsDataCentreRunElsewhere)
+{
+    servers_.push_back(std::make_unique<FleetServer>(thread_, complete));
+    putServer("s1", servers_.back()->address(), "ready", 8, "elsewhere");
+    auto &entry = startNode("entry-1");
+    auto &runner = startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    waitUntilReady(runner);
+    Serving::PeerReport const far{
+        .sender = InstanceId("runner-2"), .dataCentre = DataCentreId("elsewhere"), .runnersHash = 1, .knownInstances = 300};
+    reportRunner(entry, far);
+    reportRunner(runner, far);
+    auto const job = jobOwnedBy("runner-1", {"runner-1", "runner-2"});
+    ASSERT_EQ(ask(entry, submissionOf(job, 2))->status, 202);
+    EXPECT_EQ(readResults(entry, job, 2).size(), 2U);
+}
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -1,7 +1,9 @@
 #include "Tests/Fakes/ScriptedServer.h"
+#include "Tests/LibHttp/RawConnection.h"
 #include "Tests/Node/NodeFixture.h"
 
 #include <boost/json.hpp>
+#include <gmock/gmock.h>
 #include <map>
 #include <set>
 
@@ -609,6 +611,24 @@
     waitUntil([&] { return stopped("entry-1"); });
 }
 
+/// Guards against a stopping entry that exits although it has read a part of a request. On a slow machine the rest of the request and the
+/// check for the exit are due at the same time, and the caller gets no response.
+TEST_F(OnlineTest, AStoppingNodeAnswersARequestThatItHasBegunToRead)
+{
+    auto &node = serve({respondWith("done")});
+    auto const address = thread_.call([&] { return node.callerAddress(); });
+    RawConnection caller(address);
+    caller.send("POST /u/1 HTTP/1.1\r\nHost: h.example\r\nAnvilyard-Attempt-Id: a\r\nContent-Length: 5\r\n\r\nhel");
+    thread_.call([&] { node.stop(); });
+    // The node considers its exit from the moment at which it accepts no connections any more.
+    for (int count = 0; ask(node, requestOf("/nowhere/1", std::to_string(count))); ++count)
+        continue;
+    EXPECT_FALSE(stopped("entry-1"));
+    caller.send("lo");
+    EXPECT_THAT(caller.readAll(), ::testing::EndsWith("done"));
+    waitUntil([&] { return stopped("entry-1"); });
+}
+
 /// Both servers are slow to start requests but seem to have free slots, as at a load peak for which batch items have not been
 /// preempted yet. Guards against requests that lose their place at one server to queue again at the other, or that are refused
 /// although their server still works on them.
