Count a request as open from its first byte

Cause: openExchanges(), for which a stop waits, counted a request only once it was complete and handed to its handler. In between, the head or the whole request may have been read and its completion be queued behind the tick that decides about the exit; on a machine with a fraction of a core, one poll of the loop brings many events, so the tick often runs first. closeIdle() leaves such a connection alone, and the exit then drops it.

Now a request counts from the moment its connection turns to reading it. An incomplete request delays the exit until its head or body times out, at most until the stop timeout, as before.

Before the change, AStoppingNodeAnswersARequestThatItHasBegunToRead printed

node-stopped open_requests="0" forced="false" idle="0" reading="1" ... Value of: stopped("entry-1") Actual: true Expected: false

and ARequestIsOpenFromItsFirstByte

Expected equality of these values: open() Which is: 0 2U Which is: 2

Both pass now, as do the other tests of TestLibHttp and the tests of stopping nodes.

--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -136,6 +136,7 @@
     virtual void setLimits(CallerLimits limits) = 0;
     /// Closes the connections without a running request.
     virtual void closeIdle() = 0;
+    /// Number of requests from their first byte to the end of their response.
     [[nodiscard]] virtual std::size_t openExchanges() const = 0;
     /// Number of connections by state; states without connections are left out.
     [[nodiscard]] virtual std::map<ConnectionState, std::size_t> connections() const = 0;
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -119,6 +119,7 @@
     if (state_ == State::Closed)
         return;
     state_ = State::ReadingRequest;
+    ++shared_->openExchanges;
     // From now on calls of the previous exchange's writer are ignored, even if the head of this request is malformed.
     ++exchange_;
     http10_ = false;
@@ -196,7 +197,6 @@
     sink_ = std::make_shared<BodySink>(std::move(sink));
     bodyPending_ = true;
     state_ = State::Handling;
-    ++shared_->openExchanges;
     piece_.resize(PieceBytes);
     continueIfExpected([self = shared_from_this()] {
         self->pieceParser_.emplace(std::move(*self->headParser_));
@@ -262,7 +262,6 @@
         return close(CloseReason::Stopping);
     state_ = State::Handling;
     deadline_ = Instant::max();
-    ++shared_->openExchanges;
     watchForDisconnect();
     shared_->handler(std::move(request), std::make_shared<ServerResponseWriter>(shared_from_this(), exchange_));
 }
@@ -300,8 +299,6 @@
 
 void ServerConnection::refuse(Refusal const &refusal)
 {
-    if (state_ == State::ReadingRequest)
-        ++shared_->openExchanges;
     state_ = State::Handling;
     keepAlive_ = false;
     respond(exchange_, toResponse(refusal));
@@ -340,11 +337,9 @@
 {
     if (!isCurrent(exchange) || (state_ != State::Handling && state_ != State::ReadingRequest))
         return;
-    if (state_ == State::ReadingRequest) {
-        // The response was sent without reading the body, so the connection cannot be used for another request.
-        ++shared_->openExchanges;
+    // The response was sent without reading the body, so the connection cannot be used for another request.
+    if (state_ == State::ReadingRequest)
         keepAlive_ = false;
-    }
     stopReadingBody();
     state_ = State::Finishing;
     headOnly_ = headOnly_ || hasNoBody(response.status);
@@ -488,7 +483,7 @@
     if (state_ == State::Closed)
         return;
     reportClose(reason);
-    if (state_ == State::Handling || state_ == State::Streaming || state_ == State::Finishing)
+    if (state_ != State::Idle && state_ != State::Draining)
         --shared_->openExchanges;
     boost::system::error_code ignored;
     // For a caller of HTTP/1.0 an orderly close ends a streamed body. Only a reset shows that it is incomplete.
