Give each runner servers of a pool that accept its items

Items of accepted jobs wait for ever although servers are idle.

Cause: jobs are divided among all runners, servers among the first four runners of their data centre. Nothing made the two fit: a runner that ranks behind four others at each server of a pool owns jobs and has no server for them, as has every runner of a data centre whose servers of the pool are gone, draining or ejected. Up to four runners share all servers, so small fleets are not affected.

Evidence: with nine runners in each of five data centres, 25 of 45 runners had no server of a pool with one server in each data centre, 36 none of a pool in one data centre, and 14 none while one data centre's servers accepted nothing (four servers a data centre).

Change: a runner that may send new items to none of its assigned servers has substitutes among the pool's servers that accept items: those of its own data centre, whose load it knows, else of others. It ranks them by rendezvous hashing and takes a number that gives each server about four runners even if every runner needs substitutes. Items from other data centres are part of the sums that relays exchange already; a server's runners count them like online requests. No calls or datagrams are added.

--- a/Libraries/LibServing/PeerTable.cpp
+++ b/Libraries/LibServing/PeerTable.cpp
@@ -391,6 +391,54 @@
     return hasNear ? own.first && before < options_.runnersPerServer : before == 0;
 }
 
+std::set<ServerId> PeerTable::itemServers(std::span<ItemServer const> pool) const
+{
+    std::set<ServerId> servers;
+    bool acceptsNew = false;
+    for (auto const &server : pool) {
+        if (!isRunnerFor(server.id, server.dataCentre))
+            continue;
+        servers.insert(server.id);
+        acceptsNew = acceptsNew || server.acceptsNew;
+    }
+    if (!acceptsNew)
+        servers.merge(substituteServers(pool));
+    return servers;
+}
+
+std::set<ServerId> PeerTable::substituteServers(std::span<ItemServer const> pool) const
+{
+    struct Candidate {
+        bool isNear;
+        std::uint64_t score;
+        ServerId id;
+
+        auto operator<=>(Candidate const &) const = default;
+    };
+    std::vector<Candidate> candidates;
+    for (auto const &server : pool) {
+        if (server.acceptsNew)
+            candidates.push_back({.isNear = server.dataCentre == options_.dataCentre,
+                                  .score = rendezvousScore(options_.self.value(), server.id.value()),
+                                  .id = server.id});
+    }
+    std::sort(candidates.begin(), candidates.end(), std::greater<>());
+    // Even if every runner needs substitutes, a server is one for about `runnersPerServer` of them.
+    auto const share = candidates.size() * options_.runnersPerServer / std::max<std::size_t>(1, runners_.size());
+    auto const count = std::min(candidates.size(), std::max<std::size_t>(1, share));
+    std::set<ServerId> servers;
+    for (auto const &candidate : std::span(candidates).first(count)) {
+        if (candidate.isNear == candidates.front().isNear)
+            servers.insert(candidate.id);
+    }
+    return servers;
+}
+
+std::uint32_t PeerTable::farBatchAt(ServerId const &server) const
+{
+    return summaries_.farAt(server).batch;
+}
+
 std::optional<InstanceId> PeerTable::ownerOf(JobId const &job) const
 {
     return firstRunnerFor(job.value());
--- a/Libraries/LibServing/PeerTable.h
+++ b/Libraries/LibServing/PeerTable.h
@@ -6,6 +6,8 @@
 
 #include <map>
 #include <optional>
+#include <set>
+#include <span>
 #include <vector>
 
 namespace Anvilyard::Serving {
@@ -38,6 +40,14 @@
     Duration takeoverTime = 3s;
 };
 
+/// A server as far as it matters for the runners that send items to it.
+struct ItemServer {
+    ServerId id;
+    DataCentreId dataCentre;
+    /// Whether new items may be sent there.
+    bool acceptsNew = false;
+};
+
 /// Newest reports of all live peers. Performs no I/O.
 class PeerTable
 {
@@ -101,6 +111,12 @@
     /// runners in the server's data centre rank before all others. Runners of one server have to know each other's items there. In a large
     /// fleet those of different data centres do not, so a server without runners in its data centre has a single one.
     [[nodiscard]] bool isRunnerFor(ServerId const &server, DataCentreId const &dataCentre) const;
+    /// The servers of a pool to which this runner sends items: those for which isRunnerFor() holds. Jobs are divided among all runners,
+    /// so a runner that may send new items to none of these has substitutes: servers of its data centre or, without any that accepts
+    /// items there, of others.
+    [[nodiscard]] std::set<ServerId> itemServers(std::span<ItemServer const> pool) const;
+    /// Items of other data centres at a server. Their runners are not listed by batchAt().
+    [[nodiscard]] std::uint32_t farBatchAt(ServerId const &server) const;
     /// Hash over runners(), compared between instances.
     [[nodiscard]] std::uint64_t runnersHash() const;
     /// Whether two instances may both consider themselves the owner of a job: the runner set of a peer differs or differed recently,
@@ -131,6 +147,7 @@
     };
 
     [[nodiscard]] InFlight directAt(ServerId const &server) const;
+    [[nodiscard]] std::set<ServerId> substituteServers(std::span<ItemServer const> pool) const;
     void addLoad(PeerReport const &report);
     void removeLoad(PeerReport const &report);
     void retainTokens(PeerReport const &report, Instant now);
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -220,15 +220,18 @@
     assignmentVersions_ = versions;
     assignments_.clear();
     auto const ejected = context_.health.ejected();
+    std::map<PoolName, std::vector<Serving::ItemServer>> pools;
     for (auto const &[record, use] : context_.directory.usable(now)) {
-        bool const isAssigned = context_.peers.isRunnerFor(record.id, record.dataCentre);
-        assignments_.push_back({
-            .server = record.id,
-            .pool = record.pool,
-            .slots = record.slots,
-            .isAssigned = isAssigned,
-            .acceptsNew = isAssigned && use == Serving::ServerUse::Usable && !ejected.contains(record.id),
-        });
+        bool const acceptsNew = use == Serving::ServerUse::Usable && !ejected.contains(record.id);
+        pools[record.pool].push_back({.id = record.id, .dataCentre = record.dataCentre, .acceptsNew = acceptsNew});
+        assignments_.push_back({.server = record.id, .pool = record.pool, .slots = record.slots, .acceptsNew = acceptsNew});
+    }
+    std::set<ServerId> assigned;
+    for (auto const &[pool, servers] : pools)
+        assigned.merge(context_.peers.itemServers(servers));
+    for (auto &assignment : assignments_) {
+        assignment.isAssigned = assigned.contains(assignment.server);
+        assignment.acceptsNew = assignment.acceptsNew && assignment.isAssigned;
     }
 }
 
@@ -246,7 +249,8 @@
         pools[assignment.pool].push_back({
             .server = assignment.server,
             .slots = assignment.slots,
-            .online = own.online + context_.peers.othersAt(assignment.server).online,
+            // Which runner of another data centre has an item there is unknown, so it counts like a request.
+            .online = own.online + context_.peers.othersAt(assignment.server).online + context_.peers.farBatchAt(assignment.server),
             .batch = std::move(batch),
             .acceptsNew = assignment.acceptsNew,
         });
--- a/Tests/LibServing/TestPeers.cpp
+++ b/Tests/LibServing/TestPeers.cpp
@@ -482,6 +482,53 @@
     }
 }
 
+/// Jobs are divided among all runners. Guards against runners without any server of a pool that has few, only some that accept items, or
+/// none in the runner's data centre, and against runners that all take the same substitute.
+TEST(PeerTableTest, EachRunnerHasAServerOfAPoolThatAcceptsItems)
+{
+    constexpr std::size_t RunnersPerDataCentre = 9;
+    std::vector<std::string> const dataCentres{"a", "b", "c", "d", "e"};
+    std::vector<std::pair<std::string, std::string>> runners;
+    for (auto const &dataCentre : dataCentres) {
+        for (std::size_t number = 0; number < RunnersPerDataCentre; ++number)
+            runners.emplace_back(dataCentre + std::to_string(number), dataCentre);
+    }
+    std::vector<ItemServer> onePerDataCentre;
+    std::vector<ItemServer> onlyInOne;
+    std::vector<ItemServer> leavingInOne;
+    for (int number = 0; number < 20; ++number) {
+        ServerId const id("s" + std::to_string(number));
+        if (number < 5)
+            onePerDataCentre.push_back({.id = id, .dataCentre = DataCentreId(dataCentres.at(number)), .acceptsNew = true});
+        onlyInOne.push_back({.id = id, .dataCentre = DataCentreId("a"), .acceptsNew = true});
+        auto const &dataCentre = dataCentres.at(number % dataCentres.size());
+        leavingInOne.push_back({.id = id, .dataCentre = DataCentreId(dataCentre), .acceptsNew = dataCentre != "c"});
+    }
+    for (auto const &pool : {onePerDataCentre, onlyInOne, leavingInOne}) {
+        std::map<ServerId, std::size_t> runnersOf;
+        std::size_t withoutServer = 0;
+        for (auto const &[self, dataCentre] : runners) {
+            auto table = tableIn(self, InstanceRole::Runner, dataCentre);
+            for (auto const &[other, otherDataCentre] : runners)
+                table.onReport(runnerIn(other, otherDataCentre), Start);
+            table.setFleetKind(FleetKind::Large);
+            auto const servers = table.itemServers(pool);
+            std::size_t accepting = 0;
+            for (auto const &server : pool) {
+                if (!server.acceptsNew || !servers.contains(server.id))
+                    continue;
+                ++accepting;
+                ++runnersOf[server.id];
+            }
+            withoutServer += accepting == 0 ? 1 : 0;
+        }
+        EXPECT_EQ(withoutServer, 0U);
+        auto const most = std::max_element(
+            runnersOf.begin(), runnersOf.end(), [](auto const &left, auto const &right) { return left.second < right.second; });
+        EXPECT_LE(most->second, RunnersPerDataCentre);
+    }
+}
+
 TEST(PeerTableTest, FewRunnersShareAllServers)
 {
     auto table = tableOf("r1", InstanceRole::Runner);
