Let an owner look for a job that it is asked about and has not heard of

Cause: a job's owner learns of it by the notice of the entry that stored it, or by its watch of the store. If the notice is lost, or the owner changes before the watch returned, and the watch's response is lost as well, the watch call stays open until it times out after 29.5 s. In between the owner answered each read of the job with "not mine", so that the entry read it from the store, and did not look for it: nobody ran the items, and nobody said so.

Change: an owner that is asked for the results or an item of a job it does not know reads it from the store. Clients poll their jobs, so this takes half a second. A job that does not exist costs one more read of the store.

--- a/Services/Node/JobApiHandler.cpp
+++ b/Services/Node/JobApiHandler.cpp
@@ -215,7 +215,7 @@
     });
 }
 
-/// A lost notice is harmless: the owner's watch of the store returns the change some seconds later.
+/// If the notice is lost, the owner learns of the change from its watch of the store, or of the job when it is read.
 void JobApiHandler::notifyOwner(PeerJobNotice const &notice)
 {
     callPeer(context_.peers.ownerOf(notice.job), toTarget(notice), Duration::zero(), [](std::optional<Http::HttpResponse> const &) {});
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -75,6 +75,13 @@
     onJobKnown(job, Jobs::isEnded(object.status));
 }
 
+/// A notice may be lost, and so may the return of the watch. If the job does not exist, it is forgotten again.
+void JobRunner::lookForUnheardJob(JobId const &job)
+{
+    if (owns(job) && !knownJobs_.contains(job))
+        onJobKnown(job, false);
+}
+
 void JobRunner::onJobKnown(JobId const &job, bool isEnded)
 {
     auto const [found, isNew] = knownJobs_.try_emplace(job);
@@ -458,8 +465,10 @@
 void JobRunner::serveBody(PeerReadBody const &call, Writer const &writer)
 {
     auto const *item = owns(call.job) ? jobs_.findItem(call.job, call.item) : nullptr;
-    if (!item || jobs_.isListed(call.job, call.item))
+    if (!item || jobs_.isListed(call.job, call.item)) {
+        lookForUnheardJob(call.job);
         return writer->respond({.status = NotOwnerStatus});
+    }
     writer->respond({.status = 200, .body = item->body});
 }
 
@@ -481,6 +490,7 @@
 {
     auto const known = knownJobs_.find(read.call.job);
     if (!owns(read.call.job) || known == knownJobs_.end()) {
+        lookForUnheardJob(read.call.job);
         read.writer->respond({.status = NotOwnerStatus});
         return true;
     }
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -54,6 +54,8 @@
 
     /// Records a job that exists in the store.
     void onJobKnown(JobId const &job, bool isEnded);
+    /// Reads a job from the store that is asked for here and that this runner would own.
+    void lookForUnheardJob(JobId const &job);
     void onJobChanged(Platform::WatchChange change, Platform::Object const &object);
     void load(JobId const &job);
     void refreshPolicy(JobId const &job, Instant now);
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -565,3 +565,26 @@
     ASSERT_EQ(ask(entry, submissionOf(job, 2))->status, 202);
     EXPECT_EQ(readResults(entry, job, 2).size(), 2U);
 }
+
+/// An entry accepts a job, its notice to the owner is lost, and so is the next return of the owner's watch. Guards against an owner that
+/// answers every read of the job with "not mine" and does not look for it.
+TEST_F(JobsTest, AReadOfAJobThatItsOwnerHasNotHeardOfStartsTheJob)
+{
+    watchPacing_ = {{Jobs::jobKind, {.minPause = 1h, .maxPause = 1h}}};
+    addServer("s1", complete);
+    auto &entry = startNode("entry-1");
+    auto &runner = startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    waitUntilReady(runner);
+    waitUntil([&] { return entry.runnersHash() == runner.runnersHash() && runner.runnersHash() != 0; });
+    // This job ends the watch, whose pause follows.
+    ASSERT_EQ(ask(entry, submissionOf("first", 1))->status, 202);
+    EXPECT_EQ(readResults(entry, "first", 1).size(), 1U);
+    Jobs::JobRecord const unheard{.id = JobId("unheard"),
+                                  .host = "h.example",
+                                  .acceptedAt = readClocks().wall,
+                                  .items = {{.id = Jobs::ItemId("unheard-0"), .target = "/b/x/0", .body = "hello", .tokens = 1}}};
+    thread_.call(
+        [&] { static_cast<void>(store_->table().create(Jobs::jobKind, Jobs::jobObject(unheard.id), Jobs::encodeJob(unheard).spec)); });
+    EXPECT_EQ(readResults(entry, "unheard", 1).size(), 1U);
+}
