Log which prompt parts an attempt had and whether an answer had begun

node-attempt-failed now has attempt_events (events of this attempt), head (status that arrived) and prompt_parts (ids of the parts that other requests may share); node-item-attempt-failed has status and prompt_parts. anvilyard_node_lost_responses_total counts sends of streams that ended with their connection after the head and before an answer.

No change of what is sent or answered.

--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -36,6 +36,7 @@
 void ItemRun::start(Jobs::JobItem const &item, std::string const &host)
 {
     itemId_ = item.id;
+    promptParts_ = context_.protocol.readPromptParts(item.headers);
     context_.load.onStarted(server_.id, Serving::WorkClass::Batch);
     Http::ClientRequest request{
         .server = server_.address,
@@ -114,7 +115,9 @@
                   {"error", error.toString()},
                   {"after_event", item_.lastEventId ? std::to_string(*item_.lastEventId) : "none"},
                   {"events", std::to_string(sequence_.count())},
-                  {"unfinished_bytes", std::to_string(events_.unfinishedBytes())}});
+                  {"unfinished_bytes", std::to_string(events_.unfinishedBytes())},
+                  {"status", status_ == 0 ? "none" : std::to_string(status_)},
+                  {"prompt_parts", Serving::toString(promptParts_)}});
     finish(SendEnd::Unserved);
 }
 
--- a/Services/Node/ItemRun.h
+++ b/Services/Node/ItemRun.h
@@ -39,6 +39,7 @@
     Serving::ServerRecord server_;
     Jobs::ItemStart item_;
     Jobs::ItemId itemId_;
+    std::vector<Serving::PromptPartId> promptParts_;
     Hooks hooks_;
     Serving::EventSequence sequence_;
     Serving::EventReader events_;
--- a/Services/Node/NodeMetrics.cpp
+++ b/Services/Node/NodeMetrics.cpp
@@ -45,6 +45,8 @@
     , sends(registry.counter("anvilyard_node_sends_total", "Sends of online requests to servers"))
     , resumes(registry.counter("anvilyard_node_resumes_total", "Streams that another send went on with"))
     , unfinishedEvents(registry.counter("anvilyard_node_unfinished_events_total", "Sends of streams that ended within an event"))
+    , lostResponses(registry.counter("anvilyard_node_lost_responses_total",
+                                     "Sends of streams that ended with their connection after the head and before an answer"))
     , callersGone(registry.counter("anvilyard_node_callers_gone_total", "Requests cancelled because their caller had closed"))
     , itemStarts(registry.counter("anvilyard_node_item_starts_total", "Sends of batch items to servers"))
     , itemPreemptions(registry.counter("anvilyard_node_item_preemptions_total", "Items ended to make room for online requests"))
--- a/Services/Node/NodeMetrics.h
+++ b/Services/Node/NodeMetrics.h
@@ -56,6 +56,7 @@
     Observe::Counter &sends;
     Observe::Counter &resumes;
     Observe::Counter &unfinishedEvents;
+    Observe::Counter &lostResponses;
     Observe::Counter &callersGone;
     Observe::Counter &itemStarts;
     Observe::Counter &itemPreemptions;
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -196,7 +196,8 @@
     ++attempts_;
     parts_.metrics.sends.add();
     plan_.onSent(server.id);
-    attempt_ = std::make_shared<Attempt>(Attempt{.server = server, .sentAt = now, .events = Serving::EventReader(events_)});
+    attempt_ = std::make_shared<Attempt>(
+        Attempt{.server = server, .sentAt = now, .events = Serving::EventReader(events_), .earlierEvents = events_.count()});
     context.load.onStarted(server.id, Serving::WorkClass::Online);
     context.placement.onStarted(server, &parts_.head.prefix);
     // If the server has no free slot or no other server is allowed, the request can only wait.
@@ -360,6 +361,8 @@
     }
     if (attempt_->events.hasPartialEvent())
         parts_.metrics.unfinishedEvents.add();
+    if (isResponseLost(failure.error))
+        parts_.metrics.lostResponses.add();
     auto const step = plan_.onEnded(server,
                                     Routing::ExchangeFailed{
                                         .reached = failure.reached,
@@ -374,7 +377,10 @@
                   {"error", failure.error.toString()},
                   {"connection", connection},
                   {"events", std::to_string(events_.count())},
+                  {"attempt_events", std::to_string(attemptEvents())},
                   {"unfinished_bytes", std::to_string(attempt_->events.unfinishedBytes())},
+                  {"head", attempt_->head.status == 0 ? "none" : std::to_string(attempt_->head.status)},
+                  {"prompt_parts", Serving::toString(parts_.head.promptParts)},
                   {"next", nameOf(step)},
                   {"after_ms", millisecondsSince(attempt_->sentAt, now)},
                   {"send", std::to_string(attempts_)}});
@@ -382,6 +388,16 @@
     perform(step);
 }
 
+std::size_t OnlineCall::attemptEvents() const
+{
+    return events_.count() - attempt_->earlierEvents;
+}
+
+bool OnlineCall::isResponseLost(Error const &error) const
+{
+    return attempt_->isEventStream && error.code == HttpError::ClosedEarly && attemptEvents() < Serving::EventsOfAnswer;
+}
+
 void OnlineCall::scheduleSlowStartCheck(Instant until)
 {
     attempt_->progressTimer = parts_.context.loop.at(until, [weak = weak_from_this()] {
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -38,6 +38,8 @@
         Serving::ServerRecord server;
         Instant sentAt;
         Serving::EventReader events;
+        /// Events of the stream before this attempt.
+        std::size_t earlierEvents = 0;
         /// Null once the attempt has ended.
         std::shared_ptr<Http::Exchange> exchange;
         Http::ResponseHead head;
@@ -62,6 +64,9 @@
     void onPiece(std::string_view piece);
     void onEnd();
     void onFailure(Http::ExchangeFailure const &failure);
+    /// Whether the connection ended after the server started its response and before it had generated an answer, as when it crashes.
+    [[nodiscard]] bool isResponseLost(Error const &error) const;
+    [[nodiscard]] std::size_t attemptEvents() const;
     void onCallerGone();
     void relayEvents(std::string_view piece);
     void endStream();
--- a/Services/Node/ServingProtocol.h
+++ b/Services/Node/ServingProtocol.h
@@ -6,6 +6,7 @@
 #include "LibPlatform/ObjectStore.h"
 #include "LibRouting/PromptPrefix.h"
 #include "LibServing/DesiredState.h"
+#include "LibServing/PromptPart.h"
 #include "LibServing/ServerDirectory.h"
 
 #include <optional>
@@ -24,6 +25,8 @@
     std::optional<std::uint64_t> lastEventId;
     /// Parts of the prompt that other requests may share.
     Routing::PromptPrefix prefix;
+    /// The same parts by their ids, in their order.
+    std::vector<Serving::PromptPartId> promptParts;
 };
 
 /// Parameters of one attempt to run a request or item at a server.
@@ -95,6 +98,8 @@
 
     [[nodiscard]] virtual bool isReadinessProbe(Http::HttpRequest const &request) const = 0;
     [[nodiscard]] virtual Result<OnlineRequestHead> readOnlineRequest(Http::HttpRequest const &request) const = 0;
+    /// Returns the parts of a prompt that other requests may share, in their order.
+    [[nodiscard]] virtual std::vector<Serving::PromptPartId> readPromptParts(Http::Headers const &headers) const = 0;
     /// Returns std::nullopt if the request is not a call about a batch job.
     [[nodiscard]] virtual std::optional<Result<JobCall>> readJobCall(Http::HttpRequest const &request) const = 0;
     [[nodiscard]] virtual Result<JobSubmission> readSubmission(Http::HttpRequest const &request) const = 0;
--- a/Tests/FleetAdapter/TestFleetProtocol.cpp
+++ b/Tests/FleetAdapter/TestFleetProtocol.cpp
@@ -157,6 +157,19 @@
     EXPECT_FALSE(odd->timeLeft) << "a time that cannot be parsed is ignored";
 }
 
+/// Guards against taking two parts for one, or one for two: prompts share parts at any position, and the last one is no shared part.
+TEST(FleetProtocolTest, SharedPartsOfAPromptAreReadByTheirIds)
+{
+    auto const partsOf = [](std::string const &text) { return protocol.readPromptParts({{"Anvilyard-Prompt-Prefix", text}}); };
+    auto const parts = partsOf("5c:800,91:410,e4:250");
+    ASSERT_EQ(parts.size(), 2U);
+    EXPECT_NE(parts[0], parts[1]);
+    EXPECT_EQ(partsOf("91:410,77:1")[0], parts[1]);
+    EXPECT_TRUE(partsOf("e4:250").empty());
+    EXPECT_TRUE(partsOf("").empty());
+    EXPECT_TRUE(protocol.readPromptParts({}).empty());
+}
+
 TEST(FleetProtocolTest, ResponseTraitsAreReadFromStatusAndHeaders)
 {
     struct Case {
--- a/Tests/Node/TestObservation.cpp
+++ b/Tests/Node/TestObservation.cpp
@@ -1,7 +1,9 @@
 #include "LibObserve/Events.h"
 #include "Tests/Node/NodeFixture.h"
 
+#include <algorithm>
 #include <gmock/gmock.h>
+#include <map>
 
 using namespace Anvilyard;
 using namespace Anvilyard::Tests;
@@ -89,6 +91,37 @@
     EXPECT_THAT(metricsOf(node), HasSubstr("anvilyard_node_unfinished_events_total 1"));
 }
 
+/// A server crashes as it begins to answer. Guards against attempts whose line does not show that no answer had begun, and with which
+/// parts of a prompt, so that prompts which crash servers cannot be told from servers that are lost for another reason.
+TEST_F(ObservationTest, AResponseLostBeforeItsAnswerIsLoggedWithThePartsOfThePrompt)
+{
+    std::vector<std::map<std::string, std::string>> lines;
+    Observe::setLogSink([&](Observe::EventDefinition const &event, std::initializer_list<Observe::Field> fields) {
+        if (event.name != Observe::Events::NodeAttemptFailed.name)
+            return;
+        auto &line = lines.emplace_back();
+        for (auto const &field : fields)
+            line.emplace(field.name, field.value);
+    });
+    auto &node = serve([](int number, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+        writer->write(eventTexts(0, number == 1 ? 0 : 3), [writer](auto) { writer->abort(); });
+    });
+    for (auto const *const id : {"a", "b"}) {
+        auto request = requestOf("/o/1", id);
+        request.headers.set("Anvilyard-Prompt-Prefix", std::string("c1:200,c2:50,own-") + id + ":250");
+        static_cast<void>(ask(node, std::move(request)));
+    }
+    thread_.call([] { Observe::setLogSink(nullptr); });
+    ASSERT_EQ(lines.size(), 2U);
+    EXPECT_EQ(lines[0].at("head"), "200");
+    EXPECT_EQ(lines[0].at("attempt_events"), "0");
+    EXPECT_EQ(lines[1].at("attempt_events"), "3");
+    EXPECT_EQ(lines[0].at("prompt_parts"), lines[1].at("prompt_parts"));
+    EXPECT_EQ(std::count(lines[0].at("prompt_parts").begin(), lines[0].at("prompt_parts").end(), ','), 1);
+    EXPECT_THAT(metricsOf(node), HasSubstr("anvilyard_node_lost_responses_total 1"));
+}
+
 /// Guards against unbounded memory use by metrics when route names keep changing.
 TEST(NodeMetricsTest, RoutesBeyondTheLimitShareALabel)
 {
