Add failing tests of prompt parts that crash server after server

Callers of a route got 502 and 503 for seconds because requests whose prompts share one part ended server after server. Each request ended two servers, and each entry sent the next such request anew.

The tests run processes of anvilyard-node with the fake store and model servers that crash on such a part after the head of the response. The part's position and the other parts of the prompt vary. The tests check only what reaches servers and what callers get. They cover an entry that lost no server itself, a second part, an entry that is killed and started again, one that is paused during the crashes, and items of a job, whose part also must not be sent by the entry afterwards.

--- /dev/null
+++ b/Tests/NodeProcesses/ModelServer.cpp
@@ -0,0 +1,134 @@
+#include "Tests/NodeProcesses/ModelServer.h"
+
+namespace Anvilyard::Tests {
+
+ModelServer::ModelServer(Http::EventLoop &loop, Options options)
+    : loop_(loop)
+    , options_(std::move(options))
+{
+    auto const listen = [this](Address const &address) {
+        return Http::HttpServer::create(
+            loop_, {.listen = address}, [this](auto request, auto const &writer) { handle(std::move(request), writer); });
+    };
+    auto server = listen(options_.listen);
+    if (!server)
+        server = listen(Address("127.0.0.1:0"));
+    server_ = std::move(*server);
+    address_ = server_->address();
+}
+
+ModelServer::~ModelServer()
+{
+    options_.onCrashed = [] {};
+    crash();
+}
+
+std::string const &ModelServer::id() const
+{
+    return options_.id;
+}
+
+Address const &ModelServer::address() const
+{
+    return address_;
+}
+
+bool ModelServer::isUp() const
+{
+    return server_ != nullptr;
+}
+
+void ModelServer::handle(Http::HttpRequest request, std::shared_ptr<Http::ResponseWriter> const &writer)
+{
+    if (!isUp())
+        return writer->abort();
+    if (request.method == "GET")
+        return writer->respond({.status = request.path() == "/healthz" ? 200 : 404, .headers = {{"Anvilyard-Instance-Id", id()}}});
+    options_.onReceived(request);
+    if (request.headers.find("Anvilyard-Expect-Instance").value_or(id()) != id()) {
+        auto headers = headersFor(request);
+        headers.append({"Anvilyard-Not-Executed", "1"});
+        return writer->respond({.status = 421, .headers = std::move(headers)});
+    }
+    auto run = std::make_shared<Run>();
+    run->writer = writer;
+    if (auto const last = request.headers.find("Last-Event-Id"))
+        run->nextEvent = std::stoull(std::string(*last)) + 1;
+    run->request = std::move(request);
+    writer->onCallerGone([this, weak = std::weak_ptr(run)] {
+        if (auto const gone = weak.lock())
+            end(gone);
+    });
+    waiting_.push_back(std::move(run));
+    startWaiting();
+}
+
+void ModelServer::startWaiting()
+{
+    while (!waiting_.empty() && running_.size() < options_.slots) {
+        auto const run = waiting_.front();
+        waiting_.pop_front();
+        running_.push_back(run);
+        auto headers = headersFor(run->request);
+        headers.append({"Content-Type", "text/event-stream"});
+        run->writer->start({.status = 200, .headers = std::move(headers)});
+        run->timer = loop_.at(readLocalClock() + options_.promptTime, [this, weak = std::weak_ptr(run)] {
+            if (auto const ready = weak.lock())
+                options_.behaviour(*this, ready);
+        });
+    }
+}
+
+void ModelServer::writeEvents(std::shared_ptr<Run> const &run)
+{
+    if (run->nextEvent >= options_.events) {
+        run->writer->finish();
+        return end(run);
+    }
+    auto const number = std::to_string(run->nextEvent++);
+    run->writer->write("id: " + number + "\ndata: t" + number + "\n\n", nullptr);
+    run->timer = loop_.at(readLocalClock() + options_.eventGap, [this, weak = std::weak_ptr(run)] {
+        if (auto const next = weak.lock())
+            writeEvents(next);
+    });
+}
+
+void ModelServer::cut(std::shared_ptr<Run> const &run)
+{
+    run->writer->abort();
+    end(run);
+}
+
+void ModelServer::crash()
+{
+    if (!isUp())
+        return;
+    server_->stopAccepting();
+    for (auto *runs : {&waiting_, &running_}) {
+        for (auto const &run : std::exchange(*runs, {})) {
+            run->timer.reset();
+            run->writer->abort();
+        }
+    }
+    server_->closeIdle();
+    server_.reset();
+    options_.onCrashed();
+}
+
+void ModelServer::end(std::shared_ptr<Run> const &run)
+{
+    auto const ended = run;
+    ended->timer.reset();
+    waiting_.remove(ended);
+    running_.remove(ended);
+    startWaiting();
+}
+
+Http::Headers ModelServer::headersFor(Http::HttpRequest const &request) const
+{
+    return {{"Anvilyard-Instance-Id", id()},
+            {"Anvilyard-Attempt-Id", std::string(request.headers.find("Anvilyard-Attempt-Id").value_or(""))},
+            {"Anvilyard-Response-Signature", "sig"}};
+}
+
+} // namespace Anvilyard::Tests
--- /dev/null
+++ b/Tests/NodeProcesses/ModelServer.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "LibHttp/HttpServer.h"
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+namespace Anvilyard::Tests {
+
+/// Stand-in for a backend server that responds with event streams. It runs a limited number of requests at once and queues the others.
+/// All calls are made on the event loop.
+class ModelServer
+{
+public:
+    struct Run {
+        Http::HttpRequest request;
+        std::shared_ptr<Http::ResponseWriter> writer;
+        std::uint64_t nextEvent = 0;
+        std::unique_ptr<Http::Timer> timer;
+    };
+    /// Called once the head of the response is sent and the prompt is read, before the first event.
+    using Behaviour = std::function<void(ModelServer &server, std::shared_ptr<Run> const &run)>;
+
+    struct Options {
+        std::string id;
+        /// If the port is taken, the system assigns another one.
+        Address listen = Address("127.0.0.1:0");
+        std::size_t slots = 4;
+        Duration promptTime = 30ms;
+        Duration eventGap = 10ms;
+        std::uint64_t events = 10;
+        Behaviour behaviour = [](ModelServer &server, std::shared_ptr<Run> const &run) { server.writeEvents(run); };
+        /// Called for each request that is to be run, before the server decides whether it runs it.
+        std::function<void(Http::HttpRequest const &)> onReceived = [](auto const &) {};
+        std::function<void()> onCrashed = [] {};
+    };
+
+    ModelServer(Http::EventLoop &loop, Options options);
+    ~ModelServer();
+    ModelServer(ModelServer const &) = delete;
+    ModelServer &operator=(ModelServer const &) = delete;
+
+    [[nodiscard]] std::string const &id() const;
+    [[nodiscard]] Address const &address() const;
+    [[nodiscard]] bool isUp() const;
+
+    /// Writes the remaining events of the run, one after the other, and ends its response.
+    void writeEvents(std::shared_ptr<Run> const &run);
+    /// Closes the connection of the run.
+    void cut(std::shared_ptr<Run> const &run);
+    /// Closes all connections and refuses new ones.
+    void crash();
+
+private:
+    void handle(Http::HttpRequest request, std::shared_ptr<Http::ResponseWriter> const &writer);
+    void startWaiting();
+    void end(std::shared_ptr<Run> const &run);
+    [[nodiscard]] Http::Headers headersFor(Http::HttpRequest const &request) const;
+
+    Http::EventLoop &loop_;
+    Options options_;
+    Address address_;
+    std::unique_ptr<Http::HttpServer> server_;
+    std::list<std::shared_ptr<Run>> waiting_;
+    std::list<std::shared_ptr<Run>> running_;
+};
+
+} // namespace Anvilyard::Tests
--- /dev/null
+++ b/Tests/NodeProcesses/NodeProcess.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "LibCore/Ids.h"
+#include "LibServing/PeerReport.h"
+
+#include <filesystem>
+#include <string>
+#include <sys/types.h>
+
+namespace Anvilyard::Tests {
+
+/// A process of anvilyard-node. It is killed when this object is destroyed or the test program ends.
+class NodeProcess
+{
+public:
+    struct Options {
+        std::string name;
+        std::string dataCentre = "dc";
+        Serving::InstanceRole role = Serving::InstanceRole::Entry;
+        Address platform;
+        /// Loopback address of this process alone, so that its ports stay free while it is down.
+        std::string ip;
+        /// Where the settings and the log of the process are written.
+        std::filesystem::path folder;
+    };
+
+    explicit NodeProcess(Options options);
+    ~NodeProcess();
+    NodeProcess(NodeProcess const &) = delete;
+    NodeProcess &operator=(NodeProcess const &) = delete;
+
+    /// Starts the process, also again after kill(), at the same addresses.
+    void start();
+    void kill();
+    /// Stops the process by SIGSTOP and waits until it has stopped.
+    void pause();
+    void resume();
+
+    [[nodiscard]] std::string const &name() const;
+    [[nodiscard]] Address const &callers() const;
+    [[nodiscard]] Address const &readiness() const;
+
+private:
+    [[nodiscard]] std::filesystem::path settingsFile() const;
+    [[nodiscard]] std::filesystem::path logFile() const;
+
+    Options options_;
+    Address callers_;
+    Address readiness_;
+    pid_t process_ = 0;
+};
+
+} // namespace Anvilyard::Tests
--- /dev/null
+++ b/Tests/NodeProcesses/TestCrashingParts.cpp
@@ -0,0 +1,360 @@
+#include "Tests/NodeProcesses/CrashFleet.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <gtest/gtest.h>
+
+using namespace Anvilyard;
+using namespace Anvilyard::Tests;
+
+namespace json = boost::json;
+
+namespace {
+
+/// The platform's bound on how long instances may take to learn of something.
+constexpr Duration ContactTime = 2s;
+constexpr std::size_t CrashesBeforeBound = 5;
+constexpr std::size_t MaxArrivalsAfterBound = 3;
+constexpr std::size_t MinSoundRequests = 24;
+/// Number of sound requests that an entry gets in a round of requests.
+constexpr int SoundPerEntry = 2;
+constexpr std::size_t ServerCount = 8;
+
+CrashFleet::Parts const soundParts = {"a1", "b1"};
+
+/// A request whose prompt holds only sound parts, and when it was sent.
+struct SoundRequest {
+    Instant sentAt;
+    /// Empty if there was no complete response.
+    std::optional<int> status;
+};
+
+class CrashingPartTest : public ::testing::Test
+{
+protected:
+    using Entries = std::vector<NodeProcess *>;
+
+    void SetUp() override
+    {
+        fleet_.startServers(ServerCount);
+    }
+
+    /// Starts a runner and entries, and checks that sound requests are served.
+    Entries startFleet(std::vector<std::string> const &entryNames)
+    {
+        Entries entries;
+        fleet_.startNode("runner-1", Serving::InstanceRole::Runner);
+        for (auto const &name : entryNames)
+            entries.push_back(&fleet_.startNode(name));
+        for (auto const *entry : entries)
+            fleet_.waitUntilReady(*entry);
+        expectSoundRequestsAreServed(entries);
+        return entries;
+    }
+
+    /// Returns a prompt with the part. Where the part is and what else the prompt holds varies.
+    CrashFleet::Parts promptWith(std::string const &part)
+    {
+        switch (prompts_++ % 3) {
+        case 0:
+            return {soundParts[0], part};
+        case 1:
+            return {soundParts[0], soundParts[1], part};
+        default:
+            return {"c1", part, soundParts[1]};
+        }
+    }
+
+    /// Sends a request to each entry for each of the parts, together with sound ones, and waits for all responses.
+    void sendRound(Entries const &entries, std::vector<std::string> const &parts)
+    {
+        std::vector<std::future<CrashFleet::Answer>> crashing;
+        std::vector<std::future<CrashFleet::Answer>> sound;
+        auto const sentAt = readLocalClock();
+        for (auto const *entry : entries) {
+            for (int number = 0; number < SoundPerEntry; ++number)
+                sound.push_back(fleet_.send(*entry, fleet_.requestOf(soundParts)));
+            for (auto const &part : parts)
+                crashing.push_back(fleet_.send(*entry, fleet_.requestOf(promptWith(part))));
+        }
+        for (auto &answer : crashing)
+            answer.wait();
+        for (auto &future : sound) {
+            auto const answer = future.get();
+            sound_.push_back({.sentAt = sentAt, .status = answer ? std::optional(answer->status) : std::nullopt});
+        }
+    }
+
+    [[nodiscard]] static bool isServed(SoundRequest const &request)
+    {
+        return request.status == 200;
+    }
+
+    /// Sends sound requests only. All of them must be served.
+    void expectSoundRequestsAreServed(Entries const &entries)
+    {
+        auto const first = sound_.size();
+        while (sound_.size() < first + MinSoundRequests)
+            sendRound(entries, {});
+        EXPECT_EQ(std::count_if(sound_.begin() + static_cast<std::ptrdiff_t>(first), sound_.end(), isServed),
+                  static_cast<std::ptrdiff_t>(sound_.size() - first));
+    }
+
+    /// Sends requests with the part until servers have crashed five times or a number of requests have been sent.
+    void crashServers(std::string const &part, Entries const &entries)
+    {
+        fleet_.addCrashingPart(part);
+        constexpr int MaxRounds = 10;
+        for (int round = 0; round < MaxRounds && fleet_.crashes(part).size() < CrashesBeforeBound; ++round)
+            sendRound(entries, {part});
+        ASSERT_FALSE(fleet_.crashes(part).empty());
+    }
+
+    /// Returns when servers crashed on the part for the fifth time, or for the last time if there are fewer crashes.
+    Instant boundingCrash(std::string const &part)
+    {
+        auto const crashes = fleet_.crashes(part);
+        return crashes.at(std::min(crashes.size(), CrashesBeforeBound) - 1);
+    }
+
+    void waitForContact(std::string const &part)
+    {
+        fleet_.waitUntil(boundingCrash(part) + ContactTime);
+        fleet_.waitUntilServersAreUp();
+    }
+
+    /// Checks how many requests with the part reached servers later than ContactTime after the fifth crash.
+    void expectFewArrivals(std::string const &part)
+    {
+        auto const crashes = fleet_.crashes(part);
+        if (crashes.size() < CrashesBeforeBound)
+            return;
+        auto const arrivals = fleet_.arrivals(part);
+        auto const bound = boundingCrash(part) + ContactTime;
+        auto const late = std::ranges::count_if(arrivals, [&](Instant at) { return at > bound; });
+        EXPECT_LE(late, MaxArrivalsAfterBound) << "requests with the part " << part << " that reached servers later than "
+                                               << ContactTime / 1ms << " ms after the fifth crash; " << crashes.size() << " crashes in all";
+    }
+
+    /// Sends requests with the parts and sound ones until enough sound ones were sent later than 2 x ContactTime after the fifth crash on
+    /// the last part, and checks how many of these were served.
+    void expectSoundRequestsAreServedBeside(std::vector<std::string> const &parts, Entries const &entries)
+    {
+        auto const &part = parts.back();
+        std::vector<SoundRequest> late;
+        while (late.size() < MinSoundRequests) {
+            sendRound(entries, parts);
+            fleet_.waitUntil(readLocalClock() + 50ms);
+            auto const bound = boundingCrash(part) + 2 * ContactTime;
+            late.clear();
+            std::ranges::copy_if(sound_, std::back_inserter(late), [&](SoundRequest const &request) { return request.sentAt > bound; });
+        }
+        auto const served = std::ranges::count_if(late, isServed);
+        EXPECT_GE(2 * static_cast<std::size_t>(served), late.size())
+            << served << " of " << late.size() << " sound requests were served beside requests with the part " << part;
+    }
+
+    /// Sends requests with the part to an entry that was not reachable while servers crashed on it.
+    void expectEntryKnowsThePart(std::string const &part, NodeProcess &entry)
+    {
+        constexpr int Rounds = 12;
+        for (int round = 0; round < Rounds; ++round) {
+            fleet_.waitUntilServersAreUp();
+            sendRound({&entry}, {part});
+        }
+        expectFewArrivals(part);
+        fleet_.waitUntilServersAreUp();
+        fleet_.waitUntil(readLocalClock() + ContactTime);
+        expectSoundRequestsAreServed({&entry});
+    }
+
+    CrashFleet fleet_;
+    std::size_t prompts_ = 0;
+    std::vector<SoundRequest> sound_;
+};
+
+class SoundPartTest : public CrashingPartTest
+{
+protected:
+    void SetUp() override
+    {
+        CrashingPartTest::SetUp();
+        entries_ = startFleet({"entry-1", "entry-2", "entry-3"});
+    }
+
+    /// A refusal would mean that the parts are taken for the cause.
+    void expectNoRefusals()
+    {
+        for (auto const &request : sound_) {
+            EXPECT_NE(request.status, 503);
+            EXPECT_NE(request.status, 429);
+        }
+    }
+
+    Entries entries_;
+};
+
+class JobWithCrashingPartTest : public CrashingPartTest
+{
+protected:
+    static constexpr std::size_t CrashingItems = 4;
+    static constexpr std::size_t SoundItems = 8;
+    static constexpr std::size_t Items = CrashingItems + SoundItems;
+
+    void submit(NodeProcess const &entry, std::string const &job, std::string const &part)
+    {
+        json::array items;
+        for (std::size_t index = 0; index < Items; ++index) {
+            json::object headers;
+            auto const prompt = fleet_.promptHeaders(index < CrashingItems ? promptWith(part) : soundParts);
+            for (auto const &header : prompt.fields())
+                headers[header.name] = header.value;
+            items.push_back(json::object{{"id", (index < CrashingItems ? "crashing-" : "sound-") + job + "-" + std::to_string(index)},
+                                         {"path", "/b/" + std::to_string(index)},
+                                         {"headers", std::move(headers)},
+                                         {"body", "aGVsbG8="},
+                                         {"tokens", 300}});
+        }
+        auto const answer = fleet_
+                                .send(entry,
+                                      {.method = "POST",
+                                       .target = "/b/1",
+                                       .headers = {{"Host", "h.example"}, {"Anvilyard-Attempt-Id", job}},
+                                       .body = json::serialize(json::object{{"items", std::move(items)}})})
+                                .get();
+        ASSERT_TRUE(answer);
+        ASSERT_EQ(answer->status, 202);
+    }
+
+    json::array readResults(NodeProcess const &entry, std::string const &job)
+    {
+        auto const answer =
+            fleet_.send(entry, {.method = "GET", .target = "/api/lots/" + job + "?after=0", .headers = {{"Host", "h.example"}}}).get();
+        if (!answer || answer->status != 200)
+            return {};
+        return json::parse(answer->body).as_object().at("results").as_array();
+    }
+
+    /// Waits until there are results for a number of items of which the sound ones must be completed.
+    void waitForResults(NodeProcess const &entry, std::string const &job, std::size_t count)
+    {
+        json::array results;
+        constexpr int MaxReads = 600;
+        for (int read = 0; read < MaxReads && results.size() < count; ++read) {
+            fleet_.waitUntil(readLocalClock() + 100ms);
+            results = readResults(entry, job);
+        }
+        ASSERT_GE(results.size(), count);
+        for (auto const &result : results) {
+            auto const &fields = result.as_object();
+            if (fields.at("id").as_string().starts_with("sound-")) {
+                EXPECT_EQ(fields.at("state").as_string(), "completed") << fields.at("id").as_string();
+            }
+        }
+    }
+};
+
+} // namespace
+
+/// Guards against one prompt part that ends server after server because each entry has to lose servers to it by itself.
+TEST_F(CrashingPartTest, EntriesStopSendingAPartThatCrashedServersOfOtherEntries)
+{
+    auto const entries = startFleet({"entry-1", "entry-2", "entry-3"});
+    crashServers("d1", {entries[0], entries[1]});
+    waitForContact("d1");
+    expectSoundRequestsAreServedBeside({"d1"}, entries);
+    expectFewArrivals("d1");
+}
+
+/// Guards against a second crashing part that is missed while requests with the first one still come.
+TEST_F(CrashingPartTest, EntriesStopSendingASecondPart)
+{
+    auto const entries = startFleet({"entry-1", "entry-2"});
+    for (auto const *part : {"d1", "d2"}) {
+        crashServers(part, {entries[0]});
+        waitForContact(part);
+    }
+    expectSoundRequestsAreServedBeside({"d1", "d2"}, entries);
+    expectFewArrivals("d1");
+    expectFewArrivals("d2");
+}
+
+/// Guards against an entry that forgets a crashing part with its process.
+TEST_F(CrashingPartTest, ARestartedEntryDoesNotSendAPartThatCrashedServers)
+{
+    auto const entries = startFleet({"entry-1", "entry-2"});
+    crashServers("d1", entries);
+    waitForContact("d1");
+    auto &second = *entries[1];
+    second.kill();
+    second.start();
+    fleet_.waitUntilReady(second);
+    fleet_.waitUntil(readLocalClock() + ContactTime);
+    expectEntryKnowsThePart("d1", second);
+}
+
+/// Guards against an entry that never learns of a crashing part because it was paused when the others reported it.
+TEST_F(CrashingPartTest, APausedEntryDoesNotSendAPartThatCrashedServersMeanwhile)
+{
+    auto const entries = startFleet({"entry-1", "entry-2"});
+    auto &second = *entries[1];
+    second.pause();
+    crashServers("d1", {entries[0]});
+    waitForContact("d1");
+    second.resume();
+    fleet_.waitUntil(readLocalClock() + ContactTime);
+    expectEntryKnowsThePart("d1", second);
+}
+
+/// Guards against a job whose items end server after server, against sound items that are lost with them, and against an entry that
+/// doesn't learn of a crashing part from a runner.
+TEST_F(JobWithCrashingPartTest, ItemsWithThePartStopReachingServersAndSoundItemsComplete)
+{
+    auto &entry = *startFleet({"entry-1"}).front();
+    fleet_.addCrashingPart("d1");
+    submit(entry, "first", "d1");
+    waitForResults(entry, "first", SoundItems);
+    ASSERT_FALSE(fleet_.crashes("d1").empty());
+    fleet_.waitUntil(boundingCrash("d1") + ContactTime);
+    submit(entry, "second", "d1");
+    constexpr int Rounds = 5;
+    for (int round = 0; round < Rounds; ++round)
+        sendRound({&entry}, {"d1"});
+    // Items that cannot be done are given up.
+    waitForResults(entry, "first", Items);
+    waitForResults(entry, "second", Items);
+    expectFewArrivals("d1");
+}
+
+/// Guards against refusals of sound parts that merely were in use when a server ended for another reason.
+TEST_F(SoundPartTest, ServersThatCrashForAnotherReasonCauseNoRefusals)
+{
+    constexpr int Crashes = 10;
+    for (int crash = 0; crash < Crashes; ++crash) {
+        fleet_.setBehaviour([isDue = std::make_shared<bool>(true)](ModelServer &server, std::shared_ptr<ModelServer::Run> const &run) {
+            if (std::exchange(*isDue, false))
+                return server.crash();
+            server.writeEvents(run);
+        });
+        sendRound(entries_, {});
+        fleet_.waitUntilServersAreUp();
+    }
+    expectSoundRequestsAreServed(entries_);
+    expectNoRefusals();
+}
+
+/// Guards against refusals of sound parts after responses that ended behind their head though the server runs on.
+TEST_F(SoundPartTest, ResponsesCutBehindTheHeadCauseNoRefusals)
+{
+    constexpr int Rounds = 30;
+    fleet_.setBehaviour([number = std::make_shared<int>(0)](ModelServer &server, std::shared_ptr<ModelServer::Run> const &run) {
+        if (++*number % 4 == 0)
+            return server.cut(run);
+        server.writeEvents(run);
+    });
+    for (int round = 0; round < Rounds; ++round)
+        sendRound(entries_, {});
+    fleet_.setBehaviour({});
+    expectSoundRequestsAreServed(entries_);
+    expectNoRefusals();
+}
