Let a stream that its node cut wait until a server takes it

Callers saw streams break off although their server was sound and would have finished them, mostly while servers are full.

Cause: a node ends a silent stream to go on with it at another server, or at the same one when its route allows no third. If the servers then reject it as full, nothing was left to do: the servers that had rejected it were excluded, five sends were the limit, and a rejection by the last server the route allows was final. A request without a response can be refused in this case, but a stream of which the caller has a part can only be broken off.

Now such a stream waits, from 50 ms doubling to 400 ms, and is sent once after each wait to any server its route still allows, until its deadline. A rejected send has not run, so this adds no runs beyond the route's limit. The same holds for a stream that its server broke off and that no other server takes at the moment. Waiting streams are held by the NodeContext, so that they end with the node. What a server answers to a resume with an error of its own, and what breaks twice without a rejection in between, ends as before.

Before the change, AStreamThatTheNodeCutWaitsForAServerThatTakesIt printed

node-attempt-failed ... error="nothing arrived in time ..." next="resume" node-attempt-rejected ... status="503" not_run="true" ... send="2" node-no-placement ... servers="0" excluded="2" ejected="0" node-request-ended ... outcome="broken-off" reason="no-server" ... the connection ended before the message was complete

and AStreamThatTheNodeCutAtItsLastServerWaitsForThatServer

node-attempt-rejected ... status="503" not_run="true" ... send="3" node-request-ended ... outcome="broken-off" reason="too-many-servers" ... the connection ended before the message was complete

--- a/Libraries/LibServing/AttemptPlan.cpp
+++ b/Libraries/LibServing/AttemptPlan.cpp
@@ -63,6 +63,17 @@
     return step;
 }
 
+std::optional<Instant> AttemptPlan::resumeLater(Instant now)
+{
+    auto const at = now + resumeDelay_;
+    if (options_.repeatability != Routing::Repeatability::Generation || at + MinTimeForSend >= options_.deadline)
+        return std::nullopt;
+    resumeDelay_ = std::min(2 * resumeDelay_, MaxResumeDelay);
+    tried_.clear();
+    sends_ = MaxSends - 1;
+    return at;
+}
+
 GiveUpReason AttemptPlan::giveUpReason() const
 {
     return giveUpReason_;
--- a/Libraries/LibServing/AttemptPlan.h
+++ b/Libraries/LibServing/AttemptPlan.h
@@ -24,6 +24,9 @@
 constexpr std::size_t MaxSends = 5;
 /// A request with less time left than this is not sent again.
 constexpr Duration MinTimeForSend = 30ms;
+/// Delay before a stream that no server takes is sent again. It doubles each time.
+constexpr Duration FirstResumeDelay = 50ms;
+constexpr Duration MaxResumeDelay = 400ms;
 /// Share of the latency target after which a send to an unresponsive server with free slots is abandoned for another server. The
 /// remaining time suffices for a second attempt within the target.
 constexpr double ResponseTimeoutShareWithFreeSlot = 0.6;
@@ -56,6 +59,9 @@
 
     /// Why the last step was not to send again.
     [[nodiscard]] GiveUpReason giveUpReason() const;
+    /// When to send a stream again of which the caller has a part and that no server took; `std::nullopt` if it has to be broken off. All
+    /// servers may be asked again, each time with one send.
+    std::optional<Instant> resumeLater(Instant now);
     /// Timeout for the response head of a server, or for its first event.
     [[nodiscard]] Duration responseTimeout(bool serverHasFreeSlot, Instant now) const;
     /// Servers excluded from the next send.
@@ -76,6 +82,7 @@
     std::set<ServerId> possibleRunServers_;
     std::optional<ServerId> lastPossibleRunServer_;
     bool usedFreshConnection_ = false;
+    Duration resumeDelay_ = FirstResumeDelay;
     GiveUpReason giveUpReason_ = GiveUpReason::None;
 };
 
--- a/Services/Node/NodeContext.h
+++ b/Services/Node/NodeContext.h
@@ -18,9 +18,12 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace Anvilyard::Node {
 
+class OnlineCall;
+
 /// State and connections that the parts of a node share. Owned by NodeProgram and used only on the event loop's thread.
 struct NodeContext {
     NodeSettings settings;
@@ -50,6 +53,8 @@
     std::shared_ptr<Serving::RouteTable const> routes;
     /// Called when a server states in a response that it is leaving.
     std::function<void(Serving::ServerRecord const &)> onServerLeaving;
+    /// Streams that wait until a server takes them.
+    std::set<std::shared_ptr<OnlineCall>> waitingStreams;
 };
 
 /// Calls onServerLeaving if the response is from the server and states that it is leaving.
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -153,7 +153,7 @@
         return refuse(Refusals::overloaded(placement.retryAfter));
     case Serving::Placement::Outcome::NoServer:
         logNoPlacement(placement, latencyTarget);
-        return isRelaying_ ? abortStream("no-server") : refuseAfterAttempts();
+        return isRelaying_ ? resumeLater("no-server") : refuseAfterAttempts();
     }
 }
 
@@ -469,6 +469,7 @@
     if (auto const exchange = std::exchange(attempt_->exchange, nullptr))
         exchange->cancel();
     attempt_->isAborted = true;
+    attempt_->isMoved = error == HttpError::Silent;
     ++abortedAttempts_;
     onFailure({.error = {.code = make_error_code(error), .detail = attempt_->server.address.value()},
                .reached = reached,
@@ -511,7 +512,7 @@
     case NextStep::Refuse:
         return refuseAfterAttempts();
     case NextStep::AbortResponse:
-        return abortStream(nameOf(plan_.giveUpReason()));
+        return attempt_->isMoved ? resumeLater(nameOf(plan_.giveUpReason())) : abortStream(nameOf(plan_.giveUpReason()));
     }
 }
 
@@ -530,7 +531,7 @@
 void OnlineCall::refuseAfterAttempts()
 {
     if (isRelaying_)
-        return abortStream(nameOf(plan_.giveUpReason()));
+        return resumeLater(nameOf(plan_.giveUpReason()));
     bool const isLate = readLocalClock() + Serving::MinTimeForSend >= deadline_;
     if (plan_.mayHaveRun())
         return refuse(isLate ? Refusals::timedOut(Http::RunState::MayHaveRun) : Refusals::outcomeUnknown());
@@ -544,6 +545,22 @@
     finish(refusal.code.c_str());
 }
 
+void OnlineCall::resumeLater(char const *reason)
+{
+    auto const at = plan_.resumeLater(readLocalClock());
+    if (!at)
+        return abortStream(reason);
+    auto &waiting = parts_.context.waitingStreams;
+    waiting.insert(shared_from_this());
+    resumeTimer_ = parts_.context.loop.at(*at, [weak = weak_from_this()] {
+        auto const self = weak.lock();
+        if (!self)
+            return;
+        self->parts_.context.waitingStreams.erase(self);
+        self->placeAndSend();
+    });
+}
+
 void OnlineCall::abortStream(char const *reason)
 {
     parts_.metrics.onBrokenStream(reason);
@@ -587,6 +604,8 @@
                   {"after_event", eventIdText(parts_.head.lastEventId)},
                   {"last_event", eventIdText(events_.lastId())},
                   {"ms", millisecondsSince(startedAt_, now)}});
+    resumeTimer_.reset();
+    parts_.context.waitingStreams.erase(shared_from_this());
     parts_.writer.reset();
 }
 
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -49,6 +49,8 @@
         bool isEventStream = false;
         /// The node ended the attempt, so the kind of its connection was not reported.
         bool isAborted = false;
+        /// The node ended the attempt although the server may only have been slow.
+        bool isMoved = false;
         /// Reading is paused because the caller is slow.
         bool isPaused = false;
         /// When bytes of the stream last arrived, or its silence was last tolerated.
@@ -83,6 +85,8 @@
     [[nodiscard]] bool refuseIfQuarantined();
     void refuseAfterAttempts();
     void refuse(Http::Refusal const &refusal);
+    /// Sends a stream again after a delay, or breaks it off if that is not allowed. The caller has a part of it, so it cannot be refused.
+    void resumeLater(char const *reason);
     /// `reason` is one of a small fixed set.
     void abortStream(char const *reason);
     void finish(char const *outcome);
@@ -105,6 +109,7 @@
     std::string breakReason_;
     /// The response head, and perhaps events, were sent to the caller.
     bool isRelaying_ = false;
+    std::unique_ptr<Http::Timer> resumeTimer_;
     Instant lastEventAt_;
     bool isFinished_ = false;
 };
--- a/Tests/LibServing/TestAttemptPlan.cpp
+++ b/Tests/LibServing/TestAttemptPlan.cpp
@@ -168,3 +168,30 @@
         server = plan.onlyServer().value_or(ServerId("s" + std::to_string(send)));
     }
 }
+
+/// Guards against a relayed stream that is broken off, or sent in a tight loop, while all servers are full.
+TEST(AttemptPlanTest, AStreamThatNoServerTakesIsSentAgainAfterGrowingDelaysUntilItsDeadline)
+{
+    auto plan = planOf(Repeatability::Generation, 2);
+    ServerErrorResponse const full{.status = 503, .evidence = NotRunEvidence::Stated};
+    EXPECT_EQ(afterSend(plan, serverA, brokenStream()), NextStep::ResumeStream);
+    EXPECT_EQ(afterSend(plan, serverB, full), NextStep::SendToOtherServer);
+    EXPECT_EQ(plan.excluded(), (std::vector{serverA, serverB}));
+    auto now = Start;
+    auto lastDelay = Duration::zero();
+    std::size_t sends = 0;
+    while (auto const at = plan.resumeLater(now)) {
+        EXPECT_GE(*at - now, lastDelay);
+        EXPECT_LT(*at, Start + 5s);
+        EXPECT_TRUE(plan.excluded().empty());
+        lastDelay = *at - now;
+        now = *at;
+        EXPECT_EQ(afterSend(plan, serverB, full, now), NextStep::Refuse);
+        ++sends;
+    }
+    EXPECT_GT(now, Start + 4s);
+    EXPECT_LT(sends, 20U);
+    EXPECT_TRUE(plan.mayUseAnotherServer());
+    auto unsafe = planOf(Repeatability::Unsafe, 2);
+    EXPECT_EQ(unsafe.resumeLater(Start), std::nullopt);
+}
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -28,6 +28,14 @@
         return node;
     }
 
+    /// A request of the route "/q/" whose caller waits longer than the node may need to be served.
+    Http::HttpRequest patientRequest()
+    {
+        auto request = requestOf("/q/1", "a");
+        request.headers = {{"Host", "h.example"}, {"Anvilyard-Attempt-Id", "a"}, {"Anvilyard-Deadline-Ms", "20000"}};
+        return request;
+    }
+
     std::size_t requestCount() const
     {
         std::size_t count = 0;
@@ -39,6 +47,11 @@
     std::vector<std::unique_ptr<FleetServer>> servers_;
 };
 
+/// Route "/q/": resumable streams that count as silent after 120 ms.
+constexpr char const *SilentStreams =
+    R"(,{"name":"q","host":"h.example","pathPrefix":"/q/","kind":"streaming","timeoutMs":20000,"sloMs":1000,"priority":0,"service":"p",)"
+    R"("attempts":2,"resumable":true,"gapAimMs":200})";
+
 FleetServer::Script respondWith(std::string body)
 {
     return [body = std::move(body)](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
@@ -729,6 +742,63 @@
     thread_.call([&] { timers.clear(); });
 }
 
+/// Guards against a node that cuts the silent stream of a sound server and breaks it off when the servers that it asks to go on are full.
+TEST_F(OnlineTest, AStreamThatTheNodeCutWaitsForAServerThatTakesIt)
+{
+    std::vector<FleetServer::Writer> silent;
+    int requests = 0;
+    FleetServer::Script const script = [&](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        if (++requests == 1) {
+            silent.push_back(writer);
+            writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+            return writer->write(eventTexts(0, 3), nullptr);
+        }
+        if (requests > 7)
+            return answerEvents(request, writer, 10);
+        auto headers = signedHeaders(request, "text/plain");
+        headers.append({"Anvilyard-Not-Executed", "1"});
+        writer->respond({.status = 503, .headers = std::move(headers)});
+    };
+    auto &node = serve({script, script}, SilentStreams);
+    auto const answer = ask(node, patientRequest());
+    thread_.call([&] { silent.clear(); });
+    ASSERT_TRUE(answer) << answer.error().error.toString();
+    EXPECT_EQ(answer->body, eventTexts(0, 10));
+    EXPECT_EQ(requestCount(), 8U);
+}
+
+/// The stream broke at one server, and its route allows no third. Guards against breaking it off when the node has cut its silent stream
+/// at the second server, which is full when asked to go on.
+TEST_F(OnlineTest, AStreamThatTheNodeCutAtItsLastServerWaitsForThatServer)
+{
+    std::vector<FleetServer::Writer> silent;
+    int requests = 0;
+    FleetServer::Script const script = [&](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        ++requests;
+        if (requests == 3) {
+            auto headers = signedHeaders(request, "text/plain");
+            headers.append({"Anvilyard-Not-Executed", "1"});
+            return writer->respond({.status = 503, .headers = std::move(headers)});
+        }
+        if (requests > 3)
+            return answerEvents(request, writer, 10);
+        writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+        if (requests == 1)
+            return writer->write(eventTexts(0, 3), [writer](auto) { writer->abort(); });
+        silent.push_back(writer);
+        writer->write(eventTexts(3, 6), nullptr);
+    };
+    auto &node = serve({script, script, script}, SilentStreams);
+    auto const answer = ask(node, patientRequest());
+    thread_.call([&] { silent.clear(); });
+    ASSERT_TRUE(answer) << answer.error().error.toString();
+    EXPECT_EQ(answer->body, eventTexts(0, 10));
+    std::size_t used = 0;
+    for (auto const &server : servers_)
+        used += server->requests().empty() ? 0 : 1;
+    EXPECT_EQ(used, 2U);
+}
+
 /// Guards against moving a request away from a slow server while no other server has a free slot.
 TEST_F(OnlineTest, ARequestIsNotMovedWhileNoOtherServerHasAFreeSlot)
 {
