Do not cut a silent stream that cannot be resumed

Callers saw a stream break off that its server was still sending, for instance while servers are replaced.

Cause: a stream at the last server that its route allows is cut after a long silence and resumed where it ran. The check did not ask whether that server may still be used. One second after its registration is removed, or it is draining, it gets no requests any more, though it finishes what it has; the resume then found no server, and the node broke the stream off.

Now the stream is left alone if its server may not be used again: it goes on when the server does, and a dead connection ends by the keep-alive probes.

Before the change, ASilentStreamIsNotCutIfItCannotBeResumed printed

node-attempt-failed ... error="nothing arrived in time ..." events="6" next="resume" after_ms="3001" send="2" node-request-ended ... outcome="broken-off" reason="only-server-gone" sends="2" aborted_attempts="1" ... the connection ended before the message was complete

It passes now, as do the other tests of streams in TestNode.

--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -433,6 +433,12 @@
     return isBetter && parts_.context.moveBudget.tryTake(readLocalClock());
 }
 
+/// Whether the stream may be sent to its current server again and the budget allows it. Takes one move from the budget.
+bool OnlineCall::mayResumeHere(Instant now)
+{
+    return parts_.context.directory.find(attempt_->server.id, now) && parts_.context.moveBudget.tryTake(now);
+}
+
 void OnlineCall::scheduleSilenceCheck()
 {
     auto const limit = silenceLimit();
@@ -456,7 +462,7 @@
         attempt_->lastPieceAt = now;
     if (now < attempt_->lastPieceAt + *silenceLimit())
         return scheduleSilenceCheck();
-    bool const mayMove = plan_.mayMoveFrom(attempt_->server.id) ? mayMoveToFreeSlot() : parts_.context.moveBudget.tryTake(now);
+    bool const mayMove = plan_.mayMoveFrom(attempt_->server.id) ? mayMoveToFreeSlot() : mayResumeHere(now);
     if (mayMove)
         return abortAttempt(HttpError::Silent);
     attempt_->lastPieceAt = now;
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -79,6 +79,7 @@
     void scheduleSilenceCheck();
     void onSilenceCheck();
     [[nodiscard]] bool mayMoveToFreeSlot();
+    [[nodiscard]] bool mayResumeHere(Instant now);
     [[nodiscard]] Serving::Placement findPlacement(Duration latencyTarget, std::vector<ServerId> const &excluded);
     void finishAttempt();
     void perform(Routing::NextStep step);
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -47,10 +47,13 @@
     std::vector<std::unique_ptr<FleetServer>> servers_;
 };
 
-/// Route "/q/": resumable streams that count as silent after 120 ms.
-constexpr char const *SilentStreams =
-    R"(,{"name":"q","host":"h.example","pathPrefix":"/q/","kind":"streaming","timeoutMs":20000,"sloMs":1000,"priority":0,"service":"p",)"
-    R"("attempts":2,"resumable":true,"gapAimMs":200})";
+/// Route "/q/": resumable streams that count as silent after 0.6 of the target, or at their last server after twice the target.
+std::string streamsWithGapTarget(int milliseconds)
+{
+    return R"(,{"name":"q","host":"h.example","pathPrefix":"/q/","kind":"streaming","timeoutMs":20000,"sloMs":1000,"priority":0,)"
+           R"("service":"p","attempts":2,"resumable":true,"gapAimMs":)"
+        + std::to_string(milliseconds) + "}";
+}
 
 FleetServer::Script respondWith(std::string body)
 {
@@ -759,7 +762,7 @@
         headers.append({"Anvilyard-Not-Executed", "1"});
         writer->respond({.status = 503, .headers = std::move(headers)});
     };
-    auto &node = serve({script, script}, SilentStreams);
+    auto &node = serve({script, script}, streamsWithGapTarget(200));
     auto const answer = ask(node, patientRequest());
     thread_.call([&] { silent.clear(); });
     ASSERT_TRUE(answer) << answer.error().error.toString();
@@ -788,7 +791,7 @@
         silent.push_back(writer);
         writer->write(eventTexts(3, 6), nullptr);
     };
-    auto &node = serve({script, script, script}, SilentStreams);
+    auto &node = serve({script, script, script}, streamsWithGapTarget(200));
     auto const answer = ask(node, patientRequest());
     thread_.call([&] { silent.clear(); });
     ASSERT_TRUE(answer) << answer.error().error.toString();
@@ -799,6 +802,33 @@
     EXPECT_EQ(used, 2U);
 }
 
+/// The stream broke at one server, and the other, the last that its route allows, is silent for a while after its registration was removed.
+/// Guards against a node that cuts the stream although it may not be sent to that server again.
+TEST_F(OnlineTest, ASilentStreamIsNotCutIfItCannotBeResumed)
+{
+    std::unique_ptr<Http::Timer> timer;
+    int requests = 0;
+    FleetServer::Script const script = [&](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+        if (++requests == 1)
+            return writer->write(eventTexts(0, 3), [writer](auto) { writer->abort(); });
+        writer->write(eventTexts(3, 6), nullptr);
+        for (auto const *id : {"s1", "s2"})
+            store_->remove("servers", id);
+        // Longer than a server is used after its removal, and than the last server may be silent.
+        timer = thread_.loop().at(readLocalClock() + 4s, [writer] {
+            writer->write(eventTexts(6, 10), nullptr);
+            writer->finish();
+        });
+    };
+    auto &node = serve({script, script}, streamsWithGapTarget(1500));
+    auto const answer = ask(node, patientRequest());
+    thread_.call([&] { timer.reset(); });
+    ASSERT_TRUE(answer) << answer.error().error.toString();
+    EXPECT_EQ(answer->body, eventTexts(0, 10));
+    EXPECT_EQ(requestCount(), 2U);
+}
+
 /// Guards against moving a request away from a slow server while no other server has a free slot.
 TEST_F(OnlineTest, ARequestIsNotMovedWhileNoOtherServerHasAFreeSlot)
 {
