Keep connections that drain open when idle ones are closed

A stopping entry could reset a connection right after the last response on it, so that the caller lost the end of that response.

Cause: after a response with "Connection: close" the connection reads on for up to a second, because closing a socket with unread bytes resets it. closeIdle(), which a stopping entry calls 20 times a second, took such a connection for an idle one and closed it within 50 ms.

A connection that drains is no longer closed as idle; it ends when its caller closes it, or after the second. A stop doesn't wait for it.

Before the change, AResponseThatIsStillReadIsNotResetWithIdleConnections printed

thread_.call([&] { return server_->connections(); }) Which is: {} (Counts{{ConnectionState::Draining, 1}})

It passes now, as do the other tests of TestLibHttp.

--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -511,7 +511,7 @@
 
 void ServerConnection::closeIfIdle()
 {
-    if (state_ == State::Idle || state_ == State::Draining)
+    if (state_ == State::Idle)
         close(CloseReason::Stopping);
 }
 
--- a/Tests/LibHttp/TestHostileCallers.cpp
+++ b/Tests/LibHttp/TestHostileCallers.cpp
@@ -517,3 +517,18 @@
         continue;
     EXPECT_EQ(open(), 0U);
 }
+
+/// A connection whose last response is sent stays open until its caller has closed it, because a reset may destroy that response. Guards
+/// against closing it together with the idle connections while bytes of its caller are unread.
+TEST_F(HostileCallersTest, AResponseThatIsStillReadIsNotResetWithIdleConnections)
+{
+    serve();
+    RawConnection connection(server_->address());
+    connection.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(BodyLimit + 1) + "\r\n\r\n");
+    EXPECT_THAT(connection.readUntil("}"), StartsWith("HTTP/1.1 413"));
+    using Counts = std::map<ConnectionState, std::size_t>;
+    while (thread_.call([&] { return server_->connections(); }) != Counts{{ConnectionState::Draining, 1}})
+        continue;
+    thread_.call([&] { server_->closeIdle(); });
+    EXPECT_EQ(thread_.call([&] { return server_->connections(); }), (Counts{{ConnectionState::Draining, 1}}));
+}
