Renew a silent watch of jobs after a change of the runners

Cause: the store holds a watch call for up to 28 s, and a call whose response is lost looks like one without changes until it times out after 29.5 s. The entry's notice makes up for it only while the owner stays the same: once the owner is lost, the next one does not know the jobs that were accepted since its watch fell silent. That is longer than the 18 s which jobs have after the traffic has ended. The more runners there are, the likelier it is that one of them has a silent watch when another one is lost.

Change: two seconds after a change of the runners, a runner whose watch has not returned since then calls the store anew, from the version that the watch has reached. Where jobs arrive all the time the watch has returned by then, so the call is made in quiet times only, once for each runner. Resuming a paused watch starts at that version as well, rather than at that of the last list.

Test: JobsTest.TheJobsOfALostRunnerAreFoundByARunnerWithASilentWatch, which did not end before (stopped after 30 s without node-job-taken).

--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -22,6 +22,8 @@
 constexpr Duration LoadOverdueAfter = 5s;
 /// Within this time the owner of an admitted job has read it and counts its tokens.
 constexpr Duration AdmissionRetention = 3s;
+/// Within this time the watch of jobs returns where jobs arrive all the time.
+constexpr Duration WatchReturnTime = 2s;
 /// After this time without reaching the platform's store, in which several attempts failed, a runner leaves its jobs to other
 /// runners.
 constexpr Duration StoreOutageTolerance = 700ms;
@@ -100,7 +102,7 @@
     return context_.peers.ownerOf(job) == context_.settings.instance;
 }
 
-void JobRunner::refreshOwnership()
+void JobRunner::refreshOwnership(Instant now)
 {
     auto const hash = context_.peers.runnersHash();
     if (ownershipHash_ == hash)
@@ -108,6 +110,15 @@
     ownershipHash_ = hash;
     for (auto &[job, known] : knownJobs_)
         known.isOwned = isFirstFor(job);
+    uncheckedChangeAt_ = now;
+}
+
+void JobRunner::renewSilentWatch(Instant now)
+{
+    if (!uncheckedChangeAt_ || now - *uncheckedChangeAt_ < WatchReturnTime)
+        return;
+    jobFollower_.renewWatch(*uncheckedChangeAt_);
+    uncheckedChangeAt_.reset();
 }
 
 bool JobRunner::owns(JobId const &job) const
@@ -180,7 +191,8 @@
 
 void JobRunner::reconcile(Instant now)
 {
-    refreshOwnership();
+    refreshOwnership(now);
+    renewSilentWatch(now);
     for (auto const &job : jobs_.jobs()) {
         if (!owns(job)) {
             Observe::log(Observe::Events::NodeJobHandedOver, {{"job", job.value()}});
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -79,7 +79,9 @@
     void serveBody(PeerReadBody const &call, Writer const &writer);
     void serveAdmission(PeerAdmission const &call, Writer const &writer);
     /// Determines the owners of all known jobs anew after a change of the runners.
-    void refreshOwnership();
+    void refreshOwnership(Instant now);
+    /// After a change of the runners this one may own jobs that it has not heard of.
+    void renewSilentWatch(Instant now);
     [[nodiscard]] bool owns(JobId const &job) const;
     [[nodiscard]] bool isFirstFor(JobId const &job) const;
 
@@ -107,6 +109,8 @@
     /// Runners for which `KnownJob::isOwned` holds. Ranking all runners for each of hundreds of jobs in every tick would take a third of
     /// the processor time of a runner.
     std::optional<std::uint64_t> ownershipHash_;
+    /// Last change of the runners, until the watch has been checked after it.
+    std::optional<Instant> uncheckedChangeAt_;
     std::list<std::shared_ptr<ItemRun>> runs_;
     std::list<PendingRead> pendingReads_;
     /// Jobs that may have more segments in the store than this runner has listed. The value is true while the next one is being
--- a/Services/Node/StoreFollower.cpp
+++ b/Services/Node/StoreFollower.cpp
@@ -42,6 +42,13 @@
     watch(version_);
 }
 
+void StoreFollower::renewWatch(Instant silentSince)
+{
+    bool const isWatching = watch_ && !hasWatchEnded_;
+    if (isWatching && watchReturnedAt_ < silentSince)
+        watch(version_);
+}
+
 void StoreFollower::list(std::string continueToken)
 {
     isListing_ = true;
@@ -87,15 +94,27 @@
 
 void StoreFollower::watch(Platform::ResourceVersion from)
 {
+    watchReturnedAt_ = readLocalClock();
+    hasWatchEnded_ = false;
     watch_ = options_.store.watch(options_.kind,
                                   std::move(from),
                                   {
                                       .onChange = options_.hooks.onChange,
-                                      .onProgress = options_.hooks.onProgress,
+                                      .onProgress =
+                                          [this, weak = std::weak_ptr(alive_)](Platform::ResourceVersion const &version) {
+                                              if (weak.expired())
+                                                  return;
+                                              version_ = version;
+                                              watchReturnedAt_ = readLocalClock();
+                                              if (options_.hooks.onProgress)
+                                                  options_.hooks.onProgress(version);
+                                          },
                                       .onEnd =
                                           [this, weak = std::weak_ptr(alive_)](Error error) {
-                                              if (!weak.expired())
-                                                  retryLater(error);
+                                              if (weak.expired())
+                                                  return;
+                                              hasWatchEnded_ = true;
+                                              retryLater(error);
                                           },
                                   });
 }
--- a/Services/Node/StoreFollower.h
+++ b/Services/Node/StoreFollower.h
@@ -51,8 +51,11 @@
     void start();
     /// Stops watching. A list that never succeeded is still retried.
     void pause();
-    /// Watches again after a pause, from the version of the last list. If the store no longer has that history, it is listed again.
+    /// Watches again after a pause, from the last version seen. If the store no longer has that history, it is listed again.
     void resume();
+    /// Calls the store anew if the watch has not returned since then. The response to a watch call may be lost, which cannot be told from
+    /// an absence of changes.
+    void renewWatch(Instant silentSince);
     /// Time since which the store has not responded; std::nullopt while it responds.
     [[nodiscard]] std::optional<Instant> unreachableSince() const;
 
@@ -64,11 +67,15 @@
 
     StoreFollowerOptions options_;
     std::vector<Platform::Object> listed_;
+    /// Version of the last list, or of the last return of the watch.
     Platform::ResourceVersion version_;
     std::unique_ptr<Platform::Watch> watch_;
+    /// When the watch was opened or last returned.
+    Instant watchReturnedAt_;
     std::unique_ptr<Http::Timer> timer_;
     Duration backoff_;
     std::optional<Instant> unreachableSince_;
+    bool hasWatchEnded_ = false;
     bool isListing_ = false;
     bool hasListed_ = false;
     bool isPaused_ = false;
--- a/Tests/FakeFleet/FleetStoreServer.cpp
+++ b/Tests/FakeFleet/FleetStoreServer.cpp
@@ -1,5 +1,6 @@
 #include "Tests/FakeFleet/FleetStoreServer.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <sstream>
 
@@ -108,6 +109,22 @@
         watch.writer->abort();
 }
 
+void FleetStoreServer::silenceWatches(Kind const &kind)
+{
+    std::erase_if(watches_, [&](PendingWatch const &watch) {
+        if (watch.kind != kind)
+            return false;
+        unansweredWriters_.push_back(watch.writer);
+        return true;
+    });
+}
+
+std::size_t FleetStoreServer::pendingWatches(Kind const &kind) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(watches_.begin(), watches_.end(), [&](PendingWatch const &watch) { return watch.kind == kind; }));
+}
+
 void FleetStoreServer::handle(Http::HttpRequest request, Writer writer)
 {
     // "/api/objects/KIND[/NAME[/status]]"
--- a/Tests/FakeFleet/FleetStoreServer.h
+++ b/Tests/FakeFleet/FleetStoreServer.h
@@ -31,6 +31,9 @@
     void remove(std::string const &kind, std::string const &name);
     /// Discards the history and aborts the pending watches.
     void compact();
+    /// Loses the responses to the pending watches of a kind: their connections stay open and return nothing.
+    void silenceWatches(Platform::Kind const &kind);
+    [[nodiscard]] std::size_t pendingWatches(Platform::Kind const &kind) const;
 
 private:
     using Writer = std::shared_ptr<Http::ResponseWriter>;
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -588,3 +588,28 @@
         [&] { static_cast<void>(store_->table().create(Jobs::jobKind, Jobs::jobObject(unheard.id), Jobs::encodeJob(unheard).spec)); });
     EXPECT_EQ(readResults(entry, "unheard", 1).size(), 1U);
 }
+
+/// The response to a runner's watch is lost, and then the owner of a job that was accepted since. Guards against jobs that no runner knows
+/// of until the watch call times out.
+TEST_F(JobsTest, TheJobsOfALostRunnerAreFoundByARunnerWithASilentWatch)
+{
+    watchHoldTime_ = 1h;
+    addServer("s1", complete);
+    auto &entry = startNode("entry-1");
+    auto &first = startNode("runner-1", InstanceRole::Runner);
+    auto &second = startNode("runner-2", InstanceRole::Runner);
+    waitUntilReady(entry);
+    waitUntil([&] {
+        return entry.runnersHash() == first.runnersHash() && first.runnersHash() == second.runnersHash() && first.runnersHash() != 0
+            && store_->pendingWatches(Jobs::jobKind) == 2;
+    });
+    thread_.call([&] { store_->silenceWatches(Jobs::jobKind); });
+    killNode("runner-1");
+    Jobs::JobRecord const unheard{.id = JobId("unheard"),
+                                  .host = "h.example",
+                                  .acceptedAt = readClocks().wall,
+                                  .items = {{.id = Jobs::ItemId("unheard-0"), .target = "/b/x/0", .body = "hello", .tokens = 1}}};
+    thread_.call(
+        [&] { static_cast<void>(store_->table().create(Jobs::jobKind, Jobs::jobObject(unheard.id), Jobs::encodeJob(unheard).spec)); });
+    waitUntil([&] { return store_->table().get(Jobs::segmentKind, Jobs::segmentObject(unheard.id, 0)).has_value(); });
+}
