Look for the rest of a list that a reader has read beyond

Cause: a new owner looks once for the segments of the previous one, five seconds after the runners agree. The store may execute a call without a response seconds later, so a segment can take effect after that. Readers whose entry reads the store see its positions; those whose entry asks the owner were told that there is nothing yet, until the owner's next segment collided with it.

Change: a read that starts beyond the owner's list shows that the list lacks something. The owner then treats the job as unconfirmed: it reads the segment that would come next, and until it has done so readers look into the store. Clients go on reading where their last page ended, so this happens within half a second. A read from a position that never existed costs one read of the store.

Test: JobsTest.AReadBeyondTheOwnersListMakesTheOwnerLookForTheRest; before: page.at("results").as_array().size() "Which is: 0", page {"total":3,"nextToken":0,"results":[]}, instead of 1.

--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -472,6 +472,9 @@
     }
     auto const &read = std::get<PeerReadResults>(*call);
     auto const now = readLocalClock();
+    // The reader has outcomes that this runner has not listed. Another runner's segment may have taken effect after it was looked for.
+    if (jobs_.contains(read.job) && read.from > jobs_.listedCount(read.job))
+        unconfirmed_.try_emplace(read.job, false);
     PendingRead pendingRead{.call = read, .until = now + read.wait, .writer = writer};
     if (!serve(pendingRead, now))
         pendingReads_.push_back(std::move(pendingRead));
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -613,3 +613,26 @@
         [&] { static_cast<void>(store_->table().create(Jobs::jobKind, Jobs::jobObject(unheard.id), Jobs::encodeJob(unheard).spec)); });
     waitUntil([&] { return store_->table().get(Jobs::segmentKind, Jobs::segmentObject(unheard.id, 0)).has_value(); });
 }
+
+/// A segment of the previous owner takes effect after the new one has looked for it, and a reader finds it in the store. Guards against
+/// an owner that answers reads beyond its own list with "nothing yet" and so hides positions that were read.
+TEST_F(JobsTest, AReadBeyondTheOwnersListMakesTheOwnerLookForTheRest)
+{
+    std::vector<FleetServer::Writer> held;
+    addServer("s1", [&](int, Http::HttpRequest const &, FleetServer::Writer const &writer) { held.push_back(writer); });
+    auto &entry = startNode("entry-1");
+    auto &runner = startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    waitUntil([&] { return entry.runnersHash() == runner.runnersHash() && runner.runnersHash() != 0; });
+    ASSERT_EQ(ask(entry, submissionOf("j", 3))->status, 202);
+    waitUntil([&] { return !held.empty(); });
+    waitUntilConfirmed(runner, "j");
+    Jobs::ResultSegment const late{.outcomes = {{.id = Jobs::ItemId("j-1"), .output = "late"}}};
+    thread_.call([&] {
+        static_cast<void>(store_->table().create(Jobs::segmentKind, Jobs::segmentObject(JobId("j"), 0), Jobs::encodeSegment(late)));
+    });
+    read(entry, "j", 1, 10);
+    auto const page = read(entry, "j", 0, 10);
+    EXPECT_EQ(page.at("results").as_array().size(), 1U) << json::serialize(page);
+    thread_.call([&] { held.clear(); });
+}
