Do not hide a segment whose storing has an unknown outcome

Not shown to be the fault behind it; it is one that can cause it.

Cause: an owner lists a segment once the store has acknowledged it. If the response is lost, the store has the segment at once, and the owner learns of it only by a later call: after 1.5 s of waiting, a pause of 0.1 s and two more calls at best. Entries that do not reach the owner, or see another set of runners, read the store and show the positions; all others were told by the owner that there is nothing yet, for longer than the second within which every machine has to have them.

Change: while the outcome of storing a segment is unknown, or the call has been open for half a second, the owner answers an empty read as it does while two runners may own a job: the entry reads the one segment that would begin there.

Test: JobsTest.ASegmentWhoseStoringHasAnUnknownOutcomeIsNotHidden; before: page.at("results").as_array().size() "Which is: 0", page {"total":1,"nextToken":0,"results":[]}, instead of 1.

--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -22,6 +22,8 @@
 constexpr Duration LoadOverdueAfter = 5s;
 /// Within this time the owner of an admitted job has read it and counts its tokens.
 constexpr Duration AdmissionRetention = 3s;
+/// The store takes some milliseconds to store a segment, and some hundred at its slowest.
+constexpr Duration StoreOverdueAfter = 500ms;
 /// Within this time the watch of jobs returns where jobs arrive all the time.
 constexpr Duration WatchReturnTime = 2s;
 /// After this time without reaching the platform's store, in which several attempts failed, a runner leaves its jobs to other
@@ -198,6 +200,7 @@
             Observe::log(Observe::Events::NodeJobHandedOver, {{"job", job.value()}});
             cancelRuns(job);
             jobs_.remove(job);
+            pendingStores_.erase(job);
         } else {
             refreshPolicy(job, now);
         }
@@ -411,7 +414,8 @@
 
 void JobRunner::store(JobId const &job, Jobs::ResultSegment segment)
 {
-    ++pendingStores_;
+    ++pendingStoreCalls_;
+    pendingStores_.try_emplace(job, PendingStore{.since = readLocalClock()});
     auto const name = Jobs::segmentObject(job, segment.first);
     auto spec = Jobs::encodeSegment(segment);
     context_.store.create(
@@ -420,30 +424,52 @@
         name,
         std::move(spec),
         [this, job, segment = std::move(segment)](Result<Platform::Object> created) mutable {
-            --pendingStores_;
+            --pendingStoreCalls_;
             auto const now = readLocalClock();
             if (created) {
                 metrics_.segmentsStored.add();
                 logGivenUp(job, segment);
-                jobs_.onStored(job, std::move(segment));
-                return servePendingReads(now);
+                return onSegmentStored(job, std::move(segment));
             }
             if (created.error().code != PlatformError::AlreadyExists) {
                 Observe::log(Observe::Events::NodeSegmentStoreFailed, {{"job", job.value()}, {"error", created.error().toString()}});
-                return jobs_.onStoreFailed(job, now);
+                return onStoreFailed(job, created.error(), now);
             }
             // Another runner stored this segment, or this runner did and the response was lost. The stored segment is
             // authoritative.
             Jobs::loadSegment(context_.store, job, segment.first, [this, job](Result<std::optional<Jobs::ResultSegment>> stored) {
-                auto const readAt = readLocalClock();
                 if (!stored || !*stored)
-                    return jobs_.onStoreFailed(job, readAt);
-                jobs_.onStored(job, std::move(**stored));
-                servePendingReads(readAt);
+                    return onStoreFailed(job, {.code = make_error_code(PlatformError::OutcomeUnknown)}, readLocalClock());
+                onSegmentStored(job, std::move(**stored));
             });
         });
 }
 
+void JobRunner::onSegmentStored(JobId const &job, Jobs::ResultSegment segment)
+{
+    pendingStores_.erase(job);
+    jobs_.onStored(job, std::move(segment));
+    servePendingReads(readLocalClock());
+}
+
+void JobRunner::onStoreFailed(JobId const &job, Error const &error, Instant now)
+{
+    auto const pending = pendingStores_.find(job);
+    if (pending != pendingStores_.end()) {
+        auto &isOutcomeUnknown = pending->second.isOutcomeUnknown;
+        isOutcomeUnknown = isOutcomeUnknown || error.code == PlatformError::OutcomeUnknown;
+        if (!isOutcomeUnknown)
+            pendingStores_.erase(pending);
+    }
+    jobs_.onStoreFailed(job, now);
+}
+
+bool JobRunner::mayHideSegment(JobId const &job, Instant now) const
+{
+    auto const pending = pendingStores_.find(job);
+    return pending != pendingStores_.end() && (pending->second.isOutcomeUnknown || now - pending->second.since >= StoreOverdueAfter);
+}
+
 void JobRunner::logGivenUp(JobId const &job, Jobs::ResultSegment const &segment)
 {
     for (auto const &outcome : segment.outcomes) {
@@ -524,11 +550,12 @@
     bool const hasNoMoreResults = read.call.from >= page->total || known->second.isEnded;
     if (page->outcomes.empty() && !hasNoMoreResults && now < read.until)
         return false;
-    // While two runners may both consider themselves the owner, only the store shows that there is no new result.
-    bool const mayHaveTwoOwners =
-        read.call.runnersHash != context_.peers.runnersHash() || context_.peers.isUnsettled(now) || unconfirmed_.contains(read.call.job);
+    // While two runners may both consider themselves the owner, or the outcome of storing a segment is unknown, only the store shows that
+    // there is no new result.
+    bool const mayLackResults = mayHideSegment(read.call.job, now) || read.call.runnersHash != context_.peers.runnersHash()
+        || context_.peers.isUnsettled(now) || unconfirmed_.contains(read.call.job);
     auto response = context_.protocol.writeResults(*page);
-    if (page->outcomes.empty() && mayHaveTwoOwners) {
+    if (page->outcomes.empty() && mayLackResults) {
         // Only at the end of the listed outcomes would a segment of another runner begin.
         if (read.call.from != jobs_.listedCount(read.call.job))
             response = {.status = NotOwnerStatus};
@@ -597,7 +624,7 @@
 
 bool JobRunner::isIdle() const
 {
-    return pendingStores_ == 0 && runs_.empty();
+    return pendingStoreCalls_ == 0 && runs_.empty();
 }
 
 } // namespace Anvilyard::Node
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -69,6 +69,10 @@
     void cancelRuns(JobId const &job);
     void storeOutcomes(Instant now);
     void store(JobId const &job, Jobs::ResultSegment segment);
+    void onSegmentStored(JobId const &job, Jobs::ResultSegment segment);
+    void onStoreFailed(JobId const &job, Error const &error, Instant now);
+    /// Whether the store may have shown a segment of this runner to others for a while that this runner does not list yet.
+    [[nodiscard]] bool mayHideSegment(JobId const &job, Instant now) const;
     static void logGivenUp(JobId const &job, Jobs::ResultSegment const &segment);
     /// Checks the store for outcomes of other runners after a period in which they may have owned the same jobs.
     void confirmJobs(Instant now);
@@ -116,6 +120,13 @@
     /// Jobs that may have more segments in the store than this runner has listed. The value is true while the next one is being
     /// read.
     std::map<JobId, bool> unconfirmed_;
+    struct PendingStore {
+        Instant since;
+        /// An earlier call may have taken effect.
+        bool isOutcomeUnknown = false;
+    };
+    /// Jobs of which the store may have a segment of this runner that is not listed yet.
+    std::map<JobId, PendingStore> pendingStores_;
     struct Admission {
         Instant until;
         std::uint64_t tokens = 0;
@@ -125,7 +136,7 @@
     /// Moving average of the duration of item runs that were not resumed.
     Duration meanRunTime_;
     Jobs::StallDetector stalls_;
-    std::size_t pendingStores_ = 0;
+    std::size_t pendingStoreCalls_ = 0;
     bool isLeaving_ = false;
 };
 
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -636,3 +636,30 @@
     EXPECT_EQ(page.at("results").as_array().size(), 1U) << json::serialize(page);
     thread_.call([&] { held.clear(); });
 }
+
+/// The store applies a segment and its responses are lost. Guards against an owner that answers "nothing yet" while others read the segment
+/// from the store.
+TEST_F(JobsTest, ASegmentWhoseStoringHasAnUnknownOutcomeIsNotHidden)
+{
+    std::atomic<bool> holds = true;
+    std::vector<FleetServer::Writer> held;
+    addServer("s1", [&](int number, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        if (!holds)
+            return complete(number, request, writer);
+        held.push_back(writer);
+    });
+    auto &entry = startNode("entry-1");
+    auto &runner = startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    waitUntil([&] { return entry.runnersHash() == runner.runnersHash() && runner.runnersHash() != 0; });
+    ASSERT_EQ(ask(entry, submissionOf("j", 1))->status, 202);
+    waitUntil([&] { return !held.empty(); });
+    waitUntilConfirmed(runner, "j");
+    thread_.call([&] { store_->faults().setFaults({.loseAnswerShare = 1}); });
+    // The item is sent again once the server has kept it waiting for too long.
+    holds = false;
+    waitUntil([&] { return store_->table().get(Jobs::segmentKind, Jobs::segmentObject(JobId("j"), 0)).has_value(); });
+    auto const page = read(entry, "j", 0, 10);
+    EXPECT_EQ(page.at("results").as_array().size(), 1U) << json::serialize(page);
+    thread_.call([&] { held.clear(); });
+}
