Acknowledge the repeat of a stored job under a lower limit

Cause: a job that is larger than its route's limit of waiting tokens was refused with 429 without a look at the store. If a desired state lowered the limit after the job was accepted, each repeat was refused, unless it came to the same entry within two seconds.

Change: such a job is looked up in the store like any other one that does not fit. A refusal of a job that is not stored costs one read.

Test: JobsTest.ARepeatOfAStoredJobIsAcknowledgedUnderALowerLimit; before: ask(second, submissionOf("a", 1, 60'000))->status "Which is: 429" instead of 202.

--- a/Services/Node/JobApiHandler.cpp
+++ b/Services/Node/JobApiHandler.cpp
@@ -88,8 +88,9 @@
     bool const isKnown = accepted_.contains(record.id);
     if (maxWaitingTokens == 0 || isKnown || expected + submission->tokens * LocalAdmissionHeadroom <= maxWaitingTokens)
         return storePart(submission, 0);
+    // The limit may have been higher when the job was stored.
     if (submission->tokens > maxWaitingTokens)
-        return refuseForQuota(submission, maxWaitingTokens);
+        return acknowledgeIfStored(submission, maxWaitingTokens);
     requestAdmission(route, submission);
 }
 
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -663,3 +663,19 @@
     EXPECT_EQ(page.at("results").as_array().size(), 1U) << json::serialize(page);
     thread_.call([&] { held.clear(); });
 }
+
+/// A desired state lowers the limit of waiting tokens below the size of a job that is stored. Guards against refusing its repeat, after
+/// which the caller would consider the job as not accepted.
+TEST_F(JobsTest, ARepeatOfAStoredJobIsAcknowledgedUnderALowerLimit)
+{
+    auto &first = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(first);
+    while (ask(first, submissionOf("a", 1, 60'000))->status != 202)
+        ;
+    putState(2, "", 50'000);
+    auto &second = startNode("entry-2");
+    waitUntilReady(second);
+    EXPECT_EQ(ask(second, submissionOf("a", 1, 60'000))->status, 202);
+    EXPECT_EQ(ask(second, submissionOf("b", 1, 60'000))->status, 429);
+}
