Bound what a client buffers of a chunked response's framing

A server may send bytes without end. The parser needs the complete line of a chunk, and all trailers, before it takes any of them, and it counts neither as part of the head or the body. The buffer of the connection had no limit, so that a chunk size, a chunk extension or a trailer without end was buffered until the exchange timed out, and the timeout of a stream is its deadline. At 200 Mbit/s that is 25 MB a second for one request.

The buffer now holds at most as many bytes as a head may have. A line or trailers that don't fit are a malformed response: the exchange fails and the connection is closed.

The stand-in sends up to 64 MiB.

--- a/Libraries/LibHttp/ClientConnection.h
+++ b/Libraries/LibHttp/ClientConnection.h
@@ -6,10 +6,12 @@
 
 namespace Anvilyard::Http {
 
-/// A connection to a server, with the bytes read beyond the last message.
+/// A connection to a server, with the bytes read but not parsed yet.
 struct ClientConnection {
-    explicit ClientConnection(boost::asio::io_context &io)
+    /// `maxBufferBytes`: limit of a head, the line of a chunk or the trailers, which are parsed only once they are complete.
+    ClientConnection(boost::asio::io_context &io, std::size_t maxBufferBytes)
         : socket(io)
+        , buffer(maxBufferBytes)
     {
     }
 
--- a/Libraries/LibHttp/ClientExchange.cpp
+++ b/Libraries/LibHttp/ClientExchange.cpp
@@ -88,7 +88,7 @@
 {
     setStage(Stage::Connecting, request_.connectTimeout);
     auto const endpoint = parseAddress(request_.server);
-    connection_ = std::make_unique<ClientConnection>(shared_->io);
+    connection_ = std::make_unique<ClientConnection>(shared_->io, shared_->options.headLimitBytes);
     if (!endpoint) {
         asio::post(shared_->io,
                    [self = shared_from_this(), detail = endpoint.error().detail] { self->fail(HttpError::BadAddress, detail); });
--- a/Tests/Fakes/ScriptedServer.cpp
+++ b/Tests/Fakes/ScriptedServer.cpp
@@ -18,13 +18,26 @@
     , public std::enable_shared_from_this<ScriptedConnection>
 {
 public:
-    ScriptedConnection(asio::ip::tcp::socket socket, std::size_t index, ScriptedServer::Script script)
+    ScriptedConnection(asio::ip::tcp::socket socket,
+                       std::size_t index,
+                       ScriptedServer::Script script,
+                       std::shared_ptr<std::size_t> openConnections)
         : socket_(std::move(socket))
         , index_(index)
         , script_(std::move(script))
+        , openConnections_(std::move(openConnections))
     {
+        ++*openConnections_;
     }
 
+    ~ScriptedConnection() override
+    {
+        --*openConnections_;
+    }
+
+    ScriptedConnection(ScriptedConnection const &) = delete;
+    ScriptedConnection &operator=(ScriptedConnection const &) = delete;
+
     [[nodiscard]] std::size_t index() const override
     {
         return index_;
@@ -46,6 +59,12 @@
         flush();
     }
 
+    void sendFrom(std::function<std::string()> source) override
+    {
+        source_ = std::move(source);
+        flush();
+    }
+
     void close() override
     {
         isClosing_ = true;
@@ -62,8 +81,10 @@
     void read()
     {
         socket_.async_read_some(asio::buffer(piece_), [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
-            if (error)
+            if (error) {
+                self->source_ = nullptr;
                 return;
+            }
             self->received_.append(self->piece_.data(), size);
             self->processHeads();
             self->read();
@@ -85,7 +106,10 @@
     {
         if (isWriting_ || !socket_.is_open())
             return;
+        if (pending_.empty() && source_)
+            pending_ = source_();
         if (pending_.empty()) {
+            source_ = nullptr;
             if (isClosing_)
                 socket_.close();
             return;
@@ -94,7 +118,9 @@
         inFlight_ = std::exchange(pending_, {});
         asio::async_write(socket_, asio::buffer(inFlight_), [self = shared_from_this()](boost::system::error_code error, std::size_t) {
             self->isWriting_ = false;
-            if (!error)
+            if (error)
+                self->source_ = nullptr;
+            else
                 self->flush();
         });
     }
@@ -102,12 +128,14 @@
     asio::ip::tcp::socket socket_;
     std::size_t index_;
     ScriptedServer::Script script_;
+    std::shared_ptr<std::size_t> openConnections_;
     std::array<char, 4096> piece_{};
     std::string received_;
     std::string head_;
     std::size_t requests_ = 0;
     std::string pending_;
     std::string inFlight_;
+    std::function<std::string()> source_;
     bool isWriting_ = false;
     bool isClosing_ = false;
 };
@@ -132,13 +160,18 @@
         return connections_;
     }
 
+    [[nodiscard]] std::size_t openConnections() const override
+    {
+        return *openConnections_;
+    }
+
 private:
     void accept()
     {
         acceptor_.async_accept([this](boost::system::error_code error, asio::ip::tcp::socket socket) {
             if (error)
                 return;
-            std::make_shared<ScriptedConnection>(std::move(socket), connections_++, script_)->read();
+            std::make_shared<ScriptedConnection>(std::move(socket), connections_++, script_, openConnections_)->read();
             accept();
         });
     }
@@ -146,6 +179,8 @@
     asio::ip::tcp::acceptor acceptor_;
     Script script_;
     std::size_t connections_ = 0;
+    /// Connections may outlive the server.
+    std::shared_ptr<std::size_t> openConnections_ = std::make_shared<std::size_t>(0);
 };
 
 } // namespace
--- a/Tests/Fakes/ScriptedServer.h
+++ b/Tests/Fakes/ScriptedServer.h
@@ -25,6 +25,8 @@
         /// The request head that the script is called for.
         [[nodiscard]] virtual std::string const &head() const = 0;
         virtual void send(std::string bytes) = 0;
+        /// Sends what the source returns, as fast as the client reads it, until the source returns nothing or the connection ends.
+        virtual void sendFrom(std::function<std::string()> source) = 0;
         /// Closes the connection once all pending bytes are sent.
         virtual void close() = 0;
         /// Resets the connection once all pending bytes are sent.
@@ -38,6 +40,8 @@
     virtual ~ScriptedServer() = default;
     [[nodiscard]] virtual Address address() const = 0;
     [[nodiscard]] virtual std::size_t connections() const = 0;
+    /// Number of connections that neither side has closed.
+    [[nodiscard]] virtual std::size_t openConnections() const = 0;
 };
 
 } // namespace Anvilyard::Tests
--- a/Tests/LibHttp/TestHostileServers.cpp
+++ b/Tests/LibHttp/TestHostileServers.cpp
@@ -8,6 +8,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <thread>
 
 using namespace Anvilyard;
 using namespace Anvilyard::Http;
@@ -48,6 +49,29 @@
         });
     }
 
+    /// Sends the bytes in response to the first request of each connection, and then the same bytes again and again until the client closes
+    /// the connection or the stand-in has sent `MaxEndlessBytes`.
+    void serveEndlessly(std::string first, std::string repeated)
+    {
+        serve([this, first = std::move(first), repeated = std::move(repeated)](ScriptedServer::Connection &connection, std::size_t) {
+            connection.send(first);
+            std::string block;
+            while (block.size() < EndlessBlockBytes)
+                block += repeated;
+            connection.sendFrom([this, block] {
+                auto const isOver = endlessBytes_ >= MaxEndlessBytes;
+                endlessBytes_ += block.size();
+                return isOver ? std::string() : block;
+            });
+        });
+    }
+
+    void waitUntilServerHasNoConnection()
+    {
+        while (thread_.call([this] { return server_->openConnections(); }) > 0)
+            std::this_thread::yield();
+    }
+
     std::future<Answer> start(std::string target = "/",
                               Duration timeout = 10s,
                               ClientRequest::Framing framing = ClientRequest::Framing::Delimited,
@@ -77,6 +101,11 @@
     std::unique_ptr<ScriptedServer> server_;
     std::unique_ptr<HttpClient> client_;
     std::size_t bodyLimitBytes_ = 1000;
+    /// What an endless response sends at a time, and in all. The socket buffers of both sides hold less than MaxTakenBytes.
+    static constexpr std::size_t EndlessBlockBytes = 64 * 1024;
+    static constexpr std::size_t MaxEndlessBytes = 64 * 1024 * 1024;
+    static constexpr std::size_t MaxTakenBytes = 16 * 1024 * 1024;
+    std::size_t endlessBytes_ = 0;
 };
 
 /// Like a server of the platform, a response names its request in a header; one that names none is accepted.
@@ -85,6 +114,56 @@
     return head.headers.find("Id").value_or("this") == "this";
 }
 
+struct EndlessResponseCase {
+    std::string name;
+    std::string first;
+    std::string repeated;
+    HttpError error;
+};
+
+std::vector<EndlessResponseCase> endlessHeads()
+{
+    return {
+        {"bytes that are no HTTP", "", "\x16\x03\x01\xff", HttpError::Malformed},
+        {"lines that are no HTTP", "", "hello\r\n", HttpError::Malformed},
+        {"line ends", "", "\r\n", HttpError::Malformed},
+        {"status line", "HTTP/1.1 200 ", "OK", HttpError::HeadTooLarge},
+        {"header name", "HTTP/1.1 200 OK\r\n", "name", HttpError::HeadTooLarge},
+        {"header value", "HTTP/1.1 200 OK\r\nName: ", "value", HttpError::HeadTooLarge},
+        {"header fields", "HTTP/1.1 200 OK\r\n", "Name: value\r\n", HttpError::HeadTooLarge},
+    };
+}
+
+std::vector<EndlessResponseCase> endlessBodies()
+{
+    std::string const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    return {
+        {"body of chunks", chunked, "5\r\nhello\r\n", HttpError::BodyTooLarge},
+        {"body of chunks, status 500",
+         "HTTP/1.1 500 Internal Server Error\r\nTransfer-Encoding: chunked\r\n\r\n",
+         "5\r\nhello\r\n",
+         HttpError::BodyTooLarge},
+        {"body until close", "HTTP/1.1 200 OK\r\n\r\n", "hello", HttpError::BodyTooLarge},
+        {"body until close, status 500", "HTTP/1.1 500 Internal Server Error\r\n\r\n", "hello", HttpError::BodyTooLarge},
+        {"body with a length", "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n", "hello", HttpError::BodyTooLarge},
+    };
+}
+
+/// The parts of a chunked body that carry no byte of it.
+std::vector<EndlessResponseCase> endlessFraming()
+{
+    std::string const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    return {
+        {"size of a chunk", chunked, "0", HttpError::Malformed},
+        {"size of a chunk after a chunk", chunked + "5\r\nhello\r\n", "0", HttpError::Malformed},
+        {"extension of a chunk", chunked + "5;name=", "value", HttpError::Malformed},
+        {"extensions of a chunk", chunked + "5", ";name=value", HttpError::Malformed},
+        {"extension of the last chunk", chunked + "0;name=", "value", HttpError::Malformed},
+        {"trailer", chunked + "0\r\nName: ", "value", HttpError::Malformed},
+        {"trailers", chunked + "5\r\nhello\r\n0\r\n", "Name: value\r\n", HttpError::Malformed},
+    };
+}
+
 struct BadResponseCase {
     std::string name;
     std::string bytes;
@@ -128,6 +207,40 @@
 
 } // namespace
 
+/// Guards against reading a head or a body without end: the client fails and closes the connection.
+TEST_F(HostileServersTest, EndlessHeadsAndBodiesAreCutOff)
+{
+    auto cases = endlessHeads();
+    for (auto &body : endlessBodies())
+        cases.push_back(std::move(body));
+    for (auto const &[name, first, repeated, error] : cases) {
+        serveEndlessly(first, repeated);
+        auto const answer = start("/", 10s, ClientRequest::Framing::CloseMayEnd).get();
+        ASSERT_FALSE(answer) << name;
+        EXPECT_EQ(answer.error().error.code, error) << name << ": " << answer.error().error.toString();
+        waitUntilServerHasNoConnection();
+        EXPECT_LT(std::exchange(endlessBytes_, 0), MaxTakenBytes) << name;
+        TearDown();
+    }
+    serveOnce("");
+}
+
+/// Guards against buffering the framing of a chunked body without limit. The parser needs the complete line of a chunk, or all trailers,
+/// and counts neither as part of the head or the body.
+TEST_F(HostileServersTest, EndlessFramingOfChunksIsCutOff)
+{
+    for (auto const &[name, first, repeated, error] : endlessFraming()) {
+        serveEndlessly(first, repeated);
+        auto const answer = fetch("/", 3s);
+        ASSERT_FALSE(answer) << name;
+        EXPECT_EQ(answer.error().error.code, error) << name << ": " << answer.error().error.toString();
+        waitUntilServerHasNoConnection();
+        EXPECT_LT(std::exchange(endlessBytes_, 0), MaxTakenBytes) << name;
+        TearDown();
+    }
+    serveOnce("");
+}
+
 /// Invalid responses must be reported as failures. The parser alone accepts unknown transfer codings, a switch of protocols (101
 /// looks like an interim response) and bodies that end with the connection, so ClientExchange has to check for them.
 TEST_F(HostileServersTest, InvalidResponsesAreFailures)
