Let no other response extend the wait for a response's head

The head timeout limits the wait for a response after its request was sent. It began anew with each interim response, and with each response to another request that was read and discarded. The body of such a response was limited by the progress timeout only, which begins anew with each piece. A server that sends one of these now and then, without end, kept a request until the deadline of its exchange: for an item of a batch job that is a minute rather than two seconds, and an online request had no time left for another server.

The deadline of the head is now set once, when the request has been sent, and also limits the reading of a response to another request.

Before the change, the new test printed for interim responses and for complete and unfinished responses to other requests:

Value of: answer Actual: true Expected: false

and for an unfinished response in chunks, which is cut off by the stand-in's next bytes, http:5 (malformed) instead of http:4 (nothing arrived in time). All tests of TestLibHttp passed five times in a row after the change.

--- a/Libraries/LibHttp/ClientExchange.cpp
+++ b/Libraries/LibHttp/ClientExchange.cpp
@@ -80,13 +80,13 @@
     connectionUse_ = ConnectionUse::Reused;
     request_.headTimeout = request_.reusedHeadTimeout.value_or(request_.headTimeout);
     // Posting the task ensures that no handler is called from within send().
-    setStage(Stage::Sending, request_.headTimeout);
+    setStage(Stage::Sending, readLocalClock() + request_.headTimeout);
     asio::post(shared_->io, [self = shared_from_this()] { self->sendRequest(); });
 }
 
 void ClientExchange::connect()
 {
-    setStage(Stage::Connecting, request_.connectTimeout);
+    setStage(Stage::Connecting, readLocalClock() + request_.connectTimeout);
     auto const endpoint = parseAddress(request_.server);
     connection_ = std::make_unique<ClientConnection>(shared_->io, shared_->options.headLimitBytes);
     if (!endpoint) {
@@ -100,7 +100,7 @@
         if (error)
             return self->fail(HttpError::ConnectFailed, error.message());
         self->applySocketOptions();
-        self->setStage(Stage::Sending, self->request_.headTimeout);
+        self->setStage(Stage::Sending, readLocalClock() + self->request_.headTimeout);
         self->sendRequest();
     });
 }
@@ -137,13 +137,14 @@
             return;
         if (error)
             return self->fail(HttpError::ClosedEarly, error.message());
+        self->headDeadline_ = readLocalClock() + self->request_.headTimeout;
         self->readHead();
     });
 }
 
 void ClientExchange::readHead()
 {
-    setStage(Stage::AwaitingHead, request_.headTimeout);
+    setStage(Stage::AwaitingHead, headDeadline_);
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(shared_->options.headLimitBytes));
     parser_->body_limit(request_.bodyLimitBytes);
@@ -178,7 +179,7 @@
     // A response to another request does not show how far this one got.
     if (isUnmatched_)
         reached_ = Reached::Sent;
-    setStage(Stage::ReadingBody, request_.progressTimeout);
+    setStage(Stage::ReadingBody, pieceDeadline());
     piece_.resize(PieceBytes);
     if (!isUnmatched_ && handlers_.onHead)
         handlers_.onHead(std::move(head));
@@ -194,7 +195,7 @@
     // A body that ends only with the connection cannot be distinguished from a truncated one.
     if (parser_->need_eof() && (isUnmatched_ || request_.framing == ClientRequest::Framing::Delimited))
         return fail(HttpError::Malformed, "the response has neither a length nor chunks");
-    setStage(Stage::ReadingBody, request_.progressTimeout);
+    setStage(Stage::ReadingBody, pieceDeadline());
     auto &body = parser_->get().body();
     body.data = piece_.data();
     body.size = piece_.size();
@@ -286,7 +287,7 @@
 {
     if (!std::exchange(paused_, false) || stage_ != Stage::ReadingBody)
         return;
-    setStage(Stage::ReadingBody, request_.progressTimeout);
+    setStage(Stage::ReadingBody, pieceDeadline());
     readPiece();
 }
 
@@ -302,11 +303,18 @@
     fail(HttpError::Silent, "no progress in time");
 }
 
-void ClientExchange::setStage(Stage stage, Duration timeout)
+/// The body of another response does not extend the wait for the head of the expected one.
+Instant ClientExchange::pieceDeadline() const
+{
+    auto const deadline = readLocalClock() + request_.progressTimeout;
+    return isUnmatched_ ? std::min(deadline, headDeadline_) : deadline;
+}
+
+void ClientExchange::setStage(Stage stage, Instant until)
 {
     stage_ = stage;
     bool const isPausedBody = paused_ && stage == Stage::ReadingBody;
-    deadline_ = isPausedBody ? request_.deadline : std::min(readLocalClock() + timeout, request_.deadline);
+    deadline_ = isPausedBody ? request_.deadline : std::min(until, request_.deadline);
 }
 
 } // namespace Anvilyard::Http
--- a/Libraries/LibHttp/ClientExchange.h
+++ b/Libraries/LibHttp/ClientExchange.h
@@ -70,7 +70,8 @@
     void fail(HttpError error, std::string detail);
     void failRead(boost::system::error_code error);
     void end();
-    void setStage(Stage stage, Duration timeout);
+    [[nodiscard]] Instant pieceDeadline() const;
+    void setStage(Stage stage, Instant until);
 
     using Request = boost::beast::http::request<boost::beast::http::string_body>;
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
@@ -86,6 +87,8 @@
     std::vector<char> piece_;
     Stage stage_ = Stage::Connecting;
     Instant deadline_ = Instant::max();
+    /// When the head of the expected response is due.
+    Instant headDeadline_ = Instant::max();
     Reached reached_ = Reached::NothingSent;
     ConnectionUse connectionUse_ = ConnectionUse::Fresh;
     bool paused_ = false;
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -50,7 +50,7 @@
     /// Deadline of the complete exchange.
     Instant deadline;
     Duration connectTimeout = 1s;
-    /// Maximum wait for the response's head after the request was sent.
+    /// Maximum wait for the response's head after the request was sent. Neither interim responses nor those to other requests extend it.
     Duration headTimeout = 30s;
     /// Head timeout on a reused connection, which may have failed silently since the earlier exchange. Defaults to `headTimeout`.
     std::optional<Duration> reusedHeadTimeout;
--- a/Tests/LibHttp/TestHostileServers.cpp
+++ b/Tests/LibHttp/TestHostileServers.cpp
@@ -82,7 +82,7 @@
             client_->fetch({.server = server_->address(),
                             .request = {.method = "GET", .target = target},
                             .deadline = readLocalClock() + timeout,
-                            .headTimeout = timeout,
+                            .headTimeout = headTimeout_.value_or(timeout),
                             .progressTimeout = timeout,
                             .bodyLimitBytes = bodyLimitBytes_,
                             .framing = framing,
@@ -101,6 +101,8 @@
     std::unique_ptr<ScriptedServer> server_;
     std::unique_ptr<HttpClient> client_;
     std::size_t bodyLimitBytes_ = 1000;
+    /// Defaults to the timeout of the exchange.
+    std::optional<Duration> headTimeout_;
     /// What an endless response sends at a time, and in all. The socket buffers of both sides hold less than MaxTakenBytes.
     static constexpr std::size_t EndlessBlockBytes = 64 * 1024;
     static constexpr std::size_t MaxEndlessBytes = 64 * 1024 * 1024;
@@ -390,6 +392,47 @@
     thread_.call([&] { timer.reset(); });
 }
 
+/// Guards against waiting for a head beyond its timeout while other responses arrive: interim responses, or those to other requests.
+TEST_F(HostileServersTest, OtherResponsesDoNotExtendTheWaitForTheHead)
+{
+    constexpr Duration Interval = 30ms;
+    constexpr std::size_t Repetitions = 100;
+    headTimeout_ = 200ms;
+    bodyLimitBytes_ = 100'000;
+    std::vector<std::pair<std::string, std::string>> const cases = {
+        {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+        {"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nhello"},
+        {"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 100\r\n\r\n", "x"},
+        {"HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+    };
+    for (auto const &[first, repeated] : cases) {
+        std::unique_ptr<Timer> timer;
+        std::size_t sent = 0;
+        std::function<void(std::weak_ptr<ScriptedServer::Connection> const &)> repeat = [&](auto const &handle) {
+            auto const connection = handle.lock();
+            if (!connection)
+                return;
+            if (sent++ == Repetitions)
+                return connection->send(std::string(CompleteResponse));
+            connection->send(repeated);
+            timer = thread_.loop().at(readLocalClock() + Interval, [&repeat, handle] { repeat(handle); });
+        };
+        serve([&](ScriptedServer::Connection &connection, std::size_t) {
+            connection.send(first);
+            repeat(connection.handle());
+        });
+        auto const answer = start("/", 20s, ClientRequest::Framing::CloseMayEnd, matchesThis).get();
+        EXPECT_FALSE(answer) << first << repeated;
+        if (!answer) {
+            EXPECT_EQ(answer.error().error.code, HttpError::Silent) << first << repeated;
+            EXPECT_EQ(answer.error().reached, Reached::Sent) << first << repeated;
+        }
+        thread_.call([&] { timer.reset(); });
+        TearDown();
+    }
+    serveOnce("");
+}
+
 TEST_F(HostileServersTest, CancelledExchangeCallsNoHandler)
 {
     serve([](ScriptedServer::Connection &connection, std::size_t) { connection.send(std::string(CompleteResponse)); });
