Limit the responses that are discarded before the expected one

Interim responses, and responses to other requests, are read and discarded. A server that sends such responses as fast as it can occupied the node's only thread with their parsing until the head timeout, as neither their number nor their size had a limit beyond that of a single one.

The interim responses of an exchange may now be as large as a head, and the responses to other requests as large as one response, counted as received. A server that sends more has the exchange fail and its connection closed.

--- a/Libraries/LibHttp/ClientExchange.cpp
+++ b/Libraries/LibHttp/ClientExchange.cpp
@@ -153,10 +153,10 @@
     wire::async_read_header(connection_->socket,
                             connection_->buffer,
                             *parser_,
-                            [self = shared_from_this()](boost::system::error_code error, std::size_t) { self->onHead(error); });
+                            [self = shared_from_this()](boost::system::error_code error, std::size_t size) { self->onHead(error, size); });
 }
 
-void ClientExchange::onHead(boost::system::error_code error)
+void ClientExchange::onHead(boost::system::error_code error, std::size_t size)
 {
     if (stage_ != Stage::AwaitingHead)
         return;
@@ -167,8 +167,12 @@
         return fail(HttpError::Malformed, "the head is joined from those of two responses");
     if (message.result() == wire::status::switching_protocols)
         return fail(HttpError::Malformed, "the server switched to a protocol that was not asked for");
-    if (message.result_int() >= 100 && message.result_int() < 200)
+    if (message.result_int() >= 100 && message.result_int() < 200) {
+        interimBytes_ += size;
+        if (interimBytes_ > shared_->options.headLimitBytes)
+            return fail(HttpError::HeadTooLarge, "the interim responses exceed the limit of a head");
         return readHead();
+    }
     reached_ = Reached::ResponseStarted;
     if (hasUnknownCoding(message))
         return fail(HttpError::Malformed, "the response's transfer coding is not chunked");
@@ -177,8 +181,10 @@
         head.headers.append({std::string(field.name_string()), std::string(field.value())});
     isUnmatched_ = request_.matchesRequest && !request_.matchesRequest(head);
     // A response to another request does not show how far this one got.
-    if (isUnmatched_)
+    if (isUnmatched_) {
         reached_ = Reached::Sent;
+        discardedBytes_ += size;
+    }
     setStage(Stage::ReadingBody, pieceDeadline());
     piece_.resize(PieceBytes);
     if (!isUnmatched_ && handlers_.onHead)
@@ -190,6 +196,9 @@
 {
     if (stage_ != Stage::ReadingBody || paused_ || readPending_)
         return;
+    auto const headLimitBytes = shared_->options.headLimitBytes;
+    if (discardedBytes_ > headLimitBytes && discardedBytes_ - headLimitBytes > request_.bodyLimitBytes)
+        return fail(HttpError::BodyTooLarge, "the responses to other requests exceed the limit of one response");
     if (parser_->is_done())
         return isUnmatched_ ? readHead() : complete();
     // A body that ends only with the connection cannot be distinguished from a truncated one.
@@ -201,18 +210,20 @@
     body.size = piece_.size();
     readPending_ = true;
     wire::async_read_some(
-        connection_->socket, connection_->buffer, *parser_, [self = shared_from_this()](boost::system::error_code error, std::size_t) {
+        connection_->socket, connection_->buffer, *parser_, [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
             self->readPending_ = false;
-            self->onPiece(error);
+            self->onPiece(error, size);
         });
 }
 
-void ClientExchange::onPiece(boost::system::error_code error)
+void ClientExchange::onPiece(boost::system::error_code error, std::size_t consumed)
 {
     if (stage_ != Stage::ReadingBody)
         return;
     if (error && error != wire::error::need_buffer)
         return failRead(error);
+    if (isUnmatched_)
+        discardedBytes_ += consumed;
     if (auto const size = piece_.size() - parser_->get().body().size; size > 0 && handlers_.onPiece && !isUnmatched_)
         handlers_.onPiece({piece_.data(), size});
     readPiece();
--- a/Libraries/LibHttp/ClientExchange.h
+++ b/Libraries/LibHttp/ClientExchange.h
@@ -62,10 +62,12 @@
     void connect();
     void sendRequest();
     void readHead();
-    void onHead(boost::system::error_code error);
+    /// `size`: bytes of the head, as received.
+    void onHead(boost::system::error_code error, std::size_t size);
     void readPiece();
     void applySocketOptions();
-    void onPiece(boost::system::error_code error);
+    /// `consumed`: bytes of the piece as received, with the framing of its chunks.
+    void onPiece(boost::system::error_code error, std::size_t consumed);
     void complete();
     void fail(HttpError error, std::string detail);
     void failRead(boost::system::error_code error);
@@ -95,6 +97,9 @@
     bool readPending_ = false;
     /// Whether the current response belongs to another request.
     bool isUnmatched_ = false;
+    /// Bytes of interim responses, and of responses to other requests.
+    std::size_t interimBytes_ = 0;
+    std::size_t discardedBytes_ = 0;
 };
 
 } // namespace Anvilyard::Http
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -56,6 +56,7 @@
     std::optional<Duration> reusedHeadTimeout;
     /// Maximum wait between two pieces of the body.
     Duration progressTimeout = 30s;
+    /// Responses that are discarded before the expected one may together be as large as one response.
     std::size_t bodyLimitBytes = 64UL * 1024 * 1024;
     /// A request that must not be repeated uses FreshOnly, because an idle connection may be dead without notice.
     enum class Connection { AnyIdle, FreshOnly } connection = Connection::AnyIdle;
@@ -83,6 +84,7 @@
     std::size_t idleConnectionsPerServer = 32;
     /// Idle time after which a connection is closed rather than reused.
     Duration idleTimeout = 30s;
+    /// Maximum size of a response's head, also of all interim responses before it.
     std::size_t headLimitBytes = 32 * 1024;
     /// Time after which unacknowledged bytes break the connection. Otherwise the loss of the network path would go unnoticed for
     /// minutes.
--- a/Tests/LibHttp/TestHostileServers.cpp
+++ b/Tests/LibHttp/TestHostileServers.cpp
@@ -166,6 +166,26 @@
     };
 }
 
+/// Responses that are read and discarded before the expected one.
+std::vector<EndlessResponseCase> endlessOtherResponses()
+{
+    std::string const other = "HTTP/1.1 200 OK\r\nId: other\r\n";
+    return {
+        {"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n", HttpError::HeadTooLarge},
+        {"interim responses with a header", "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", HttpError::HeadTooLarge},
+        {"responses to other requests", "", other + "Content-Length: 5\r\n\r\nhello", HttpError::BodyTooLarge},
+        {"responses to other requests, in chunks",
+         "",
+         other + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+         HttpError::BodyTooLarge},
+        {"responses to other requests, without a body", "", other + "Content-Length: 0\r\n\r\n", HttpError::BodyTooLarge},
+        {"body of a response to another request",
+         other + "Transfer-Encoding: chunked\r\n\r\n",
+         "5;name=value\r\nhello\r\n",
+         HttpError::BodyTooLarge},
+    };
+}
+
 struct BadResponseCase {
     std::string name;
     std::string bytes;
@@ -243,6 +263,22 @@
     serveOnce("");
 }
 
+/// Guards against reading and discarding other responses as fast as the server sends them, until the head timeout.
+TEST_F(HostileServersTest, EndlessOtherResponsesAreCutOff)
+{
+    for (auto const &[name, first, repeated, error] : endlessOtherResponses()) {
+        serveEndlessly(first, repeated);
+        auto const answer = start("/", 3s, ClientRequest::Framing::CloseMayEnd, matchesThis).get();
+        ASSERT_FALSE(answer) << name;
+        EXPECT_EQ(answer.error().error.code, error) << name << ": " << answer.error().error.toString();
+        EXPECT_EQ(answer.error().reached, Reached::Sent) << name;
+        waitUntilServerHasNoConnection();
+        EXPECT_LT(std::exchange(endlessBytes_, 0), MaxTakenBytes) << name;
+        TearDown();
+    }
+    serveOnce("");
+}
+
 /// Invalid responses must be reported as failures. The parser alone accepts unknown transfer codings, a switch of protocols (101
 /// looks like an interim response) and bodies that end with the connection, so ClientExchange has to check for them.
 TEST_F(HostileServersTest, InvalidResponsesAreFailures)
