Limit the output of a batch item

A server may send bytes without end, and so may one whose events look sound. The output of an item grew with each event until the run's timeout of a minute: at 200 Mbit/s that is more than a gigabyte, in a runner of some hundred megabytes. An output beyond a megabyte also fits neither into an object of the store nor on a page of results, so that its job could not end.

The tracker now limits the output of an item, over all its runs, to what fits on a page of results. An item beyond that starts anew, as it is unknown which of its events are its own, and its run ends.

--- a/Libraries/LibJobs/JobTracker.cpp
+++ b/Libraries/LibJobs/JobTracker.cpp
@@ -178,17 +178,29 @@
         job->items[index].state = Item::State::Running;
 }
 
-void JobTracker::onEvent(JobId const &id, std::size_t index, std::optional<std::uint64_t> eventId, std::string_view data)
+bool JobTracker::onEvent(JobId const &id, std::size_t index, std::optional<std::uint64_t> eventId, std::string_view data)
 {
     auto *job = find(id, index);
     if (!job || job->items[index].state != Item::State::Running)
-        return;
+        return true;
     auto &item = job->items[index];
+    if (item.output.size() + data.size() >= options_.maxOutputBytes) {
+        restart(item);
+        return false;
+    }
     if (item.events++ > 0)
         item.output += '\n';
     item.output += data;
     item.lastEventId = eventId;
     item.pauses = 0;
+    return true;
+}
+
+void JobTracker::restart(Item &item)
+{
+    item.output.clear();
+    item.events = 0;
+    item.lastEventId.reset();
 }
 
 void JobTracker::onSendEnded(JobId const &id, std::size_t index, SendEnd end, Instant now)
@@ -215,10 +227,8 @@
         break;
     }
     // Without an event id the servers cannot resume the item, so it restarts from the beginning.
-    if (!item.lastEventId) {
-        item.output.clear();
-        item.events = 0;
-    }
+    if (!item.lastEventId)
+        restart(item);
 }
 
 void JobTracker::pause(Item &item, Instant now) const
@@ -226,10 +236,8 @@
     constexpr std::uint32_t MaxDoublings = 10;
     auto const doublings = std::min(item.pauses++, MaxDoublings);
     item.notBefore = now + std::min(options_.maxRetryPause, options_.retryPause * (1U << doublings));
-    if (!item.lastEventId) {
-        item.output.clear();
-        item.events = 0;
-    }
+    if (!item.lastEventId)
+        restart(item);
 }
 
 void JobTracker::decide(Job &job, std::size_t index, OutcomeState outcome, Instant now)
--- a/Libraries/LibJobs/JobTracker.h
+++ b/Libraries/LibJobs/JobTracker.h
@@ -29,6 +29,8 @@
     double commitShareOfTimeLeft = 0.1;
     /// Maximum time over which outcomes are collected. If a runner is lost, the items whose outcomes are not stored yet run again.
     Duration maxCommitDelay = 1500ms;
+    /// Maximum output size of an item, so that its result fits into one object and on one page.
+    std::size_t maxOutputBytes = MaxPageBytes;
     /// Maximum output size of a segment, so that it fits into one object.
     std::size_t maxSegmentBytes = 512 * 1024;
     /// Pause before an unserved item is sent again. It doubles with each attempt up to maxRetryPause.
@@ -102,8 +104,9 @@
     /// Number of waiting items by pool, including those that are not sent again yet.
     [[nodiscard]] std::map<PoolName, std::size_t> waitingByPool() const;
     void onStarted(JobId const &job, std::size_t index);
-    /// Records one event of the item's stream.
-    void onEvent(JobId const &job, std::size_t index, std::optional<std::uint64_t> eventId, std::string_view data);
+    /// Records one event of the item's stream. Returns whether the item's output is within its limit. If it is not, the item starts anew,
+    /// because some of its events cannot be its own, and the run must be ended.
+    bool onEvent(JobId const &job, std::size_t index, std::optional<std::uint64_t> eventId, std::string_view data);
     void onSendEnded(JobId const &job, std::size_t index, SendEnd end, Instant now);
     /// Gives up items that are too old or whose route is missing.
     void onTick(Instant now);
@@ -168,6 +171,7 @@
     [[nodiscard]] Duration commitDelay(Job const &job, Instant now) const;
     void decide(Job &job, std::size_t index, OutcomeState outcome, Instant now);
     void pause(Item &item, Instant now) const;
+    static void restart(Item &item);
     void list(Job &job, ResultSegment &segment);
     [[nodiscard]] bool mayRun(Job const &job, PoolName const &pool) const;
 
--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -89,7 +89,10 @@
     if (status_ != Ok || isEnded_)
         return;
     auto const eventsBefore = sequence_.count();
-    events_.take(piece, [this](std::string_view data) { hooks_.onEvent(sequence_.lastId(), data); });
+    bool isTooLarge = false;
+    events_.take(piece, [&](std::string_view data) { isTooLarge = isTooLarge || !hooks_.onEvent(sequence_.lastId(), data); });
+    if (isTooLarge)
+        return fail({.code = Http::HttpError::BodyTooLarge});
     if (eventsBefore < Serving::EventsOfAnswer && sequence_.count() >= Serving::EventsOfAnswer)
         context_.prompts.onAnswered(promptParts_);
     if (events_.isBroken())
--- a/Services/Node/ItemRun.h
+++ b/Services/Node/ItemRun.h
@@ -11,7 +11,8 @@
 {
 public:
     struct Hooks {
-        std::function<void(std::optional<std::uint64_t> eventId, std::string_view data)> onEvent;
+        /// Returns whether the item's output is within its limit.
+        std::function<bool(std::optional<std::uint64_t> eventId, std::string_view data)> onEvent;
         /// Called once unless cancelled.
         std::function<void(Jobs::SendEnd)> onEnd;
     };
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -356,7 +356,7 @@
             *next,
             ItemRun::Hooks{
                 .onEvent = [this, item = *next](std::optional<std::uint64_t> eventId,
-                                                std::string_view data) { jobs_.onEvent(item.job, item.index, eventId, data); },
+                                                std::string_view data) { return jobs_.onEvent(item.job, item.index, eventId, data); },
                 .onEnd =
                     [this, item = *next, isFullRun = !next->lastEventId](SendEnd end) {
                         auto const ended = readLocalClock();
--- a/Tests/LibJobs/TestJobTracker.cpp
+++ b/Tests/LibJobs/TestJobTracker.cpp
@@ -208,6 +208,33 @@
     EXPECT_EQ(tracker_.takeCommits(Start)[0].second.outcomes[0].output, "text");
 }
 
+/// The output grows over several runs. Guards against a limit of each run, and against resuming after an event that is not the item's own.
+TEST_F(JobTrackerTest, AnItemWhoseOutputExceedsTheLimitStartsAnew)
+{
+    JobTracker tracker({.maxOutputBytes = 10});
+    tracker.add(recordOf("j", 1), {}, 0s, Start);
+    tracker.setPolicy(JobId("j"), policy(), Start);
+    auto const start = [&](Instant now) {
+        auto const next = tracker.next(batchPool, RunTime, now);
+        EXPECT_TRUE(next);
+        tracker.onStarted(next->job, next->index);
+        return *next;
+    };
+    auto const first = start(Start);
+    EXPECT_TRUE(tracker.onEvent(first.job, first.index, 0, "12345"));
+    tracker.onSendEnded(first.job, first.index, SendEnd::Preempted, Start);
+    auto const second = start(Start);
+    EXPECT_EQ(second.lastEventId, 0U);
+    EXPECT_FALSE(tracker.onEvent(second.job, second.index, 1, "67890"));
+    tracker.onSendEnded(second.job, second.index, SendEnd::Unserved, Start);
+    auto const third = start(Start + 10s);
+    EXPECT_FALSE(third.lastEventId);
+    EXPECT_TRUE(tracker.onEvent(third.job, third.index, 0, "12345"));
+    EXPECT_TRUE(tracker.onEvent(third.job, third.index, 1, "6789"));
+    tracker.onSendEnded(third.job, third.index, SendEnd::Complete, Start + 10s);
+    EXPECT_EQ(tracker.takeCommits(Start + 10s).at(0).second.outcomes.at(0).output, "12345\n6789");
+}
+
 TEST_F(JobTrackerTest, AnItemIsGivenUpAfterMaxAttemptsOrAtOnceIfImpossible)
 {
     add("j", 2);
