Read the start of a chunked response before it is parsed

A server that sends an empty body in chunks ended the node's process. If the body's "0\r\n" arrives first and only one byte more follows with the next read, the parser of Boost.Beast is called again with four bytes of the last chunk. It asserts that there are at least five. That holds if another chunk precedes, because the line end after that chunk counts, but not if the last chunk is the first one. The programs are built with assertions.

A chunked body has at least five bytes, so the exchange now reads as many before the parser gets the first of them.

Before the change, the new test of the client ended with

basic_parser<isRequest>::parse_chunk_header(...) [with bool isRequest = false; ...]: Assertion `n >= 5' failed.

--- a/Libraries/LibHttp/ClientExchange.cpp
+++ b/Libraries/LibHttp/ClientExchange.cpp
@@ -1,6 +1,7 @@
 #include "LibHttp/ClientExchange.h"
 
 #include "LibHttp/AddressParser.h"
+#include "LibHttp/ChunkStart.h"
 #include "LibHttp/TransferCoding.h"
 
 #include <algorithm>
@@ -146,6 +147,7 @@
 {
     setStage(Stage::AwaitingHead, headDeadline_);
     parser_.emplace();
+    hasChunkStart_ = false;
     parser_->header_limit(static_cast<std::uint32_t>(shared_->options.headLimitBytes));
     parser_->body_limit(request_.bodyLimitBytes);
     if (message_.method() == wire::verb::head)
@@ -205,6 +207,13 @@
     if (parser_->need_eof() && (isUnmatched_ || request_.framing == ClientRequest::Framing::Delimited))
         return fail(HttpError::Malformed, "the response has neither a length nor chunks");
     setStage(Stage::ReadingBody, pieceDeadline());
+    if (parser_->chunked() && !std::exchange(hasChunkStart_, true)) {
+        readPending_ = true;
+        return readChunkStart(connection_->socket, connection_->buffer, [self = shared_from_this()] {
+            self->readPending_ = false;
+            self->readPiece();
+        });
+    }
     auto &body = parser_->get().body();
     body.data = piece_.data();
     body.size = piece_.size();
--- a/Libraries/LibHttp/ClientExchange.h
+++ b/Libraries/LibHttp/ClientExchange.h
@@ -95,6 +95,8 @@
     ConnectionUse connectionUse_ = ConnectionUse::Fresh;
     bool paused_ = false;
     bool readPending_ = false;
+    /// Whether the start of the current response's chunked body was read.
+    bool hasChunkStart_ = false;
     /// Whether the current response belongs to another request.
     bool isUnmatched_ = false;
     /// Bytes of interim responses, and of responses to other requests.
--- a/Tests/LibHttp/TestHostileServers.cpp
+++ b/Tests/LibHttp/TestHostileServers.cpp
@@ -336,6 +336,33 @@
     EXPECT_EQ(answer->status, 200);
 }
 
+/// Guards against an assertion of the parser, which ends the process, if the last chunk is the first one and arrives in certain pieces.
+TEST_F(HostileServersTest, AnEmptyChunkedBodyMayArriveInAnyPieces)
+{
+    std::string const body = "0\r\n\r\n";
+    for (std::size_t first = 0; first < body.size(); ++first) {
+        for (std::size_t second = first; second < body.size(); ++second) {
+            std::unique_ptr<Timer> timer;
+            serve([&](ScriptedServer::Connection &connection, std::size_t) {
+                connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body.substr(0, first));
+                timer = thread_.loop().at(readLocalClock() + 5ms, [&, handle = connection.handle()] {
+                    if (auto const started = handle.lock())
+                        started->send(body.substr(first, second - first));
+                    timer = thread_.loop().at(readLocalClock() + 5ms, [&, handle] {
+                        if (auto const started = handle.lock())
+                            started->send(body.substr(second));
+                    });
+                });
+            });
+            auto const answer = fetch();
+            EXPECT_TRUE(answer) << first << " " << second;
+            thread_.call([&] { timer.reset(); });
+            TearDown();
+        }
+    }
+    serveOnce("");
+}
+
 /// Bytes after the end of a response must not be used for the next request. That would happen if a connection with surplus bytes
 /// were reused, whether they arrive with the response or while the connection is idle.
 TEST_F(HostileServersTest, SurplusBytesAreNeverUsedForTheNextRequest)
