Read the start of a chunked request before it is parsed

A caller that sends an empty body in chunks ended the node's process, as a server did: if the body's "0\r\n" arrives first and only one byte more follows with the next read, the parser of Boost.Beast asserts that it has five bytes of the last chunk, and has four.

The connection now reads the five bytes that any chunked body has before the parser gets the first of them, for bodies that are buffered and for those that are streamed.

Before the change, the new test ended with

basic_parser<isRequest>::parse_chunk_header(...) [with bool isRequest = true; ...]: Assertion `n >= 5' failed.

--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -1,5 +1,6 @@
 #include "LibHttp/ServerConnection.h"
 
+#include "LibHttp/ChunkStart.h"
 #include "LibHttp/HttpError.h"
 #include "LibHttp/ServerResponseWriter.h"
 #include "LibHttp/TransferCoding.h"
@@ -161,17 +162,24 @@
 void ServerConnection::continueIfExpected(std::function<void()> next)
 {
     if (!equalsIgnoringCase(std::string(headParser_->get()[wire::field::expect]), "100-continue"))
-        return next();
+        return readBodyStart(std::move(next));
     auto const text = std::make_shared<std::string>("HTTP/1.1 100 Continue\r\n\r\n");
     asio::async_write(socket_,
                       asio::buffer(*text),
                       [self = shared_from_this(), text, next = std::move(next)](boost::system::error_code error, std::size_t) {
                           if (error)
                               return self->close(CloseReason::CallerClosed);
-                          next();
+                          self->readBodyStart(next);
                       });
 }
 
+void ServerConnection::readBodyStart(std::function<void()> next)
+{
+    if (!headParser_->chunked())
+        return next();
+    readChunkStart(socket_, buffer_, [self = shared_from_this(), next = std::move(next)] { next(); });
+}
+
 void ServerConnection::readFullBody()
 {
     if (auto const length = headParser_->content_length(); length && *length > shared_->options.limits.bodyLimitBytes)
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -74,6 +74,7 @@
     /// Called once a response starts, which ends the delivery of the request's body.
     void stopReadingBody();
     void continueIfExpected(std::function<void()> next);
+    void readBodyStart(std::function<void()> next);
     void dispatchRequest(HttpRequest request);
     void watchForDisconnect();
     void refuse(Refusal const &refusal);
--- a/Tests/LibHttp/TestHostileCallers.cpp
+++ b/Tests/LibHttp/TestHostileCallers.cpp
@@ -8,6 +8,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <thread>
 
 using namespace Anvilyard;
 using namespace Anvilyard::Http;
@@ -238,6 +239,38 @@
     });
 }
 
+/// Guards against an assertion of the parser, which ends the process, if the last chunk is the first one and arrives in certain pieces.
+TEST_F(HostileCallersTest, AnEmptyChunkedBodyMayArriveInAnyPieces)
+{
+    constexpr std::chrono::milliseconds Pause(5);
+    std::string const head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::string const body = "0\r\n\r\n";
+    HttpServerOptions streamed;
+    streamed.streamedBody = [](HttpRequest const &, std::shared_ptr<ResponseWriter> const &writer) {
+        return std::optional(BodySink{
+            .onPiece = [](std::string_view, std::function<void()> const &next) { next(); },
+            .onEnd = [writer] { writer->respond({.body = "complete"}); },
+            .onError = [](Error const &) {},
+        });
+    };
+    for (auto const &options : {HttpServerOptions{}, streamed}) {
+        serve(options);
+        for (std::size_t first = 0; first < body.size(); ++first) {
+            for (std::size_t second = first; second < body.size(); ++second) {
+                RawConnection connection(server_->address());
+                connection.send(head + body.substr(0, first));
+                std::this_thread::sleep_for(Pause);
+                connection.send(body.substr(first, second - first));
+                std::this_thread::sleep_for(Pause);
+                connection.send(body.substr(second));
+                connection.finishSending();
+                EXPECT_THAT(connection.readAll(), StartsWith("HTTP/1.1 200")) << first << " " << second;
+            }
+        }
+        TearDown();
+    }
+}
+
 /// A caller that does not read its response must be disconnected after the write timeout, and pendingBytes() must include the
 /// bytes of the running write. Otherwise such callers could occupy connections and memory without limit.
 TEST_F(HostileCallersTest, SlowReaderIsDisconnectedWithBoundedBuffering)
