Take jobs from each page of a list rather than from the whole list

Not shown to be the fault behind it; it is one that can contribute.

Cause: job objects contain their items, so a list of jobs has many pages, and a runner took no job before the last page had arrived. When all runners restart at once, or list again because the history was dropped, all of them read all jobs at the same time: the time grows with the number of runners times the bytes of all jobs, and a page that fails begins the list anew. Until then nobody runs the items that wait. The size of job objects on these sites was not measured here.

Change: a follower may hand over each page as it comes. The runner takes the jobs of a page at once and keeps no copy of the list.

Test: JobsTest.JobsOfTheFirstPageRunBeforeTheListIsComplete, which did not end before (stopped after 20 s; node-store-lost kind="batchjobs", no node-job-taken).

--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -49,8 +49,8 @@
           .kind = Jobs::jobKind,
           .random = context.random,
           .hooks = {
-              .onListed =
-                  [this](std::vector<Platform::Object> const &objects, Platform::ResourceVersion const &) {
+              .onPage =
+                  [this](std::vector<Platform::Object> const &objects) {
                       for (auto const &object : objects)
                           onJobChanged(Platform::WatchChange::Added, object);
                   },
--- a/Services/Node/StoreFollower.cpp
+++ b/Services/Node/StoreFollower.cpp
@@ -52,7 +52,8 @@
 void StoreFollower::list(std::string continueToken)
 {
     isListing_ = true;
-    if (continueToken.empty())
+    isFirstPage_ = continueToken.empty();
+    if (isFirstPage_)
         listed_.clear();
     options_.store.list(Platform::CallClass::Read,
                         options_.kind,
@@ -71,9 +72,12 @@
     if (!page)
         return retryLater(page.error());
     // The watch starts at the version of the first page and thus includes changes made between two pages.
-    if (listed_.empty())
+    if (isFirstPage_)
         version_ = page->version;
-    listed_.insert(listed_.end(), std::make_move_iterator(page->objects.begin()), std::make_move_iterator(page->objects.end()));
+    if (options_.hooks.onPage)
+        options_.hooks.onPage(std::move(page->objects));
+    else
+        listed_.insert(listed_.end(), std::make_move_iterator(page->objects.begin()), std::make_move_iterator(page->objects.end()));
     if (!page->continueToken.empty())
         return list(page->continueToken);
     isListing_ = false;
@@ -87,7 +91,8 @@
         if (options_.hooks.onRecovered)
             options_.hooks.onRecovered(outage);
     }
-    options_.hooks.onListed(std::exchange(listed_, {}), version_);
+    if (options_.hooks.onListed)
+        options_.hooks.onListed(std::exchange(listed_, {}), version_);
     if (options_.extent == StoreFollowerOptions::Extent::Changes && !isPaused_)
         watch(version_);
 }
--- a/Services/Node/StoreFollower.h
+++ b/Services/Node/StoreFollower.h
@@ -14,7 +14,10 @@
 
 struct StoreFollowerHooks {
     /// Called with all objects of the kind.
-    std::function<void(std::vector<Platform::Object>, Platform::ResourceVersion)> onListed;
+    std::function<void(std::vector<Platform::Object>, Platform::ResourceVersion)> onListed = {};
+    /// Called with each page of a list. The objects are then not collected for onListed. A list that fails midway begins again, so that
+    /// pages may come more than once.
+    std::function<void(std::vector<Platform::Object>)> onPage = {};
     std::function<void(Platform::WatchChange, Platform::Object)> onChange = {};
     std::function<void(Platform::ResourceVersion)> onProgress = {};
     /// Called before onListed when the store responds again after an outage.
@@ -75,6 +78,7 @@
     std::unique_ptr<Http::Timer> timer_;
     Duration backoff_;
     std::optional<Instant> unreachableSince_;
+    bool isFirstPage_ = true;
     bool hasWatchEnded_ = false;
     bool isListing_ = false;
     bool hasListed_ = false;
--- a/Tests/FakeFleet/FleetStoreServer.cpp
+++ b/Tests/FakeFleet/FleetStoreServer.cpp
@@ -119,6 +119,11 @@
     });
 }
 
+void FleetStoreServer::setFurtherPagesSilent(bool isSilent)
+{
+    areFurtherPagesSilent_ = isSilent;
+}
+
 std::size_t FleetStoreServer::pendingWatches(Kind const &kind) const
 {
     return static_cast<std::size_t>(
@@ -174,6 +179,8 @@
         return call.writer->respond(responseOf(table_.get(call.kind, call.name)));
     auto const all = table_.list(call.kind, {.limit = 100'000});
     auto const after = call.request.query("after").value_or("");
+    if (areFurtherPagesSilent_ && !after.empty())
+        return unansweredWriters_.push_back(call.writer);
     json::array items;
     bool hasMore = false;
     for (auto const &object : all->objects) {
--- a/Tests/FakeFleet/FleetStoreServer.h
+++ b/Tests/FakeFleet/FleetStoreServer.h
@@ -33,6 +33,8 @@
     void compact();
     /// Loses the responses to the pending watches of a kind: their connections stay open and return nothing.
     void silenceWatches(Platform::Kind const &kind);
+    /// Does not respond to calls for further pages of a list.
+    void setFurtherPagesSilent(bool isSilent);
     [[nodiscard]] std::size_t pendingWatches(Platform::Kind const &kind) const;
 
 private:
@@ -68,6 +70,7 @@
     ObjectTable table_;
     FaultPlan faults_;
     std::size_t pageSize_ = 500;
+    bool areFurtherPagesSilent_ = false;
     std::map<std::string, std::size_t> calls_;
     std::list<PendingWatch> watches_;
     std::list<Writer> unansweredWriters_;
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -679,3 +679,24 @@
     EXPECT_EQ(ask(second, submissionOf("a", 1, 60'000))->status, 202);
     EXPECT_EQ(ask(second, submissionOf("b", 1, 60'000))->status, 429);
 }
+
+/// After a restart of all runners, each one lists all jobs while the store is busy. Guards against jobs that wait until the last page of
+/// the list has arrived.
+TEST_F(JobsTest, JobsOfTheFirstPageRunBeforeTheListIsComplete)
+{
+    addServer("s1", complete);
+    thread_.call([&] {
+        store_->setPageSize(1);
+        store_->setFurtherPagesSilent(true);
+        for (auto const *const job : {"a", "b"}) {
+            Jobs::JobRecord const record{
+                .id = JobId(job),
+                .host = "h.example",
+                .acceptedAt = readClocks().wall,
+                .items = {{.id = Jobs::ItemId(std::string(job) + "-0"), .target = "/b/x/0", .body = "hello", .tokens = 1}}};
+            static_cast<void>(store_->table().create(Jobs::jobKind, Jobs::jobObject(record.id), Jobs::encodeJob(record).spec));
+        }
+    });
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntil([&] { return store_->table().get(Jobs::segmentKind, Jobs::segmentObject(JobId("a"), 0)).has_value(); });
+}
