Log each list of the store with its extent

How long a runner does without its jobs after a restart or a dropped history depends on the bytes of all jobs, which no line showed. node-store-listed gives the number of objects, pages and bytes of a list and its duration.

Test: JobsTest.AListOfTheStoreIsLoggedWithItsExtent.

--- a/Services/Node/StoreFollower.cpp
+++ b/Services/Node/StoreFollower.cpp
@@ -53,8 +53,10 @@
 {
     isListing_ = true;
     isFirstPage_ = continueToken.empty();
-    if (isFirstPage_)
+    if (isFirstPage_) {
         listed_.clear();
+        listExtent_ = {.startedAt = readLocalClock()};
+    }
     options_.store.list(Platform::CallClass::Read,
                         options_.kind,
                         {
@@ -74,6 +76,10 @@
     // The watch starts at the version of the first page and thus includes changes made between two pages.
     if (isFirstPage_)
         version_ = page->version;
+    ++listExtent_.pages;
+    listExtent_.objects += page->objects.size();
+    for (auto const &object : page->objects)
+        listExtent_.bytes += object.spec.size() + object.status.size();
     if (options_.hooks.onPage)
         options_.hooks.onPage(std::move(page->objects));
     else
@@ -82,6 +88,13 @@
         return list(page->continueToken);
     isListing_ = false;
     hasListed_ = true;
+    auto const listDuration = std::chrono::duration_cast<std::chrono::milliseconds>(readLocalClock() - listExtent_.startedAt);
+    Observe::log(Observe::Events::NodeStoreListed,
+                 {{"kind", options_.kind.value()},
+                  {"objects", std::to_string(listExtent_.objects)},
+                  {"pages", std::to_string(listExtent_.pages)},
+                  {"bytes", std::to_string(listExtent_.bytes)},
+                  {"after_ms", std::to_string(listDuration.count())}});
     backoff_ = options_.initialBackoff;
     if (auto const lostAt = std::exchange(unreachableSince_, std::nullopt)) {
         auto const outage = readLocalClock() - *lostAt;
--- a/Services/Node/StoreFollower.h
+++ b/Services/Node/StoreFollower.h
@@ -79,6 +79,13 @@
     Duration backoff_;
     std::optional<Instant> unreachableSince_;
     bool isFirstPage_ = true;
+    /// Of the current list.
+    struct {
+        Instant startedAt;
+        std::size_t pages = 0;
+        std::size_t objects = 0;
+        std::size_t bytes = 0;
+    } listExtent_;
     bool hasWatchEnded_ = false;
     bool isListing_ = false;
     bool hasListed_ = false;
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -700,3 +700,30 @@
     startNode("runner-1", InstanceRole::Runner);
     waitUntil([&] { return store_->table().get(Jobs::segmentKind, Jobs::segmentObject(JobId("a"), 0)).has_value(); });
 }
+
+/// Guards against lists that take seconds without a line that shows how much was listed.
+TEST_F(JobsTest, AListOfTheStoreIsLoggedWithItsExtent)
+{
+    std::vector<std::map<std::string, std::string>> lines;
+    Observe::setLogSink([&](Observe::EventDefinition const &event, std::initializer_list<Observe::Field> fields) {
+        if (event.name != Observe::Events::NodeStoreListed.name)
+            return;
+        auto &line = lines.emplace_back();
+        for (auto const &field : fields)
+            line.emplace(field.name, field.value);
+    });
+    thread_.call([&] {
+        store_->setPageSize(1);
+        for (auto const *const job : {"a", "b"})
+            static_cast<void>(store_->table().create(Jobs::jobKind, Platform::ObjectName(job), "{}"));
+    });
+    startNode("runner-1", InstanceRole::Runner);
+    auto const find = [&] {
+        return std::find_if(lines.begin(), lines.end(), [](auto const &line) { return line.at("kind") == "batchjobs"; });
+    };
+    waitUntil([&] { return find() != lines.end(); });
+    thread_.call([] { Observe::setLogSink(nullptr); });
+    EXPECT_EQ(find()->at("objects"), "2");
+    EXPECT_EQ(find()->at("pages"), "2");
+    EXPECT_EQ(find()->at("bytes"), "4");
+}
