Relay no bytes that are no event

A server in trouble may send bytes that are no answer, also after the head of a stream. Such bytes were buffered up to the limit of an event. If there was an empty line among them, and no event with an id had come before, they were taken for an event without an id, as the reader took any line that is no comment for the field of an event. The caller of an online stream got them as events, and a batch item as empty lines of its output.

An event without an id and without data now breaks the response. Streams whose events have data but no ids are read as before.

--- a/Libraries/LibServing/EventReader.cpp
+++ b/Libraries/LibServing/EventReader.cpp
@@ -9,6 +9,7 @@
 struct EventFields {
     std::optional<std::uint64_t> id;
     std::string data;
+    bool hasData = false;
     /// Whether it has no field of an event, as a comment has none.
     bool isComment = true;
 };
@@ -24,7 +25,6 @@
 EventFields parse(std::string_view event)
 {
     EventFields fields;
-    bool hasData = false;
     while (!event.empty()) {
         auto const end = std::min(event.find('\n'), event.size());
         auto line = event.substr(0, end);
@@ -40,10 +40,10 @@
             if (error == std::errc{} && last == text.data() + text.size())
                 fields.id = id;
         } else if (line.starts_with("data:")) {
-            if (hasData)
+            if (fields.hasData)
                 fields.data += '\n';
             fields.data += valueOf(line, 4);
-            hasData = true;
+            fields.hasData = true;
         }
     }
     return fields;
@@ -67,6 +67,10 @@
             newEvents += withEnd;
             return;
         }
+        if (!fields.id && !fields.hasData) {
+            isBroken_ = true;
+            return;
+        }
         auto const order = sequence_.advance(fields.id);
         isBroken_ = order == EventSequence::Order::Gap || order == EventSequence::Order::Unplaced;
         if (order != EventSequence::Order::Next)
--- a/Libraries/LibServing/EventReader.h
+++ b/Libraries/LibServing/EventReader.h
@@ -23,7 +23,7 @@
     /// Returns the new events completed by this piece, byte for byte.
     std::string take(std::string_view piece, OnData const &onData = nullptr);
 
-    /// Whether an event or its id is missing in this response, or an event exceeds the buffer limit.
+    /// Whether an event or its id is missing in this response, it has bytes that are no event, or an event exceeds the buffer limit.
     [[nodiscard]] bool isBroken() const;
     /// Whether an incomplete event is buffered.
     [[nodiscard]] bool hasPartialEvent() const;
--- a/Tests/LibServing/TestEventReader.cpp
+++ b/Tests/LibServing/TestEventReader.cpp
@@ -61,6 +61,18 @@
     }
 }
 
+/// A faulty server sends bytes that are no events, among which there are empty lines. Guards against relaying them as events without ids.
+TEST(EventReaderTest, BytesThatAreNoEventsAreNotRelayed)
+{
+    for (std::string const bytes : {"x\n\n", "\x16\x03\x01\n\n", "<html>\r\n\r\n", "event: x\n\n", "idx: 5\ndatax: y\n\n"}) {
+        EventSequence sequence;
+        EventReader events(sequence);
+        EXPECT_EQ(events.take(bytes + event(0)), "") << bytes;
+        EXPECT_TRUE(events.isBroken()) << bytes;
+        EXPECT_EQ(sequence.count(), 0U) << bytes;
+    }
+}
+
 /// Servers send comments to keep a connection alive. Guards against taking one for an event, which would break the response for want of an
 /// id.
 TEST(EventReaderTest, ACommentIsRelayedWithoutMovingThePosition)
--- a/Tests/Node/TestEndlessServers.cpp
+++ b/Tests/Node/TestEndlessServers.cpp
@@ -16,31 +16,47 @@
 {
 protected:
     using Source = std::function<std::string()>;
+    using Script = std::function<void(ScriptedServer::Connection &)>;
 
     ~EndlessServersTest() override
     {
-        thread_.call([this] { endless_.reset(); });
+        thread_.call([this] { servers_.clear(); });
     }
 
-    /// Adds a server that responds to its first `requests` requests with `first` and what the source returns, up to `MaxEndlessBytes` in
-    /// all. It serves later requests, and probes.
-    void addEndlessServer(std::string const &id, std::size_t requests, std::string first, Source source)
+    EndlessServersTest() = default;
+    EndlessServersTest(EndlessServersTest const &) = delete;
+    EndlessServersTest &operator=(EndlessServersTest const &) = delete;
+
+    /// Adds servers that run the script for each request and serve probes.
+    void addServers(std::size_t count, Script script)
+    {
+        for (std::size_t index = 0; index < count; ++index) {
+            thread_.call([&] {
+                servers_.push_back(ScriptedServer::create(thread_.loop(), [script](ScriptedServer::Connection &connection, std::size_t) {
+                    connection.head().starts_with("GET") ? connection.send(soundResponse()) : script(connection);
+                }));
+            });
+            putServer("s" + std::to_string(servers_.size()), servers_.back()->address());
+        }
+    }
+
+    /// Responds to the first request with `first` and then with what the source returns, up to `MaxEndlessBytes` in all. Serves the later
+    /// ones.
+    Script firstEndless(std::string first, Source source)
     {
-        thread_.call([&] {
-            endless_ = ScriptedServer::create(
-                thread_.loop(), [this, requests, first, source = std::move(source)](ScriptedServer::Connection &connection, std::size_t) {
-                    if (connection.head().starts_with("GET") || endlessRequests_ >= requests)
-                        return connection.send(soundResponse());
-                    ++endlessRequests_;
-                    connection.send(first);
-                    connection.sendFrom([this, source] {
-                        auto block = endlessBytes_ < MaxEndlessBytes ? source() : std::string();
-                        endlessBytes_ += block.size();
-                        return block;
-                    });
-                });
-        });
-        putServer(id, endless_->address());
+        endlessBytes_ = 0;
+        // Each connection has a copy of the script.
+        auto const isFirst = std::make_shared<bool>(true);
+        return [this, first = std::move(first), source = std::move(source), isFirst](ScriptedServer::Connection &connection) {
+            if (!std::exchange(*isFirst, false))
+                return connection.send(soundResponse());
+            connection.send(first);
+            connection.sendFrom([this, source]() mutable {
+                auto block = endlessBytes_ < MaxEndlessBytes ? source() : std::string();
+                endlessBytes_ += block.size();
+                return block;
+            });
+        };
     }
 
     static std::string soundResponse()
@@ -68,6 +84,12 @@
         };
     }
 
+    /// Bytes that, repeated, are no stream of events.
+    static std::vector<std::string> endlessBodies()
+    {
+        return {"no event", "no event\n\n", "data: an event\n", ": a comment\n", "5;name=value\r\nhello\r\n"};
+    }
+
     void submitItem(Node::NodeProgram &node, std::string const &job)
     {
         json::object const item{{"id", job + "-0"}, {"path", "/b/x/0"}, {"headers", json::object{}}, {"body", "aGVsbG8="}, {"tokens", 100}};
@@ -101,9 +123,8 @@
     /// The socket buffers of both sides hold less.
     static constexpr std::size_t MaxTakenBytes = 16 * 1024 * 1024;
 
-    std::unique_ptr<ScriptedServer> endless_;
+    std::vector<std::unique_ptr<ScriptedServer>> servers_;
     std::size_t endlessBytes_ = 0;
-    std::size_t endlessRequests_ = 0;
 };
 
 } // namespace
@@ -113,13 +134,52 @@
 TEST_F(EndlessServersTest, AnItemWhoseEventsDoNotEndStartsAnew)
 {
     putState(1);
-    addEndlessServer("s1", 1, eventStream + "\r\n", endlessEvents());
+    addServers(1, firstEndless(eventStream + "\r\n", endlessEvents()));
     auto &entry = startNode("entry-1");
     startNode("runner-1", InstanceRole::Runner);
     waitUntilReady(entry);
     submitItem(entry, "job");
     // The first connection cannot be reused.
-    waitUntil([&] { return endless_->connections() > 1; });
+    waitUntil([&] { return servers_[0]->connections() > 1; });
     ASSERT_LT(thread_.call([&] { return endlessBytes_; }), MaxTakenBytes);
     EXPECT_EQ(readOutput(entry, "job"), "t0\nt1\nt2");
 }
+
+/// Guards against relaying bytes that are no events, or waiting for the end of one until the deadline: another server runs the request.
+TEST_F(EndlessServersTest, AStreamThatIsNoStreamIsServedByAnotherServer)
+{
+    putState(1);
+    Script script;
+    addServers(2, [&](ScriptedServer::Connection &connection) { script(connection); });
+    auto &node = startNode("entry-1");
+    waitUntilReady(node);
+    for (std::string const framing : {"\r\n", "Transfer-Encoding: chunked\r\n\r\n"}) {
+        for (auto const &bytes : endlessBodies()) {
+            thread_.call([&] { script = firstEndless(eventStream + framing, repeat(bytes)); });
+            auto const served = ask(node, requestOf("/s/1", "r"));
+            ASSERT_TRUE(served) << framing << bytes;
+            EXPECT_EQ(served->status, 200) << framing << bytes;
+            EXPECT_EQ(served->body, eventTexts(0, 3)) << framing << bytes;
+            EXPECT_LT(thread_.call([&] { return endlessBytes_; }), MaxTakenBytes) << framing << bytes;
+        }
+    }
+}
+
+/// Guards against an item whose output has bytes that are no events, and against a run that they keep busy.
+TEST_F(EndlessServersTest, AnItemWhoseStreamIsNoStreamIsSentAgain)
+{
+    putState(1);
+    Script script;
+    addServers(2, [&](ScriptedServer::Connection &connection) { script(connection); });
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    int job = 0;
+    for (auto const &bytes : endlessBodies()) {
+        thread_.call([&] { script = firstEndless(eventStream + "\r\n", repeat(bytes)); });
+        auto const id = "job-" + std::to_string(job++);
+        submitItem(entry, id);
+        EXPECT_EQ(readOutput(entry, id), "t0\nt1\nt2") << bytes;
+        EXPECT_LT(thread_.call([&] { return endlessBytes_; }), MaxTakenBytes) << bytes;
+    }
+}
