Limit what a response sends without a new event

A server may send comments, empty lines or repeated events without end. The bytes occupied the node's thread, and the caller got none of the events that another server would have sent.

The reader now counts the bytes since the last new event and takes a response with more of them than an event may have as broken. An online stream is then resumed at another server, and an item is sent again.

--- a/Libraries/LibServing/EventReader.cpp
+++ b/Libraries/LibServing/EventReader.cpp
@@ -63,8 +63,10 @@
         if (isBroken_)
             return;
         auto const fields = parse(event);
+        bytesSinceNewEvent_ += withEnd.size();
         if (fields.isComment) {
             newEvents += withEnd;
+            isBroken_ = bytesSinceNewEvent_ > MaxEventBytes;
             return;
         }
         if (!fields.id && !fields.hasData) {
@@ -72,9 +74,11 @@
             return;
         }
         auto const order = sequence_.advance(fields.id);
-        isBroken_ = order == EventSequence::Order::Gap || order == EventSequence::Order::Unplaced;
-        if (order != EventSequence::Order::Next)
+        if (order != EventSequence::Order::Next) {
+            isBroken_ = order != EventSequence::Order::Repeated || bytesSinceNewEvent_ > MaxEventBytes;
             return;
+        }
+        bytesSinceNewEvent_ = 0;
         newEvents += withEnd;
         if (onData)
             onData(fields.data);
--- a/Libraries/LibServing/EventReader.h
+++ b/Libraries/LibServing/EventReader.h
@@ -23,7 +23,8 @@
     /// Returns the new events completed by this piece, byte for byte.
     std::string take(std::string_view piece, OnData const &onData = nullptr);
 
-    /// Whether an event or its id is missing in this response, it has bytes that are no event, or an event exceeds the buffer limit.
+    /// Whether an event or its id is missing in this response, it has bytes that are no event, an event exceeds the buffer limit,
+    /// or as many bytes bring no new event.
     [[nodiscard]] bool isBroken() const;
     /// Whether an incomplete event is buffered.
     [[nodiscard]] bool hasPartialEvent() const;
@@ -35,6 +36,8 @@
 
     EventSequence &sequence_;
     Http::EventSplitter splitter_;
+    /// Bytes of comments and repeated events since the last new event.
+    std::size_t bytesSinceNewEvent_ = 0;
     bool isBroken_ = false;
 };
 
--- a/Tests/LibServing/TestEventReader.cpp
+++ b/Tests/LibServing/TestEventReader.cpp
@@ -73,6 +73,26 @@
     }
 }
 
+/// Comments and repeated events move no position. Guards against a response that consists of them and does not end.
+TEST(EventReaderTest, BytesWithoutANewEventAreLimited)
+{
+    constexpr std::size_t Limit = 1024 * 1024;
+    for (auto const &bytes : std::vector<std::string>{": alive\n\n", "\n\n", event(4), event(5)}) {
+        EventSequence sequence(5);
+        EventReader events(sequence);
+        auto const takeUpToLimit = [&] {
+            for (std::size_t taken = 0; taken + bytes.size() <= Limit; taken += bytes.size())
+                events.take(bytes);
+        };
+        takeUpToLimit();
+        events.take(event(6));
+        takeUpToLimit();
+        EXPECT_FALSE(events.isBroken()) << "the new event starts the count anew: " << bytes;
+        events.take(bytes);
+        EXPECT_TRUE(events.isBroken()) << bytes;
+    }
+}
+
 /// Servers send comments to keep a connection alive. Guards against taking one for an event, which would break the response for want of an
 /// id.
 TEST(EventReaderTest, ACommentIsRelayedWithoutMovingThePosition)
--- a/Tests/Node/TestEndlessServers.cpp
+++ b/Tests/Node/TestEndlessServers.cpp
@@ -90,6 +90,11 @@
         return {"no event", "no event\n\n", "data: an event\n", ": a comment\n", "5;name=value\r\nhello\r\n"};
     }
 
+    static std::vector<std::string> endlessComments()
+    {
+        return {": a comment\n\n", "\n"};
+    }
+
     void submitItem(Node::NodeProgram &node, std::string const &job)
     {
         json::object const item{{"id", job + "-0"}, {"path", "/b/x/0"}, {"headers", json::object{}}, {"body", "aGVsbG8="}, {"tokens", 100}};
@@ -165,6 +170,23 @@
     }
 }
 
+/// Comments are relayed, as they keep a connection alive. Guards against relaying them until the deadline.
+TEST_F(EndlessServersTest, AStreamOfCommentsIsResumedAtAnotherServer)
+{
+    putState(1);
+    Script script;
+    addServers(2, [&](ScriptedServer::Connection &connection) { script(connection); });
+    auto &node = startNode("entry-1");
+    waitUntilReady(node);
+    for (auto const &bytes : endlessComments()) {
+        thread_.call([&] { script = firstEndless(eventStream + "\r\n", repeat(bytes)); });
+        auto const served = ask(node, requestOf("/s/1", "r"));
+        ASSERT_TRUE(served) << bytes;
+        EXPECT_TRUE(served->body.ends_with(eventTexts(0, 3))) << bytes;
+        EXPECT_LT(thread_.call([&] { return endlessBytes_; }), MaxTakenBytes) << bytes;
+    }
+}
+
 /// Guards against an item whose output has bytes that are no events, and against a run that they keep busy.
 TEST_F(EndlessServersTest, AnItemWhoseStreamIsNoStreamIsSentAgain)
 {
@@ -175,7 +197,10 @@
     startNode("runner-1", InstanceRole::Runner);
     waitUntilReady(entry);
     int job = 0;
-    for (auto const &bytes : endlessBodies()) {
+    auto bodies = endlessBodies();
+    for (auto &comments : endlessComments())
+        bodies.push_back(std::move(comments));
+    for (auto const &bytes : bodies) {
         thread_.call([&] { script = firstEndless(eventStream + "\r\n", repeat(bytes)); });
         auto const id = "job-" + std::to_string(job++);
         submitItem(entry, id);
