Let runners learn from their items which servers cannot be reached

Accepted items may wait for ever (LOST) although servers are idle. A runner sends an item to the server with most free slots; one that is registered and cannot be reached from there always looks the emptiest, and nothing remembered that the item had failed at it.

Cause: evidence about servers came from online requests only, and runners get none, so that no server was ever ejected at a runner.

Change: an item's run reports a response as sign of life, and a fresh connection that failed or brought no head as evidence against the server, as online requests do. The server is ejected after some of these, and probed. The head timeout of an item is 2 s, so a busy server may be ejected at a runner as well; it gets no items then, and any answer to a probe restores it.

Test: JobsTest.AnItemDoesNotWaitForAServerThatCannotBeReached.

--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -22,8 +22,9 @@
 
 } // namespace
 
-ItemRun::ItemRun(NodeContext &context, Serving::ServerRecord server, Jobs::ItemStart item, Hooks hooks)
+ItemRun::ItemRun(NodeContext &context, HealthProber &health, Serving::ServerRecord server, Jobs::ItemStart item, Hooks hooks)
     : context_(context)
+    , health_(health)
     , server_(std::move(server))
     , item_(std::move(item))
     , hooks_(std::move(hooks))
@@ -58,7 +59,7 @@
                                                 .onHead = [self](Http::ResponseHead const &head) { self->onHead(head); },
                                                 .onPiece = [self](std::string_view piece) { self->onPiece(piece); },
                                                 .onEnd = [self] { self->onResponseEnd(); },
-                                                .onFailure = [self](Http::ExchangeFailure const &failure) { self->fail(failure.error); },
+                                                .onFailure = [self](Http::ExchangeFailure const &failure) { self->onFailure(failure); },
                                             });
 }
 
@@ -67,6 +68,7 @@
     auto const traits = context_.protocol.readResponseHead(head);
     status_ = head.status;
     reportIfLeaving(context_, server_, traits);
+    health_.onEvidence(server_.id, Routing::ServerEvidence::Answered);
     bool const isInvalid = status_ == Ok && (!traits.isSigned || traits.isEncoded);
     if (isInvalid)
         fail({.code = Http::HttpError::Malformed});
@@ -113,6 +115,17 @@
     finish(status_ == InternalServerError ? SendEnd::Failed : status_ == UnprocessableContent ? SendEnd::Impossible : SendEnd::Unserved);
 }
 
+/// Runners get no online requests, so their items are the only evidence that a server is unreachable from here.
+void ItemRun::onFailure(Http::ExchangeFailure const &failure)
+{
+    if (failure.connection == Http::ConnectionUse::Fresh && status_ == 0) {
+        health_.onEvidence(server_.id, Routing::ServerEvidence::FreshConnectionFailed);
+        if (failure.reached == Http::Reached::NothingSent)
+            health_.onEvidence(server_.id, Routing::ServerEvidence::FreshConnectionFailed);
+    }
+    fail(failure.error);
+}
+
 void ItemRun::fail(Error const &error)
 {
     Observe::log(Observe::Events::NodeItemAttemptFailed,
--- a/Services/Node/ItemRun.h
+++ b/Services/Node/ItemRun.h
@@ -2,6 +2,7 @@
 
 #include "LibJobs/JobTracker.h"
 #include "LibServing/EventReader.h"
+#include "Services/Node/HealthProber.h"
 #include "Services/Node/NodeContext.h"
 
 namespace Anvilyard::Node {
@@ -17,7 +18,7 @@
         std::function<void(Jobs::SendEnd)> onEnd;
     };
 
-    ItemRun(NodeContext &context, Serving::ServerRecord server, Jobs::ItemStart item, Hooks hooks);
+    ItemRun(NodeContext &context, HealthProber &health, Serving::ServerRecord server, Jobs::ItemStart item, Hooks hooks);
 
     void start(Jobs::JobItem const &item, std::string const &host);
     /// Ends the run without calling a hook again.
@@ -31,12 +32,14 @@
     void onHead(Http::ResponseHead const &head);
     void onPiece(std::string_view piece);
     void onResponseEnd();
+    void onFailure(Http::ExchangeFailure const &failure);
     /// Ends a run whose response is not complete or not valid.
     void fail(Error const &error);
     void logRejection() const;
     void finish(Jobs::SendEnd end);
 
     NodeContext &context_;
+    HealthProber &health_;
     Serving::ServerRecord server_;
     Jobs::ItemStart item_;
     Jobs::ItemId itemId_;
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -38,9 +38,10 @@
 
 } // namespace
 
-JobRunner::JobRunner(NodeContext &context, NodeMetrics &metrics, PeerReportExchange &peerReports)
+JobRunner::JobRunner(NodeContext &context, NodeMetrics &metrics, HealthProber &health, PeerReportExchange &peerReports)
     : context_(context)
     , metrics_(metrics)
+    , health_(health)
     , peerReports_(peerReports)
     , jobs_(Jobs::JobTrackerOptions{})
     , jobFollower_({
@@ -352,6 +353,7 @@
         stalls_.onStarted(pool, now);
         auto const run = std::make_shared<ItemRun>(
             context_,
+            health_,
             server->record,
             *next,
             ItemRun::Hooks{
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -18,7 +18,7 @@
 class JobRunner
 {
 public:
-    JobRunner(NodeContext &context, NodeMetrics &metrics, PeerReportExchange &peerReports);
+    JobRunner(NodeContext &context, NodeMetrics &metrics, HealthProber &health, PeerReportExchange &peerReports);
 
     void start();
     /// Takes jobs over and hands them over, starts and ends items, and stores outcomes. Call about 20 times a second.
@@ -91,6 +91,7 @@
 
     NodeContext &context_;
     NodeMetrics &metrics_;
+    HealthProber &health_;
     PeerReportExchange &peerReports_;
     /// A server as far as it matters for the items of this runner.
     struct Assignment {
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -589,6 +589,24 @@
     EXPECT_EQ(readResults(entry, "unheard", 1).size(), 1U);
 }
 
+/// A server is registered and cannot be reached, as one that was lost without a word; it has the most free slots. Guards against an item
+/// that is sent there again and again while another server is idle.
+TEST_F(JobsTest, AnItemDoesNotWaitForAServerThatCannotBeReached)
+{
+    addServer("s2", complete);
+    Address lost;
+    {
+        FleetServer const gone(thread_, complete);
+        lost = gone.address();
+    }
+    putServer("s1", lost);
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    ASSERT_EQ(ask(entry, submissionOf("j", 1))->status, 202);
+    EXPECT_EQ(readResults(entry, "j", 1).size(), 1U);
+}
+
 /// The response to a runner's watch is lost, and then the owner of a job that was accepted since. Guards against jobs that no runner knows
 /// of until the watch call times out.
 TEST_F(JobsTest, TheJobsOfALostRunnerAreFoundByARunnerWithASilentWatch)
