Do not read a connection again that ended at the start of a chunked body

The error of the read now ends the exchange, and nothing is read after it. Tests: AChunkedBodyThatEndsAtItsStartIsClosedEarly and AChunkedBodyThatEndsAtItsStartEndsTheConnection.

--- a/Libraries/LibHttp/ClientExchange.cpp
+++ b/Libraries/LibHttp/ClientExchange.cpp
@@ -209,10 +209,11 @@
     setStage(Stage::ReadingBody, pieceDeadline());
     if (parser_->chunked() && !std::exchange(hasChunkStart_, true)) {
         readPending_ = true;
-        return readChunkStart(connection_->socket, connection_->buffer, [self = shared_from_this()] {
-            self->readPending_ = false;
-            self->readPiece();
-        });
+        return readChunkStart(
+            connection_->socket, connection_->buffer, *parser_, [self = shared_from_this()](boost::system::error_code error) {
+                self->readPending_ = false;
+                error ? self->onPiece(error, 0) : self->readPiece();
+            });
     }
     auto &body = parser_->get().body();
     body.data = piece_.data();
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -177,7 +177,14 @@
 {
     if (!headParser_->chunked())
         return next();
-    readChunkStart(socket_, buffer_, [self = shared_from_this(), next = std::move(next)] { next(); });
+    readChunkStart(socket_, buffer_, *headParser_, [self = shared_from_this(), next = std::move(next)](boost::system::error_code error) {
+        if (!error)
+            return next();
+        if (self->bodyPending_)
+            return self->deliverPiece(error, 0);
+        if (self->state_ == State::ReadingRequest)
+            self->refuseReadError(error);
+    });
 }
 
 void ServerConnection::readFullBody()
--- a/Tests/LibHttp/TestHostileCallers.cpp
+++ b/Tests/LibHttp/TestHostileCallers.cpp
@@ -271,6 +271,35 @@
     }
 }
 
+/// Guards against reading a connection again that was closed at the start of a chunked body, which would time out.
+TEST_F(HostileCallersTest, AChunkedBodyThatEndsAtItsStartEndsTheConnection)
+{
+    std::string const head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::string const body = "0\r\n\r\n";
+    std::vector<std::error_code> errors;
+    HttpServerOptions streamed;
+    streamed.streamedBody = [&](HttpRequest const &, std::shared_ptr<ResponseWriter> const &writer) {
+        return std::optional(BodySink{
+            .onPiece = [](std::string_view, std::function<void()> const &next) { next(); },
+            .onEnd = [writer] { writer->respond({.body = "complete"}); },
+            .onError = [&errors, writer](Error const &error) { errors.push_back(error.code); },
+        });
+    };
+    for (auto const &options : {HttpServerOptions{}, streamed}) {
+        serve(options);
+        for (std::size_t size = 0; size < body.size(); ++size) {
+            RawConnection connection(server_->address());
+            connection.send(head + body.substr(0, size));
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+            connection.finishSending();
+            EXPECT_EQ(connection.readAll(), "") << size;
+            EXPECT_TRUE(connection.isEnded()) << size;
+        }
+        TearDown();
+    }
+    EXPECT_EQ(errors, std::vector<std::error_code>(body.size(), make_error_code(HttpError::ClosedEarly)));
+}
+
 /// A caller that does not read its response must be disconnected after the write timeout, and pendingBytes() must include the
 /// bytes of the running write. Otherwise such callers could occupy connections and memory without limit.
 TEST_F(HostileCallersTest, SlowReaderIsDisconnectedWithBoundedBuffering)
--- a/Tests/LibHttp/TestHostileServers.cpp
+++ b/Tests/LibHttp/TestHostileServers.cpp
@@ -363,6 +363,28 @@
     serveOnce("");
 }
 
+/// Guards against reading a connection again that was closed at the start of a chunked body, which would time out.
+TEST_F(HostileServersTest, AChunkedBodyThatEndsAtItsStartIsClosedEarly)
+{
+    std::string const body = "0\r\n\r\n";
+    for (std::size_t size = 0; size < body.size(); ++size) {
+        std::unique_ptr<Timer> timer;
+        serve([&](ScriptedServer::Connection &connection, std::size_t) {
+            connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body.substr(0, size));
+            timer = thread_.loop().at(readLocalClock() + 5ms, [handle = connection.handle()] {
+                if (auto const started = handle.lock())
+                    started->close();
+            });
+        });
+        auto const answer = fetch();
+        ASSERT_FALSE(answer) << size;
+        EXPECT_EQ(answer.error().error.code, HttpError::ClosedEarly) << size;
+        thread_.call([&] { timer.reset(); });
+        TearDown();
+    }
+    serveOnce("");
+}
+
 /// Bytes after the end of a response must not be used for the next request. That would happen if a connection with surplus bytes
 /// were reused, whether they arrive with the response or while the connection is idle.
 TEST_F(HostileServersTest, SurplusBytesAreNeverUsedForTheNextRequest)
