Limit the response to a probe

The response to a probe of a server's health path was read into memory, up to 64 MiB, although only its head counts. A server that sends without end took up to 25 MB of memory a probe, at 200 Mbit/s within the probe's timeout of a second.

The body of such a response is now limited to 64 KiB. A server that sends more has failed the probe.

After the change it passed, as did the other tests with endless servers.

--- a/Services/Node/HealthProber.cpp
+++ b/Services/Node/HealthProber.cpp
@@ -11,6 +11,8 @@
 /// A server responds to a probe within milliseconds, or once the request in its last slot ends.
 constexpr Duration ProbeTimeout = 1s;
 constexpr Duration ProbeConnectTimeout = 300ms;
+/// Only the head of a response counts.
+constexpr std::size_t MaxProbeResponseBytes = 64 * 1024;
 
 } // namespace
 
@@ -62,6 +64,7 @@
         .request = {.method = "GET", .target = pool->healthPath},
         .deadline = now + ProbeTimeout,
         .connectTimeout = ProbeConnectTimeout,
+        .bodyLimitBytes = MaxProbeResponseBytes,
         .connection = Http::ClientRequest::Connection::FreshOnly,
     };
     auto const record = server->record;
--- a/Tests/Node/TestEndlessServers.cpp
+++ b/Tests/Node/TestEndlessServers.cpp
@@ -20,7 +20,11 @@
 
     ~EndlessServersTest() override
     {
-        thread_.call([this] { servers_.clear(); });
+        // Nodes may still call the scripts.
+        thread_.call([this] {
+            nodes_.clear();
+            servers_.clear();
+        });
     }
 
     EndlessServersTest() = default;
@@ -130,6 +134,9 @@
 
     std::vector<std::unique_ptr<ScriptedServer>> servers_;
     std::size_t endlessBytes_ = 0;
+    /// For addServers().
+    Script script_;
+    std::size_t probes_ = 0;
 };
 
 } // namespace
@@ -154,13 +161,12 @@
 TEST_F(EndlessServersTest, AStreamThatIsNoStreamIsServedByAnotherServer)
 {
     putState(1);
-    Script script;
-    addServers(2, [&](ScriptedServer::Connection &connection) { script(connection); });
+    addServers(2, [&](ScriptedServer::Connection &connection) { script_(connection); });
     auto &node = startNode("entry-1");
     waitUntilReady(node);
     for (std::string const framing : {"\r\n", "Transfer-Encoding: chunked\r\n\r\n"}) {
         for (auto const &bytes : endlessBodies()) {
-            thread_.call([&] { script = firstEndless(eventStream + framing, repeat(bytes)); });
+            thread_.call([&] { script_ = firstEndless(eventStream + framing, repeat(bytes)); });
             auto const served = ask(node, requestOf("/s/1", "r"));
             ASSERT_TRUE(served) << framing << bytes;
             EXPECT_EQ(served->status, 200) << framing << bytes;
@@ -174,12 +180,11 @@
 TEST_F(EndlessServersTest, AStreamOfCommentsIsResumedAtAnotherServer)
 {
     putState(1);
-    Script script;
-    addServers(2, [&](ScriptedServer::Connection &connection) { script(connection); });
+    addServers(2, [&](ScriptedServer::Connection &connection) { script_(connection); });
     auto &node = startNode("entry-1");
     waitUntilReady(node);
     for (auto const &bytes : endlessComments()) {
-        thread_.call([&] { script = firstEndless(eventStream + "\r\n", repeat(bytes)); });
+        thread_.call([&] { script_ = firstEndless(eventStream + "\r\n", repeat(bytes)); });
         auto const served = ask(node, requestOf("/s/1", "r"));
         ASSERT_TRUE(served) << bytes;
         EXPECT_TRUE(served->body.ends_with(eventTexts(0, 3))) << bytes;
@@ -191,8 +196,7 @@
 TEST_F(EndlessServersTest, AnItemWhoseStreamIsNoStreamIsSentAgain)
 {
     putState(1);
-    Script script;
-    addServers(2, [&](ScriptedServer::Connection &connection) { script(connection); });
+    addServers(2, [&](ScriptedServer::Connection &connection) { script_(connection); });
     auto &entry = startNode("entry-1");
     startNode("runner-1", InstanceRole::Runner);
     waitUntilReady(entry);
@@ -201,10 +205,36 @@
     for (auto &comments : endlessComments())
         bodies.push_back(std::move(comments));
     for (auto const &bytes : bodies) {
-        thread_.call([&] { script = firstEndless(eventStream + "\r\n", repeat(bytes)); });
+        thread_.call([&] { script_ = firstEndless(eventStream + "\r\n", repeat(bytes)); });
         auto const id = "job-" + std::to_string(job++);
         submitItem(entry, id);
         EXPECT_EQ(readOutput(entry, id), "t0\nt1\nt2") << bytes;
         EXPECT_LT(thread_.call([&] { return endlessBytes_; }), MaxTakenBytes) << bytes;
     }
 }
+
+/// Guards against buffering the response to a probe without limit.
+TEST_F(EndlessServersTest, AnEndlessResponseToAProbeIsCutOff)
+{
+    putState(1);
+    auto const endless =
+        firstEndless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", repeat("1000\r\n" + std::string(0x1000, 'x') + "\r\n"));
+    // One server alone is never ejected.
+    for (std::string const id : {"s1", "s2"}) {
+        thread_.call([&] {
+            servers_.push_back(ScriptedServer::create(thread_.loop(), [&, endless](ScriptedServer::Connection &connection, std::size_t) {
+                if (!connection.head().starts_with("GET"))
+                    return connection.close();
+                ++probes_;
+                endless(connection);
+            }));
+        });
+        putServer(id, servers_.back()->address());
+    }
+    auto &node = startNode("entry-1");
+    waitUntilReady(node);
+    for (int request = 0; request < 6; ++request)
+        EXPECT_NE(ask(node, requestOf("/u/1", "r" + std::to_string(request)))->status, 200);
+    waitUntil([&] { return probes_ > 1; });
+    EXPECT_LT(thread_.call([&] { return endlessBytes_; }), MaxTakenBytes);
+}
