--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -127,11 +127,6 @@
         }
     }
 
-    bool isStored(Platform::Kind const &kind, Platform::ObjectName const &name)
-    {
-        return thread_.call([&] { return store_->table().get(kind, name).has_value(); });
-    }
-
     std::vector<std::unique_ptr<FleetServer>> servers_;
 };
 
