Keep a job that was stored while its owner looked for it

An owner that is asked for a job it does not know reads it from the store since. If the store's answer that there is no such job was on its way while the job was stored and its notice arrived, the owner forgot the job again, and nobody ran it until the next read. Found by review.

A job that a notice, the watch or a list has confirmed is no longer forgotten for such an answer; it is loaded again.

--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -84,7 +84,7 @@
 void JobRunner::lookForUnheardJob(JobId const &job)
 {
     if (owns(job) && !knownJobs_.contains(job))
-        onJobKnown(job, false);
+        knownJobs_[job].isOwned = isFirstFor(job);
 }
 
 void JobRunner::onJobKnown(JobId const &job, bool isEnded)
@@ -93,6 +93,7 @@
     auto &known = found->second;
     if (isNew)
         known.isOwned = isFirstFor(job);
+    known.isConfirmed = true;
     known.isEnded = known.isEnded || isEnded;
     if (known.isEnded) {
         jobs_.onEnded(job);
@@ -147,7 +148,8 @@
         found->second.isLoading = false;
         if (!loaded) {
             Observe::log(Observe::Events::NodeJobReadFailed, {{"job", job.value()}, {"error", loaded.error().toString()}});
-            if (loaded.error().code == Jobs::JobsError::JobNotFound)
+            // The job may have been stored since it was looked for.
+            if (loaded.error().code == Jobs::JobsError::JobNotFound && !found->second.isConfirmed)
                 knownJobs_.erase(found);
             else
                 found->second.loadNotBefore = now + LoadRetryDelay;
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -37,6 +37,8 @@
 
 private:
     struct KnownJob {
+        /// It is in the store. Others were only asked for here.
+        bool isConfirmed = false;
         bool isOwned = false;
         bool isEnded = false;
         bool isLoading = false;
