Take no request on a connection that becomes idle during the stop

A stopping entry could take a request seconds after it had closed its idle connections, and abort it at its stop timeout.

Cause: a response whose head was sent before the stop doesn't announce the end of its connection. When it ends after closeIdle(), its connection waited for the next request until the next tick closed it, 50 ms later or more on a slow machine. A request that came then was started with too little time left.

Now, once closeIdle() was called, a connection is closed as soon as it has no request. Bytes that have already arrived are not dropped, because closing would reset the connection: they are read and answered, and that answer ends the connection.

ARequestIsOpenFromItsFirstByte waited for its connections to become idle after closeIdle(); they are closed now, so it waits for that. Its checks are unchanged.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -83,6 +83,7 @@
 
     void closeIdle() override
     {
+        shared_->closesIdle = true;
         // A copy is iterated, because a closing connection removes itself from the original.
         auto const connections = shared_->connections;
         for (auto const &[address, weak] : connections) {
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -134,7 +134,7 @@
     virtual void stopAccepting() = 0;
     /// Applies to requests whose head is read after this call.
     virtual void setLimits(CallerLimits limits) = 0;
-    /// Closes the connections without a running request.
+    /// Closes the connections without a request, and each other one once it has none.
     virtual void closeIdle() = 0;
     /// Number of requests from their first byte to the end of their response.
     [[nodiscard]] virtual std::size_t openExchanges() const = 0;
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -479,6 +479,8 @@
         deadline_ = readLocalClock() + LingerTimeout;
         return drain();
     }
+    if (shared_->closesIdle && !hasUnreadBytes())
+        return close(CloseReason::Stopping);
     readNext();
 }
 
@@ -526,10 +528,17 @@
 
 void ServerConnection::closeIfIdle()
 {
-    if (state_ == State::Idle)
+    // Closing a socket with unread bytes resets it, and the caller might lose the end of the previous response.
+    if (state_ == State::Idle && !hasUnreadBytes())
         close(CloseReason::Stopping);
 }
 
+bool ServerConnection::hasUnreadBytes() const
+{
+    boost::system::error_code ignored;
+    return buffer_.size() > 0 || socket_.available(ignored) > 0;
+}
+
 ConnectionState ServerConnection::state() const
 {
     return state_;
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -29,6 +29,8 @@
     std::size_t openConnections = 0;
     std::size_t openExchanges = 0;
     bool leaving = false;
+    /// Connections are closed as soon as they are idle.
+    bool closesIdle = false;
     std::unordered_map<ServerConnection *, std::weak_ptr<ServerConnection>> connections;
 };
 
@@ -57,6 +59,7 @@
     void abort(std::uint64_t exchange);
     void onCallerGone(std::uint64_t exchange, std::function<void()> callback);
     [[nodiscard]] std::size_t pendingBytes() const;
+    /// Closes the connection if it is idle and its caller has sent no request yet.
     void closeIfIdle();
     [[nodiscard]] ConnectionState state() const;
 
@@ -86,6 +89,7 @@
     void endExchange();
     void drain();
     void close(CloseReason reason);
+    [[nodiscard]] bool hasUnreadBytes() const;
     void reportClose(CloseReason reason) const;
     [[nodiscard]] bool isCurrent(std::uint64_t exchange) const;
     [[nodiscard]] std::string renderHead(int status, Headers const &headers, std::optional<std::size_t> contentLength);
--- a/Tests/LibHttp/TestHostileCallers.cpp
+++ b/Tests/LibHttp/TestHostileCallers.cpp
@@ -575,7 +575,7 @@
     withinBody.send("lo");
     EXPECT_THAT(withinHead.readUntil("hello"), StartsWith("HTTP/1.1 200"));
     EXPECT_THAT(withinBody.readUntil("hello"), StartsWith("HTTP/1.1 200"));
-    while (countOf(ConnectionState::Idle) < 2)
+    while (thread_.call([&] { return !server_->connections().empty(); }))
         continue;
     EXPECT_EQ(open(), 0U);
 }
@@ -594,3 +594,57 @@
     thread_.call([&] { server_->closeIdle(); });
     EXPECT_EQ(thread_.call([&] { return server_->connections(); }), (Counts{{ConnectionState::Draining, 1}}));
 }
+
+/// A stopping program has closed its idle connections. Guards against one that becomes idle afterwards and takes a request that the
+/// program has no time left to finish.
+TEST_F(HostileCallersTest, AConnectionThatBecomesIdleAfterIdleOnesWereClosedTakesNoRequest)
+{
+    std::promise<std::shared_ptr<ResponseWriter>> arrived;
+    int handled = 0;
+    serve({}, [&](HttpRequest const &, std::shared_ptr<ResponseWriter> const &writer) {
+        if (++handled > 1)
+            return writer->respond({.body = "second"});
+        writer->start({});
+        arrived.set_value(writer);
+    });
+    RawConnection connection(server_->address());
+    connection.send("GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+    auto const writer = arrived.get_future().get();
+    thread_.call([&] {
+        server_->closeIdle();
+        writer->finish();
+    });
+    EXPECT_THAT(connection.readUntil("0\r\n\r\n"), HasSubstr("0\r\n\r\n"));
+    while (thread_.call([&] { return server_->openExchanges(); }) > 0)
+        continue;
+    connection.send("GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_EQ(connection.readUntil("second"), "");
+    EXPECT_TRUE(connection.isEnded());
+    EXPECT_EQ(thread_.call([&] { return handled; }), 1);
+}
+
+/// A request that arrived before the response to the previous one ended. Guards against dropping it unanswered, or losing that response
+/// by a reset, when the connection is about to be closed.
+TEST_F(HostileCallersTest, APipelinedRequestIsAnsweredAfterIdleConnectionsWereClosed)
+{
+    std::promise<std::shared_ptr<ResponseWriter>> arrived;
+    int handled = 0;
+    serve({}, [&](HttpRequest const &, std::shared_ptr<ResponseWriter> const &writer) {
+        if (++handled > 1)
+            return writer->respond({.body = "second"});
+        writer->start({});
+        arrived.set_value(writer);
+    });
+    RawConnection connection(server_->address());
+    connection.send("GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+    auto const writer = arrived.get_future().get();
+    thread_.call([&] {
+        server_->announceLeaving();
+        server_->closeIdle();
+        writer->finish();
+    });
+    auto const received = connection.readAll();
+    EXPECT_THAT(received, HasSubstr("0\r\n\r\nHTTP/1.1 200"));
+    EXPECT_THAT(received, HasSubstr("Connection: close\r\n"));
+    EXPECT_THAT(received, ::testing::EndsWith("second"));
+}
