Do not eject a server for streams that its node moved

At load peaks nodes ejected servers that were reachable, and streams were broken off for want of a server.

Cause: a stream that its node cut because it was silent counted as a failed fresh connection to its server. Two of them within five seconds, without another response in between, eject the server, although each of them had brought a response.

Silence within a response is no evidence against its server any more.

Before the change, AServerIsNotEjectedForStreamsThatTheNodeMoved printed

node-attempt-failed ... server="s1" error="nothing arrived in time ..." node-server-ejected server="s1" Expected: has substring "anvilyard_node_servers{belief=\"ejected\"} 0"

It passes now, as do all 72 tests of TestNode.

--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -359,8 +359,9 @@
     auto const server = attempt_->server.id;
     auto const now = readLocalClock();
     bool const isConnectFailure = failure.error.code == HttpError::ConnectFailed || failure.error.code == HttpError::ConnectTimeout;
-    // At the deadline the server may merely be slow.
-    if (failure.connection == Http::ConnectionUse::Fresh && now < deadline_) {
+    // At the deadline, or when its stream was moved, the server may merely be slow.
+    bool const mayBeSlow = now >= deadline_ || (attempt_->isMoved && failure.reached == Http::Reached::ResponseStarted);
+    if (failure.connection == Http::ConnectionUse::Fresh && !mayBeSlow) {
         parts_.health.onEvidence(server, Routing::ServerEvidence::FreshConnectionFailed);
         if (isConnectFailure)
             parts_.health.onEvidence(server, Routing::ServerEvidence::FreshConnectionFailed);
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -829,6 +829,33 @@
     EXPECT_EQ(requestCount(), 2U);
 }
 
+/// Guards against ejecting a reachable server because the node moved its silent streams elsewhere: the next streams that break then find
+/// no server to go on.
+TEST_F(OnlineTest, AServerIsNotEjectedForStreamsThatTheNodeMoved)
+{
+    std::vector<FleetServer::Writer> silent;
+    auto &node = serve({[&](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+                           silent.push_back(writer);
+                           writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+                           writer->write(eventTexts(0, 3), nullptr);
+                       }},
+                       streamsWithGapTarget(1500));
+    std::vector<std::future<Answer>> answers;
+    for (int number = 0; number < 2; ++number)
+        answers.push_back(sendTo(node, patientRequest()));
+    waitUntil([&] { return silent.size() == 2; });
+    servers_.push_back(std::make_unique<FleetServer>(
+        thread_, [](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) { answerEvents(request, writer, 10); }));
+    putServer("s2", servers_.back()->address());
+    for (auto &answer : answers) {
+        auto const served = answer.get();
+        ASSERT_TRUE(served) << served.error().error.toString();
+        EXPECT_EQ(served->body, eventTexts(0, 10));
+    }
+    EXPECT_THAT(metricsOf(node), ::testing::HasSubstr(R"(anvilyard_node_servers{belief="ejected"} 0)"));
+    thread_.call([&] { silent.clear(); });
+}
+
 /// Guards against moving a request away from a slow server while no other server has a free slot.
 TEST_F(OnlineTest, ARequestIsNotMovedWhileNoOtherServerHasAFreeSlot)
 {
