Close kept connections when an entry has drained

After its last check for open requests it had closed its port but not the connections that callers keep, and a request on one of them was started although the process was about to end.

Before the change, AfterDrainingNoRequestIsTakenOnAKeptConnection printed

Value of: fetchAsync(models).get() Actual: true Expected: false

It passes now, as do the other tests of TestEntry.

--- a/Services/Entry/TrafficThread.cpp
+++ b/Services/Entry/TrafficThread.cpp
@@ -215,7 +215,10 @@
 
 void TrafficThread::stopAccepting()
 {
-    loop_.post([this] { server_->stopAccepting(); });
+    loop_.post([this] {
+        server_->stopAccepting();
+        server_->closeIdle();
+    });
 }
 
 std::size_t TrafficThread::openExchanges()
--- a/Services/Entry/TrafficThread.h
+++ b/Services/Entry/TrafficThread.h
@@ -60,6 +60,7 @@
     void keepAlive(std::shared_ptr<void> object);
     /// Adds "Connection: close" to answers from now on. New requests are still served.
     void announceLeaving();
+    /// Also closes the connections without a request, and each other one once it has none.
     void stopAccepting();
     /// Ends the loop and waits for the thread. Tasks posted afterwards are discarded.
     void stop();
--- a/Tests/Entry/TestEntryRelay.cpp
+++ b/Tests/Entry/TestEntryRelay.cpp
@@ -246,3 +246,15 @@
     drained.get();
     EXPECT_EQ(service_->openExchanges(), 0U);
 }
+
+/// Guards against an entry that has finished draining, and is about to exit, but takes requests on connections that its callers kept.
+TEST_F(EntryRelayTest, AfterDrainingNoRequestIsTakenOnAKeptConnection)
+{
+    addEngine([](int, auto const &, auto writer) { streamComplete(writer, {"one "}); });
+    startEntry();
+    Http::HttpRequest const models{.method = "GET", .target = "/v1/models", .headers = {{"Authorization", std::string("Bearer ") + Key}}};
+    auto const before = fetchAsync(models).get();
+    ASSERT_TRUE(before) << before.error().error.toString();
+    service_->drain();
+    EXPECT_FALSE(fetchAsync(models).get());
+}
