Give a runner with too few servers of its own others up to its share

Cause: since a runner gets substitutes only if none of its own servers accepts items. Jobs are divided evenly among all runners, whatever their data centres have.

Change: a runner that has less than half of its share of the pool (accepting servers times runners for each one, divided by the runners) gets substitutes up to that share, near ones first and then others.

Test: PeerTableTest.ARunnerWhoseDataCentreHasFewServersLeftGetsOthers; before, the runners of that data centre had 0 or 1 server instead of 12.

--- a/Libraries/LibServing/PeerTable.cpp
+++ b/Libraries/LibServing/PeerTable.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// A runner gets substitutes if its own servers are fewer than its share of the pool divided by this.
+constexpr std::size_t MinShareDivisor = 2;
+
 /// Whether both lists name the same runners with the same reachability of the store. Their tokens change with each report.
 bool nameSameRunners(std::vector<ObservedRunner> const &left, std::vector<ObservedRunner> const &right)
 {
@@ -394,19 +397,27 @@
 std::set<ServerId> PeerTable::itemServers(std::span<ItemServer const> pool) const
 {
     std::set<ServerId> servers;
-    bool acceptsNew = false;
+    std::size_t accepting = 0;
     for (auto const &server : pool) {
         if (!isRunnerFor(server.id, server.dataCentre))
             continue;
         servers.insert(server.id);
-        acceptsNew = acceptsNew || server.acceptsNew;
+        accepting += server.acceptsNew ? 1 : 0;
     }
-    if (!acceptsNew)
-        servers.merge(substituteServers(pool));
+    if (auto const share = shareOfServers(pool); accepting * MinShareDivisor < share)
+        servers.merge(substituteServers(pool, share));
     return servers;
 }
 
-std::set<ServerId> PeerTable::substituteServers(std::span<ItemServer const> pool) const
+std::size_t PeerTable::shareOfServers(std::span<ItemServer const> pool) const
+{
+    auto const accepting =
+        static_cast<std::size_t>(std::count_if(pool.begin(), pool.end(), [](ItemServer const &server) { return server.acceptsNew; }));
+    auto const share = accepting * options_.runnersPerServer / std::max<std::size_t>(1, runners_.size());
+    return std::min(accepting, std::max<std::size_t>(1, share));
+}
+
+std::set<ServerId> PeerTable::substituteServers(std::span<ItemServer const> pool, std::size_t count) const
 {
     struct Candidate {
         bool isNear;
@@ -423,14 +434,9 @@
                                   .id = server.id});
     }
     std::sort(candidates.begin(), candidates.end(), std::greater<>());
-    // Even if every runner needs substitutes, a server is one for about `runnersPerServer` of them.
-    auto const share = candidates.size() * options_.runnersPerServer / std::max<std::size_t>(1, runners_.size());
-    auto const count = std::min(candidates.size(), std::max<std::size_t>(1, share));
     std::set<ServerId> servers;
-    for (auto const &candidate : std::span(candidates).first(count)) {
-        if (candidate.isNear == candidates.front().isNear)
-            servers.insert(candidate.id);
-    }
+    for (auto const &candidate : std::span(candidates).first(count))
+        servers.insert(candidate.id);
     return servers;
 }
 
--- a/Libraries/LibServing/PeerTable.h
+++ b/Libraries/LibServing/PeerTable.h
@@ -111,9 +111,9 @@
     /// runners in the server's data centre rank before all others. Runners of one server have to know each other's items there. In a large
     /// fleet those of different data centres do not, so a server without runners in its data centre has a single one.
     [[nodiscard]] bool isRunnerFor(ServerId const &server, DataCentreId const &dataCentre) const;
-    /// The servers of a pool to which this runner sends items: those for which isRunnerFor() holds. Jobs are divided among all runners,
-    /// so a runner that may send new items to none of these has substitutes: servers of its data centre or, without any that accepts
-    /// items there, of others.
+    /// The servers of a pool to which this runner sends items: those for which isRunnerFor() holds. Jobs are divided evenly among all
+    /// runners, so a runner that may send new items to less than half of its share of the pool has substitutes up to that share: servers of
+    /// its data centre first, then of others.
     [[nodiscard]] std::set<ServerId> itemServers(std::span<ItemServer const> pool) const;
     /// Items of other data centres at a server. Their runners are not listed by batchAt().
     [[nodiscard]] std::uint32_t farBatchAt(ServerId const &server) const;
@@ -147,7 +147,9 @@
     };
 
     [[nodiscard]] InFlight directAt(ServerId const &server) const;
-    [[nodiscard]] std::set<ServerId> substituteServers(std::span<ItemServer const> pool) const;
+    /// Number of servers that each runner gets if `runnersPerServer` runners send items to each one that accepts them; at least one.
+    [[nodiscard]] std::size_t shareOfServers(std::span<ItemServer const> pool) const;
+    [[nodiscard]] std::set<ServerId> substituteServers(std::span<ItemServer const> pool, std::size_t count) const;
     void addLoad(PeerReport const &report);
     void removeLoad(PeerReport const &report);
     void retainTokens(PeerReport const &report, Instant now);
--- a/Tests/LibServing/TestPeers.cpp
+++ b/Tests/LibServing/TestPeers.cpp
@@ -529,6 +529,28 @@
     }
 }
 
+/// A data centre loses nearly all its servers of a pool. Guards against runners there whose jobs wait for the one that is left, while
+/// servers of other data centres are idle.
+TEST(PeerTableTest, ARunnerWhoseDataCentreHasFewServersLeftGetsOthers)
+{
+    std::vector<std::string> const dataCentres{"a", "b", "c"};
+    std::vector<std::pair<std::string, std::string>> runners;
+    for (int number = 0; number < 13; ++number)
+        runners.emplace_back("r" + std::to_string(number), dataCentres.at(number % 3));
+    std::vector<ItemServer> pool{{.id = ServerId("left"), .dataCentre = DataCentreId("a"), .acceptsNew = true}};
+    for (int number = 0; number < 40; ++number)
+        pool.push_back(
+            {.id = ServerId("s" + std::to_string(number)), .dataCentre = DataCentreId(dataCentres.at(1 + number % 2)), .acceptsNew = true});
+    for (auto const &[self, dataCentre] : runners) {
+        auto table = tableIn(self, InstanceRole::Runner, dataCentre);
+        for (auto const &[other, otherDataCentre] : runners)
+            table.onReport(runnerIn(other, otherDataCentre), Start);
+        table.setFleetKind(FleetKind::Large);
+        auto const servers = table.itemServers(pool);
+        EXPECT_GE(servers.size(), 12U) << self << ": the share of a runner is 41 * 4 / 13";
+    }
+}
+
 TEST(PeerTableTest, FewRunnersShareAllServers)
 {
     auto table = tableOf("r1", InstanceRole::Runner);
