Do not count a server that a resume did not reach as one that ran it

Callers saw streams break off although a sound server could have gone on.

Cause: runStateAfter() took an exchange for a possible run if the caller had a part of the stream, even if no byte reached the server. That part is a property of the whole call, not of the attempt. A resume that was refused a connection thus used up the servers that the route allows, and all further sends went to the dead server. A response that began in the attempt has Reached::ResponseStarted, so `reached` alone decides.

Before the change, AStreamWhoseResumeReachesNoServerIsResumedAtAThird printed

node-attempt-failed ... server="s1" ... next="resume" ... send="1" node-attempt-failed ... server="s2" error="the connection could not be made ..." next="resume" ... send="2" node-attempt-failed ... server="s2" error="the connection could not be made ..." next="abort" ... send="5" node-request-ended ... outcome="broken-off" reason="too-many-sends" sends="5" ... the connection ended before the message was complete

The row "resume not reached" of EachAttemptEndHasItsStepAndRunState expected the fault: MayHaveRun for a request of which nothing was sent. It now expects NotRun, and nothing else in it changes.

A run of all of TestNode was not made.

--- a/Libraries/LibRouting/RetryPolicy.cpp
+++ b/Libraries/LibRouting/RetryPolicy.cpp
@@ -73,7 +73,7 @@
 RunState runStateAfter(AttemptEnd const &end)
 {
     if (auto const *failure = std::get_if<ExchangeFailed>(&end))
-        return failure->reached == Reached::NothingSent && failure->relayed == Relayed::Nothing ? RunState::NotRun : RunState::MayHaveRun;
+        return failure->reached == Reached::NothingSent ? RunState::NotRun : RunState::MayHaveRun;
     return refusedBeforeRunning(std::get<ServerErrorResponse>(end)) ? RunState::NotRun : RunState::MayHaveRun;
 }
 
--- a/Tests/LibRouting/TestRetryPolicy.cpp
+++ b/Tests/LibRouting/TestRetryPolicy.cpp
@@ -57,7 +57,7 @@
     {"answer cut, held back", exchangeFailed(HttpError::ClosedEarly, Reached::ResponseStarted, ConnectionUse::Fresh), MayHaveRun, Refuse, Refuse, Other, Other},
     {"answer cut, reused", exchangeFailed(HttpError::ClosedEarly, Reached::ResponseStarted, ConnectionUse::Reused), MayHaveRun, Refuse, Refuse, Fresh, Fresh},
     {"answer cut, part relayed", exchangeFailed(HttpError::ClosedEarly, Reached::ResponseStarted, ConnectionUse::Fresh, Relayed::Part), MayHaveRun, AbortResponse, AbortResponse, AbortResponse, Resume},
-    {"resume not reached", exchangeFailed(HttpError::ConnectFailed, Reached::NothingSent, ConnectionUse::Fresh, Relayed::Part), MayHaveRun, AbortResponse, AbortResponse, AbortResponse, Resume},
+    {"resume not reached", exchangeFailed(HttpError::ConnectFailed, Reached::NothingSent, ConnectionUse::Fresh, Relayed::Part), NotRun, AbortResponse, AbortResponse, AbortResponse, Resume},
     {"429", errorResponse(429, None), NotRun, Relay, Other, Other, Other},
     {"503 stated not run", errorResponse(503, Stated), NotRun, Relay, Other, Other, Other},
     {"404 stated not run", errorResponse(404, Stated), NotRun, Relay, Other, Other, Other},
--- a/Tests/LibServing/TestAttemptPlan.cpp
+++ b/Tests/LibServing/TestAttemptPlan.cpp
@@ -34,6 +34,12 @@
     return {.error = Http::HttpError::ConnectFailed, .reached = Http::Reached::NothingSent};
 }
 
+/// A resume of a stream, of which the caller has a part, that did not reach its server.
+ExchangeFailed unreachedResume()
+{
+    return {.error = Http::HttpError::ConnectFailed, .reached = Http::Reached::NothingSent, .relayed = Relayed::Part};
+}
+
 ExchangeFailed brokenStream()
 {
     return {.reached = Http::Reached::ResponseStarted, .relayed = Relayed::Part};
@@ -106,6 +112,19 @@
     EXPECT_EQ(afterSend(once, serverA, brokenStream()), NextStep::AbortResponse);
 }
 
+/// Guards against counting a server that refused the connection as one that may have run the stream.
+TEST(AttemptPlanTest, AStreamWhoseResumeReachedNoServerMayUseAnother)
+{
+    auto plan = planOf(Repeatability::Generation, 2);
+    EXPECT_EQ(afterSend(plan, serverA, brokenStream()), NextStep::ResumeStream);
+    EXPECT_EQ(afterSend(plan, serverB, unreachedResume()), NextStep::ResumeStream);
+    EXPECT_EQ(plan.onlyServer(), std::nullopt);
+    EXPECT_EQ(plan.excluded(), (std::vector{serverA, serverB}));
+    EXPECT_EQ(afterSend(plan, serverC, brokenStream()), NextStep::ResumeStream);
+    EXPECT_EQ(plan.onlyServer(), serverC);
+    EXPECT_FALSE(plan.mayUseAnotherServer());
+}
+
 TEST(AttemptPlanTest, NothingIsSentShortlyBeforeTheDeadline)
 {
     auto plan = planOf(Repeatability::Idempotent, 3);
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -36,6 +36,18 @@
         return request;
     }
 
+    /// Address on which nothing listens anymore.
+    Address deadAddress()
+    {
+        return FleetServer(thread_, [](int, auto const &, auto const &) {}).address();
+    }
+
+    void waitForMetric(Node::NodeProgram &node, std::string const &sample)
+    {
+        while (metricsOf(node).find("\n" + sample + "\n") == std::string::npos)
+            waitUntil([] { return true; });
+    }
+
     std::size_t requestCount() const
     {
         std::size_t count = 0;
@@ -802,6 +814,33 @@
     EXPECT_EQ(used, 2U);
 }
 
+/// A stream whose route allows two servers breaks at the first, the second has died, and a third is sound. Guards against counting the
+/// second as one that ran the stream, which then may be resumed nowhere else.
+TEST_F(OnlineTest, AStreamWhoseResumeReachesNoServerIsResumedAtAThird)
+{
+    FleetServer::Writer first;
+    auto &node = serve({[&](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+                           writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+                           writer->write(eventTexts(0, 3), nullptr);
+                           first = writer;
+                       }},
+                       streamsWithGapTarget(10'000));
+    auto answer = sendTo(node, patientRequest());
+    waitUntil([&] { return first != nullptr; });
+    // The dead server is the nearest besides the first.
+    putServer("s2", deadAddress());
+    servers_.push_back(std::make_unique<FleetServer>(
+        thread_, [](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) { answerEvents(request, writer, 10); }));
+    putServer("s3", servers_.back()->address(), "ready", 8, "far");
+    waitForMetric(node, R"(anvilyard_node_servers{belief="usable"} 3)");
+    thread_.call([&] { std::exchange(first, nullptr)->abort(); });
+    auto const served = answer.get();
+    ASSERT_TRUE(served) << served.error().error.toString();
+    EXPECT_EQ(served->body, eventTexts(0, 10));
+    EXPECT_THAT(metricsOf(node), ::testing::HasSubstr("\nanvilyard_node_sends_total 3\n"));
+    EXPECT_EQ(requestCount(), 2U);
+}
+
 /// The stream broke at one server, and the other, the last that its route allows, is silent for a while after its registration was removed.
 /// Guards against a node that cuts the stream although it may not be sent to that server again.
 TEST_F(OnlineTest, ASilentStreamIsNotCutIfItCannotBeResumed)
