Let a stream wait again if its send after a wait reached no server

Callers saw streams break off although other servers would have taken them.

Cause: after a wait a stream is sent once. If that server rejected it, it waited again, but if the server had just died and refused the connection, AttemptPlan had it broken off, as no send was left. Such a send has not run either. A send that may have run and broke ends as before, and the limit on servers that may have run the stream stays.

Before the change, AStreamWhoseSendAfterAWaitReachedNoServerWaitsAgain printed

afterSend(plan, serverB, unreachedResume(), now) Which is: 4-byte object <05-00 00-00> NextStep::Refuse Which is: 4-byte object <04-00 00-00>

that is, AbortResponse. All 12 tests of AttemptPlan pass, as do the 9 tests of TestNode about resumed streams. A run of all of TestNode was not made, and no test shows this fault at a node.

--- a/Libraries/LibServing/AttemptPlan.cpp
+++ b/Libraries/LibServing/AttemptPlan.cpp
@@ -46,7 +46,9 @@
         giveUpReason_ = GiveUpReason::NotRepeatable;
         return step;
     }
-    auto const giveUp = step == NextStep::ResumeStream ? NextStep::AbortResponse : NextStep::Refuse;
+    // A stream that did not run in this send may be sent again after a wait. See resumeLater().
+    bool const isBroken = step == NextStep::ResumeStream && Routing::runStateAfter(end) == Http::RunState::MayHaveRun;
+    auto const giveUp = isBroken ? NextStep::AbortResponse : NextStep::Refuse;
     if (sends_ >= MaxSends || now + MinTimeForSend >= options_.deadline) {
         giveUpReason_ = sends_ >= MaxSends ? GiveUpReason::TooManySends : GiveUpReason::Deadline;
         return giveUp;
--- a/Tests/LibServing/TestAttemptPlan.cpp
+++ b/Tests/LibServing/TestAttemptPlan.cpp
@@ -214,3 +214,27 @@
     auto unsafe = planOf(Repeatability::Unsafe, 2);
     EXPECT_EQ(unsafe.resumeLater(Start), std::nullopt);
 }
+
+/// Guards against breaking a stream off because the one server asked after a wait has just died.
+TEST(AttemptPlanTest, AStreamWhoseSendAfterAWaitReachedNoServerWaitsAgain)
+{
+    auto plan = planOf(Repeatability::Generation, 2);
+    EXPECT_EQ(afterSend(plan, serverA, brokenStream()), NextStep::ResumeStream);
+    auto now = Start;
+    auto lastDelay = Duration::zero();
+    std::size_t sends = 0;
+    while (auto const at = plan.resumeLater(now)) {
+        EXPECT_GE(*at - now, std::max(lastDelay, FirstResumeDelay));
+        lastDelay = *at - now;
+        now = *at;
+        EXPECT_EQ(afterSend(plan, serverB, unreachedResume(), now), NextStep::Refuse);
+        ++sends;
+    }
+    EXPECT_GT(now, Start + 4s);
+    EXPECT_LT(sends, 20U);
+    EXPECT_TRUE(plan.mayUseAnotherServer());
+    auto broken = planOf(Repeatability::Generation, 2);
+    EXPECT_EQ(afterSend(broken, serverA, brokenStream()), NextStep::ResumeStream);
+    EXPECT_TRUE(broken.resumeLater(Start));
+    EXPECT_EQ(afterSend(broken, serverB, brokenStream(), Start + FirstResumeDelay), NextStep::AbortResponse);
+}
