Do not cut a silent stream whose last server is leaving or ejected

Callers saw streams break off although their server, which was leaving, would have finished them.

Cause: a node cuts a silent stream at the last server of its route to send it there again, if the server is in the directory. This includes servers that are only a last resort, as for a second after they leave. Such a server rejects the resume until it is gone, and the stream breaks off. The stream is now cut only if its server is usable and not ejected.

Before the change, ASilentStreamIsNotCutIfItsServerIsOnlyALastResort printed

node-attempt-failed ... server="s1" error="nothing arrived in time ..." next="resume" ... send="2" node-attempt-rejected ... server="s1" status="503" not_run="true" ... send="3" node-request-ended ... outcome="broken-off" reason="only-server-gone" sends="6" ... the connection ended before the message was complete

It passes now, as do the 9 other tests of TestNode about resumed and silent streams. A run of all of TestNode was not made, and no test covers the check for an ejected server.

--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -437,7 +437,12 @@
 /// Whether the stream may be sent to its current server again and the budget allows it. Takes one move from the budget.
 bool OnlineCall::mayResumeHere(Instant now)
 {
-    return parts_.context.directory.find(attempt_->server.id, now) && parts_.context.moveBudget.tryTake(now);
+    auto &context = parts_.context;
+    auto const &id = attempt_->server.id;
+    auto const server = context.directory.find(id, now);
+    // A leaving or ejected server would not take the stream again.
+    bool const takesIt = server && server->use == Serving::ServerUse::Usable && !context.health.ejected().contains(id);
+    return takesIt && context.moveBudget.tryTake(now);
 }
 
 void OnlineCall::scheduleSilenceCheck()
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -895,6 +895,37 @@
     thread_.call([&] { silent.clear(); });
 }
 
+/// As before, but the silence is noticed while the server is still used as a last resort. It rejects new requests, so that a stream that
+/// is cut breaks off.
+TEST_F(OnlineTest, ASilentStreamIsNotCutIfItsServerIsOnlyALastResort)
+{
+    std::unique_ptr<Http::Timer> timer;
+    int requests = 0;
+    FleetServer::Script const script = [&](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        if (++requests > 2) {
+            auto headers = signedHeaders(request, "text/plain");
+            headers.append({"Anvilyard-Not-Executed", "1"});
+            return writer->respond({.status = 503, .headers = std::move(headers)});
+        }
+        writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+        if (requests == 1)
+            return writer->write(eventTexts(0, 3), [writer](auto) { writer->abort(); });
+        writer->write(eventTexts(3, 6), nullptr);
+        for (auto const *id : {"s1", "s2"})
+            store_->remove("servers", id);
+        timer = thread_.loop().at(readLocalClock() + 1500ms, [writer] {
+            writer->write(eventTexts(6, 10), nullptr);
+            writer->finish();
+        });
+    };
+    auto &node = serve({script, script}, streamsWithGapTarget(200));
+    auto const answer = ask(node, patientRequest());
+    thread_.call([&] { timer.reset(); });
+    ASSERT_TRUE(answer) << answer.error().error.toString();
+    EXPECT_EQ(answer->body, eventTexts(0, 10));
+    EXPECT_EQ(requestCount(), 2U);
+}
+
 /// Guards against moving a request away from a slow server while no other server has a free slot.
 TEST_F(OnlineTest, ARequestIsNotMovedWhileNoOtherServerHasAFreeSlot)
 {
