--- a/Libraries/LibServing/PromptEvidence.h
+++ b/Libraries/LibServing/PromptEvidence.h
@@ -30,7 +30,7 @@
     WallInstant at;
 };
 
-/// What instances tell each other about prompts that may crash servers. Merging it repeatedly or in any order has the same result.
+/// Evidence about prompts that may crash servers, as instances exchange it. Merging it repeatedly or in any order has the same result.
 struct PromptEvidence {
     std::vector<LostResponse> lost;
     /// When a prompt with the part was last answered, for parts in `lost`.
--- a/Tests/LibHttp/TestHostileCallers.cpp
+++ b/Tests/LibHttp/TestHostileCallers.cpp
@@ -535,7 +535,7 @@
     }
 }
 
-/// Guards against an exit that cannot be explained because nobody knows how far the requests on the connections were.
+/// Guards against an exit that cannot be explained because the state of the requests on its connections was not recorded.
 TEST_F(HostileCallersTest, ConnectionsAreCountedByStateAndTheirEndsReported)
 {
     std::promise<std::shared_ptr<ResponseWriter>> arrived;
--- a/Tests/LibHttp/TestHostileServers.cpp
+++ b/Tests/LibHttp/TestHostileServers.cpp
@@ -490,7 +490,9 @@
         {"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 100\r\n\r\n", "x"},
         {"HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
     };
-    for (auto const &[first, repeated] : cases) {
+    for (auto const &responses : cases) {
+        auto const &first = responses.first;
+        auto const &repeated = responses.second;
         std::unique_ptr<Timer> timer;
         std::size_t sent = 0;
         std::function<void(std::weak_ptr<ScriptedServer::Connection> const &)> repeat = [&](auto const &handle) {
