Blame a server's loss on one part of the prompts that it ran

The runner's log has two parts in quarantine from the same moment, and node-items-stalled with 8 accepting servers.

Cause: the crashing part explained only the responses that contain it. All items of a job come to one runner at once; the servers that they crash take sound items with them whose response had begun. These had a part in common, too, and nothing had been answered yet that would have spoken for it. Since then that part was refused for five minutes, and no answer could release it.

A part in quarantine now explains all responses that were lost at its servers.

--- a/Libraries/LibServing/PromptQuarantine.cpp
+++ b/Libraries/LibServing/PromptQuarantine.cpp
@@ -97,8 +97,8 @@
     return found != answered_.end() && now < found->second + options_.answeredRetention;
 }
 
-/// The part with the most lost servers explains the responses that contain it. The other parts of these are not suspected because of
-/// them, as the requests that crash servers share their remaining parts with others.
+/// The part with the most lost servers explains all responses that were lost at these servers. Other parts are not suspected because of
+/// them: the requests that crash servers share their remaining parts with others, which are lost with the server.
 std::map<PromptPartId, WallInstant> PromptQuarantine::quarantined(WallInstant now) const
 {
     std::map<PromptPartId, WallInstant> found;
@@ -126,7 +126,8 @@
             break;
         found.emplace(strongest->first,
                       strongest->second.lastLostAt + std::chrono::duration_cast<std::chrono::milliseconds>(options_.quarantineTime));
-        std::erase_if(unexplained, [&](LostResponse const *response) { return contains(*response, strongest->first); });
+        auto const &servers = strongest->second.servers;
+        std::erase_if(unexplained, [&](LostResponse const *response) { return servers.contains(response->server); });
     }
     return found;
 }
--- a/Tests/LibServing/TestPromptQuarantine.cpp
+++ b/Tests/LibServing/TestPromptQuarantine.cpp
@@ -54,6 +54,18 @@
     EXPECT_FALSE(isRefused({firstPart, PromptPartId(11)})) << "the lost responses with it are explained by the crashing part";
 }
 
+/// Servers are lost with sound requests that had no answer yet, in a fleet that has answered nothing so far. Guards against refusing the
+/// parts of these as well.
+TEST_F(PromptQuarantineTest, RequestsLostWithTheCrashingOneAreNotRefused)
+{
+    for (std::size_t server = 0; server < 6; ++server) {
+        quarantine_.onLost(serverNumber(server), std::array{firstPart, PromptPartId(10), crashingPart}, testStart);
+        quarantine_.onLost(serverNumber(server), std::array{firstPart, PromptPartId(10)}, testStart);
+    }
+    EXPECT_TRUE(isRefused({crashingPart}));
+    EXPECT_FALSE(isRefused({firstPart, PromptPartId(10)}));
+}
+
 /// A server restarts under its id, as servers do whose id is configured. Guards against counting its next crash as known.
 TEST_F(PromptQuarantineTest, EachProcessOfAServerCounts)
 {
