--- a/Libraries/LibServing/PeerTable.cpp
+++ b/Libraries/LibServing/PeerTable.cpp
@@ -339,6 +339,19 @@
     return isStoreLostForAllRunners_;
 }
 
+std::optional<InstanceId> PeerTable::observerOf(InstanceId const &runner) const
+{
+    if (runner == options_.self || peers_.contains(runner))
+        return std::nullopt;
+    for (auto const &[id, peer] : peers_) {
+        for (auto const &observed : peer.report.observedRunners) {
+            if (observed.id == runner)
+                return id;
+        }
+    }
+    return std::nullopt;
+}
+
 std::map<InstanceId, StoreReachability> PeerTable::knownRunners() const
 {
     std::map<InstanceId, StoreReachability> known;
--- a/Libraries/LibServing/PeerTable.h
+++ b/Libraries/LibServing/PeerTable.h
@@ -105,6 +105,8 @@
     /// Runners that may own jobs, ordered by name: those that this instance or one of its live peers receives reports from. A runner
     /// that lost the platform's store cannot store outcomes, so it owns no jobs while another runner reaches the store.
     [[nodiscard]] std::vector<InstanceId> const &runners() const;
+    /// For a runner whose own reports do not arrive here, a live peer that observes it; `std::nullopt` for all others.
+    [[nodiscard]] std::optional<InstanceId> observerOf(InstanceId const &runner) const;
     /// The runner that owns a job in the view of this instance; `std::nullopt` if no runner is known.
     [[nodiscard]] std::optional<InstanceId> ownerOf(JobId const &job) const;
     /// Whether this runner may send items to a server: it is among the first `runnersPerServer` runners by rendezvous hashing, where
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -115,6 +115,31 @@
     for (auto &[job, known] : knownJobs_)
         known.isOwned = isFirstFor(job);
     uncheckedChangeAt_ = now;
+    logRunners();
+}
+
+void JobRunner::logRunners()
+{
+    auto const &runners = context_.peers.runners();
+    auto const namesIn = [](std::vector<InstanceId> const &ids, std::vector<InstanceId> const &others) {
+        std::string names;
+        for (auto const &id : ids) {
+            if (std::find(others.begin(), others.end(), id) == others.end())
+                names += (names.empty() ? "" : ",") + id.value();
+        }
+        return names;
+    };
+    std::string observed;
+    for (auto const &runner : runners) {
+        if (auto const observer = context_.peers.observerOf(runner))
+            observed += (observed.empty() ? "" : ",") + runner.value() + " by " + observer->value();
+    }
+    Observe::log(Observe::Events::NodeRunnersChanged,
+                 {{"runners", std::to_string(runners.size())},
+                  {"added", namesIn(runners, loggedRunners_)},
+                  {"removed", namesIn(loggedRunners_, runners)},
+                  {"observed", observed}});
+    loggedRunners_ = runners;
 }
 
 void JobRunner::renewSilentWatch(Instant now)
@@ -200,7 +225,11 @@
     renewSilentWatch(now);
     for (auto const &job : jobs_.jobs()) {
         if (!owns(job)) {
-            Observe::log(Observe::Events::NodeJobHandedOver, {{"job", job.value()}});
+            auto const owner = context_.peers.ownerOf(job);
+            auto const observer = owner ? context_.peers.observerOf(*owner) : std::nullopt;
+            Observe::log(
+                Observe::Events::NodeJobHandedOver,
+                {{"job", job.value()}, {"owner", owner ? owner->value() : "none"}, {"observer", observer ? observer->value() : ""}});
             cancelRuns(job);
             jobs_.remove(job);
             pendingStores_.erase(job);
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -84,6 +84,8 @@
     bool serve(PendingRead const &read, Instant now);
     void serveBody(PeerReadBody const &call, Writer const &writer);
     void serveAdmission(PeerAdmission const &call, Writer const &writer);
+    /// Logs the runners that came and went since the last change, and those that only others observe.
+    void logRunners();
     /// Determines the owners of all known jobs anew after a change of the runners.
     void refreshOwnership(Instant now);
     /// After a change of the runners this one may own jobs that it has not heard of.
@@ -116,6 +118,7 @@
     /// Runners for which `KnownJob::isOwned` holds. Ranking all runners for each of hundreds of jobs in every tick would take a third of
     /// the processor time of a runner.
     std::optional<std::uint64_t> ownershipHash_;
+    std::vector<InstanceId> loggedRunners_;
     /// Last change of the runners, until the watch has been checked after it.
     std::optional<Instant> uncheckedChangeAt_;
     std::list<std::shared_ptr<ItemRun>> runs_;
