--- a/Tests/LibServing/ExchangeSimulation.cpp
+++ b/Tests/LibServing/ExchangeSimulation.cpp
@@ -67,6 +67,7 @@
     instance.peers->onTick(now_);
     auto const due =
         instance.exchange->takeDue({.startedAt = 1,
+                                    .stage = instance.stage,
                                     .store = isStoreLost_ && isStoreLost_(instance) ? StoreReachability::Lost : StoreReachability::Reached,
                                     .address = addressOf(index),
                                     .inFlight = instance.inFlight,
@@ -160,6 +161,13 @@
     instance.isAlive = false;
 }
 
+void ExchangeSimulation::beginStop(Instance &instance)
+{
+    instance.stage = InstanceStage::Leaving;
+    instance.peers->setOwnStage(instance.stage, now_);
+    instance.exchange->scheduleAllNow();
+}
+
 void ExchangeSimulation::restart(Instance &instance)
 {
     instance.peers.reset();
@@ -195,6 +203,11 @@
     return instances_;
 }
 
+std::vector<ExchangeSimulation::Instance> const &ExchangeSimulation::instances() const
+{
+    return instances_;
+}
+
 ExchangeSimulation::Instance &ExchangeSimulation::find(InstanceId const &id)
 {
     return *std::find_if(instances_.begin(), instances_.end(), [&](Instance const &instance) { return instance.id == id; });
--- a/Tests/LibServing/ExchangeSimulation.h
+++ b/Tests/LibServing/ExchangeSimulation.h
@@ -37,6 +37,7 @@
         Serving::PromptQuarantine prompts{Serving::PromptQuarantineOptions{}};
         Instant startsAt;
         bool isAlive = true;
+        Serving::InstanceStage stage = Serving::InstanceStage::Serving;
         std::uint64_t received = 0;
     };
 
@@ -45,6 +46,8 @@
     /// Runs for a time in which each entry starts or ends `changesPerSecond` requests a second.
     void run(Duration time, double changesPerSecond);
     void kill(Instance &instance);
+    /// Lets the instance report that it is leaving. Its process runs on until kill().
+    void beginStop(Instance &instance);
     /// Ends the instance's process and starts another one, which knows nothing.
     void restart(Instance &instance);
     /// Sets which messages the network drops.
@@ -54,6 +57,7 @@
     void setLostStore(std::function<bool(Instance const &)> isLost);
 
     [[nodiscard]] std::vector<Instance> &instances();
+    [[nodiscard]] std::vector<Instance> const &instances() const;
     [[nodiscard]] Instance &find(InstanceId const &id);
     /// Requests of all live instances at a server.
     [[nodiscard]] Serving::InFlight actualAt(ServerId const &server) const;
--- a/Tests/LibServing/TestPeerExchange.cpp
+++ b/Tests/LibServing/TestPeerExchange.cpp
@@ -1,7 +1,10 @@
 #include "Tests/LibServing/ExchangeSimulation.h"
 
+#include <algorithm>
 #include <array>
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <tuple>
 
 using namespace Anvilyard;
 using namespace Anvilyard::Serving;
@@ -135,6 +138,76 @@
         ASSERT_EQ(instance.peers->runners(), before) << instance.id.value();
 }
 
+namespace {
+
+/// Ids of instances of a role that count a runner among those that may own jobs.
+std::vector<InstanceId> instancesThatCount(ExchangeSimulation const &fleet, InstanceId const &runner, InstanceRole role)
+{
+    std::vector<InstanceId> ids;
+    for (auto const &instance : fleet.instances()) {
+        auto const &runners = instance.peers->runners();
+        if (instance.isAlive && instance.role == role && std::find(runners.begin(), runners.end(), runner) != runners.end())
+            ids.push_back(instance.id);
+    }
+    return ids;
+}
+
+/// Checks for ten seconds that no instance counts the runner: runners from the start on, and entries, which receive no reports of runners
+/// elsewhere, after the time in which views may differ.
+void expectNoneCounts(ExchangeSimulation &fleet, InstanceId const &runner)
+{
+    constexpr auto Step = 100ms;
+    for (Duration elapsed = 0s; elapsed < 10s; elapsed += Step) {
+        auto const text = std::to_string(fleet.instances().size()) + " instances, after " + std::to_string(elapsed / 1ms) + " ms";
+        ASSERT_THAT(instancesThatCount(fleet, runner, InstanceRole::Runner), testing::IsEmpty()) << text;
+        if (elapsed >= PeerTableOptions{}.unsettledTime) {
+            ASSERT_THAT(instancesThatCount(fleet, runner, InstanceRole::Entry), testing::IsEmpty()) << text;
+        }
+        fleet.run(Step, BusyChanges);
+    }
+}
+
+/// The runner that started first. Its peers sent it, and received from it, the reports of a fleet that seemed small.
+ExchangeSimulation::Instance &firstRunner(ExchangeSimulation &fleet)
+{
+    auto &instances = fleet.instances();
+    return *std::min_element(instances.begin(), instances.end(), [](auto const &left, auto const &right) {
+        bool const isLeftEntry = left.role == InstanceRole::Entry;
+        bool const isRightEntry = right.role == InstanceRole::Entry;
+        return std::tie(isLeftEntry, left.startsAt) < std::tie(isRightEntry, right.startsAt);
+    });
+}
+
+} // namespace
+
+/// A runner retires and its process ends. Guards against observations of others that make it the owner of its jobs again once its last
+/// report has timed out, so that no process runs their items.
+TEST(PeerExchangeTest, ARunnerThatRetiredOwnsNoJobs)
+{
+    for (std::size_t const size : {12, 83, 295}) {
+        ExchangeSimulation fleet({.instances = size});
+        fleet.run(6s, BusyChanges);
+        auto &runner = firstRunner(fleet);
+        fleet.beginStop(runner);
+        fleet.run(1s, BusyChanges);
+        fleet.kill(runner);
+        expectNoneCounts(fleet, runner.id);
+    }
+}
+
+/// A runner's process is lost for good. Guards against observations of others that count it as the owner of jobs for ever.
+TEST(PeerExchangeTest, ARunnerThatWasLostOwnsNoJobs)
+{
+    for (std::size_t const size : {12, 83, 295}) {
+        ExchangeSimulation fleet({.instances = size});
+        fleet.run(6s, BusyChanges);
+        auto &runner = firstRunner(fleet);
+        fleet.kill(runner);
+        fleet.run(PeerTableOptions{}.unsettledTime, BusyChanges);
+        expectNoneCounts(fleet, runner.id);
+    }
+}
+
 /// Only relays and instances without a relay watch the store, since each watcher costs calls. On coldline-kr-large trouble-3
 /// (platform_down) all 295 instances tried to watch a store that was away for all, and listed it when it returned.
 TEST(PeerExchangeTest, FewInstancesOfALargeFleetWatchTheStore)
