Let observations of runners end, so that a runner that is gone owns no jobs

Cause: the runners that divide the jobs are those that report themselves and those that others report to observe. A report that leaves its observations out keeps the sender's earlier ones, and runners of other data centres never state them again after the first second, in which the fleet still seems small. So each runner that ran at the start was observed for ever, and as soon as its own last report had timed out it owned its jobs again, with no process.

Observations now end after 4 s unless they are stated again, and those of a runner that reported to be leaving don't count for 15 s.

--- a/Libraries/LibServing/PeerReport.h
+++ b/Libraries/LibServing/PeerReport.h
@@ -79,7 +79,7 @@
     /// Serving runners whose reports the sender receives. A receiver that is cut off from one of them detects through this list that
     /// the runner is alive.
     std::vector<ObservedRunner> observedRunners;
-    /// Whether the report states the observed runners. If not, those of the sender's last report that did still hold.
+    /// Whether the report states the observed runners. If not, those of the sender's last report that did hold for some seconds.
     bool statesObservedRunners = true;
     LoadByServer inFlight;
     /// Number of instances that the sender knows, itself included.
--- a/Libraries/LibServing/PeerTable.cpp
+++ b/Libraries/LibServing/PeerTable.cpp
@@ -46,6 +46,11 @@
     bool const keepsObserved = !report.statesObservedRunners && known != peers_.end() && known->second.report.startedAt == report.startedAt;
     if (keepsObserved)
         report.observedRunners = known->second.report.observedRunners;
+    auto const observedUntil = keepsObserved ? known->second.observedUntil : now + options_.observationTimeout;
+    if (report.stage == InstanceStage::Leaving)
+        departedUntil_[report.sender] = now + options_.departureRetention;
+    else
+        departedUntil_.erase(report.sender);
     auto const sender = report.sender;
     auto const hash = report.runnersHash;
     // The runner set depends only on these fields, and most reports change only the load.
@@ -55,7 +60,7 @@
     if (known != peers_.end())
         removeLoad(known->second.report);
     addLoad(report);
-    peers_[sender] = {.report = std::move(report), .receivedAt = now};
+    peers_[sender] = {.report = std::move(report), .receivedAt = now, .observedUntil = observedUntil};
     if (mayChangeRunners)
         updateRunners(now);
     // Recorded at once: the next report may agree again although the jobs had another owner in between.
@@ -67,7 +72,7 @@
 void PeerTable::onTick(Instant now)
 {
     auto const removedCount = std::erase_if(peers_, [&](auto const &entry) {
-        auto const &[report, receivedAt] = entry.second;
+        auto const &[report, receivedAt, observedUntil] = entry.second;
         if (!isTimedOut(report, receivedAt, now))
             return false;
         retainTokens(report, now);
@@ -76,10 +81,24 @@
     });
     summaries_.onTick(now);
     std::erase_if(retainedTokens_, [&](auto const &entry) { return now >= entry.second.until; });
-    if (removedCount > 0)
+    std::erase_if(departedUntil_, [&](auto const &entry) { return now >= entry.second; });
+    bool const hasDropped = dropOldObservations(now);
+    if (removedCount > 0 || hasDropped)
         updateRunners(now);
 }
 
+bool PeerTable::dropOldObservations(Instant now)
+{
+    bool hasDropped = false;
+    for (auto &[id, peer] : peers_) {
+        if (now < peer.observedUntil || peer.report.observedRunners.empty())
+            continue;
+        peer.report.observedRunners.clear();
+        hasDropped = true;
+    }
+    return hasDropped;
+}
+
 bool PeerTable::isTimedOut(PeerReport const &report, Instant receivedAt, Instant now) const
 {
     return now - receivedAt >= std::max(options_.peerTimeout, report.nextWithin * options_.maxMissedIntervals);
@@ -364,6 +383,8 @@
         if (peer.report.role == InstanceRole::Runner)
             known.erase(id);
     }
+    for (auto const &[id, until] : departedUntil_)
+        known.erase(id);
     known.erase(options_.self);
     for (auto const &runner : observedRunners())
         known[runner.id] = runner.store;
--- a/Libraries/LibServing/PeerTable.h
+++ b/Libraries/LibServing/PeerTable.h
@@ -29,6 +29,12 @@
     Duration peerTimeout = 1500ms;
     /// Peers that report less often are considered dead after this many intervals if that is longer, as datagrams may get lost.
     int maxMissedIntervals = 4;
+    /// Time for which observed runners count unless the observer states them again. Observers that state them do so once a second, and
+    /// datagrams may get lost.
+    Duration observationTimeout = 4s;
+    /// Time for which a runner that reported to be leaving does not count because of observations by others. These may be passed on
+    /// once, and each holds for observationTimeout.
+    Duration departureRetention = 15s;
     /// Time after a change of, or disagreement about, the live runners during which other instances may still see a different set.
     Duration unsettledTime = 5s;
     /// Number of runners that send items to one server. It is small enough that each one has the current item counts of the others,
@@ -135,6 +141,8 @@
     struct Peer {
         PeerReport report;
         Instant receivedAt;
+        /// When its observed runners are dropped unless it states them again.
+        Instant observedUntil;
     };
 
     struct RetainedTokens {
@@ -152,6 +160,8 @@
     /// Number of servers that each runner gets if `runnersPerServer` runners send items to each one that accepts them; at least one.
     [[nodiscard]] std::size_t shareOfServers(std::span<ItemServer const> pool) const;
     [[nodiscard]] std::set<ServerId> substituteServers(std::span<ItemServer const> pool, std::size_t count) const;
+    /// Drops observations that were not stated again. Returns whether there were any.
+    bool dropOldObservations(Instant now);
     void addLoad(PeerReport const &report);
     void removeLoad(PeerReport const &report);
     void retainTokens(PeerReport const &report, Instant now);
@@ -174,6 +184,8 @@
     /// reports.
     std::map<ServerId, ServerSum> sums_;
     std::map<InstanceId, RetainedTokens> retainedTokens_;
+    /// Runners that reported to be leaving, and until when observations by others do not count.
+    std::map<InstanceId, Instant> departedUntil_;
     LoadSummaryTable summaries_;
     std::vector<InstanceId> relays_;
     bool isStoreLostForAllRunners_ = false;
--- a/Tests/LibServing/TestPeers.cpp
+++ b/Tests/LibServing/TestPeers.cpp
@@ -345,6 +345,52 @@
     EXPECT_TRUE(table.runners().empty());
 }
 
+/// A peer observed a runner that is gone and never states its observed runners again, as it does to a runner of another data centre. Guards
+/// against an owner of jobs that no process is.
+TEST(PeerTableTest, ObservationsThatAreNotStatedAgainEnd)
+{
+    auto table = tableOf("r1", InstanceRole::Runner);
+    auto report = reportOf("r2", 1);
+    report.observedRunners = {{.id = InstanceId("r3")}};
+    table.onReport(report, Start);
+    auto const timeout = PeerTableOptions{}.observationTimeout;
+    for (Duration elapsed = 250ms; elapsed < 2 * timeout; elapsed += 250ms) {
+        report.statesObservedRunners = false;
+        ++report.number;
+        table.onReport(report, Start + elapsed);
+        table.onTick(Start + elapsed);
+        bool const isKnown = table.runners().size() == 3;
+        EXPECT_EQ(isKnown, elapsed < timeout) << elapsed / 1ms << " ms";
+        EXPECT_EQ(table.observerOf(InstanceId("r3")).has_value(), isKnown);
+    }
+    report.statesObservedRunners = true;
+    ++report.number;
+    table.onReport(report, Start + 2 * timeout);
+    EXPECT_EQ(table.runners().size(), 3U) << "it is observed again";
+}
+
+/// A runner leaves, and others that missed its last reports still observe it. Guards against the return of its jobs to it once its reports
+/// have timed out.
+TEST(PeerTableTest, ARunnerThatLeftIsNotCountedBecauseOfObservations)
+{
+    auto table = tableOf("r1", InstanceRole::Runner);
+    auto leaving = reportOf("r2", 5);
+    leaving.stage = InstanceStage::Leaving;
+    table.onReport(leaving, Start);
+    auto observer = reportOf("r3", 1);
+    observer.observedRunners = {{.id = InstanceId("r2")}};
+    for (Duration elapsed = 250ms; elapsed < 10s; elapsed += 250ms) {
+        ++observer.number;
+        table.onReport(observer, Start + elapsed);
+        table.onTick(Start + elapsed);
+        EXPECT_EQ(table.runners().size(), 2U) << elapsed / 1ms << " ms";
+    }
+    auto restarted = reportOf("r2", 1);
+    restarted.startedAt = 2;
+    table.onReport(restarted, Start + 10s);
+    EXPECT_EQ(table.runners().size(), 3U) << "its new process reports itself";
+}
+
 /// One runner is cut off from the store (core_cut, or platform_down for some machines). Its jobs would wait until it reaches the store
 /// again, so other runners have to own them. During an outage that affects all runners, the jobs still need owners.
 TEST(PeerTableTest, ARunnerWithoutTheStoreOwnsNothingWhileAnotherReachesIt)
