Count a runner that starts again after it left in the views of all instances

Callers' reads of jobs were sent to the wrong runner, and empty reads cost a call of the store each, for as long as a runner that had left and started again (a rolling restart) was missing in the views of entries elsewhere. Cause: a departure blocked all observations of the name, also those of its next process, and its end did not update the runners. Entries of other data centres know most runners from observations only.

Observations now state when the observed process started, and a departure is that of a process. Its end updates the runners, for clocks that stepped backwards and for observers of the previous version. Entries no longer pass on a runner that reported to them that it leaves. The simulation gives each process of an instance its own start time.

--- a/Libraries/LibServing/PeerReport.cpp
+++ b/Libraries/LibServing/PeerReport.cpp
@@ -25,8 +25,8 @@
 {
     json::array observed;
     for (auto const &runner : report.observedRunners)
-        observed.push_back(
-            json::array{runner.id.value(), runner.store == StoreReachability::Reached, runner.address.value(), runner.waitingTokens});
+        observed.push_back(json::array{
+            runner.id.value(), runner.store == StoreReachability::Reached, runner.address.value(), runner.waitingTokens, runner.startedAt});
     json::object object{
         {"sender", report.sender.value()},
         {"started", report.startedAt},
@@ -80,11 +80,13 @@
     for (auto const &entry : object.at("heard").as_array()) {
         auto const &fields = entry.as_array();
         ObservedRunner runner{.id = InstanceId(std::string(fields.at(0).as_string())), .store = reachabilityOf(fields.at(1))};
-        // Instances of the previous version send only the first two fields.
+        // Instances of earlier versions send only the first two or four fields.
         if (fields.size() >= 4) {
             runner.address = Address(std::string(fields.at(2).as_string()));
             runner.waitingTokens = fields.at(3).to_number<std::uint64_t>();
         }
+        if (fields.size() >= 5)
+            runner.startedAt = fields.at(4).to_number<std::int64_t>();
         report.observedRunners.push_back(std::move(runner));
     }
     return report;
--- a/Libraries/LibServing/PeerReport.h
+++ b/Libraries/LibServing/PeerReport.h
@@ -52,6 +52,8 @@
     Address address = {};
     /// Tokens of the waiting and running items of the runner's jobs.
     std::uint64_t waitingTokens = 0;
+    /// Start time in the reports of the runner; 0 if the sender does not state it.
+    std::int64_t startedAt = 0;
 
     bool operator==(ObservedRunner const &) const = default;
 };
--- a/Libraries/LibServing/PeerTable.cpp
+++ b/Libraries/LibServing/PeerTable.cpp
@@ -13,11 +13,11 @@
 /// A runner gets substitutes if its own servers are fewer than its share of the pool divided by this.
 constexpr std::size_t MinShareDivisor = 2;
 
-/// Whether both lists name the same runners with the same reachability of the store. Their tokens change with each report.
+/// Whether both lists name the same processes of runners with the same reachability of the store. Their tokens change with each report.
 bool nameSameRunners(std::vector<ObservedRunner> const &left, std::vector<ObservedRunner> const &right)
 {
     return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](ObservedRunner const &one, ObservedRunner const &other) {
-        return one.id == other.id && one.store == other.store;
+        return one.id == other.id && one.store == other.store && one.startedAt == other.startedAt;
     });
 }
 
@@ -48,9 +48,9 @@
         report.observedRunners = known->second.report.observedRunners;
     auto const observedUntil = keepsObserved ? known->second.observedUntil : now + options_.observationTimeout;
     if (report.stage == InstanceStage::Leaving)
-        departedUntil_[report.sender] = now + options_.departureRetention;
+        departures_[report.sender] = {.startedAt = report.startedAt, .until = now + options_.departureRetention};
     else
-        departedUntil_.erase(report.sender);
+        departures_.erase(report.sender);
     auto const sender = report.sender;
     auto const hash = report.runnersHash;
     // The runner set depends only on these fields, and most reports change only the load.
@@ -81,9 +81,9 @@
     });
     summaries_.onTick(now);
     std::erase_if(retainedTokens_, [&](auto const &entry) { return now >= entry.second.until; });
-    std::erase_if(departedUntil_, [&](auto const &entry) { return now >= entry.second; });
+    auto const endedDepartures = std::erase_if(departures_, [&](auto const &entry) { return now >= entry.second.until; });
     bool const hasDropped = dropOldObservations(now);
-    if (removedCount > 0 || hasDropped)
+    if (removedCount > 0 || endedDepartures > 0 || hasDropped)
         updateRunners(now);
 }
 
@@ -99,6 +99,12 @@
     return hasDropped;
 }
 
+bool PeerTable::hasDeparted(ObservedRunner const &runner) const
+{
+    auto const found = departures_.find(runner.id);
+    return found != departures_.end() && runner.startedAt <= found->second.startedAt;
+}
+
 bool PeerTable::isTimedOut(PeerReport const &report, Instant receivedAt, Instant now) const
 {
     return now - receivedAt >= std::max(options_.peerTimeout, report.nextWithin * options_.maxMissedIntervals);
@@ -324,6 +330,7 @@
                 .store = peer.report.store,
                 .address = peer.report.address,
                 .waitingTokens = peer.report.waitingTokens,
+                .startedAt = peer.report.startedAt,
             });
     }
     if (options_.ownRole == InstanceRole::Runner && ownStage_ == InstanceStage::Serving)
@@ -337,8 +344,10 @@
     for (auto const &[id, peer] : peers_) {
         if (peer.report.role != InstanceRole::Runner || peer.report.dataCentre == options_.dataCentre)
             continue;
-        for (auto const &runner : peer.report.observedRunners)
-            known.emplace(runner.id, runner);
+        for (auto const &runner : peer.report.observedRunners) {
+            if (!hasDeparted(runner))
+                known.emplace(runner.id, runner);
+        }
     }
     for (auto const &runner : observedRunners())
         known.insert_or_assign(runner.id, runner);
@@ -375,16 +384,16 @@
 {
     std::map<InstanceId, StoreReachability> known;
     for (auto const &[id, peer] : peers_) {
-        for (auto const &runner : peer.report.observedRunners)
-            known.emplace(runner.id, runner.store);
+        for (auto const &runner : peer.report.observedRunners) {
+            if (!hasDeparted(runner))
+                known.emplace(runner.id, runner.store);
+        }
     }
     // A runner's own report takes precedence over observations by others, including its report that it is leaving.
     for (auto const &[id, peer] : peers_) {
         if (peer.report.role == InstanceRole::Runner)
             known.erase(id);
     }
-    for (auto const &[id, until] : departedUntil_)
-        known.erase(id);
     known.erase(options_.self);
     for (auto const &runner : observedRunners())
         known[runner.id] = runner.store;
--- a/Libraries/LibServing/PeerTable.h
+++ b/Libraries/LibServing/PeerTable.h
@@ -32,8 +32,8 @@
     /// Time for which observed runners count unless the observer states them again. Observers that state them do so once a second, and
     /// datagrams may get lost.
     Duration observationTimeout = 4s;
-    /// Time for which a runner that reported to be leaving does not count because of observations by others. These may be passed on
-    /// once, and each holds for observationTimeout.
+    /// Time for which a runner that reported to be leaving does not count because of observations by others, unless they are of a process
+    /// that started later. These may be passed on once, and each holds for observationTimeout.
     Duration departureRetention = 15s;
     /// Time after a change of, or disagreement about, the live runners during which other instances may still see a different set.
     Duration unsettledTime = 5s;
@@ -150,6 +150,12 @@
         Instant until;
     };
 
+    /// Process of a runner that reported to be leaving, and until when observations of it by others do not count.
+    struct Departure {
+        std::int64_t startedAt = 0;
+        Instant until;
+    };
+
     /// Requests of all live peers at one server.
     struct ServerSum {
         InFlight all;
@@ -162,6 +168,8 @@
     [[nodiscard]] std::set<ServerId> substituteServers(std::span<ItemServer const> pool, std::size_t count) const;
     /// Drops observations that were not stated again. Returns whether there were any.
     bool dropOldObservations(Instant now);
+    /// Whether the observed process reported here that it is leaving.
+    [[nodiscard]] bool hasDeparted(ObservedRunner const &runner) const;
     void addLoad(PeerReport const &report);
     void removeLoad(PeerReport const &report);
     void retainTokens(PeerReport const &report, Instant now);
@@ -184,8 +192,8 @@
     /// reports.
     std::map<ServerId, ServerSum> sums_;
     std::map<InstanceId, RetainedTokens> retainedTokens_;
-    /// Runners that reported to be leaving, and until when observations by others do not count.
-    std::map<InstanceId, Instant> departedUntil_;
+    /// Runners whose last report stated that they are leaving.
+    std::map<InstanceId, Departure> departures_;
     LoadSummaryTable summaries_;
     std::vector<InstanceId> relays_;
     bool isStoreLostForAllRunners_ = false;
--- a/Tests/LibServing/ExchangeSimulation.cpp
+++ b/Tests/LibServing/ExchangeSimulation.cpp
@@ -66,7 +66,7 @@
     auto &instance = instances_[index];
     instance.peers->onTick(now_);
     auto const due =
-        instance.exchange->takeDue({.startedAt = 1,
+        instance.exchange->takeDue({.startedAt = instance.statedStart,
                                     .stage = instance.stage,
                                     .store = isStoreLost_ && isStoreLost_(instance) ? StoreReachability::Lost : StoreReachability::Reached,
                                     .address = addressOf(index),
@@ -175,6 +175,9 @@
     instance.inFlight.clear();
     instance.prompts = PromptQuarantine(PromptQuarantineOptions{});
     instance.startsAt = now_;
+    ++instance.statedStart;
+    instance.stage = InstanceStage::Serving;
+    instance.isAlive = true;
 }
 
 WallInstant ExchangeSimulation::wallTime() const
--- a/Tests/LibServing/ExchangeSimulation.h
+++ b/Tests/LibServing/ExchangeSimulation.h
@@ -36,6 +36,8 @@
         std::uint64_t changes = 0;
         Serving::PromptQuarantine prompts{Serving::PromptQuarantineOptions{}};
         Instant startsAt;
+        /// Start time that its reports state.
+        std::int64_t statedStart = 1;
         bool isAlive = true;
         Serving::InstanceStage stage = Serving::InstanceStage::Serving;
         std::uint64_t received = 0;
--- a/Tests/LibServing/TestPeerExchange.cpp
+++ b/Tests/LibServing/TestPeerExchange.cpp
@@ -208,6 +208,25 @@
     }
 }
 
+/// A runner retires or is stopped and starts again. Guards against entries of other data centres that count it no more, because they know
+/// its new process only from observations of others, and ask other runners for its jobs.
+TEST(PeerExchangeTest, ARunnerThatStartsAgainIsCountedByAll)
+{
+    for (std::size_t const size : {12, 26, 83, 295}) {
+        ExchangeSimulation fleet({.instances = size});
+        fleet.run(6s, BusyChanges);
+        auto &runner = firstRunner(fleet);
+        fleet.beginStop(runner);
+        fleet.run(1s, BusyChanges);
+        fleet.restart(runner);
+        fleet.run(PeerTableOptions{}.unsettledTime, BusyChanges);
+        for (auto const &instance : fleet.instances()) {
+            auto const &runners = instance.peers->runners();
+            ASSERT_THAT(runners, testing::Contains(runner.id)) << instance.id.value() << " of " << size;
+        }
+    }
+}
+
 /// Only relays and instances without a relay watch the store, since each watcher costs calls. On coldline-kr-large trouble-3
 /// (platform_down) all 295 instances tried to watch a store that was away for all, and listed it when it returned.
 TEST(PeerExchangeTest, FewInstancesOfALargeFleetWatchTheStore)
--- a/Tests/LibServing/TestPeers.cpp
+++ b/Tests/LibServing/TestPeers.cpp
@@ -40,7 +40,8 @@
     report.store = StoreReachability::Lost;
     report.observedRunners = {
         {.id = InstanceId("r1")},
-        {.id = InstanceId("r2"), .store = StoreReachability::Lost, .address = Address("10.0.0.2:7"), .waitingTokens = 1'000'000'000'000}};
+        {.id = InstanceId("r2"), .store = StoreReachability::Lost, .address = Address("10.0.0.2:7"), .waitingTokens = 1'000'000'000'000},
+        {.id = InstanceId("r3"), .startedAt = 1'750'000'000'000}};
     report.knownInstances = 295;
     report.wantsSummaries = true;
     report.waitingTokens = 1'000'000'000'000;
@@ -391,6 +392,59 @@
     EXPECT_EQ(table.runners().size(), 3U) << "its new process reports itself";
 }
 
+/// A runner leaves and starts again, as in a rolling restart, and this entry receives reports of others only. Guards against views that
+/// never count the new process, so that its jobs are asked for elsewhere and no view agrees with that of the runners.
+TEST(PeerTableTest, ARunnerThatStartsAgainIsCountedBecauseOfObservations)
+{
+    auto table = tableOf("entry", InstanceRole::Entry);
+    auto leaving = reportOf("r2", 5);
+    leaving.stage = InstanceStage::Leaving;
+    table.onReport(leaving, Start);
+    auto observer = reportOf("r3", 1);
+    observer.observedRunners = {{.id = InstanceId("r2"), .startedAt = leaving.startedAt}};
+    table.onReport(observer, Start + 3s);
+    table.onTick(Start + 3s);
+    EXPECT_EQ(table.runners(), std::vector<InstanceId>{InstanceId("r3")}) << "the process that left";
+    observer.number = 2;
+    observer.observedRunners = {{.id = InstanceId("r2"), .startedAt = leaving.startedAt + 1}};
+    table.onReport(observer, Start + 4s);
+    EXPECT_EQ(table.runners().size(), 2U) << "its next process";
+}
+
+/// Like above, but the clock of the machine stepped backwards between the two starts, or the observer does not state them. Guards against a
+/// departure whose end changes nothing.
+TEST(PeerTableTest, ADepartureEndsWithoutAnotherChange)
+{
+    auto table = tableOf("entry", InstanceRole::Entry);
+    auto leaving = reportOf("r2", 5);
+    leaving.stage = InstanceStage::Leaving;
+    table.onReport(leaving, Start);
+    auto observer = reportOf("r3", 1);
+    observer.observedRunners = {{.id = InstanceId("r2")}};
+    auto const retention = PeerTableOptions{}.departureRetention;
+    for (Duration elapsed = 250ms; elapsed < retention + 1s; elapsed += 250ms) {
+        ++observer.number;
+        table.onReport(observer, Start + elapsed);
+        table.onTick(Start + elapsed);
+        EXPECT_EQ(table.runners().size(), elapsed < retention ? 1U : 2U) << elapsed / 1ms << " ms";
+    }
+}
+
+/// Guards against entries that pass observations of a runner on although it reported to them that it is leaving.
+TEST(PeerTableTest, ARunnerThatLeftIsNotPassedOn)
+{
+    auto table = tableOf("entry", InstanceRole::Entry);
+    auto observer = reportOf("r3", 1);
+    observer.dataCentre = DataCentreId("elsewhere");
+    observer.observedRunners = {{.id = InstanceId("r2")}};
+    table.onReport(observer, Start);
+    EXPECT_EQ(table.relayedRunners().size(), 2U);
+    auto leaving = reportOf("r2", 5);
+    leaving.stage = InstanceStage::Leaving;
+    table.onReport(leaving, Start);
+    EXPECT_EQ(table.relayedRunners().size(), 1U);
+}
+
 /// One runner is cut off from the store (core_cut, or platform_down for some machines). Its jobs would wait until it reaches the store
 /// again, so other runners have to own them. During an outage that affects all runners, the jobs still need owners.
 TEST(PeerTableTest, ARunnerWithoutTheStoreOwnsNothingWhileAnotherReachesIt)
