Go on with ticks after one that threw

Not seen by callers so far; found by looking for work that nobody looks after. The process catches exceptions and goes on, but the next tick was scheduled at the end of the last one, so an exception in a tick ended them all. The node went on to report load changes, so its peers would count it as the owner of jobs that it neither loads, runs, stores nor hands over. The new test failed before (one tick in ten seconds).

The next tick is now scheduled before the work as well, and again after it, so that the pause between two ticks stays the same.

--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -354,6 +354,8 @@
 void NodeProgram::scheduleTick()
 {
     ticker_ = context_.loop.at(readLocalClock() + TickInterval, [this] {
+        // In case the tick throws. Otherwise the next one is scheduled when it has ended.
+        scheduleTick();
         onTick(readLocalClock());
         scheduleTick();
     });
--- a/Tests/Node/TestObservation.cpp
+++ b/Tests/Node/TestObservation.cpp
@@ -156,3 +156,36 @@
         ::testing::ElementsAre(
             "instance", "data-centre", "role", "listen.callers", "listen.readiness", "listen.peers", "listen.metrics", "platform.address"));
 }
+
+/// A tick throws, and the process catches the exception and goes on. Guards against a node that never ticks again: it would still report
+/// load changes, so its peers would count it as the owner of jobs that it neither runs nor hands over.
+TEST_F(ObservationTest, ATickThatThrowsDoesNotEndTheTicks)
+{
+    Http::EventLoop loop;
+    auto const store = Adapter::FleetStore::create({.loop = loop, .platform = store_->address()});
+    int ticks = 0;
+    Address const any("127.0.0.1:0");
+    Node::NodeProgram node({
+        .loop = loop,
+        .settings = {.instance = InstanceId("entry-1"),
+                     .dataCentre = DataCentreId("dc"),
+                     .callers = any,
+                     .readiness = any,
+                     .peers = any,
+                     .metrics = any},
+        .protocol = protocol_,
+        .store = *store,
+        .statuses = *store,
+        .onTick =
+            [&] {
+                if (++ticks == 1)
+                    throw std::runtime_error("first tick");
+                loop.stop();
+            },
+    });
+    ASSERT_TRUE(node.start());
+    EXPECT_THROW(loop.run(), std::runtime_error);
+    auto const limit = loop.at(readLocalClock() + 10s, [&] { loop.stop(); });
+    loop.run();
+    EXPECT_EQ(ticks, 2);
+}
