Check that jobs are held by their owners, and take those that are not

The runner that would own a job next asks the owner, five seconds after it learnt of the job or of a change of the owner and every ten seconds from then on, whether it holds the job. The question makes an owner look for a job it hasn't heard of. After three refusals in a row, or 30 s without an answer, the runner takes the job, until its owner holds it. 30 s are longer than a lost runner counts as an owner, so runners that are cut off from each other for less don't run each other's jobs. A check is a call between instances, not of the store, of which a runner starts two a tick at most; jobs that are done are asked for once. Owners of the previous version answer 404, which counts as held.

Evidence: without the checks AJobWhoseOwnerDoesNotExistIsRunByTheNextRunner waits for ever (ended after 25 s); with them it passes in 0.6 s with shortened times. With the default times the pure tests give 9 s for an owner that refuses and 35 s for one that is silent. 93 tests of TestNode and 47 of TestLibJobs pass.

--- a/Libraries/LibServing/PeerTable.cpp
+++ b/Libraries/LibServing/PeerTable.cpp
@@ -493,6 +493,15 @@
     return firstRunnerFor(job.value());
 }
 
+std::optional<InstanceId> PeerTable::nextOwnerOf(JobId const &job) const
+{
+    auto others = runners_;
+    if (auto const owner = ownerOf(job))
+        std::erase(others, *owner);
+    auto const next = rendezvousOwner(job.value(), others, [](InstanceId const &id) -> std::string const & { return id.value(); });
+    return next == others.end() ? std::nullopt : std::optional(*next);
+}
+
 std::optional<InstanceId> PeerTable::admitterOf(RouteName const &route) const
 {
     return firstRunnerFor(route.value());
--- a/Libraries/LibServing/PeerTable.h
+++ b/Libraries/LibServing/PeerTable.h
@@ -115,6 +115,8 @@
     [[nodiscard]] std::optional<InstanceId> observerOf(InstanceId const &runner) const;
     /// The runner that owns a job in the view of this instance; `std::nullopt` if no runner is known.
     [[nodiscard]] std::optional<InstanceId> ownerOf(JobId const &job) const;
+    /// The runner that would own a job without its owner; `std::nullopt` if there is none.
+    [[nodiscard]] std::optional<InstanceId> nextOwnerOf(JobId const &job) const;
     /// Whether this runner may send items to a server: it is among the first `runnersPerServer` runners by rendezvous hashing, where
     /// runners in the server's data centre rank before all others. Runners of one server have to know each other's items there. In a large
     /// fleet those of different data centres do not, so a server without runners in its data centre has a single one.
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -24,6 +24,8 @@
 constexpr Duration AdmissionRetention = 3s;
 /// The store takes some milliseconds to store a segment, and some hundred at its slowest.
 constexpr Duration StoreOverdueAfter = 500ms;
+/// A runner in the same region responds within milliseconds.
+constexpr Duration OwnerCheckTimeout = 500ms;
 /// Within this time the watch of jobs returns where jobs arrive all the time.
 constexpr Duration WatchReturnTime = 2s;
 /// After this time without reaching the platform's store, in which several attempts failed, a runner leaves its jobs to other
@@ -38,7 +40,11 @@
 
 } // namespace
 
-JobRunner::JobRunner(NodeContext &context, NodeMetrics &metrics, HealthProber &health, PeerReportExchange &peerReports)
+JobRunner::JobRunner(NodeContext &context,
+                     NodeMetrics &metrics,
+                     HealthProber &health,
+                     PeerReportExchange &peerReports,
+                     Jobs::OwnerCheckOptions const &ownerCheck)
     : context_(context)
     , metrics_(metrics)
     , health_(health)
@@ -60,6 +66,7 @@
       })
     , meanRunTime_(InitialMeanRunTime)
     , stalls_(Jobs::StallDetectorOptions{})
+    , ownerCheck_(ownerCheck)
 {
 }
 
@@ -73,6 +80,7 @@
     JobId const job(object.name.value());
     if (change == Platform::WatchChange::Deleted) {
         knownJobs_.erase(job);
+        ownerCheck_.remove(job);
         cancelRuns(job);
         jobs_.remove(job);
         return;
@@ -91,10 +99,10 @@
 {
     auto const [found, isNew] = knownJobs_.try_emplace(job);
     auto &known = found->second;
-    if (isNew)
-        known.isOwned = isFirstFor(job);
     known.isConfirmed = true;
     known.isEnded = known.isEnded || isEnded;
+    if (isNew || known.isEnded)
+        refreshOwner(job, known, readLocalClock());
     if (known.isEnded) {
         jobs_.onEnded(job);
         cancelRuns(job);
@@ -106,6 +114,15 @@
     return context_.peers.ownerOf(job) == context_.settings.instance;
 }
 
+void JobRunner::refreshOwner(JobId const &job, KnownJob &known, Instant now)
+{
+    known.isOwned = isFirstFor(job);
+    bool const isChecker =
+        !known.isOwned && !known.isEnded && known.isConfirmed && context_.peers.nextOwnerOf(job) == context_.settings.instance;
+    ownerCheck_.setOwner(job, isChecker ? context_.peers.ownerOf(job) : std::nullopt, now);
+    known.isTaken = ownerCheck_.isTaken(job);
+}
+
 void JobRunner::refreshOwnership(Instant now)
 {
     auto const hash = context_.peers.runnersHash();
@@ -113,7 +130,7 @@
         return;
     ownershipHash_ = hash;
     for (auto &[job, known] : knownJobs_)
-        known.isOwned = isFirstFor(job);
+        refreshOwner(job, known, now);
     uncheckedChangeAt_ = now;
     logRunners();
 }
@@ -156,7 +173,7 @@
         return false;
     auto const known = knownJobs_.find(job);
     bool const isCurrent = known != knownJobs_.end() && ownershipHash_ == context_.peers.runnersHash();
-    return isCurrent ? known->second.isOwned : isFirstFor(job);
+    return isCurrent ? known->second.isOwned || known->second.isTaken : isFirstFor(job);
 }
 
 void JobRunner::load(JobId const &job)
@@ -243,11 +260,59 @@
     }
 }
 
+void JobRunner::checkOwners(Instant now)
+{
+    // No runner could read a job that it took.
+    if (context_.peers.isStoreLostForAllRunners())
+        return;
+    for (auto const &check : ownerCheck_.takeDue(now)) {
+        if (jobs_.isDone(check.job)) {
+            onOwnerAnswer(check, Jobs::OwnerAnswer::Done);
+            continue;
+        }
+        auto const owner = context_.peers.addressOf(check.owner);
+        if (!owner) {
+            onOwnerAnswer(check, Jobs::OwnerAnswer::None);
+            continue;
+        }
+        Http::ClientRequest request{
+            .server = *owner,
+            .request = {.method = "GET", .target = toTarget(PeerOwnerCheck{.job = check.job})},
+            .deadline = now + OwnerCheckTimeout,
+            .connectTimeout = OwnerCheckTimeout,
+        };
+        context_.peerClient->fetch(std::move(request), [this, check](tl::expected<Http::HttpResponse, Http::ExchangeFailure> answer) {
+            if (!answer)
+                return onOwnerAnswer(check, Jobs::OwnerAnswer::None);
+            if (answer->status == NotOwnerStatus)
+                return onOwnerAnswer(check, Jobs::OwnerAnswer::NotHeld);
+            // An owner of the previous version does not understand the question, but runs.
+            onOwnerAnswer(check, answer->body == JobDoneBody ? Jobs::OwnerAnswer::Done : Jobs::OwnerAnswer::Holds);
+        });
+    }
+}
+
+void JobRunner::onOwnerAnswer(Jobs::OwnerCheck::Check const &check, Jobs::OwnerAnswer answer)
+{
+    ownerCheck_.onAnswer(check, answer, readLocalClock());
+    auto const known = knownJobs_.find(check.job);
+    if (known == knownJobs_.end())
+        return;
+    bool const isTaken = ownerCheck_.isTaken(check.job);
+    if (std::exchange(known->second.isTaken, isTaken) == isTaken || !isTaken)
+        return;
+    Observe::log(Observe::Events::NodeOwnerReplaced,
+                 {{"job", check.job.value()},
+                  {"owner", check.owner.value()},
+                  {"reason", answer == Jobs::OwnerAnswer::NotHeld ? "not held" : "no answer"}});
+}
+
 void JobRunner::onTick(Instant now)
 {
     reconcile(now);
     jobs_.onTick(now);
     if (!isLeaving_) {
+        checkOwners(now);
         dispatch(now);
         logStalls(now);
     }
@@ -529,6 +594,10 @@
         writer->respond({.status = 200});
         return true;
     }
+    if (auto const *check = std::get_if<PeerOwnerCheck>(&*call)) {
+        serveOwnerCheck(*check, writer);
+        return true;
+    }
     auto const &read = std::get<PeerReadResults>(*call);
     auto const now = readLocalClock();
     // The reader has outcomes that this runner has not listed. Another runner's segment may have taken effect after it was looked for.
@@ -550,6 +619,15 @@
     writer->respond({.status = 200, .body = item->body});
 }
 
+void JobRunner::serveOwnerCheck(PeerOwnerCheck const &call, Writer const &writer)
+{
+    lookForUnheardJob(call.job);
+    if (!owns(call.job) || !jobs_.contains(call.job))
+        return writer->respond({.status = NotOwnerStatus});
+    bool const isDone = jobs_.isDone(call.job) || knownJobs_.at(call.job).isEnded;
+    writer->respond({.status = 200, .body = std::string(isDone ? JobDoneBody : "")});
+}
+
 /// A single runner admits the jobs of a route. Otherwise two entries could use the same remaining quota.
 void JobRunner::serveAdmission(PeerAdmission const &call, Writer const &writer)
 {
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -2,6 +2,7 @@
 
 #include "LibHttp/HttpServer.h"
 #include "LibJobs/JobTracker.h"
+#include "LibJobs/OwnerCheck.h"
 #include "LibJobs/SlotPlan.h"
 #include "LibJobs/StallDetector.h"
 #include "Services/Node/ItemRun.h"
@@ -18,7 +19,11 @@
 class JobRunner
 {
 public:
-    JobRunner(NodeContext &context, NodeMetrics &metrics, HealthProber &health, PeerReportExchange &peerReports);
+    JobRunner(NodeContext &context,
+              NodeMetrics &metrics,
+              HealthProber &health,
+              PeerReportExchange &peerReports,
+              Jobs::OwnerCheckOptions const &ownerCheck);
 
     void start();
     /// Takes jobs over and hands them over, starts and ends items, and stores outcomes. Call about 20 times a second.
@@ -40,6 +45,8 @@
         /// It is in the store. Others were only asked for here.
         bool isConfirmed = false;
         bool isOwned = false;
+        /// Its owner does not hold it, so that this runner runs it.
+        bool isTaken = false;
         bool isEnded = false;
         bool isLoading = false;
         Instant loadingSince = Instant::min();
@@ -83,6 +90,12 @@
     /// Returns whether a response was sent.
     bool serve(PendingRead const &read, Instant now);
     void serveBody(PeerReadBody const &call, Writer const &writer);
+    void serveOwnerCheck(PeerOwnerCheck const &call, Writer const &writer);
+    /// Determines the owner of a job and whether this runner checks it.
+    void refreshOwner(JobId const &job, KnownJob &known, Instant now);
+    /// Asks owners whether they hold their jobs.
+    void checkOwners(Instant now);
+    void onOwnerAnswer(Jobs::OwnerCheck::Check const &check, Jobs::OwnerAnswer answer);
     void serveAdmission(PeerAdmission const &call, Writer const &writer);
     /// Logs the runners that came and went since the last change, and those that only others observe.
     void logRunners();
@@ -142,6 +155,7 @@
     /// Moving average of the duration of item runs that were not resumed.
     Duration meanRunTime_;
     Jobs::StallDetector stalls_;
+    Jobs::OwnerCheck ownerCheck_;
     std::size_t pendingStoreCalls_ = 0;
     bool isLeaving_ = false;
 };
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -99,7 +99,7 @@
     , fleet_(context_, [this] { onStateChanged(); })
     , peerReports_(context_, fleet_, [this] { onLoadChanged(); })
     , jobApi_(context_, metrics_)
-    , runner_(context_, metrics_, health_, peerReports_)
+    , runner_(context_, metrics_, health_, peerReports_, options.ownerCheck)
     , retirements_(context_,
                    {
                        .onRetire =
--- a/Services/Node/NodeProgram.h
+++ b/Services/Node/NodeProgram.h
@@ -22,6 +22,7 @@
     /// Time for which a request may wait for the first lists of the store after a start. The store answers them within 4 ms each, and a
     /// refusal after a longer wait would leave the caller less time for a retry.
     Duration maxRequestHold = 60ms;
+    Jobs::OwnerCheckOptions ownerCheck = {};
     /// Called about 20 times a second.
     std::function<void()> onTick = {};
     /// Returns the number of dropped log lines for the metrics. Unset if the program writes no log.
--- a/Services/Node/PeerJobCalls.cpp
+++ b/Services/Node/PeerJobCalls.cpp
@@ -15,6 +15,7 @@
 constexpr std::string_view AdmissionSegment = "admission";
 constexpr std::string_view AcceptedSegment = "accepted";
 constexpr std::string_view EndedSegment = "ended";
+constexpr std::string_view OwnerSegment = "owner";
 
 std::string percentEncode(std::string const &segment)
 {
@@ -55,6 +56,11 @@
     return "/jobs/" + percentEncode(call.job.value()) + "/" + std::string(event);
 }
 
+std::string toTarget(PeerOwnerCheck const &call)
+{
+    return "/jobs/" + percentEncode(call.job.value()) + "/" + std::string(OwnerSegment);
+}
+
 std::optional<PeerJobCall> parsePeerJobCall(Http::HttpRequest const &request)
 {
     auto const parsed = boost::urls::parse_origin_form(request.target);
@@ -81,6 +87,8 @@
         return PeerJobNotice{.job = std::move(job), .event = PeerJobNotice::Event::Accepted};
     if (segments.size() == 3 && segments[2] == EndedSegment)
         return PeerJobNotice{.job = std::move(job), .event = PeerJobNotice::Event::Ended};
+    if (segments.size() == 3 && segments[2] == OwnerSegment)
+        return PeerOwnerCheck{.job = std::move(job)};
     if (segments.size() == 4 && segments[2] == ItemsSegment)
         return PeerReadBody{.job = std::move(job), .item = Jobs::ItemId(segments[3])};
     return std::nullopt;
--- a/Services/Node/PeerJobCalls.h
+++ b/Services/Node/PeerJobCalls.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace Anvilyard::Node {
@@ -42,12 +43,18 @@
     } event = Event::Accepted;
 };
 
-using PeerJobCall = std::variant<PeerReadResults, PeerReadBody, PeerAdmission, PeerJobNotice>;
+/// Question to the owner of a job whether it holds the job. It notifies the owner of the job as well.
+struct PeerOwnerCheck {
+    JobId job;
+};
+
+using PeerJobCall = std::variant<PeerReadResults, PeerReadBody, PeerAdmission, PeerJobNotice, PeerOwnerCheck>;
 
 std::string toTarget(PeerReadResults const &call);
 std::string toTarget(PeerReadBody const &call);
 std::string toTarget(PeerAdmission const &call);
 std::string toTarget(PeerJobNotice const &call);
+std::string toTarget(PeerOwnerCheck const &call);
 /// Returns the number in a query parameter, or 0 if there is none.
 std::uint64_t readNumberParameter(Http::HttpRequest const &request, std::string_view name);
 /// Returns std::nullopt if the request is not a call about a job.
@@ -58,6 +65,8 @@
 /// Status sent by a runner that has no further results, if another runner may have stored some. The entry then reads the store at this
 /// position only.
 constexpr int UnconfirmedStatus = 203;
+/// Body of the answer to PeerOwnerCheck if the job needs no runner any more.
+constexpr std::string_view JobDoneBody = "done";
 /// Status sent by the admitter if the job does not fit.
 constexpr int QuotaFullStatus = 429;
 
--- a/Tests/Node/NodeFixture.h
+++ b/Tests/Node/NodeFixture.h
@@ -179,6 +179,7 @@
                 .store = *node.store,
                 .statuses = *node.store,
                 .maxRequestHold = maxRequestHold_,
+                .ownerCheck = ownerCheck_,
                 .onStopped = [&node] { node.isStopped = true; },
             });
             auto const started = node.program->start();
@@ -264,6 +265,7 @@
     std::map<std::string, RunningNode> nodes_;
     /// Of nodes that are started later.
     Duration maxRequestHold_ = 60ms;
+    Jobs::OwnerCheckOptions ownerCheck_;
     /// How long the store may hold the watch calls of nodes that are started later.
     std::chrono::milliseconds watchHoldTime_ = 28s;
     /// Pacing of the watches of nodes that are started later.
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -584,6 +584,59 @@
     EXPECT_EQ(readResults(entry, "unheard", 1).size(), 1U);
 }
 
+/// All views name an owner that has no process, as on coldline-kr-grown inc1. Guards against jobs that are accepted and that no runner
+/// looks for.
+TEST_F(JobsTest, AJobWhoseOwnerDoesNotExistIsRunByTheNextRunner)
+{
+    ownerCheck_ = {.firstAfter = 100ms, .interval = 100ms, .retryPause = 50ms, .unansweredToTake = 200ms};
+    addServer("s1", complete);
+    auto &entry = startNode("entry-1");
+    auto &runner = startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    waitUntilReady(runner);
+    for (auto *node : {&entry, &runner})
+        reportRunner(*node, {.sender = InstanceId("ghost")});
+    waitUntil([&] { return entry.runnersHash() == runner.runnersHash() && runner.runnersHash() != 0; });
+    auto const job = jobOwnedBy("ghost", {"ghost", "runner-1"});
+    ASSERT_EQ(ask(entry, submissionOf(job, 2))->status, 202);
+    waitUntil([&] { return store_->table().get(Jobs::segmentKind, Jobs::segmentObject(JobId(job), 0)).has_value(); });
+    EXPECT_EQ(readResults(entry, job, 2).size(), 2U);
+}
+
+/// Another runner asks the owner of a job whether it holds the job. Guards against an answer that makes the other one run the job as well,
+/// or not run it, and against an owner that does not look for a job that it has not heard of.
+TEST_F(JobsTest, AnOwnerAnswersWhetherItHoldsAJob)
+{
+    watchHoldTime_ = 1h;
+    std::vector<FleetServer::Writer> unanswered;
+    addServer("s1", [&](int, Http::HttpRequest const &, FleetServer::Writer const &writer) { unanswered.push_back(writer); });
+    auto &entry = startNode("entry-1");
+    auto &runner = startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    waitUntil([&] { return entry.runnersHash() == runner.runnersHash() && store_->pendingWatches(Jobs::jobKind) == 1; });
+    auto const askOwner = [&](std::string const &job) {
+        return *sendTo(runner.peerAddress(), {.method = "GET", .target = Node::toTarget(Node::PeerOwnerCheck{.job = JobId(job)})}).get();
+    };
+    EXPECT_EQ(askOwner("none").status, Node::NotOwnerStatus);
+    thread_.call([&] { store_->silenceWatches(Jobs::jobKind); });
+    Jobs::JobRecord const unheard{.id = JobId("unheard"),
+                                  .host = "h.example",
+                                  .acceptedAt = readClocks().wall,
+                                  .items = {{.id = Jobs::ItemId("unheard-0"), .target = "/b/x/0", .body = "hello", .tokens = 1}}};
+    thread_.call(
+        [&] { static_cast<void>(store_->table().create(Jobs::jobKind, Jobs::jobObject(unheard.id), Jobs::encodeJob(unheard).spec)); });
+    EXPECT_EQ(askOwner("unheard").status, Node::NotOwnerStatus) << "it reads the job now";
+    waitUntil([&] { return !unanswered.empty(); });
+    auto const held = askOwner("unheard");
+    EXPECT_EQ(held.status, 200);
+    EXPECT_NE(held.body, Node::JobDoneBody);
+    ASSERT_EQ(ask(entry, {.method = "DELETE", .target = "/api/lots/unheard", .headers = {{"Host", "h.example"}}})->status, 200);
+    // The notice of the end may arrive after the answer to the caller.
+    while (askOwner("unheard").body != Node::JobDoneBody)
+        std::this_thread::yield();
+    thread_.call([&] { unanswered.clear(); });
+}
+
 /// A server is registered and cannot be reached, as one that was lost without a word; it has the most free slots. Guards against an item
 /// that is sent there again and again while another server is idle.
 TEST_F(JobsTest, AnItemDoesNotWaitForAServerThatCannotBeReached)
