Move the placing of batch items into a class of its own

The rule by which a runner starts and preempts items stood in JobRunner between reads of the load tracker and the peers' reports, so no test without a process could drive it. ItemPlacement takes the servers of a pool, the number of waiting items and both loads, and returns the starts and preemptions of one round. No change of behaviour: the 29 JobsTest cases of TestNode pass as before.

--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -43,6 +43,7 @@
     , metrics_(metrics)
     , health_(health)
     , peerReports_(peerReports)
+    , placement_(context.settings.instance)
     , jobs_(Jobs::JobTrackerOptions{})
     , jobFollower_({
           .loop = context.loop,
@@ -272,46 +273,26 @@
     if (assignmentVersions_ == versions)
         return;
     assignmentVersions_ = versions;
-    assignments_.clear();
+    poolServers_.clear();
     auto const ejected = context_.health.ejected();
     std::map<PoolName, std::vector<Serving::ItemServer>> pools;
     for (auto const &[record, use] : context_.directory.usable(now)) {
         bool const acceptsNew = use == Serving::ServerUse::Usable && !ejected.contains(record.id);
         pools[record.pool].push_back({.id = record.id, .dataCentre = record.dataCentre, .acceptsNew = acceptsNew});
-        assignments_.push_back({.server = record.id, .pool = record.pool, .slots = record.slots, .acceptsNew = acceptsNew});
+        poolServers_[record.pool].push_back({.id = record.id, .slots = record.slots, .acceptsNew = acceptsNew});
     }
-    std::set<ServerId> assigned;
-    for (auto const &[pool, servers] : pools)
-        assigned.merge(context_.peers.itemServers(servers));
-    for (auto &assignment : assignments_) {
-        assignment.isAssigned = assigned.contains(assignment.server);
-        assignment.acceptsNew = assignment.acceptsNew && assignment.isAssigned;
+    for (auto &[pool, servers] : poolServers_) {
+        auto const assigned = context_.peers.itemServers(pools[pool]);
+        for (auto &server : servers)
+            server.isAssigned = assigned.contains(server.id);
     }
 }
 
 void JobRunner::dispatch(Instant now)
 {
     refreshAssignments(now);
-    std::map<PoolName, std::vector<Jobs::ServerSlots>> pools;
-    for (auto const &assignment : assignments_) {
-        auto const own = context_.load.at(assignment.server);
-        if (!assignment.isAssigned && own.batch == 0)
-            continue;
-        std::vector<Jobs::BatchHolder> batch{{.runner = context_.settings.instance, .items = own.batch}};
-        for (auto &[runner, items] : context_.peers.batchAt(assignment.server))
-            batch.push_back({.runner = runner, .items = items});
-        pools[assignment.pool].push_back({
-            .server = assignment.server,
-            .slots = assignment.slots,
-            // Which runner of another data centre has an item there is unknown, so it counts like a request.
-            .online = own.online + context_.peers.othersAt(assignment.server).online + context_.peers.farBatchAt(assignment.server),
-            .batch = std::move(batch),
-            .acceptsNew = assignment.acceptsNew,
-        });
-    }
-    for (auto const &[pool, servers] : pools) {
-        auto const waiting = jobs_.waiting(pool, now);
-        for (auto const &change : Jobs::planSlots(context_.settings.instance, servers, waiting, {})) {
+    for (auto const &[pool, servers] : poolServers_) {
+        for (auto const &change : placement_.plan(servers, jobs_.waiting(pool, now), context_.load, context_.peers)) {
             if (change.preempt > 0)
                 preempt(change.server, change.preempt, now);
             if (change.start > 0)
@@ -326,23 +307,20 @@
         return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
     };
     for (auto const &[pool, waiting, lasting] : stalls_.onTick(jobs_.waitingByPool(), now)) {
-        std::size_t servers = 0;
         std::size_t assigned = 0;
         std::size_t accepting = 0;
         std::uint32_t slots = 0;
         std::uint32_t online = 0;
         std::uint32_t batch = 0;
-        for (auto const &assignment : assignments_) {
-            if (assignment.pool != pool)
-                continue;
-            ++servers;
-            assigned += assignment.isAssigned ? 1 : 0;
-            if (!assignment.acceptsNew)
+        auto const &servers = poolServers_[pool];
+        for (auto const &server : servers) {
+            assigned += server.isAssigned ? 1 : 0;
+            if (!server.isAssigned || !server.acceptsNew)
                 continue;
             ++accepting;
-            auto const own = context_.load.at(assignment.server);
-            auto const others = context_.peers.othersAt(assignment.server);
-            slots += assignment.slots;
+            auto const own = context_.load.at(server.id);
+            auto const others = context_.peers.othersAt(server.id);
+            slots += server.slots;
             online += own.online + others.online;
             batch += own.batch + others.batch;
         }
@@ -351,7 +329,7 @@
                       {"waiting", std::to_string(waiting)},
                       {"lasting_ms", toMilliseconds(lasting)},
                       {"runners", std::to_string(context_.peers.runners().size())},
-                      {"servers", std::to_string(servers)},
+                      {"servers", std::to_string(servers.size())},
                       {"assigned", std::to_string(assigned)},
                       {"accepting", std::to_string(accepting)},
                       {"slots", std::to_string(slots)},
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "LibHttp/HttpServer.h"
+#include "LibJobs/ItemPlacement.h"
 #include "LibJobs/JobTracker.h"
-#include "LibJobs/SlotPlan.h"
 #include "LibJobs/StallDetector.h"
 #include "Services/Node/ItemRun.h"
 #include "Services/Node/JobApiHandler.h"
@@ -97,21 +97,11 @@
     NodeMetrics &metrics_;
     HealthProber &health_;
     PeerReportExchange &peerReports_;
-    /// A server as far as it matters for the items of this runner.
-    struct Assignment {
-        ServerId server;
-        PoolName pool;
-        std::uint32_t slots = 1;
-        /// Whether this runner is one of the few that send items to the server.
-        bool isAssigned = false;
-        /// Whether new items may be sent there.
-        bool acceptsNew = false;
-    };
-
     /// Determined anew only after a change of servers or runners. Load changes many times a second, and ranking all runners for each of
     /// hundreds of servers each time would take most of the processor time of a runner.
-    std::vector<Assignment> assignments_;
+    std::map<PoolName, std::vector<Jobs::PoolServer>> poolServers_;
     std::optional<std::pair<std::uint64_t, std::uint64_t>> assignmentVersions_;
+    Jobs::ItemPlacement placement_;
     Jobs::JobTracker jobs_;
     StoreFollower jobFollower_;
     std::map<JobId, KnownJob> knownJobs_;
