--- a/Tests/LibJobs/TestJobTracker.cpp
+++ b/Tests/LibJobs/TestJobTracker.cpp
@@ -74,6 +74,30 @@
     EXPECT_EQ(run().job, JobId("late"));
 }
 
+/// Jobs that can be on time arrive faster than their items are started, as in a day of overload. Guards against a job that is late and
+/// waits until they end.
+TEST_F(JobTrackerTest, ItemsOfALateJobStartWhileOthersKeepArriving)
+{
+    add("late", 5, {}, 17s);
+    auto now = Start;
+    std::size_t starts = 0;
+    std::vector<std::size_t> lateStarts;
+    while (lateStarts.size() < 5 && starts < 200) {
+        now += 100ms;
+        auto const id = "new-" + std::to_string(starts);
+        tracker_.add(recordOf(id, 2), {}, 0s, now);
+        tracker_.setPolicy(JobId(id), policy(), now);
+        auto const item = run(now);
+        ++starts;
+        if (item.job == JobId("late"))
+            lateStarts.push_back(starts);
+        else
+            tracker_.onSendEnded(item.job, item.index, SendEnd::Complete, now);
+    }
+    EXPECT_EQ(lateStarts.size(), 5U) << "of 200 starts";
+    EXPECT_LT(starts, 100U);
+}
+
 /// Items are preempted at each burst of online requests. Guards against giving up a preempted item as late although the rest of it fits.
 TEST_F(JobTrackerTest, APreemptedItemIsLateOnlyIfItsRestDoesNotFit)
 {
