Add failing tests of runners that get no slots in a backlog

A runner sees the end of its own item at once and fills the slot anew before others see it. Runners of other data centres also count the far items as online requests, so the load seems high, and then items start only where four slots are free and own ones are preempted ahead of requests.

--- a/Libraries/LibJobs/ItemPlacement.cpp
+++ b/Libraries/LibJobs/ItemPlacement.cpp
@@ -29,9 +29,9 @@
     return {
         .server = server.id,
         .slots = server.slots,
-        // Which runner of another data centre has an item there is unknown, so it counts like a request.
-        .online = own.online + peers.othersAt(server.id).online + peers.farBatchAt(server.id),
+        .online = own.online + peers.othersAt(server.id).online,
         .batch = std::move(batch),
+        .farBatch = peers.farBatchAt(server.id),
         .acceptsNew = server.acceptsNew && server.isAssigned,
     };
 }
--- a/Libraries/LibJobs/SlotPlan.cpp
+++ b/Libraries/LibJobs/SlotPlan.cpp
@@ -16,7 +16,7 @@
 
 std::uint32_t occupiedAt(ServerSlots const &server)
 {
-    return server.online + batchAt(server);
+    return server.online + batchAt(server) + server.farBatch;
 }
 
 /// Returns the number of own items to preempt. Each excess item is taken from the runner that has the most items left at the server.
@@ -44,7 +44,7 @@
     std::uint64_t online = 0;
     std::uint64_t slots = 0;
     for (auto const &server : servers) {
-        online += server.online;
+        online += server.online + server.farBatch;
         slots += server.slots;
     }
     return static_cast<double>(online) >= highLoad * static_cast<double>(slots);
--- a/Libraries/LibJobs/SlotPlan.h
+++ b/Libraries/LibJobs/SlotPlan.h
@@ -22,6 +22,8 @@
     std::uint32_t online = 0;
     /// Items of this runner and of the runners with known reports.
     std::vector<BatchHolder> batch = {};
+    /// Items of other data centres. Which runner has them is unknown.
+    std::uint32_t farBatch = 0;
     /// Whether new items may be sent there.
     bool acceptsNew = true;
 };
--- a/Tests/LibJobs/TestItemPlacement.cpp
+++ b/Tests/LibJobs/TestItemPlacement.cpp
@@ -126,6 +126,22 @@
         return found == most_.end() ? 0 : found->second;
     }
 
+    /// Longest time for which items of a runner waited with none started.
+    [[nodiscard]] Duration longestTimeWithoutStart() const
+    {
+        return longestTimeWithoutStart_;
+    }
+
+    /// Smallest and largest number of items of a runner that are running.
+    [[nodiscard]] std::pair<std::size_t, std::size_t> runningByRunner() const
+    {
+        std::vector<std::size_t> running;
+        for (auto const &runner : runners_)
+            running.push_back(runner.jobs.counts().running);
+        auto const [least, most] = std::minmax_element(running.begin(), running.end());
+        return {*least, *most};
+    }
+
     /// Longest time for which items of a runner waited while at least a quarter of the servers had half of their slots free.
     [[nodiscard]] Duration longestWaitBesideFreeServers() const
     {
@@ -169,6 +185,10 @@
             bool const hasWaiting = runner.jobs.waiting(batchPool, now_) > 0;
             wait = hasWaiting && 4 * freeServers >= servers_.size() ? wait + Step : Duration::zero();
             longestWait_ = std::max(longestWait_, wait);
+            auto &last = lastStarts_.try_emplace(runner.id, now_).first->second;
+            if (!hasWaiting)
+                last = now_;
+            longestTimeWithoutStart_ = std::max(longestTimeWithoutStart_, now_ - last);
         }
     }
 
@@ -208,6 +228,7 @@
         runner.jobs.onStarted(next->job, next->index);
         runner.load.onStarted(servers_[server].id, WorkClass::Batch);
         ++servers_[server].batch;
+        lastStarts_.insert_or_assign(runner.id, now_);
         auto const spread = std::chrono::milliseconds(std::uniform_int_distribution<int>(-1000, 1000)(random_));
         runs_.push_back({.runner = number, .server = server, .item = *next, .until = now_ + RunTime + spread});
     }
@@ -308,7 +329,9 @@
     std::uint64_t sumNumber_ = 0;
     std::map<std::string, std::uint32_t> most_;
     std::map<InstanceId, Duration> waits_;
+    std::map<InstanceId, Instant> lastStarts_;
     Duration longestWait_{0};
+    Duration longestTimeWithoutStart_{0};
 };
 
 /// After this time, waiting items count as stalled.
@@ -337,6 +360,22 @@
     EXPECT_EQ(fleet.waiting(), 0U);
 }
 
+/// All runners have a backlog and one data centre has no servers left, as in half-c on coldline-kr-grown. A runner sees the end of its own
+/// item at once, and the runners of other data centres 250 ms later. Guards against runners that fill each slot anew before others see it.
+TEST(ItemPlacementTest, RunnersWithoutServersNearbyGetTheirPartOfABacklog)
+{
+    for (std::size_t const left : {0U, 4U, 8U}) {
+        for (std::uint32_t const online : {0U, 1U}) {
+            SimulatedFleet fleet({.servers = {{"a", 20}, {"b", 20}, {"c", left}}, .items = {{"a", 300}, {"b", 300}, {"c", 300}}});
+            fleet.setOnline(online);
+            fleet.run(25s);
+            EXPECT_LE(fleet.longestTimeWithoutStart(), StalledAfter) << left << " servers left, " << online << " requests at each";
+            auto const even = (40 + left) * (6 - online) / 14;
+            EXPECT_GE(fleet.runningByRunner().first, even / 2) << left << " servers left, " << online << " requests at each";
+        }
+    }
+}
+
 /// Several runners see the same free servers at the same time, and see what others started there 250 ms late. Guards against items that
 /// take the slots of online requests.
 TEST(ItemPlacementTest, RunnersOfOtherDataCentresLeaveSlotsForRequests)
--- a/Tests/LibJobs/TestSlotPlan.cpp
+++ b/Tests/LibJobs/TestSlotPlan.cpp
@@ -127,3 +127,16 @@
     // The load of the pool counts rather than that of one server.
     EXPECT_EQ(startsAt(plan({serverOf("a", 5, 0), serverOf("b", 1, 0), serverOf("c", 1, 6)}, 5), "a"), 1U);
 }
+
+/// Items of other data centres fill a pool, as in half-c on coldline-kr-grown. Guards against taking them for online requests: at high load
+/// a runner starts items only where several slots are free, and preempts its own.
+TEST(SlotPlanTest, ItemsOfOtherDataCentresAreNoHighLoad)
+{
+    auto server = serverOf("a", 0, 1);
+    server.farBatch = 5;
+    EXPECT_EQ(startsAt(plan({server}, 5), "a"), 1U);
+    server.farBatch = 7;
+    EXPECT_EQ(preemptedAt(plan({server}, 5), "a"), 0U);
+    server.farBatch = 8;
+    EXPECT_EQ(preemptedAt(plan({server}, 5), "a"), 1U);
+}
