Do not count items of other data centres as online requests

Runners that use servers of other data centres counted the items there like requests of callers. With a backlog the load of such servers seemed high, so they started items only where four slots were free and preempted their own ones in advance. SlotPlanTest.ItemsOfOtherDataCentresAreNoHighLoad failed before.

--- a/Libraries/LibJobs/SlotPlan.cpp
+++ b/Libraries/LibJobs/SlotPlan.cpp
@@ -44,7 +44,7 @@
     std::uint64_t online = 0;
     std::uint64_t slots = 0;
     for (auto const &server : servers) {
-        online += server.online + server.farBatch;
+        online += server.online;
         slots += server.slots;
     }
     return static_cast<double>(online) >= highLoad * static_cast<double>(slots);
