Give each runner a part of the slots, whoever sees a free one first

A runner sees the end of its own item at once and started the next one there before others saw the free slot, runners of the same data centre some 50 ms later and those of others up to 500 ms later. So slots stayed with the runner that had them while it had a backlog.

A runner now may fill the free slots of its servers only up to its part of the pool: the slots that online requests and the reserve leave, times its part of the waiting tokens of all runners, which reports contain already. Beyond its part it leaves two more slots of each server free. Parts add up to all slots, and a part is less than the runner's items only if there are more items than slots, so no slot stays empty in a backlog of all runners and nothing changes without one.

Simulated fleet with a backlog at all runners: the runner with the fewest running items has 9 or more instead of 0, with no servers left in its data centre.

--- a/Libraries/LibJobs/SlotPlan.cpp
+++ b/Libraries/LibJobs/SlotPlan.cpp
@@ -70,13 +70,19 @@
     std::stable_sort(open.begin(), open.end(), [](ServerSlots const *left, ServerSlots const *right) {
         return static_cast<std::uint64_t>(occupiedAt(*left)) * right->slots < static_cast<std::uint64_t>(occupiedAt(*right)) * left->slots;
     });
+    auto partLeft = options.partLeft;
     for (auto const *server : open) {
         if (waitingItems == 0)
             break;
-        auto const freeSlots = server->slots - reserve - occupiedAt(*server);
-        auto const start = static_cast<std::uint32_t>(std::min<std::size_t>({freeSlots, options.maxStarts, waitingItems}));
+        std::size_t const freeSlots = server->slots - reserve - occupiedAt(*server);
+        auto const beyondPart = freeSlots - std::min<std::size_t>(freeSlots, options.sharedReserve);
+        auto const allowed = std::max(std::min(freeSlots, partLeft), beyondPart);
+        auto const start = std::min<std::size_t>({allowed, options.maxStarts, waitingItems});
+        if (start == 0)
+            continue;
         waitingItems -= start;
-        changes.push_back({.server = server->server, .start = start});
+        partLeft -= std::min(partLeft, start);
+        changes.push_back({.server = server->server, .start = static_cast<std::uint32_t>(start)});
     }
     return changes;
 }
--- a/Libraries/LibJobs/SlotPlan.h
+++ b/Libraries/LibJobs/SlotPlan.h
@@ -3,6 +3,7 @@
 #include "LibCore/Ids.h"
 
 #include <cstdint>
+#include <limits>
 #include <span>
 #include <vector>
 
@@ -44,6 +45,11 @@
     /// Maximum number of items that one runner starts at a server in one round. Other runners receive the new counts before the next
     /// round.
     std::uint32_t maxStarts = 1;
+    /// Number of items that this runner may start before it has its part of the slots. Beyond it, the runner leaves sharedReserve more
+    /// slots of each server to runners that have less. Without this a runner that sees the end of its own item at once fills the slot anew
+    /// before others see it.
+    std::size_t partLeft = std::numeric_limits<std::size_t>::max();
+    std::uint32_t sharedReserve = 2;
 };
 
 struct SlotChange {
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -43,7 +43,7 @@
     , metrics_(metrics)
     , health_(health)
     , peerReports_(peerReports)
-    , placement_(context.settings.instance)
+    , placement_({.self = context.settings.instance})
     , jobs_(Jobs::JobTrackerOptions{})
     , jobFollower_({
           .loop = context.loop,
@@ -291,8 +291,10 @@
 void JobRunner::dispatch(Instant now)
 {
     refreshAssignments(now);
+    auto const tokens = jobs_.waitingTokens();
     for (auto const &[pool, servers] : poolServers_) {
-        for (auto const &change : placement_.plan(servers, jobs_.waiting(pool, now), context_.load, context_.peers)) {
+        Jobs::ItemDemand const demand{.waiting = jobs_.waiting(pool, now), .tokens = tokens};
+        for (auto const &change : placement_.plan(pool, servers, demand, context_.load, context_.peers, now)) {
             if (change.preempt > 0)
                 preempt(change.server, change.preempt, now);
             if (change.start > 0)
--- a/Tests/LibJobs/TestItemPlacement.cpp
+++ b/Tests/LibJobs/TestItemPlacement.cpp
@@ -66,7 +66,7 @@
             runners_.push_back({.id = id,
                                 .dataCentre = DataCentreId(dataCentre),
                                 .peers = PeerTable({.self = id, .ownRole = InstanceRole::Runner, .dataCentre = DataCentreId(dataCentre)}),
-                                .placement = ItemPlacement(id)});
+                                .placement = ItemPlacement({.self = id})});
             auto &runner = runners_.back();
             runner.peers.setOwnStage(InstanceStage::Serving, Start);
             runner.peers.setFleetKind(FleetKind::Large);
@@ -209,7 +209,8 @@
     {
         auto &runner = runners_[number];
         runner.peers.onTick(now_);
-        for (auto const &change : runner.placement.plan(runner.servers, runner.jobs.waiting(batchPool, now_), runner.load, runner.peers)) {
+        ItemDemand const demand{.waiting = runner.jobs.waiting(batchPool, now_), .tokens = runner.jobs.waitingTokens()};
+        for (auto const &change : runner.placement.plan(batchPool, runner.servers, demand, runner.load, runner.peers, now_)) {
             auto const server = static_cast<std::size_t>(
                 std::find_if(servers_.begin(), servers_.end(), [&](Server const &known) { return known.id == change.server; })
                 - servers_.begin());
@@ -279,7 +280,8 @@
                                     .nextWithin = 500ms,
                                     .role = InstanceRole::Runner,
                                     .dataCentre = runner.dataCentre,
-                                    .inFlight = runner.load.all()});
+                                    .inFlight = runner.load.all(),
+                                    .waitingTokens = runner.jobs.waitingTokens()});
         for (auto const *dataCentre : {"a", "b", "c"})
             nextReports_.push_back({.sender = InstanceId(std::string("entry-") + dataCentre),
                                     .startedAt = 1,
--- a/Tests/LibJobs/TestSlotPlan.cpp
+++ b/Tests/LibJobs/TestSlotPlan.cpp
@@ -140,3 +140,17 @@
     server.farBatch = 8;
     EXPECT_EQ(preemptedAt(plan({server}, 5), "a"), 1U);
 }
+
+/// A runner sees the end of its own item at once, others see it up to half a second later. Guards against a runner with more than its part
+/// of the slots that fills each of its own anew, so that others get none.
+TEST(SlotPlanTest, ARunnerWithItsPartLeavesFreeSlotsToOthers)
+{
+    auto const fullButOne = serverOf("a", 0, 6);
+    EXPECT_EQ(startsAt(plan({fullButOne}, 5, {.partLeft = 0}), "a"), 0U);
+    EXPECT_EQ(startsAt(plan({fullButOne}, 5, {.partLeft = 1}), "a"), 1U);
+    EXPECT_EQ(startsAt(plan({serverOf("a", 0, 5)}, 5, {.partLeft = 0}), "a"), 0U);
+    EXPECT_EQ(startsAt(plan({serverOf("a", 0, 4)}, 5, {.partLeft = 0}), "a"), 1U);
+    // The starts of a round count as well.
+    auto const both = plan({fullButOne, serverOf("b", 0, 6)}, 5, {.partLeft = 1});
+    EXPECT_EQ(startsAt(both, "a") + startsAt(both, "b"), 1U);
+}
