Start items at any server with room if the assigned ones have none

A runner whose waiting items exceed the room at its assigned servers now starts the rest at any other server of the pool that accepts items and has a free slot beside the same reserve. The load of other data centres is known as sums and 250 to 500 ms late, so runners take turns: in each round of 250 ms one runner on average may start one item at a server, another one each round, by a hash that all compute alike. Near servers come first, the part of the slots that a runner may fill holds for all servers together, at high load of the pool three slots stay free, and nothing starts where the load of other data centres isn't known.

--- a/Libraries/LibJobs/ItemPlacement.cpp
+++ b/Libraries/LibJobs/ItemPlacement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Anvilyard::Jobs {
 
@@ -25,32 +26,72 @@
         if (server.isAssigned || ownLoad.batch > 0)
             assigned.push_back(slotsAt(server, ownLoad, peers));
     }
+    if (demand.waiting == 0)
+        return planSlots(options_.self, assigned, 0, options_.slots);
+    auto &state = pools_[pool];
+    if (auto const round = static_cast<std::uint64_t>(now.time_since_epoch() / options_.roundInterval); round != state.round)
+        state = beginRound(round, servers, demand.tokens, own, peers, now);
     auto options = options_.slots;
-    if (demand.waiting > 0) {
-        auto &part = parts_[pool];
-        if (now >= part.validUntil)
-            part = {.slots = partOf(servers, demand.tokens, own, peers, now), .validUntil = now + options_.partInterval};
-        options.partLeft = part.slots - std::min(part.slots, ownItems);
+    options.partLeft = state.part - std::min(state.part, ownItems);
+    auto changes = planSlots(options_.self, assigned, demand.waiting, options);
+    auto const room = roomAt(assigned, options);
+    if (demand.waiting <= room || std::exchange(state.hasPlannedOthers, true))
+        return changes;
+    options.partLeft -= std::min(options.partLeft, room);
+    if (state.isLoadHigh)
+        options.reserve = options.highLoadReserve;
+    auto others = planOthers(servers, demand.waiting - room, options, own, peers, state.round);
+    changes.insert(changes.end(), others.begin(), others.end());
+    return changes;
+}
+
+std::vector<SlotChange> ItemPlacement::planOthers(std::span<PoolServer const> servers,
+                                                  std::size_t waitingItems,
+                                                  SlotPlanOptions const &options,
+                                                  Serving::LoadTracker const &own,
+                                                  Serving::PeerTable const &peers,
+                                                  std::uint64_t round) const
+{
+    std::vector<ServerSlots> others;
+    bool const knowsFarLoad = peers.knowsFarLoad();
+    for (auto const &server : servers) {
+        bool const mayStart = server.acceptsNew && !server.isAssigned && (knowsFarLoad || !server.isFar);
+        if (!mayStart || !peers.hasTurnAt(server.id, round))
+            continue;
+        others.push_back(slotsAt(server, own.at(server.id), peers));
+        others.back().acceptsNew = true;
     }
-    return planSlots(options_.self, assigned, demand.waiting, options);
+    auto changes = planSlots(options_.self, others, waitingItems, options);
+    // Preemptions are planned with those at assigned servers.
+    std::erase_if(changes, [](SlotChange const &change) { return change.start == 0; });
+    return changes;
 }
 
-std::size_t ItemPlacement::partOf(std::span<PoolServer const> servers,
-                                  std::uint64_t ownTokens,
-                                  Serving::LoadTracker const &own,
-                                  Serving::PeerTable const &peers,
-                                  Instant now) const
+ItemPlacement::Pool ItemPlacement::beginRound(std::uint64_t round,
+                                              std::span<PoolServer const> servers,
+                                              std::uint64_t ownTokens,
+                                              Serving::LoadTracker const &own,
+                                              Serving::PeerTable const &peers,
+                                              Instant now) const
 {
     std::uint64_t slots = 0;
+    std::uint64_t online = 0;
+    std::uint64_t batchSlots = 0;
     for (auto const &server : servers) {
         if (!server.acceptsNew)
             continue;
-        auto const used = own.at(server.id).online + peers.othersAt(server.id).online + options_.slots.reserve;
-        slots += server.slots - std::min(server.slots, used);
+        auto const requests = own.at(server.id).online + peers.othersAt(server.id).online;
+        slots += server.slots;
+        online += requests;
+        batchSlots += server.slots - std::min(server.slots, requests + options_.slots.reserve);
     }
     auto const allTokens = ownTokens + peers.waitingTokens(now);
-    auto const part = allTokens > 0 ? static_cast<double>(slots) * static_cast<double>(ownTokens) / static_cast<double>(allTokens) : 0;
-    return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(part)));
+    auto const part = allTokens > 0 ? static_cast<double>(batchSlots) * static_cast<double>(ownTokens) / static_cast<double>(allTokens) : 0;
+    return {
+        .round = round,
+        .part = std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(part))),
+        .isLoadHigh = static_cast<double>(online) >= options_.slots.highLoad * static_cast<double>(slots),
+    };
 }
 
 ServerSlots ItemPlacement::slotsAt(PoolServer const &server, Serving::InFlight const &own, Serving::PeerTable const &peers) const
--- a/Libraries/LibJobs/SlotPlan.cpp
+++ b/Libraries/LibJobs/SlotPlan.cpp
@@ -87,4 +87,20 @@
     return changes;
 }
 
+std::size_t roomAt(std::span<ServerSlots const> servers, SlotPlanOptions const &options)
+{
+    auto const reserve = isLoadHigh(servers, options.highLoad) ? options.highLoadReserve : options.reserve;
+    std::size_t room = 0;
+    std::size_t roomBeyondPart = 0;
+    for (auto const &server : servers) {
+        auto const used = occupiedAt(server) + reserve;
+        if (!server.acceptsNew || used >= server.slots)
+            continue;
+        auto const freeSlots = server.slots - used;
+        room += freeSlots;
+        roomBeyondPart += freeSlots - std::min(freeSlots, options.sharedReserve);
+    }
+    return std::max(std::min(room, options.partLeft), roomBeyondPart);
+}
+
 } // namespace Anvilyard::Jobs
--- a/Libraries/LibJobs/SlotPlan.h
+++ b/Libraries/LibJobs/SlotPlan.h
@@ -66,4 +66,7 @@
 std::vector<SlotChange>
 planSlots(InstanceId const &self, std::span<ServerSlots const> servers, std::size_t waitingItems, SlotPlanOptions const &options);
 
+/// Number of items that this runner may start at the servers in this and later rounds if their load stays as it is.
+std::size_t roomAt(std::span<ServerSlots const> servers, SlotPlanOptions const &options);
+
 } // namespace Anvilyard::Jobs
--- a/Libraries/LibServing/LoadSummaryTable.cpp
+++ b/Libraries/LibServing/LoadSummaryTable.cpp
@@ -115,6 +115,11 @@
     return at(near_, server);
 }
 
+bool LoadSummaryTable::hasFar() const
+{
+    return relayedFarAt_.has_value() || !farByDataCentre_.empty();
+}
+
 InFlight LoadSummaryTable::farAt(ServerId const &server) const
 {
     return at(farFromRelays_.empty() ? relayedFar_ : farFromRelays_, server);
--- a/Libraries/LibServing/LoadSummaryTable.h
+++ b/Libraries/LibServing/LoadSummaryTable.h
@@ -36,6 +36,8 @@
     [[nodiscard]] bool hasNear() const;
     /// Requests of the other instances of the own data centre, without the own ones.
     [[nodiscard]] InFlight nearAt(ServerId const &server) const;
+    /// Whether the load of other data centres is known.
+    [[nodiscard]] bool hasFar() const;
     /// Requests of the instances of all other data centres.
     [[nodiscard]] InFlight farAt(ServerId const &server) const;
     /// Like farAt() for all servers, from the summaries of other data centres' relays. Only relays receive these.
--- a/Libraries/LibServing/PeerTable.cpp
+++ b/Libraries/LibServing/PeerTable.cpp
@@ -474,6 +474,20 @@
     return servers;
 }
 
+bool PeerTable::hasTurnAt(ServerId const &server, std::uint64_t round) const
+{
+    auto const self = std::lower_bound(runners_.begin(), runners_.end(), options_.self);
+    if (self == runners_.end() || *self != options_.self)
+        return false;
+    auto const turn = rendezvousScore(std::to_string(round), server.value()) % runners_.size();
+    return turn == static_cast<std::uint64_t>(self - runners_.begin());
+}
+
+bool PeerTable::knowsFarLoad() const
+{
+    return fleetKind_ == FleetKind::Small || summaries_.hasFar();
+}
+
 std::uint32_t PeerTable::farBatchAt(ServerId const &server) const
 {
     return summaries_.farAt(server).batch;
--- a/Libraries/LibServing/PeerTable.h
+++ b/Libraries/LibServing/PeerTable.h
@@ -123,6 +123,11 @@
     /// runners, so a runner that may send new items to less than half of its share of the pool has substitutes up to that share: servers of
     /// its data centre first, then of others.
     [[nodiscard]] std::set<ServerId> itemServers(std::span<ItemServer const> pool) const;
+    /// Whether this runner may start an item at a server that is not one of itemServers() in this round: in each round one runner on
+    /// average may, another one in each. Otherwise all runners that see a free slot would use it before they see each other's items.
+    [[nodiscard]] bool hasTurnAt(ServerId const &server, std::uint64_t round) const;
+    /// Whether the load of other data centres is known, or there are reports of each instance.
+    [[nodiscard]] bool knowsFarLoad() const;
     /// Items of other data centres at a server. Their runners are not listed by batchAt().
     [[nodiscard]] std::uint32_t farBatchAt(ServerId const &server) const;
     /// Hash over runners(), compared between instances.
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -279,7 +279,8 @@
     for (auto const &[record, use] : context_.directory.usable(now)) {
         bool const acceptsNew = use == Serving::ServerUse::Usable && !ejected.contains(record.id);
         pools[record.pool].push_back({.id = record.id, .dataCentre = record.dataCentre, .acceptsNew = acceptsNew});
-        poolServers_[record.pool].push_back({.id = record.id, .slots = record.slots, .acceptsNew = acceptsNew});
+        bool const isFar = record.dataCentre != context_.settings.dataCentre;
+        poolServers_[record.pool].push_back({.id = record.id, .slots = record.slots, .isFar = isFar, .acceptsNew = acceptsNew});
     }
     for (auto &[pool, servers] : poolServers_) {
         auto const assigned = context_.peers.itemServers(pools[pool]);
--- a/Tests/LibJobs/TestItemPlacement.cpp
+++ b/Tests/LibJobs/TestItemPlacement.cpp
@@ -86,8 +86,11 @@
                 pool.push_back({.id = server.id, .dataCentre = server.dataCentre, .acceptsNew = true});
             auto const assigned = runner.peers.itemServers(pool);
             for (auto const &server : servers_)
-                runner.servers.push_back(
-                    {.id = server.id, .slots = options_.slots, .isAssigned = assigned.contains(server.id), .acceptsNew = true});
+                runner.servers.push_back({.id = server.id,
+                                          .slots = options_.slots,
+                                          .isFar = server.dataCentre != runner.dataCentre,
+                                          .isAssigned = assigned.contains(server.id),
+                                          .acceptsNew = true});
         }
     }
 
@@ -392,3 +395,20 @@
         }
     }
 }
+
+/// Runners are cut off from the other data centres. Guards against items at servers whose load is unknown.
+TEST(ItemPlacementTest, NoItemsStartWhereTheLoadIsUnknown)
+{
+    InstanceId const self("r0");
+    PeerTable peers({.self = self, .ownRole = InstanceRole::Runner, .dataCentre = DataCentreId("a")});
+    peers.setOwnStage(InstanceStage::Serving, Start);
+    peers.setFleetKind(FleetKind::Large);
+    LoadTracker const own;
+    ItemDemand const demand{.waiting = 10, .tokens = 1000};
+    std::vector<PoolServer> const far{{.id = ServerId("far"), .slots = 7, .isFar = true, .acceptsNew = true}};
+    std::vector<PoolServer> const near{{.id = ServerId("near"), .slots = 7, .acceptsNew = true}};
+    EXPECT_TRUE(ItemPlacement({.self = self}).plan(batchPool, far, demand, own, peers, Start).empty());
+    EXPECT_EQ(ItemPlacement({.self = self}).plan(batchPool, near, demand, own, peers, Start).size(), 1U);
+    peers.onSummary({.relay = InstanceId("relay"), .position = {.startedAt = 1, .number = 1}, .dataCentre = DataCentreId("b")}, Start);
+    EXPECT_EQ(ItemPlacement({.self = self}).plan(batchPool, far, demand, own, peers, Start).size(), 1U);
+}
--- a/Tests/LibServing/TestPeers.cpp
+++ b/Tests/LibServing/TestPeers.cpp
@@ -597,6 +597,32 @@
     }
 }
 
+/// Runners see a free slot of another data centre at the same time. Guards against two that use it in one round because they determine
+/// different turns, and against one that never gets a turn.
+TEST(PeerTableTest, RunnersTakeTurnsAtAServer)
+{
+    std::vector<std::string> const dataCentres{"a", "b", "c"};
+    std::vector<PeerTable> tables;
+    constexpr int Runners = 13;
+    for (int self = 0; self < Runners; ++self) {
+        auto &table = tables.emplace_back(tableIn("r" + std::to_string(self), InstanceRole::Runner, dataCentres.at(self % 3)));
+        for (int other = 0; other < Runners; ++other)
+            table.onReport(runnerIn("r" + std::to_string(other), dataCentres.at(other % 3)), Start);
+    }
+    std::map<std::size_t, std::size_t> turns;
+    for (std::uint64_t round = 0; round < 200; ++round) {
+        std::size_t runnersWithTurn = 0;
+        for (std::size_t runner = 0; runner < tables.size(); ++runner) {
+            bool const hasTurn = tables[runner].hasTurnAt(ServerId("s"), round);
+            runnersWithTurn += hasTurn ? 1 : 0;
+            turns[runner] += hasTurn ? 1 : 0;
+        }
+        EXPECT_EQ(runnersWithTurn, 1U);
+    }
+    for (auto const &[runner, count] : turns)
+        EXPECT_GT(count, 0U) << runner;
+}
+
 TEST(PeerTableTest, FewRunnersShareAllServers)
 {
     auto table = tableOf("r1", InstanceRole::Runner);
