Start an item of a late job with every eighth start

Jobs that can be on time still go first, but of eight starts of a pool one is of a late item if any waits, the earliest due first. So with n late items before it, an item starts within 8 (n + 1) starts. An item whose prompt is in quarantine isn't sent; it now uses neither such a turn nor a start of the round, so items that are held back don't keep others from starting. Its pause is as before.

--- a/Libraries/LibJobs/JobTracker.cpp
+++ b/Libraries/LibJobs/JobTracker.cpp
@@ -1,7 +1,6 @@
 #include "LibJobs/JobTracker.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace Anvilyard::Jobs {
 
@@ -107,34 +106,44 @@
     return !job.isEnded && job.policy.isRouted && job.policy.pool == pool;
 }
 
-std::optional<ItemStart> JobTracker::next(PoolName const &pool, Duration runTime, Instant now) const
+std::optional<JobTracker::Candidate> JobTracker::candidateOf(JobId const &id, Job const &job, Duration runTime, Instant now) const
 {
-    struct Rank {
-        bool isLate = true;
-        Instant due;
+    auto waitingItem = job.items.end();
+    for (auto item = job.items.begin(); item != job.items.end(); ++item) {
+        bool const mayStart = item->state == Item::State::Waiting && item->notBefore <= now;
+        if (mayStart && (waitingItem == job.items.end() || item->events > waitingItem->events))
+            waitingItem = item;
+    }
+    if (waitingItem == job.items.end())
+        return std::nullopt;
+    auto const due = job.acceptedAt + job.policy.completionTarget;
+    return Candidate{
+        .due = due,
+        .start = {.job = id,
+                  .index = static_cast<std::size_t>(waitingItem - job.items.begin()),
+                  .lastEventId = waitingItem->lastEventId,
+                  .isLate = now + timeLeft(*waitingItem, runTime) > due},
     };
-    std::optional<Rank> best;
-    std::optional<ItemStart> start;
+}
+
+std::optional<ItemStart> JobTracker::next(PoolName const &pool, Duration runTime, Instant now) const
+{
+    std::optional<Candidate> onTime;
+    std::optional<Candidate> late;
     for (auto const &[id, job] : jobs_) {
         if (!mayRun(job, pool))
             continue;
-        auto waitingItem = job.items.end();
-        for (auto item = job.items.begin(); item != job.items.end(); ++item) {
-            bool const mayStart = item->state == Item::State::Waiting && item->notBefore <= now;
-            if (mayStart && (waitingItem == job.items.end() || item->events > waitingItem->events))
-                waitingItem = item;
-        }
-        if (waitingItem == job.items.end())
-            continue;
-        auto const due = job.acceptedAt + job.policy.completionTarget;
-        Rank const rank{.isLate = now + timeLeft(*waitingItem, runTime) > due, .due = due};
-        bool const isBetter = !best || std::tie(rank.isLate, rank.due) < std::tie(best->isLate, best->due);
-        if (!isBetter)
+        auto candidate = candidateOf(id, job, runTime, now);
+        if (!candidate)
             continue;
-        best = rank;
-        start = {.job = id, .index = static_cast<std::size_t>(waitingItem - job.items.begin()), .lastEventId = waitingItem->lastEventId};
+        auto &best = candidate->start.isLate ? late : onTime;
+        if (!best || candidate->due < best->due)
+            best = std::move(candidate);
     }
-    return start;
+    auto const starts = startsSinceLate_.find(pool);
+    bool const isTurnOfLate = starts != startsSinceLate_.end() && starts->second + 1 >= options_.startsPerLateStart;
+    auto const &chosen = late && (!onTime || isTurnOfLate) ? late : onTime;
+    return chosen ? std::optional(chosen->start) : std::nullopt;
 }
 
 Duration JobTracker::timeLeft(Item const &item, Duration runTime) const
@@ -172,10 +181,20 @@
     return counts;
 }
 
-void JobTracker::onStarted(JobId const &id, std::size_t index)
+void JobTracker::onStarted(ItemStart const &start)
+{
+    auto *job = find(start.job, start.index);
+    if (!job || job->items[start.index].state != Item::State::Waiting)
+        return;
+    job->items[start.index].state = Item::State::Running;
+    auto &starts = startsSinceLate_[job->policy.pool];
+    starts = start.isLate ? 0 : starts + 1;
+}
+
+void JobTracker::onHeldBack(ItemStart const &start, Instant now)
 {
-    if (auto *job = find(id, index); job && job->items[index].state == Item::State::Waiting)
-        job->items[index].state = Item::State::Running;
+    if (auto *job = find(start.job, start.index); job && job->items[start.index].state == Item::State::Waiting)
+        pause(job->items[start.index], now);
 }
 
 bool JobTracker::onEvent(JobId const &id, std::size_t index, std::optional<std::uint64_t> eventId, std::string_view data)
--- a/Libraries/LibJobs/JobTracker.h
+++ b/Libraries/LibJobs/JobTracker.h
@@ -40,6 +40,9 @@
     Duration maxClockSkew = 10s;
     /// Time for which a route must be missing before its items are given up, as desired states may change in quick succession.
     Duration unroutedTimeout = 4s;
+    /// Of this many starts one is of an item that cannot be on time if there is any. Otherwise a late job would wait for the end of an
+    /// overload.
+    std::uint32_t startsPerLateStart = 8;
 };
 
 /// An item to be sent now.
@@ -48,6 +51,8 @@
     std::size_t index = 0;
     /// Id of the last received event, for an item that ran partially.
     std::optional<std::uint64_t> lastEventId;
+    /// Whether it is expected to end after the completion target of its job.
+    bool isLate = false;
 };
 
 /// How one send of an item ended.
@@ -74,9 +79,9 @@
 };
 
 /// Tracks the jobs that a runner owns and the state of their items. Items of the job with the earliest due time run first. Items that
-/// cannot be on time run after all others, so that some jobs are on time under overload. Items are preempted many times where online
-/// requests come in bursts, so an item counts by what is left of it, and those of a job that are closest to their end go first. Performs no
-/// I/O.
+/// cannot be on time run after all others, so that some jobs are on time under overload, but get a small part of the starts. Items are
+/// preempted many times where online requests come in bursts, so an item counts by what is left of it, and those of a job that are closest
+/// to their end go first. Performs no I/O.
 class JobTracker
 {
 public:
@@ -103,7 +108,9 @@
     [[nodiscard]] std::size_t waiting(PoolName const &pool, Instant now) const;
     /// Number of waiting items by pool, including those that are not sent again yet.
     [[nodiscard]] std::map<PoolName, std::size_t> waitingByPool() const;
-    void onStarted(JobId const &job, std::size_t index);
+    void onStarted(ItemStart const &start);
+    /// Called instead of onStarted() if the item must not be sent yet. It waits for a pause.
+    void onHeldBack(ItemStart const &start, Instant now);
     /// Records one event of the item's stream. Returns whether the item's output is within its limit. If it is not, the item starts anew,
     /// because some of its events cannot be its own, and the run must be ended.
     bool onEvent(JobId const &job, std::size_t index, std::optional<std::uint64_t> eventId, std::string_view data);
@@ -165,7 +172,14 @@
         Instant storeNotBefore = Instant::min();
     };
 
+    struct Candidate {
+        Instant due;
+        ItemStart start;
+    };
+
     [[nodiscard]] Job *find(JobId const &job, std::size_t index);
+    /// The item of a job to start first; `std::nullopt` if none may start now.
+    [[nodiscard]] std::optional<Candidate> candidateOf(JobId const &id, Job const &job, Duration runTime, Instant now) const;
     /// Expected run time of what is left of an item.
     [[nodiscard]] Duration timeLeft(Item const &item, Duration runTime) const;
     [[nodiscard]] Duration commitDelay(Job const &job, Instant now) const;
@@ -177,6 +191,8 @@
 
     JobTrackerOptions options_;
     std::map<JobId, Job> jobs_;
+    /// Starts of items that can be on time since the last start of a late one, by pool.
+    std::map<PoolName, std::uint32_t> startsSinceLate_;
     /// Moving average of the events of completed items; 0 before the first.
     double meanEvents_ = 0;
 };
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -351,16 +351,17 @@
     auto const server = context_.directory.find(serverId, now);
     if (!server)
         return;
-    for (std::uint32_t started = 0; started < count; ++started) {
+    for (std::uint32_t started = 0; started < count;) {
         auto const next = jobs_.next(pool, meanRunTime_, now);
         if (!next)
             return;
         auto const *record = jobs_.find(next->job);
-        jobs_.onStarted(next->job, next->index);
         if (context_.prompts.refusalTime(context_.protocol.readPromptParts(record->items[next->index].headers))) {
-            jobs_.onSendEnded(next->job, next->index, SendEnd::Unserved, now);
+            jobs_.onHeldBack(*next, now);
             continue;
         }
+        ++started;
+        jobs_.onStarted(*next);
         metrics_.itemStarts.add();
         stalls_.onStarted(pool, now);
         auto const run = std::make_shared<ItemRun>(
--- a/Tests/LibJobs/TestItemPlacement.cpp
+++ b/Tests/LibJobs/TestItemPlacement.cpp
@@ -229,7 +229,7 @@
         auto &runner = runners_[number];
         auto const next = runner.jobs.next(batchPool, RunTime, now_);
         ASSERT_TRUE(next);
-        runner.jobs.onStarted(next->job, next->index);
+        runner.jobs.onStarted(*next);
         runner.load.onStarted(servers_[server].id, WorkClass::Batch);
         ++servers_[server].batch;
         lastStarts_.insert_or_assign(runner.id, now_);
--- a/Tests/LibJobs/TestJobTracker.cpp
+++ b/Tests/LibJobs/TestJobTracker.cpp
@@ -40,7 +40,7 @@
     {
         auto const next = tracker_.next(batchPool, RunTime, now);
         EXPECT_TRUE(next);
-        tracker_.onStarted(next->job, next->index);
+        tracker_.onStarted(*next);
         tracker_.onEvent(next->job, next->index, 0, "text");
         return *next;
     }
@@ -98,6 +98,24 @@
     EXPECT_LT(starts, 100U);
 }
 
+/// Parts of the prompts of a late job are in quarantine. Guards against turns of late items that are used up by items which are not sent.
+TEST_F(JobTrackerTest, AnItemThatIsHeldBackUsesNoTurnAndWaitsForAPause)
+{
+    add("held-back", 1, {}, 18s);
+    add("late", 1, {}, 17s);
+    add("in-time", 20);
+    for (int start = 0; start < 7; ++start)
+        EXPECT_EQ(run().job, JobId("in-time"));
+    auto const heldBack = tracker_.next(batchPool, RunTime, Start);
+    ASSERT_TRUE(heldBack);
+    ASSERT_EQ(heldBack->job, JobId("held-back"));
+    tracker_.onHeldBack(*heldBack, Start);
+    EXPECT_EQ(run().job, JobId("late"));
+    EXPECT_EQ(run().job, JobId("in-time"));
+    EXPECT_EQ(tracker_.waiting(batchPool, Start), 12U);
+    EXPECT_EQ(tracker_.waiting(batchPool, Start + 100ms), 13U);
+}
+
 /// Items are preempted at each burst of online requests. Guards against giving up a preempted item as late although the rest of it fits.
 TEST_F(JobTrackerTest, APreemptedItemIsLateOnlyIfItsRestDoesNotFit)
 {
@@ -141,7 +159,7 @@
         tracker.setPolicy(JobId("j"), policy(), Start);
         auto const item = tracker.next(batchPool, RunTime, Start);
         ASSERT_TRUE(item);
-        tracker.onStarted(item->job, item->index);
+        tracker.onStarted(*item);
         tracker.onSendEnded(item->job, item->index, SendEnd::Complete, Start);
         // Of the time left until the job is due, a tenth passes before its outcomes are stored.
         EXPECT_TRUE(tracker.takeCommits(Start + delay * 9 / 10).empty()) << age.count();
@@ -225,7 +243,7 @@
 {
     add("j", 1);
     auto const next = tracker_.next(batchPool, RunTime, Start);
-    tracker_.onStarted(next->job, next->index);
+    tracker_.onStarted(*next);
     tracker_.onEvent(next->job, next->index, std::nullopt, "lost");
     tracker_.onSendEnded(next->job, next->index, SendEnd::Preempted, Start);
     complete();
@@ -241,7 +259,7 @@
     auto const start = [&](Instant now) {
         auto const next = tracker.next(batchPool, RunTime, now);
         EXPECT_TRUE(next);
-        tracker.onStarted(next->job, next->index);
+        tracker.onStarted(*next);
         return *next;
     };
     auto const first = start(Start);
@@ -288,7 +306,7 @@
     for (int attempt = 0; attempt < 50; ++attempt) {
         auto const next = tracker_.next(batchPool, RunTime, now);
         ASSERT_TRUE(next);
-        tracker_.onStarted(next->job, next->index);
+        tracker_.onStarted(*next);
         tracker_.onSendEnded(next->job, next->index, SendEnd::Unserved, now);
         EXPECT_FALSE(tracker_.next(batchPool, RunTime, now)) << "the item waits for the retry pause";
         now += 2s;
@@ -353,7 +371,7 @@
     tracker.setPolicy(JobId("j"), policy(), Start);
     for (int item = 0; item < 2; ++item) {
         auto const next = tracker.next(batchPool, RunTime, Start);
-        tracker.onStarted(next->job, next->index);
+        tracker.onStarted(*next);
         tracker.onEvent(next->job, next->index, 0, std::string(100, 'x'));
         tracker.onSendEnded(next->job, next->index, SendEnd::Complete, Start);
     }
@@ -381,7 +399,7 @@
         now += 200ms;
         auto &tracker = trackers[*rc::gen::inRange(0, 2)];
         if (auto const next = tracker.next(batchPool, RunTime, now); next && *rc::gen::inRange(0, 3) > 0) {
-            tracker.onStarted(next->job, next->index);
+            tracker.onStarted(*next);
             tracker.onSendEnded(next->job, next->index, *rc::gen::element(SendEnd::Complete, SendEnd::Unserved, SendEnd::Preempted), now);
         }
         for (auto &[job, segment] : tracker.takeCommits(now)) {
@@ -425,7 +443,7 @@
 {
     auto const start = tracker.next(batchPool, RunTime, now);
     RC_ASSERT(start);
-    tracker.onStarted(start->job, start->index);
+    tracker.onStarted(*start);
     auto const asked = start->lastEventId ? *start->lastEventId + 1 : 0;
     auto const from = isSound ? asked : draw<std::uint64_t>(0, asked + 1);
     bool const hasIds = isSound || draw(0, 4) > 0;
