Log why the items of a job wait

For each job of which no item starts for 5 s while some wait, a runner logs node-job-waiting (7057) with the reason: not read from the store, route missing, prompt in quarantine, paused after a failure, no server, no server with room, or other items first, and the numbers behind it. At most four lines a job, after 5 s and then 10, 20 and 40 s more; the check of all jobs runs once a second.

--- a/Libraries/LibJobs/ItemPlacement.cpp
+++ b/Libraries/LibJobs/ItemPlacement.cpp
@@ -94,6 +94,17 @@
     };
 }
 
+std::size_t
+ItemPlacement::serversWithRoom(std::span<PoolServer const> servers, Serving::LoadTracker const &own, Serving::PeerTable const &peers) const
+{
+    return static_cast<std::size_t>(std::count_if(servers.begin(), servers.end(), [&](PoolServer const &server) {
+        auto const ownLoad = own.at(server.id);
+        auto const others = peers.othersAt(server.id);
+        auto const occupied = ownLoad.online + ownLoad.batch + others.online + others.batch;
+        return server.acceptsNew && occupied + options_.slots.reserve < server.slots;
+    }));
+}
+
 ServerSlots ItemPlacement::slotsAt(PoolServer const &server, Serving::InFlight const &own, Serving::PeerTable const &peers) const
 {
     std::vector<BatchHolder> batch{{.runner = options_.self, .items = own.batch}};
--- a/Libraries/LibJobs/ItemPlacement.h
+++ b/Libraries/LibJobs/ItemPlacement.h
@@ -55,6 +55,10 @@
                                                Serving::PeerTable const &peers,
                                                Instant now);
 
+    /// Number of servers that accept new items and have a free slot beside the reserve.
+    [[nodiscard]] std::size_t
+    serversWithRoom(std::span<PoolServer const> servers, Serving::LoadTracker const &own, Serving::PeerTable const &peers) const;
+
 private:
     [[nodiscard]] ServerSlots slotsAt(PoolServer const &server, Serving::InFlight const &own, Serving::PeerTable const &peers) const;
 
--- a/Libraries/LibJobs/JobTracker.cpp
+++ b/Libraries/LibJobs/JobTracker.cpp
@@ -186,15 +186,40 @@
     auto *job = find(start.job, start.index);
     if (!job || job->items[start.index].state != Item::State::Waiting)
         return;
-    job->items[start.index].state = Item::State::Running;
+    auto &item = job->items[start.index];
+    item.state = Item::State::Running;
+    item.isHeldBack = false;
+    ++job->starts;
     auto &starts = startsSinceLate_[job->policy.pool];
     starts = start.isLate ? 0 : starts + 1;
 }
 
 void JobTracker::onHeldBack(ItemStart const &start, Instant now)
 {
-    if (auto *job = find(start.job, start.index); job && job->items[start.index].state == Item::State::Waiting)
-        pause(job->items[start.index], now);
+    auto *job = find(start.job, start.index);
+    if (!job || job->items[start.index].state != Item::State::Waiting)
+        return;
+    auto &item = job->items[start.index];
+    item.isHeldBack = true;
+    pause(item, now);
+}
+
+std::vector<JobWait> JobTracker::waits(Instant now) const
+{
+    std::vector<JobWait> waits;
+    for (auto const &[id, job] : jobs_) {
+        if (job.isEnded)
+            continue;
+        auto &wait = waits.emplace_back(JobWait{.job = id, .pool = job.policy.pool, .isRouted = job.policy.isRouted, .starts = job.starts});
+        for (auto const &item : job.items) {
+            if (item.state != Item::State::Waiting)
+                continue;
+            ++wait.waiting;
+            wait.heldBack += item.isHeldBack ? 1 : 0;
+            wait.paused += !item.isHeldBack && now < item.notBefore ? 1 : 0;
+        }
+    }
+    return waits;
 }
 
 bool JobTracker::onEvent(JobId const &id, std::size_t index, std::optional<std::uint64_t> eventId, std::string_view data)
--- a/Libraries/LibJobs/JobTracker.h
+++ b/Libraries/LibJobs/JobTracker.h
@@ -69,6 +69,20 @@
     Preempted,
 };
 
+/// What the items of a job wait for.
+struct JobWait {
+    JobId job;
+    PoolName pool;
+    bool isRouted = true;
+    std::size_t waiting = 0;
+    /// How many of these were held back and wait for a pause since.
+    std::size_t heldBack = 0;
+    /// How many of these wait for a pause after a send that did not succeed.
+    std::size_t paused = 0;
+    /// Number of items started so far, including repeated starts.
+    std::uint64_t starts = 0;
+};
+
 /// Number of items by state.
 struct ItemCounts {
     std::size_t waiting = 0;
@@ -108,6 +122,8 @@
     [[nodiscard]] std::size_t waiting(PoolName const &pool, Instant now) const;
     /// Number of waiting items by pool, including those that are not sent again yet.
     [[nodiscard]] std::map<PoolName, std::size_t> waitingByPool() const;
+    /// All jobs that were not ended, including those without waiting items.
+    [[nodiscard]] std::vector<JobWait> waits(Instant now) const;
     void onStarted(ItemStart const &start);
     /// Called instead of onStarted() if the item must not be sent yet. It waits for a pause.
     void onHeldBack(ItemStart const &start, Instant now);
@@ -152,6 +168,8 @@
         std::uint32_t failures = 0;
         std::uint32_t pauses = 0;
         Instant notBefore = Instant::min();
+        /// Whether it waits since it was held back.
+        bool isHeldBack = false;
         OutcomeState outcome = OutcomeState::Completed;
     };
 
@@ -167,6 +185,7 @@
         Instant acceptedAt;
         ItemPolicy policy;
         std::optional<Instant> unroutedSince;
+        std::uint64_t starts = 0;
         bool isEnded = false;
         bool isStoring = false;
         Instant storeNotBefore = Instant::min();
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -20,6 +20,8 @@
 constexpr Duration LoadRetryDelay = 200ms;
 /// Reading a job takes some calls of the store, each of which ends after a second or two at the latest.
 constexpr Duration LoadOverdueAfter = 5s;
+/// Counting the items of all jobs in each tick would cost more than the line is worth.
+constexpr Duration WaitCheckInterval = 1s;
 /// Within this time the owner of an admitted job has read it and counts its tokens.
 constexpr Duration AdmissionRetention = 3s;
 /// The store takes some milliseconds to store a segment, and some hundred at its slowest.
@@ -61,6 +63,7 @@
       })
     , meanRunTime_(InitialMeanRunTime)
     , stalls_(Jobs::StallDetectorOptions{})
+    , waits_(Jobs::JobWaitDetectorOptions{})
 {
 }
 
@@ -251,6 +254,7 @@
     if (!isLeaving_) {
         dispatch(now);
         logStalls(now);
+        logWaits(now);
     }
     storeOutcomes(now);
     confirmJobs(now);
@@ -346,6 +350,61 @@
     }
 }
 
+void JobRunner::logWaits(Instant now)
+{
+    if (now < nextWaitCheckAt_)
+        return;
+    nextWaitCheckAt_ = now + WaitCheckInterval;
+    std::map<JobId, Jobs::JobWait> waitOf;
+    std::vector<Jobs::JobWaitDetector::Progress> progress;
+    for (auto &wait : jobs_.waits(now)) {
+        progress.push_back({.job = wait.job, .isWaiting = wait.waiting > 0, .starts = wait.starts});
+        waitOf.emplace(wait.job, std::move(wait));
+    }
+    for (auto const &[job, known] : knownJobs_) {
+        if (!jobs_.contains(job) && known.isConfirmed && !known.isEnded && owns(job))
+            progress.push_back({.job = job, .isWaiting = true});
+    }
+    std::map<PoolName, std::size_t> withRoomIn;
+    for (auto const &[job, lasting] : waits_.onTick(progress, now)) {
+        auto const found = waitOf.find(job);
+        auto const wait = found == waitOf.end() ? Jobs::JobWait{.job = job} : found->second;
+        auto const pool = poolServers_.find(wait.pool);
+        auto const servers = pool == poolServers_.end() ? std::span<Jobs::PoolServer const>{} : std::span(pool->second);
+        auto const accepting = static_cast<std::size_t>(
+            std::count_if(servers.begin(), servers.end(), [](Jobs::PoolServer const &server) { return server.acceptsNew; }));
+        auto const [withRoom, isNew] = withRoomIn.try_emplace(wait.pool);
+        if (isNew)
+            withRoom->second = placement_.serversWithRoom(servers, context_.load, context_.peers);
+        Observe::log(Observe::Events::NodeJobWaiting,
+                     {{"job", job.value()},
+                      {"reason", reasonFor(wait, accepting, withRoom->second)},
+                      {"lasting_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(lasting).count())},
+                      {"pool", wait.pool.value()},
+                      {"waiting", std::to_string(wait.waiting)},
+                      {"held_back", std::to_string(wait.heldBack)},
+                      {"paused", std::to_string(wait.paused)},
+                      {"servers", std::to_string(servers.size())},
+                      {"accepting", std::to_string(accepting)},
+                      {"with_room", std::to_string(withRoom->second)}});
+    }
+}
+
+std::string JobRunner::reasonFor(Jobs::JobWait const &wait, std::size_t accepting, std::size_t withRoom) const
+{
+    if (!jobs_.contains(wait.job))
+        return "not-read-from-store";
+    if (!wait.isRouted)
+        return "route-missing";
+    if (wait.heldBack == wait.waiting)
+        return "prompt-in-quarantine";
+    if (wait.heldBack + wait.paused == wait.waiting)
+        return "paused-after-failure";
+    if (accepting == 0)
+        return "no-server";
+    return withRoom == 0 ? "no-server-with-room" : "other-items-first";
+}
+
 void JobRunner::startItems(PoolName const &pool, ServerId const &serverId, std::uint32_t count, Instant now)
 {
     auto const server = context_.directory.find(serverId, now);
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -3,6 +3,7 @@
 #include "LibHttp/HttpServer.h"
 #include "LibJobs/ItemPlacement.h"
 #include "LibJobs/JobTracker.h"
+#include "LibJobs/JobWaitDetector.h"
 #include "LibJobs/StallDetector.h"
 #include "Services/Node/ItemRun.h"
 #include "Services/Node/JobApiHandler.h"
@@ -66,6 +67,9 @@
     void refreshAssignments(Instant now);
     /// Logs items that wait without being started, with the state of their servers, and loads of jobs that take too long.
     void logStalls(Instant now);
+    /// Logs why no items of a job start.
+    void logWaits(Instant now);
+    [[nodiscard]] std::string reasonFor(Jobs::JobWait const &wait, std::size_t accepting, std::size_t withRoom) const;
     void startItems(PoolName const &pool, ServerId const &server, std::uint32_t count, Instant now);
     void preempt(ServerId const &server, std::uint32_t count, Instant now);
     void cancelRuns(JobId const &job);
@@ -132,6 +136,8 @@
     /// Moving average of the duration of item runs that were not resumed.
     Duration meanRunTime_;
     Jobs::StallDetector stalls_;
+    Jobs::JobWaitDetector waits_;
+    Instant nextWaitCheckAt_ = Instant::min();
     std::size_t pendingStoreCalls_ = 0;
     bool isLeaving_ = false;
 };
--- a/Tests/LibJobs/TestJobTracker.cpp
+++ b/Tests/LibJobs/TestJobTracker.cpp
@@ -116,6 +116,34 @@
     EXPECT_EQ(tracker_.waiting(batchPool, Start + 100ms), 13U);
 }
 
+/// Guards against a report that blames the servers for items that wait for something else.
+TEST_F(JobTrackerTest, TheWaitingItemsOfAJobAreCountedByWhatTheyWaitFor)
+{
+    add("j", 4);
+    auto const failed = run();
+    auto const running = run();
+    tracker_.onSendEnded(failed.job, failed.index, SendEnd::Unserved, Start);
+    auto const heldBack = tracker_.next(batchPool, RunTime, Start);
+    ASSERT_TRUE(heldBack);
+    tracker_.onHeldBack(*heldBack, Start);
+    auto waits = tracker_.waits(Start);
+    ASSERT_EQ(waits.size(), 1U);
+    EXPECT_EQ(waits[0].waiting, 3U);
+    EXPECT_EQ(waits[0].paused, 1U);
+    EXPECT_EQ(waits[0].heldBack, 1U);
+    EXPECT_EQ(waits[0].starts, 2U);
+    EXPECT_TRUE(waits[0].isRouted);
+    // Between two attempts the reason stays the same.
+    EXPECT_EQ(tracker_.waits(Start + 1s)[0].heldBack, 1U);
+    tracker_.onStarted(*heldBack);
+    EXPECT_EQ(tracker_.waits(Start + 1s)[0].heldBack, 0U);
+    tracker_.setPolicy(JobId("j"), {.isRouted = false}, Start);
+    EXPECT_FALSE(tracker_.waits(Start + 1s)[0].isRouted);
+    tracker_.onEnded(JobId("j"));
+    EXPECT_TRUE(tracker_.waits(Start + 1s).empty());
+    EXPECT_NE(running.index, failed.index);
+}
+
 /// Items are preempted at each burst of online requests. Guards against giving up a preempted item as late although the rest of it fits.
 TEST_F(JobTrackerTest, APreemptedItemIsLateOnlyIfItsRestDoesNotFit)
 {
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -542,6 +542,28 @@
     EXPECT_EQ(lines[0].at("accepting"), "0");
 }
 
+/// Guards against a job whose items wait without a line that says why.
+TEST_F(JobsTest, AJobThatWaitsIsLoggedWithTheReason)
+{
+    std::vector<std::map<std::string, std::string>> lines;
+    Observe::setLogSink([&](Observe::EventDefinition const &event, std::initializer_list<Observe::Field> fields) {
+        if (event.name != Observe::Events::NodeJobWaiting.name)
+            return;
+        auto &line = lines.emplace_back();
+        for (auto const &field : fields)
+            line.emplace(field.name, field.value);
+    });
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    ASSERT_EQ(ask(entry, submissionOf("j", 2))->status, 202);
+    waitUntil([&] { return !lines.empty(); });
+    thread_.call([] { Observe::setLogSink(nullptr); });
+    EXPECT_EQ(lines[0].at("job"), "j");
+    EXPECT_EQ(lines[0].at("reason"), "no-server");
+    EXPECT_EQ(lines[0].at("waiting"), "2");
+}
+
 /// A pool has servers in one data centre only, and runners there and elsewhere. Guards against items that wait for ever at an owner whose
 /// data centre has no server of their pool, while servers elsewhere are idle.
 TEST_F(JobsTest, ItemsOfAnOwnerWithoutServersInItsDataCentreRunElsewhere)
