--- a/Libraries/LibJobs/SlotPlan.cpp
+++ b/Libraries/LibJobs/SlotPlan.cpp
@@ -16,7 +16,7 @@
 
 std::uint32_t occupiedAt(ServerSlots const &server)
 {
-    return server.online + batchAt(server);
+    return server.online + batchAt(server) + server.farBatch;
 }
 
 /// Returns the number of own items to preempt. Each excess item is taken from the runner that has the most items left at the server.
@@ -70,15 +70,37 @@
     std::stable_sort(open.begin(), open.end(), [](ServerSlots const *left, ServerSlots const *right) {
         return static_cast<std::uint64_t>(occupiedAt(*left)) * right->slots < static_cast<std::uint64_t>(occupiedAt(*right)) * left->slots;
     });
+    auto partLeft = options.partLeft;
     for (auto const *server : open) {
         if (waitingItems == 0)
             break;
-        auto const freeSlots = server->slots - reserve - occupiedAt(*server);
-        auto const start = static_cast<std::uint32_t>(std::min<std::size_t>({freeSlots, options.maxStarts, waitingItems}));
+        std::size_t const freeSlots = server->slots - reserve - occupiedAt(*server);
+        auto const beyondPart = freeSlots - std::min<std::size_t>(freeSlots, options.sharedReserve);
+        auto const allowed = std::max(std::min(freeSlots, partLeft), beyondPart);
+        auto const start = std::min<std::size_t>({allowed, options.maxStarts, waitingItems});
+        if (start == 0)
+            continue;
         waitingItems -= start;
-        changes.push_back({.server = server->server, .start = start});
+        partLeft -= std::min(partLeft, start);
+        changes.push_back({.server = server->server, .start = static_cast<std::uint32_t>(start)});
     }
     return changes;
 }
 
+std::size_t roomAt(std::span<ServerSlots const> servers, SlotPlanOptions const &options)
+{
+    auto const reserve = isLoadHigh(servers, options.highLoad) ? options.highLoadReserve : options.reserve;
+    std::size_t room = 0;
+    std::size_t roomBeyondPart = 0;
+    for (auto const &server : servers) {
+        auto const used = occupiedAt(server) + reserve;
+        if (!server.acceptsNew || used >= server.slots)
+            continue;
+        auto const freeSlots = server.slots - used;
+        room += freeSlots;
+        roomBeyondPart += freeSlots - std::min(freeSlots, options.sharedReserve);
+    }
+    return std::max(std::min(room, options.partLeft), roomBeyondPart);
+}
+
 } // namespace Anvilyard::Jobs
--- a/Libraries/LibJobs/SlotPlan.h
+++ b/Libraries/LibJobs/SlotPlan.h
@@ -3,6 +3,7 @@
 #include "LibCore/Ids.h"
 
 #include <cstdint>
+#include <limits>
 #include <span>
 #include <vector>
 
@@ -22,6 +23,8 @@
     std::uint32_t online = 0;
     /// Items of this runner and of the runners with known reports.
     std::vector<BatchHolder> batch = {};
+    /// Items of other data centres. Which runner has them is unknown.
+    std::uint32_t farBatch = 0;
     /// Whether new items may be sent there.
     bool acceptsNew = true;
 };
@@ -42,6 +45,11 @@
     /// Maximum number of items that one runner starts at a server in one round. Other runners receive the new counts before the next
     /// round.
     std::uint32_t maxStarts = 1;
+    /// Number of items that this runner may start before it has its part of the slots. Beyond it, the runner leaves sharedReserve more
+    /// slots of each server to runners that have less. Without this a runner that sees the end of its own item at once fills the slot anew
+    /// before others see it.
+    std::size_t partLeft = std::numeric_limits<std::size_t>::max();
+    std::uint32_t sharedReserve = 2;
 };
 
 struct SlotChange {
@@ -58,4 +66,7 @@
 std::vector<SlotChange>
 planSlots(InstanceId const &self, std::span<ServerSlots const> servers, std::size_t waitingItems, SlotPlanOptions const &options);
 
+/// Number of items that this runner may start at the servers in this and later rounds if their load stays as it is.
+std::size_t roomAt(std::span<ServerSlots const> servers, SlotPlanOptions const &options);
+
 } // namespace Anvilyard::Jobs
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -20,6 +20,8 @@
 constexpr Duration LoadRetryDelay = 200ms;
 /// Reading a job takes some calls of the store, each of which ends after a second or two at the latest.
 constexpr Duration LoadOverdueAfter = 5s;
+/// Counting the items of all jobs in each tick would cost more than the line is worth.
+constexpr Duration WaitCheckInterval = 1s;
 /// Within this time the owner of an admitted job has read it and counts its tokens.
 constexpr Duration AdmissionRetention = 3s;
 /// The store takes some milliseconds to store a segment, and some hundred at its slowest.
@@ -49,6 +51,7 @@
     , metrics_(metrics)
     , health_(health)
     , peerReports_(peerReports)
+    , placement_({.self = context.settings.instance})
     , jobs_(Jobs::JobTrackerOptions{})
     , jobFollower_({
           .loop = context.loop,
@@ -66,6 +69,7 @@
       })
     , meanRunTime_(InitialMeanRunTime)
     , stalls_(Jobs::StallDetectorOptions{})
+    , waits_(Jobs::JobWaitDetectorOptions{})
     , ownerCheck_(ownerCheck)
 {
 }
@@ -315,6 +319,7 @@
         checkOwners(now);
         dispatch(now);
         logStalls(now);
+        logWaits(now);
     }
     storeOutcomes(now);
     confirmJobs(now);
@@ -337,46 +342,29 @@
     if (assignmentVersions_ == versions)
         return;
     assignmentVersions_ = versions;
-    assignments_.clear();
+    poolServers_.clear();
     auto const ejected = context_.health.ejected();
     std::map<PoolName, std::vector<Serving::ItemServer>> pools;
     for (auto const &[record, use] : context_.directory.usable(now)) {
         bool const acceptsNew = use == Serving::ServerUse::Usable && !ejected.contains(record.id);
         pools[record.pool].push_back({.id = record.id, .dataCentre = record.dataCentre, .acceptsNew = acceptsNew});
-        assignments_.push_back({.server = record.id, .pool = record.pool, .slots = record.slots, .acceptsNew = acceptsNew});
+        bool const isFar = record.dataCentre != context_.settings.dataCentre;
+        poolServers_[record.pool].push_back({.id = record.id, .slots = record.slots, .isFar = isFar, .acceptsNew = acceptsNew});
     }
-    std::set<ServerId> assigned;
-    for (auto const &[pool, servers] : pools)
-        assigned.merge(context_.peers.itemServers(servers));
-    for (auto &assignment : assignments_) {
-        assignment.isAssigned = assigned.contains(assignment.server);
-        assignment.acceptsNew = assignment.acceptsNew && assignment.isAssigned;
+    for (auto &[pool, servers] : poolServers_) {
+        auto const assigned = context_.peers.itemServers(pools[pool]);
+        for (auto &server : servers)
+            server.isAssigned = assigned.contains(server.id);
     }
 }
 
 void JobRunner::dispatch(Instant now)
 {
     refreshAssignments(now);
-    std::map<PoolName, std::vector<Jobs::ServerSlots>> pools;
-    for (auto const &assignment : assignments_) {
-        auto const own = context_.load.at(assignment.server);
-        if (!assignment.isAssigned && own.batch == 0)
-            continue;
-        std::vector<Jobs::BatchHolder> batch{{.runner = context_.settings.instance, .items = own.batch}};
-        for (auto &[runner, items] : context_.peers.batchAt(assignment.server))
-            batch.push_back({.runner = runner, .items = items});
-        pools[assignment.pool].push_back({
-            .server = assignment.server,
-            .slots = assignment.slots,
-            // Which runner of another data centre has an item there is unknown, so it counts like a request.
-            .online = own.online + context_.peers.othersAt(assignment.server).online + context_.peers.farBatchAt(assignment.server),
-            .batch = std::move(batch),
-            .acceptsNew = assignment.acceptsNew,
-        });
-    }
-    for (auto const &[pool, servers] : pools) {
-        auto const waiting = jobs_.waiting(pool, now);
-        for (auto const &change : Jobs::planSlots(context_.settings.instance, servers, waiting, {})) {
+    auto const tokens = jobs_.waitingTokens();
+    for (auto const &[pool, servers] : poolServers_) {
+        Jobs::ItemDemand const demand{.waiting = jobs_.waiting(pool, now), .tokens = tokens};
+        for (auto const &change : placement_.plan(pool, servers, demand, context_.load, context_.peers, now)) {
             if (change.preempt > 0)
                 preempt(change.server, change.preempt, now);
             if (change.start > 0)
@@ -391,23 +379,20 @@
         return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
     };
     for (auto const &[pool, waiting, lasting] : stalls_.onTick(jobs_.waitingByPool(), now)) {
-        std::size_t servers = 0;
         std::size_t assigned = 0;
         std::size_t accepting = 0;
         std::uint32_t slots = 0;
         std::uint32_t online = 0;
         std::uint32_t batch = 0;
-        for (auto const &assignment : assignments_) {
-            if (assignment.pool != pool)
-                continue;
-            ++servers;
-            assigned += assignment.isAssigned ? 1 : 0;
-            if (!assignment.acceptsNew)
+        auto const &servers = poolServers_[pool];
+        for (auto const &server : servers) {
+            assigned += server.isAssigned ? 1 : 0;
+            if (!server.isAssigned || !server.acceptsNew)
                 continue;
             ++accepting;
-            auto const own = context_.load.at(assignment.server);
-            auto const others = context_.peers.othersAt(assignment.server);
-            slots += assignment.slots;
+            auto const own = context_.load.at(server.id);
+            auto const others = context_.peers.othersAt(server.id);
+            slots += server.slots;
             online += own.online + others.online;
             batch += own.batch + others.batch;
         }
@@ -416,7 +401,7 @@
                       {"waiting", std::to_string(waiting)},
                       {"lasting_ms", toMilliseconds(lasting)},
                       {"runners", std::to_string(context_.peers.runners().size())},
-                      {"servers", std::to_string(servers)},
+                      {"servers", std::to_string(servers.size())},
                       {"assigned", std::to_string(assigned)},
                       {"accepting", std::to_string(accepting)},
                       {"slots", std::to_string(slots)},
@@ -430,21 +415,77 @@
     }
 }
 
+void JobRunner::logWaits(Instant now)
+{
+    if (now < nextWaitCheckAt_)
+        return;
+    nextWaitCheckAt_ = now + WaitCheckInterval;
+    std::map<JobId, Jobs::JobWait> waitOf;
+    std::vector<Jobs::JobWaitDetector::Progress> progress;
+    for (auto &wait : jobs_.waits(now)) {
+        progress.push_back({.job = wait.job, .isWaiting = wait.waiting > 0, .starts = wait.starts});
+        waitOf.emplace(wait.job, std::move(wait));
+    }
+    for (auto const &[job, known] : knownJobs_) {
+        if (!jobs_.contains(job) && known.isConfirmed && !known.isEnded && owns(job))
+            progress.push_back({.job = job, .isWaiting = true});
+    }
+    std::map<PoolName, std::size_t> withRoomIn;
+    for (auto const &[job, lasting] : waits_.onTick(progress, now)) {
+        auto const found = waitOf.find(job);
+        auto const wait = found == waitOf.end() ? Jobs::JobWait{.job = job} : found->second;
+        auto const pool = poolServers_.find(wait.pool);
+        auto const servers = pool == poolServers_.end() ? std::span<Jobs::PoolServer const>{} : std::span(pool->second);
+        auto const accepting = static_cast<std::size_t>(
+            std::count_if(servers.begin(), servers.end(), [](Jobs::PoolServer const &server) { return server.acceptsNew; }));
+        auto const [withRoom, isNew] = withRoomIn.try_emplace(wait.pool);
+        if (isNew)
+            withRoom->second = placement_.serversWithRoom(servers, context_.load, context_.peers);
+        Observe::log(Observe::Events::NodeJobWaiting,
+                     {{"job", job.value()},
+                      {"reason", reasonFor(wait, accepting, withRoom->second)},
+                      {"lasting_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(lasting).count())},
+                      {"pool", wait.pool.value()},
+                      {"waiting", std::to_string(wait.waiting)},
+                      {"held_back", std::to_string(wait.heldBack)},
+                      {"paused", std::to_string(wait.paused)},
+                      {"servers", std::to_string(servers.size())},
+                      {"accepting", std::to_string(accepting)},
+                      {"with_room", std::to_string(withRoom->second)}});
+    }
+}
+
+std::string JobRunner::reasonFor(Jobs::JobWait const &wait, std::size_t accepting, std::size_t withRoom) const
+{
+    if (!jobs_.contains(wait.job))
+        return "not-read-from-store";
+    if (!wait.isRouted)
+        return "route-missing";
+    if (wait.heldBack == wait.waiting)
+        return "prompt-in-quarantine";
+    if (wait.heldBack + wait.paused == wait.waiting)
+        return "paused-after-failure";
+    if (accepting == 0)
+        return "no-server";
+    return withRoom == 0 ? "no-server-with-room" : "other-items-first";
+}
+
 void JobRunner::startItems(PoolName const &pool, ServerId const &serverId, std::uint32_t count, Instant now)
 {
     auto const server = context_.directory.find(serverId, now);
     if (!server)
         return;
-    for (std::uint32_t started = 0; started < count; ++started) {
+    for (std::uint32_t started = 0; started < count;) {
         auto const next = jobs_.next(pool, meanRunTime_, now);
         if (!next)
             return;
         auto const *record = jobs_.find(next->job);
-        jobs_.onStarted(next->job, next->index);
         if (context_.prompts.refusalTime(context_.protocol.readPromptParts(record->items[next->index].headers))) {
-            jobs_.onSendEnded(next->job, next->index, SendEnd::Unserved, now);
+            jobs_.onHeldBack(*next, now);
             continue;
         }
+        ++started;
+        jobs_.onStarted(*next);
         metrics_.itemStarts.add();
         stalls_.onStarted(pool, now);
         auto const run = std::make_shared<ItemRun>(
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "LibHttp/HttpServer.h"
+#include "LibJobs/ItemPlacement.h"
 #include "LibJobs/JobTracker.h"
+#include "LibJobs/JobWaitDetector.h"
 #include "LibJobs/OwnerCheck.h"
-#include "LibJobs/SlotPlan.h"
 #include "LibJobs/StallDetector.h"
 #include "Services/Node/ItemRun.h"
 #include "Services/Node/JobApiHandler.h"
@@ -73,6 +74,9 @@
     void refreshAssignments(Instant now);
     /// Logs items that wait without being started, with the state of their servers, and loads of jobs that take too long.
     void logStalls(Instant now);
+    /// Logs why no items of a job start.
+    void logWaits(Instant now);
+    [[nodiscard]] std::string reasonFor(Jobs::JobWait const &wait, std::size_t accepting, std::size_t withRoom) const;
     void startItems(PoolName const &pool, ServerId const &server, std::uint32_t count, Instant now);
     void preempt(ServerId const &server, std::uint32_t count, Instant now);
     void cancelRuns(JobId const &job);
@@ -110,21 +114,11 @@
     NodeMetrics &metrics_;
     HealthProber &health_;
     PeerReportExchange &peerReports_;
-    /// A server as far as it matters for the items of this runner.
-    struct Assignment {
-        ServerId server;
-        PoolName pool;
-        std::uint32_t slots = 1;
-        /// Whether this runner is one of the few that send items to the server.
-        bool isAssigned = false;
-        /// Whether new items may be sent there.
-        bool acceptsNew = false;
-    };
-
     /// Determined anew only after a change of servers or runners. Load changes many times a second, and ranking all runners for each of
     /// hundreds of servers each time would take most of the processor time of a runner.
-    std::vector<Assignment> assignments_;
+    std::map<PoolName, std::vector<Jobs::PoolServer>> poolServers_;
     std::optional<std::pair<std::uint64_t, std::uint64_t>> assignmentVersions_;
+    Jobs::ItemPlacement placement_;
     Jobs::JobTracker jobs_;
     StoreFollower jobFollower_;
     std::map<JobId, KnownJob> knownJobs_;
@@ -155,6 +149,8 @@
     /// Moving average of the duration of item runs that were not resumed.
     Duration meanRunTime_;
     Jobs::StallDetector stalls_;
+    Jobs::JobWaitDetector waits_;
+    Instant nextWaitCheckAt_ = Instant::min();
     Jobs::OwnerCheck ownerCheck_;
     std::size_t pendingStoreCalls_ = 0;
     bool isLeaving_ = false;
--- a/Tests/LibJobs/TestSlotPlan.cpp
+++ b/Tests/LibJobs/TestSlotPlan.cpp
@@ -127,3 +127,30 @@
     // The load of the pool counts rather than that of one server.
     EXPECT_EQ(startsAt(plan({serverOf("a", 5, 0), serverOf("b", 1, 0), serverOf("c", 1, 6)}, 5), "a"), 1U);
 }
+
+/// Items of other data centres fill a pool, as in half-c on coldline-kr-grown. Guards against taking them for online requests: at high load
+/// a runner starts items only where several slots are free, and preempts its own.
+TEST(SlotPlanTest, ItemsOfOtherDataCentresAreNoHighLoad)
+{
+    auto server = serverOf("a", 0, 1);
+    server.farBatch = 5;
+    EXPECT_EQ(startsAt(plan({server}, 5), "a"), 1U);
+    server.farBatch = 7;
+    EXPECT_EQ(preemptedAt(plan({server}, 5), "a"), 0U);
+    server.farBatch = 8;
+    EXPECT_EQ(preemptedAt(plan({server}, 5), "a"), 1U);
+}
+
+/// A runner sees the end of its own item at once, others see it up to half a second later. Guards against a runner with more than its part
+/// of the slots that fills each of its own anew, so that others get none.
+TEST(SlotPlanTest, ARunnerWithItsPartLeavesFreeSlotsToOthers)
+{
+    auto const fullButOne = serverOf("a", 0, 6);
+    EXPECT_EQ(startsAt(plan({fullButOne}, 5, {.partLeft = 0}), "a"), 0U);
+    EXPECT_EQ(startsAt(plan({fullButOne}, 5, {.partLeft = 1}), "a"), 1U);
+    EXPECT_EQ(startsAt(plan({serverOf("a", 0, 5)}, 5, {.partLeft = 0}), "a"), 0U);
+    EXPECT_EQ(startsAt(plan({serverOf("a", 0, 4)}, 5, {.partLeft = 0}), "a"), 1U);
+    // The starts of a round count as well.
+    auto const both = plan({fullButOne, serverOf("b", 0, 6)}, 5, {.partLeft = 1});
+    EXPECT_EQ(startsAt(both, "a") + startsAt(both, "b"), 1U);
+}
