Test that the next runner brings a job to an owner that has not heard of it

Callers would see items that no server gets until the owner's watch returns, which may take as long as the store holds it, if the notice of a job is lost and nobody reads the job. The check of owners covers it; this test shows the whole path.

--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -603,6 +603,35 @@
     EXPECT_EQ(readResults(entry, job, 2).size(), 2U);
 }
 
+/// The notice of a job to its owner is lost, the next return of the owner's watch is far away, and nobody reads the job. Guards against
+/// items that wait until then.
+TEST_F(JobsTest, AJobThatItsOwnerHasNotHeardOfIsFoundByTheNextRunner)
+{
+    ownerCheck_ = {.firstAfter = 100ms, .interval = 100ms, .retryPause = 50ms, .refusalsToTake = 1'000};
+    watchPacing_ = {{Jobs::jobKind, {.minPause = 1h, .maxPause = 1h}}};
+    addServer("s1", complete);
+    auto &entry = startNode("entry-1");
+    auto &first = startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    waitUntil([&] { return entry.runnersHash() == first.runnersHash() && first.runnersHash() != 0; });
+    ASSERT_EQ(ask(entry, submissionOf("first", 1))->status, 202);
+    EXPECT_EQ(readResults(entry, "first", 1).size(), 1U);
+    waitUntil([&] { return store_->pendingWatches(Jobs::jobKind) == 0; });
+    auto &second = startNode("runner-2", InstanceRole::Runner);
+    // The first runner renews its watch once after the change of the runners, and the next job ends it again. Replaced watches count, too.
+    waitUntil([&] { return first.runnersHash() == second.runnersHash() && store_->pendingWatches(Jobs::jobKind) >= 2; });
+    ASSERT_EQ(ask(entry, submissionOf("second", 1))->status, 202);
+    EXPECT_EQ(readResults(entry, "second", 1).size(), 1U);
+    Jobs::JobRecord const unheard{.id = JobId(jobOwnedBy("runner-1", {"runner-1", "runner-2"})),
+                                  .host = "h.example",
+                                  .acceptedAt = readClocks().wall,
+                                  .items = {{.id = Jobs::ItemId("unheard-0"), .target = "/b/x/0", .body = "hello", .tokens = 1}}};
+    thread_.call(
+        [&] { static_cast<void>(store_->table().create(Jobs::jobKind, Jobs::jobObject(unheard.id), Jobs::encodeJob(unheard).spec)); });
+    sendTo(second.peerAddress(), {.method = "GET", .target = Node::toTarget(Node::PeerJobNotice{.job = unheard.id})}).get();
+    waitUntil([&] { return store_->table().get(Jobs::segmentKind, Jobs::segmentObject(unheard.id, 0)).has_value(); });
+}
+
 /// Another runner asks the owner of a job whether it holds the job. Guards against an answer that makes the other one run the job as well,
 /// or not run it, and against an owner that does not look for a job that it has not heard of.
 TEST_F(JobsTest, AnOwnerAnswersWhetherItHoldsAJob)
