Let model servers of the tests crash on whole requests

The stand-in only knew prompts with crashing parts, on event streams.

CrashFleet now takes requests that crash servers, compared by method, host, target, caller and body, and counts their arrivals and crashes. A second pool answers whole, on routes that are idempotent with two attempts and non-idempotent with one. Servers crash before a head, between the head and the first event, or after the first event; queued requests are lost with them. They may return under their old id with another time of start. A route for streams below the path of the batch route makes items and online requests equal in what comes again.

--- a/Tests/NodeProcesses/CrashFleet.cpp
+++ b/Tests/NodeProcesses/CrashFleet.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr Duration RestartTime = 500ms;
+/// From the first event of a response.
+constexpr Duration TimeToCrash = 30ms;
 constexpr Duration PollInterval = 10ms;
 constexpr Duration MaxWait = 60s;
 
@@ -26,12 +28,36 @@
     return parts;
 }
 
+/// Returns what is the same each time when a request comes again. The ids of attempts and items differ.
+std::string identityOf(Http::HttpRequest const &request)
+{
+    std::string identity;
+    for (auto const &text : {request.method,
+                             std::string(request.headers.find("Host").value_or("")),
+                             request.target,
+                             std::string(request.headers.find("Authorization").value_or("")),
+                             request.body})
+        identity += text + '\n';
+    return identity;
+}
+
+std::string poolOf(ModelServer::ResponseForm form)
+{
+    return form == ModelServer::ResponseForm::EventStream ? "p" : "q";
+}
+
 constexpr std::string_view DesiredState = R"({"version":1,"routes":[
     {"name":"s","host":"h.example","pathPrefix":"/s/","kind":"streaming","timeoutMs":5000,"sloMs":300,"priority":0,"service":"p",
      "attempts":2,"resumable":true,"gapAimMs":600,"sessionAffinity":true},
     {"name":"b","host":"h.example","pathPrefix":"/b/","kind":"batch","timeoutMs":15000,"sloMs":400,"priority":2,"service":"p",
-     "attempts":3,"completionTargetMs":2000,"queueTtlS":2,"cap":100000}],
-    "services":[{"name":"p","healthPath":"/healthz","maxConns":100}],
+     "attempts":3,"completionTargetMs":2000,"queueTtlS":2,"cap":100000},
+    {"name":"o","host":"h.example","pathPrefix":"/b/online/","kind":"streaming","timeoutMs":5000,"sloMs":300,"priority":0,"service":"p",
+     "attempts":2,"resumable":true,"gapAimMs":600},
+    {"name":"q","host":"h.example","pathPrefix":"/q/","kind":"idempotent","timeoutMs":5000,"sloMs":300,"priority":0,"service":"q",
+     "attempts":2},
+    {"name":"u","host":"h.example","pathPrefix":"/u/","kind":"non_idempotent","timeoutMs":5000,"sloMs":300,"priority":0,"service":"q",
+     "attempts":1}],
+    "services":[{"name":"p","healthPath":"/healthz","maxConns":100},{"name":"q","healthPath":"/healthz","maxConns":100}],
     "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 
 } // namespace
@@ -64,37 +90,52 @@
         std::filesystem::remove_all(folder_);
 }
 
-void CrashFleet::startServers(std::size_t count)
+void CrashFleet::startServers(std::size_t count, ModelServer::ResponseForm form)
 {
-    serverCount_ = count;
+    serverCount_ += count;
     thread_.call([&] {
         for (std::size_t started = 0; started < count; ++started)
-            startServer(Address("127.0.0.1:0"));
+            startServer({.id = nextServerId(), .address = Address("127.0.0.1:0"), .form = form});
     });
 }
 
-void CrashFleet::startServer(Address const &address)
+void CrashFleet::setIdAfterCrash(IdAfterCrash id)
 {
-    auto const id = "i-" + std::to_string(servers_.size());
+    thread_.call([&] { idAfterCrash_ = id; });
+}
+
+std::string CrashFleet::nextServerId() const
+{
+    return "i-" + std::to_string(servers_.size());
+}
+
+void CrashFleet::startServer(Start const &start)
+{
+    auto const &id = start.id;
     auto server = std::make_unique<ModelServer>(
         thread_.loop(),
         ModelServer::Options{
             .id = id,
-            .listen = address,
+            .listen = start.address,
+            .form = start.form,
             .behaviour = [this](ModelServer &started, std::shared_ptr<ModelServer::Run> const &run) { onRun(started, run); },
-            .onReceived =
-                [this](Http::HttpRequest const &request) {
-                    for (auto const &part : sharedParts(request))
-                        arrivals_[part].push_back(readLocalClock());
-                },
-            .onCrashed = [this, id] { onCrashed(id); },
+            .onReceived = [this](Http::HttpRequest const &request) { onReceived(request); },
+            .onCrashed = [this, id, position = servers_.size()] { onCrashed(id, position); },
         });
     auto const born = std::chrono::duration_cast<std::chrono::milliseconds>(readClocks().wall.time_since_epoch()).count();
     store_->put("servers",
                 id,
-                R"({"service":"p","address":")" + server->address().value() + R"(","zone":"dc","slots":4,"state":"ready","born":)"
-                    + std::to_string(born) + "}");
-    servers_.emplace(id, std::move(server));
+                R"({"service":")" + poolOf(start.form) + R"(","address":")" + server->address().value()
+                    + R"(","zone":"dc","slots":4,"state":"ready","born":)" + std::to_string(born) + "}");
+    servers_.push_back(std::move(server));
+}
+
+void CrashFleet::onReceived(Http::HttpRequest const &request)
+{
+    auto const now = readLocalClock();
+    for (auto const &part : sharedParts(request))
+        arrivals_[part].push_back(now);
+    arrivals_[identityOf(request)].push_back(now);
 }
 
 void CrashFleet::onRun(ModelServer &server, std::shared_ptr<ModelServer::Run> const &run)
@@ -105,17 +146,34 @@
             return server.crash();
         }
     }
+    if (auto const identity = identityOf(run->request); crashingRequests_.contains(identity)) {
+        auto const crash = [this, &server, identity] {
+            crashes_[identity].push_back(readLocalClock());
+            server.crash();
+        };
+        if (crashingRequests_.at(identity) == CrashMoment::BeforeResponse)
+            return crash();
+        ModelServer::writeEvent(run);
+        run->timer = thread_.loop().at(readLocalClock() + TimeToCrash, crash);
+        return;
+    }
     if (behaviour_)
         return behaviour_(server, run);
-    server.writeEvents(run);
+    server.complete(run);
 }
 
-void CrashFleet::onCrashed(std::string const &id)
+void CrashFleet::onCrashed(std::string const &id, std::size_t position)
 {
-    restarts_.push_back(thread_.loop().at(readLocalClock() + RestartTime, [this, id] {
-        store_->remove("servers", id);
+    allCrashes_.push_back(readLocalClock());
+    restarts_.push_back(thread_.loop().at(readLocalClock() + RestartTime, [this, id, position] {
+        bool const isSameId = idAfterCrash_ == IdAfterCrash::Same;
+        if (!isSameId)
+            store_->remove("servers", id);
+        auto const &crashed = *servers_.at(position);
         // Every other server returns at another address.
-        startServer(restarts_.size() % 2 == 0 ? servers_.at(id)->address() : Address("127.0.0.1:0"));
+        startServer({.id = isSameId ? id : nextServerId(),
+                     .address = restarts_.size() % 2 == 0 ? crashed.address() : Address("127.0.0.1:0"),
+                     .form = crashed.form()});
     }));
 }
 
@@ -151,11 +209,17 @@
 void CrashFleet::waitUntilServersAreUp()
 {
     waitUntil("all servers are up", [this] {
-        auto const up = std::ranges::count_if(servers_, [](auto const &server) { return server.second->isUp(); });
+        auto const up = std::ranges::count_if(servers_, [](auto const &server) { return server->isUp(); });
         return static_cast<std::size_t>(up) == serverCount_;
     });
 }
 
+void CrashFleet::waitUntilCrashed(Http::HttpRequest const &request)
+{
+    waitUntil("a server crashes on a request for " + request.target,
+              [this, identity = identityOf(request)] { return crashes_.contains(identity); });
+}
+
 void CrashFleet::waitUntil(std::string const &description, std::function<bool()> const &condition)
 {
     for (auto const end = readLocalClock() + MaxWait; !thread_.call(condition);) {
@@ -175,6 +239,11 @@
     thread_.call([&] { crashingParts_.insert(part); });
 }
 
+void CrashFleet::addCrashingRequest(Http::HttpRequest const &request, CrashMoment moment)
+{
+    thread_.call([&] { crashingRequests_.insert_or_assign(identityOf(request), moment); });
+}
+
 void CrashFleet::setBehaviour(ModelServer::Behaviour behaviour)
 {
     thread_.call([&] { behaviour_ = std::move(behaviour); });
@@ -201,6 +270,17 @@
     return {.method = "POST", .target = "/s/" + number, .headers = std::move(headers), .body = "body " + number};
 }
 
+Http::HttpRequest CrashFleet::plainRequest(std::string const &target, std::string const &body)
+{
+    return {.method = "POST", .target = target, .headers = {{"Host", "h.example"}, {"Anvilyard-Deadline-Ms", "5000"}}, .body = body};
+}
+
+std::future<CrashFleet::Answer> CrashFleet::sendAgain(NodeProcess const &entry, Http::HttpRequest request)
+{
+    request.headers.set("Anvilyard-Attempt-Id", "r" + std::to_string(++requests_));
+    return send(entry, std::move(request));
+}
+
 std::future<CrashFleet::Answer> CrashFleet::send(NodeProcess const &entry, Http::HttpRequest request)
 {
     return sendTo(entry.callers(), std::move(request));
@@ -230,4 +310,19 @@
     return thread_.call([&] { return crashes_[part]; });
 }
 
+std::vector<Instant> CrashFleet::arrivals(Http::HttpRequest const &request)
+{
+    return arrivals(identityOf(request));
+}
+
+std::vector<Instant> CrashFleet::crashes(Http::HttpRequest const &request)
+{
+    return crashes(identityOf(request));
+}
+
+std::vector<Instant> CrashFleet::crashes()
+{
+    return thread_.call([&] { return allCrashes_; });
+}
+
 } // namespace Anvilyard::Tests
--- a/Tests/NodeProcesses/CrashFleet.h
+++ b/Tests/NodeProcesses/CrashFleet.h
@@ -10,12 +10,13 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace Anvilyard::Tests {
 
-/// Node processes, the store and model servers that crash on requests whose prompts hold certain parts. A crashed server is started again
-/// under a new id.
+/// Node processes, the store and model servers that crash on certain requests: on those whose prompts hold certain parts, and on those that
+/// are equal to certain ones. A crashed server is started again, every other one at another address.
 class CrashFleet
 {
 public:
@@ -23,17 +24,32 @@
     /// Ids of the parts of a prompt, without the last one, which belongs to the request itself.
     using Parts = std::vector<std::string>;
 
+    enum class CrashMoment {
+        /// Before the head of a whole response, or between the head and the first event of a stream.
+        BeforeResponse,
+        AfterFirstEvent,
+    };
+    enum class IdAfterCrash {
+        New,
+        Same,
+    };
+
     CrashFleet();
     ~CrashFleet();
     CrashFleet(CrashFleet const &) = delete;
     CrashFleet &operator=(CrashFleet const &) = delete;
 
-    void startServers(std::size_t count);
+    /// Starts servers of the pool that responds in this form.
+    void startServers(std::size_t count, ModelServer::ResponseForm form = ModelServer::ResponseForm::EventStream);
+    /// Sets under which id servers that crash later are started again.
+    void setIdAfterCrash(IdAfterCrash id);
     /// Starts a node process without waiting until it is ready.
     NodeProcess &startNode(std::string const &name, Serving::InstanceRole role = Serving::InstanceRole::Entry);
     void waitUntilReady(NodeProcess const &entry);
     /// Waits until no server is down.
     void waitUntilServersAreUp();
+    /// Waits until a request that is equal to this one has crashed a server.
+    void waitUntilCrashed(Http::HttpRequest const &request);
     /// Polls until the condition holds and throws after a time that is far beyond any of the platform's. The condition is called on the
     /// event loop.
     void waitUntil(std::string const &description, std::function<bool()> const &condition);
@@ -41,6 +57,8 @@
 
     /// Makes servers crash on prompts that hold the part.
     void addCrashingPart(std::string const &part);
+    /// Makes servers crash when they run a request that is equal to this one in what comes again: method, target, caller and body.
+    void addCrashingRequest(Http::HttpRequest const &request, CrashMoment moment = CrashMoment::BeforeResponse);
     /// Sets what servers do with other requests that are started later.
     void setBehaviour(ModelServer::Behaviour behaviour);
 
@@ -48,6 +66,10 @@
     [[nodiscard]] Http::HttpRequest requestOf(Parts const &parts);
     /// Headers of a request with a prompt of these parts and one of its own.
     [[nodiscard]] Http::Headers promptHeaders(Parts const &parts);
+    /// Returns a request without a prompt.
+    [[nodiscard]] static Http::HttpRequest plainRequest(std::string const &target, std::string const &body);
+    /// Sends the request under an id of its own.
+    std::future<Answer> sendAgain(NodeProcess const &entry, Http::HttpRequest request);
     std::future<Answer> send(NodeProcess const &entry, Http::HttpRequest request);
 
     /// When requests whose prompts hold the part reached servers.
@@ -55,24 +77,44 @@
     /// When servers crashed on requests whose prompts hold the part.
     [[nodiscard]] std::vector<Instant> crashes(std::string const &part);
 
+    /// When requests that are equal to this one reached servers, also servers that did not run them.
+    [[nodiscard]] std::vector<Instant> arrivals(Http::HttpRequest const &request);
+    /// When servers crashed on requests that are equal to this one.
+    [[nodiscard]] std::vector<Instant> crashes(Http::HttpRequest const &request);
+    /// When servers crashed, for any reason.
+    [[nodiscard]] std::vector<Instant> crashes();
+
 private:
+    struct Start {
+        std::string id;
+        Address address;
+        ModelServer::ResponseForm form;
+    };
+
     std::future<Answer> sendTo(Address const &server, Http::HttpRequest request);
-    void startServer(Address const &address);
+    void startServer(Start const &start);
+    [[nodiscard]] std::string nextServerId() const;
+    void onReceived(Http::HttpRequest const &request);
     void onRun(ModelServer &server, std::shared_ptr<ModelServer::Run> const &run);
-    void onCrashed(std::string const &id);
+    void onCrashed(std::string const &id, std::size_t position);
 
     std::filesystem::path folder_;
     LoopThread thread_;
     std::unique_ptr<FleetStoreServer> store_;
     std::shared_ptr<Http::HttpClient> client_;
     std::size_t serverCount_ = 0;
-    /// By id. Crashed servers stay, because callbacks of their connections may refer to them.
-    std::map<std::string, std::unique_ptr<ModelServer>> servers_;
+    /// Crashed servers stay, because callbacks of their connections may refer to them.
+    std::vector<std::unique_ptr<ModelServer>> servers_;
+    IdAfterCrash idAfterCrash_ = IdAfterCrash::New;
     std::vector<std::unique_ptr<Http::Timer>> restarts_;
     ModelServer::Behaviour behaviour_;
     std::set<std::string> crashingParts_;
+    /// By what comes again of a request.
+    std::map<std::string, CrashMoment> crashingRequests_;
+    /// By part, and by what comes again of a request.
     std::map<std::string, std::vector<Instant>> arrivals_;
     std::map<std::string, std::vector<Instant>> crashes_;
+    std::vector<Instant> allCrashes_;
     std::map<std::string, std::unique_ptr<NodeProcess>> nodes_;
     std::size_t requests_ = 0;
 };
--- a/Tests/NodeProcesses/ModelServer.cpp
+++ b/Tests/NodeProcesses/ModelServer.cpp
@@ -38,6 +38,11 @@
     return server_ != nullptr;
 }
 
+ModelServer::ResponseForm ModelServer::form() const
+{
+    return options_.form;
+}
+
 void ModelServer::handle(Http::HttpRequest request, std::shared_ptr<Http::ResponseWriter> const &writer)
 {
     if (!isUp())
@@ -69,9 +74,11 @@
         auto const run = waiting_.front();
         waiting_.pop_front();
         running_.push_back(run);
-        auto headers = headersFor(run->request);
-        headers.append({"Content-Type", "text/event-stream"});
-        run->writer->start({.status = 200, .headers = std::move(headers)});
+        if (options_.form == ResponseForm::EventStream) {
+            auto headers = headersFor(run->request);
+            headers.append({"Content-Type", "text/event-stream"});
+            run->writer->start({.status = 200, .headers = std::move(headers)});
+        }
         run->timer = loop_.at(readLocalClock() + options_.promptTime, [this, weak = std::weak_ptr(run)] {
             if (auto const ready = weak.lock())
                 options_.behaviour(*this, ready);
@@ -79,14 +86,27 @@
     }
 }
 
+void ModelServer::complete(std::shared_ptr<Run> const &run)
+{
+    if (options_.form == ResponseForm::EventStream)
+        return writeEvents(run);
+    run->writer->respond({.status = 200, .headers = headersFor(run->request), .body = "response to " + run->request.body});
+    end(run);
+}
+
+void ModelServer::writeEvent(std::shared_ptr<Run> const &run)
+{
+    auto const number = std::to_string(run->nextEvent++);
+    run->writer->write("id: " + number + "\ndata: t" + number + "\n\n", nullptr);
+}
+
 void ModelServer::writeEvents(std::shared_ptr<Run> const &run)
 {
     if (run->nextEvent >= options_.events) {
         run->writer->finish();
         return end(run);
     }
-    auto const number = std::to_string(run->nextEvent++);
-    run->writer->write("id: " + number + "\ndata: t" + number + "\n\n", nullptr);
+    writeEvent(run);
     run->timer = loop_.at(readLocalClock() + options_.eventGap, [this, weak = std::weak_ptr(run)] {
         if (auto const next = weak.lock())
             writeEvents(next);
--- a/Tests/NodeProcesses/ModelServer.h
+++ b/Tests/NodeProcesses/ModelServer.h
@@ -9,29 +9,38 @@
 
 namespace Anvilyard::Tests {
 
-/// Stand-in for a backend server that responds with event streams. It runs a limited number of requests at once and queues the others.
-/// All calls are made on the event loop.
+/// Stand-in for a backend server that responds with event streams or with whole bodies. It runs a limited number of requests at once and
+/// queues the others. All calls are made on the event loop.
 class ModelServer
 {
 public:
+    enum class ResponseForm {
+        /// The head is sent when the run begins.
+        EventStream,
+        /// Head and body are sent together when the run ends.
+        Whole,
+    };
+
     struct Run {
         Http::HttpRequest request;
         std::shared_ptr<Http::ResponseWriter> writer;
         std::uint64_t nextEvent = 0;
         std::unique_ptr<Http::Timer> timer;
     };
-    /// Called once the head of the response is sent and the prompt is read, before the first event.
+    /// Called once the request has run for a while, before the first event or the whole response.
     using Behaviour = std::function<void(ModelServer &server, std::shared_ptr<Run> const &run)>;
 
     struct Options {
         std::string id;
         /// If the port is taken, the system assigns another one.
         Address listen = Address("127.0.0.1:0");
+        ResponseForm form = ResponseForm::EventStream;
         std::size_t slots = 4;
+        /// Time from the start of a run until the behaviour is called.
         Duration promptTime = 30ms;
         Duration eventGap = 10ms;
         std::uint64_t events = 10;
-        Behaviour behaviour = [](ModelServer &server, std::shared_ptr<Run> const &run) { server.writeEvents(run); };
+        Behaviour behaviour = [](ModelServer &server, std::shared_ptr<Run> const &run) { server.complete(run); };
         /// Called for each request that is to be run, before the server decides whether it runs it.
         std::function<void(Http::HttpRequest const &)> onReceived = [](auto const &) {};
         std::function<void()> onCrashed = [] {};
@@ -45,7 +54,12 @@
     [[nodiscard]] std::string const &id() const;
     [[nodiscard]] Address const &address() const;
     [[nodiscard]] bool isUp() const;
+    [[nodiscard]] ResponseForm form() const;
 
+    /// Completes the response in the server's form.
+    void complete(std::shared_ptr<Run> const &run);
+    /// Writes the next event of the run.
+    static void writeEvent(std::shared_ptr<Run> const &run);
     /// Writes the remaining events of the run, one after the other, and ends its response.
     void writeEvents(std::shared_ptr<Run> const &run);
     /// Closes the connection of the run.
