Test that lost responses and a series of crashes blame no sound request for long

A response that is lost while its server goes on is no crash: in 30 rounds, all responses to one request without a prompt and to one stream are lost, at every server, and neither may be refused.

Both pass on this code (9.7 and 8.8 s). The seven tests of crashing parts passed beside them (58 s).

--- a/Tests/NodeProcesses/TestCrashingRequests.cpp
+++ b/Tests/NodeProcesses/TestCrashingRequests.cpp
@@ -25,6 +25,8 @@
 /// Number of rounds of requests in which sound ones have to be served.
 constexpr std::size_t LateRounds = 12;
 constexpr Duration RoundInterval = 50ms;
+/// Time after which entries have found servers that were started again.
+constexpr Duration RestartInterval = 500ms;
 
 CrashFleet::Parts const sharedParts = {"a1", "b1"};
 
@@ -514,3 +516,38 @@
         });
     });
 }
+
+/// Guards against a sound request that is refused because its responses are always lost though the servers run on.
+TEST_F(SoundRequestTest, ResponsesOfOneRequestThatAreAlwaysLostCauseNoRefusals)
+{
+    constexpr std::size_t Rounds = 30;
+    fleet_.setBehaviour([](ModelServer &server, std::shared_ptr<ModelServer::Run> const &run) {
+        if (run->request.target == "/q/1" || run->request.target == "/s/1")
+            return server.cut(run);
+        server.complete(run);
+    });
+    sendRounds(Rounds, [] {});
+}
+
+/// Guards against sound requests that are refused for minutes because they have come again while each server crashed, for another reason,
+/// on whatever it ran first.
+TEST_F(SoundRequestTest, SoundRequestsAreServedAgainAfterAllServersHaveCrashedSeveralTimes)
+{
+    constexpr std::size_t Rounds = 5;
+    fleet_.setBehaviour([](ModelServer &server, std::shared_ptr<ModelServer::Run> const &) { server.crash(); });
+    for (std::size_t round = 0; round < Rounds; ++round) {
+        sendRound(entries_, {});
+        fleet_.waitUntilServersAreUp();
+        fleet_.waitUntil(readLocalClock() + RestartInterval);
+    }
+    fleet_.setBehaviour({});
+    constexpr std::size_t MaxRounds = 300;
+    bool areAllServed = false;
+    for (std::size_t round = 0; round < MaxRounds && !areAllServed; ++round) {
+        auto const first = std::ssize(responses_);
+        sendRound(entries_, {});
+        areAllServed = std::all_of(responses_.begin() + first, responses_.end(), isServed);
+        fleet_.waitUntil(readLocalClock() + RoundInterval);
+    }
+    expectAllSoundAreServed(entries_);
+}
