Add a failing test of a request that crashes servers beside other crashes

While one request crashes each server that runs it, every 40th run crashes its server for another reason. The request must still be found, and sound ones mustn't be blamed for what they were lost with.

--- a/Tests/NodeProcesses/TestCrashingRequests.cpp
+++ b/Tests/NodeProcesses/TestCrashingRequests.cpp
@@ -220,6 +220,7 @@
         expectAllServed(undisturbed);
         for (auto const &request : crashing)
             expectFewArrivals(request);
+        fleet_.setBehaviour({});
         // The crashing requests leave nothing behind that keeps sound ones from servers.
         fleet_.waitUntilServersAreUp();
         fleet_.waitUntil(readLocalClock() + ContactTime);
@@ -461,6 +462,20 @@
     expectFewArrivalsAndSoundRequestsServed(crashing, entries_);
 }
 
+/// Guards against a crashing request that is not found, or sound ones that are blamed, because servers crash for another reason meanwhile.
+TEST_F(WholeRequestTest, EntriesStopSendingARequestThatCrashesServersBesideOtherCrashes)
+{
+    startFleet(4);
+    constexpr int RunsPerCrash = 40;
+    fleet_.setBehaviour([number = std::make_shared<int>(0)](ModelServer &server, std::shared_ptr<ModelServer::Run> const &run) {
+        if (++*number % RunsPerCrash == 0)
+            return server.crash();
+        server.complete(run);
+    });
+    crashServers({crashing_}, entries_);
+    expectFewArrivalsAndSoundRequestsServed({crashing_}, entries_);
+}
+
 /// Guards against a request that runs once for each attempt of its client, and ends a server each time.
 TEST_F(NonIdempotentRequestTest, EntriesStopSendingANonIdempotentRequestThatCrashedServers)
 {
