Log a fingerprint of each request whose attempt failed

Callers of a request that crashes each server that runs it get 502, and it comes again at any instance. No log line named what is the same in these repeats: each attempt has an id of its own, and a request without a prompt has no parts.

node-attempt-failed and node-item-attempt-failed now name a hash of method, host, path, caller and body, equal for an online request and an item of a batch job, and the start time of the server process; node-attempt-failed also says how far the request got. The id of an attempt, the time left and the position in a stream are not covered.

The test of the log line failed before (no such field). TestFleetAdapter and the observation tests of TestNode pass.

--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -38,6 +38,7 @@
 {
     itemId_ = item.id;
     promptParts_ = context_.protocol.readPromptParts(item.headers);
+    fingerprint_ = context_.protocol.fingerprintOf(item, host);
     context_.load.onStarted(server_.id, Serving::WorkClass::Batch);
     Http::ClientRequest request{
         .server = server_.address,
@@ -137,7 +138,9 @@
                   {"events", std::to_string(sequence_.count())},
                   {"unfinished_bytes", std::to_string(events_.unfinishedBytes())},
                   {"status", status_ == 0 ? "none" : std::to_string(status_)},
-                  {"prompt_parts", Serving::toString(promptParts_)}});
+                  {"prompt_parts", Serving::toString(promptParts_)},
+                  {"fingerprint", Serving::toString(fingerprint_)},
+                  {"server_started_at", std::to_string(server_.startedAt)}});
     bool const isResponseLost = status_ == Ok && error.code == Http::HttpError::ClosedEarly && sequence_.count() < Serving::EventsOfAnswer;
     if (isResponseLost)
         context_.prompts.onLost(server_, promptParts_);
--- a/Services/Node/ItemRun.h
+++ b/Services/Node/ItemRun.h
@@ -44,6 +44,7 @@
     Jobs::ItemStart item_;
     Jobs::ItemId itemId_;
     std::vector<Serving::PromptPartId> promptParts_;
+    Serving::RequestFingerprint fingerprint_;
     Hooks hooks_;
     Serving::EventSequence sequence_;
     Serving::EventReader events_;
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -82,6 +82,19 @@
     return "unknown";
 }
 
+char const *nameOf(Http::Reached reached)
+{
+    switch (reached) {
+    case Http::Reached::NothingSent:
+        return "nothing-sent";
+    case Http::Reached::Sent:
+        return "sent";
+    case Http::Reached::ResponseStarted:
+        return "response-started";
+    }
+    return "unknown";
+}
+
 std::string millisecondsSince(Instant since, Instant now)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count());
@@ -390,6 +403,9 @@
                   {"unfinished_bytes", std::to_string(attempt_->events.unfinishedBytes())},
                   {"head", attempt_->head.status == 0 ? "none" : std::to_string(attempt_->head.status)},
                   {"prompt_parts", Serving::toString(parts_.head.promptParts)},
+                  {"fingerprint", Serving::toString(parts_.head.fingerprint)},
+                  {"server_started_at", std::to_string(attempt_->server.startedAt)},
+                  {"reached", nameOf(failure.reached)},
                   {"next", nameOf(step)},
                   {"after_ms", millisecondsSince(attempt_->sentAt, now)},
                   {"send", std::to_string(attempts_)}});
--- a/Services/Node/ServingProtocol.h
+++ b/Services/Node/ServingProtocol.h
@@ -7,6 +7,7 @@
 #include "LibRouting/PromptPrefix.h"
 #include "LibServing/DesiredState.h"
 #include "LibServing/PromptPart.h"
+#include "LibServing/RequestFingerprint.h"
 #include "LibServing/ServerDirectory.h"
 
 #include <optional>
@@ -27,6 +28,7 @@
     Routing::PromptPrefix prefix;
     /// The same parts by their ids, in their order.
     std::vector<Serving::PromptPartId> promptParts;
+    Serving::RequestFingerprint fingerprint;
 };
 
 /// Parameters of one attempt to run a request or item at a server.
@@ -100,6 +102,8 @@
     [[nodiscard]] virtual Result<OnlineRequestHead> readOnlineRequest(Http::HttpRequest const &request) const = 0;
     /// Returns the parts of a prompt that other requests may share, in their order.
     [[nodiscard]] virtual std::vector<Serving::PromptPartId> readPromptParts(Http::Headers const &headers) const = 0;
+    /// Returns the fingerprint of an item, which is that of an online request with the same path, caller and body.
+    [[nodiscard]] virtual Serving::RequestFingerprint fingerprintOf(Jobs::JobItem const &item, std::string const &host) const = 0;
     /// Returns std::nullopt if the request is not a call about a batch job.
     [[nodiscard]] virtual std::optional<Result<JobCall>> readJobCall(Http::HttpRequest const &request) const = 0;
     [[nodiscard]] virtual Result<JobSubmission> readSubmission(Http::HttpRequest const &request) const = 0;
--- a/Tests/FleetAdapter/TestFleetProtocol.cpp
+++ b/Tests/FleetAdapter/TestFleetProtocol.cpp
@@ -170,6 +170,34 @@
     EXPECT_TRUE(protocol.readPromptParts({}).empty());
 }
 
+/// A request comes again, as another attempt with less time left and from another position, or as an item of a batch job. Guards against
+/// taking the repeat for another request, and against taking requests for one that differ in what they ask for or in their caller.
+TEST(FleetProtocolTest, ARepeatedRequestHasTheSameFingerprint)
+{
+    auto const fingerprintOf = [](Http::HttpRequest request, std::string const &id) {
+        request.headers.set("Anvilyard-Attempt-Id", id);
+        return protocol.readOnlineRequest(request)->fingerprint;
+    };
+    Http::HttpRequest const request{.method = "POST", .target = "/s/1", .headers = {{"Host", "h.example"}}, .body = "hello"};
+    auto const fingerprint = fingerprintOf(request, "a");
+    auto repeat = request;
+    repeat.headers.set("Anvilyard-Deadline-Ms", "20");
+    repeat.headers.set("Last-Event-Id", "3");
+    EXPECT_EQ(fingerprintOf(repeat, "b"), fingerprint);
+    EXPECT_EQ(protocol.fingerprintOf({.id = Jobs::ItemId("i"), .target = "/s/1", .body = "hello"}, "h.example"), fingerprint);
+
+    auto const changed = [&](auto change) {
+        auto other = request;
+        change(other);
+        return fingerprintOf(other, "a");
+    };
+    EXPECT_NE(changed([](auto &other) { other.method = "PUT"; }), fingerprint);
+    EXPECT_NE(changed([](auto &other) { other.target = "/s/2"; }), fingerprint);
+    EXPECT_NE(changed([](auto &other) { other.headers.set("Host", "g.example"); }), fingerprint);
+    EXPECT_NE(changed([](auto &other) { other.headers.set("Authorization", "Bearer x"); }), fingerprint);
+    EXPECT_NE(changed([](auto &other) { other.body = "hallo"; }), fingerprint);
+}
+
 TEST(FleetProtocolTest, ResponseTraitsAreReadFromStatusAndHeaders)
 {
     struct Case {
--- a/Tests/Node/TestObservation.cpp
+++ b/Tests/Node/TestObservation.cpp
@@ -119,6 +119,9 @@
     EXPECT_EQ(lines[1].at("attempt_events"), "3");
     EXPECT_EQ(lines[0].at("prompt_parts"), lines[1].at("prompt_parts"));
     EXPECT_EQ(std::count(lines[0].at("prompt_parts").begin(), lines[0].at("prompt_parts").end(), ','), 1);
+    EXPECT_EQ(lines[0].at("fingerprint"), lines[1].at("fingerprint")) << "both ask for the same";
+    EXPECT_EQ(lines[0].at("server_started_at"), "1");
+    EXPECT_EQ(lines[0].at("reached"), "response-started");
     EXPECT_THAT(metricsOf(node), HasSubstr("anvilyard_node_lost_responses_total 1"));
 }
 
