--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -480,7 +480,7 @@
         if (!next)
             return;
         auto const *record = jobs_.find(next->job);
-        if (context_.prompts.refusalTime(context_.protocol.readPromptParts(record->items[next->index].headers))) {
+        if (context_.prompts.refusalReason(suspectsOf(context_, record->items[next->index], record->host))) {
             jobs_.onHeldBack(*next, now);
             continue;
         }
