--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -462,7 +462,7 @@
     if (!wait.isRouted)
         return "route-missing";
     if (wait.heldBack == wait.waiting)
-        return "prompt-in-quarantine";
+        return "in-quarantine";
     if (wait.heldBack + wait.paused == wait.waiting)
         return "paused-after-failure";
     if (accepting == 0)
