Wait for the control thread before its owner resets the pointer to it

Operators would see anvilyard-batch end with a segmentation fault during a planned stop (and anvilyard-entry and anvilyard-agent could). The kernel's line gives address 0 in BatchService::scheduleGateTick(): std::unique_ptr::reset() clears the pointer before it calls the destructor, which waits for the running task, and that task uses the pointer to schedule the next one.

ControlThread::stop() ends the thread first, and the three owners call it. The new test crashes without the call and passes with it, 11 of 11 runs; TestProcessesStops and TestProcessesRunners pass.

--- a/Libraries/LibControl/ControlThread.cpp
+++ b/Libraries/LibControl/ControlThread.cpp
@@ -42,6 +42,13 @@
     CafControlThread(CafControlThread const &) = delete;
     CafControlThread &operator=(CafControlThread const &) = delete;
 
+    void stop() override
+    {
+        caf::anon_send_exit(actor_, caf::exit_reason::kill);
+        caf::scoped_actor self(system_);
+        self->wait_for(actor_);
+    }
+
     void post(std::function<void()> task) override
     {
         caf::anon_send(actor_, ControlTask{std::move(task)});
--- a/Libraries/LibControl/ControlThread.h
+++ b/Libraries/LibControl/ControlThread.h
@@ -16,6 +16,9 @@
     /// Finishes the running task, discards the others and joins the thread.
     virtual ~ControlThread() = default;
 
+    /// Finishes the running task, discards the others and waits until the thread has ended. An owner calls it before it resets its pointer,
+    /// which the running task may still use.
+    virtual void stop() = 0;
     /// Queues the task and returns immediately. Safe from any thread.
     virtual void post(std::function<void()> task) = 0;
     /// Runs the task on the control thread at the deadline. Safe from any thread.
--- a/Services/Agent/Agent.cpp
+++ b/Services/Agent/Agent.cpp
@@ -74,6 +74,8 @@
     platformLoop_.stop();
     if (platformThread_.joinable())
         platformThread_.join();
+    if (control_)
+        control_->stop();
     control_.reset();
 }
 
--- a/Services/Batch/BatchService.cpp
+++ b/Services/Batch/BatchService.cpp
@@ -49,6 +49,8 @@
     loop_.stop();
     if (thread_.joinable())
         thread_.join();
+    if (control_)
+        control_->stop();
     control_.reset();
     housekeeper_.reset();
     transport_.reset();
--- a/Services/Entry/EntryService.cpp
+++ b/Services/Entry/EntryService.cpp
@@ -61,6 +61,8 @@
     // Traffic threads and the control thread post tasks to each other, so all of them stop before any of them is destroyed.
     for (auto const &thread : threads_)
         thread->stop();
+    if (control_)
+        control_->stop();
     control_.reset();
 }
 
--- a/Tests/LibControl/TestControlThread.cpp
+++ b/Tests/LibControl/TestControlThread.cpp
@@ -36,6 +36,28 @@
     EXPECT_GE(ran.get_future().get(), deadline);
 }
 
+/// A task runs while its owner stops. Guards against a task that finds the owner's pointer reset, which ended anvilyard-batch with a
+/// segmentation fault.
+TEST(ControlThreadTest, ATaskThatRunsDuringTheStopMayPost)
+{
+    auto control = ControlThread::create();
+    std::promise<void> started;
+    std::promise<void> stopping;
+    bool hasPosted = false;
+    control->post([&] {
+        started.set_value();
+        stopping.get_future().wait();
+        std::this_thread::sleep_for(20ms);
+        control->post([] {});
+        hasPosted = true;
+    });
+    started.get_future().wait();
+    stopping.set_value();
+    control->stop();
+    control.reset();
+    EXPECT_TRUE(hasPosted);
+}
+
 TEST(ControlThreadTest, DestroyingDropsPendingTasks)
 {
     auto control = ControlThread::create();
