--- a/Tests/NodeProcesses/CrashFleet.cpp
+++ b/Tests/NodeProcesses/ServingFleet.cpp
@@ -1,4 +1,4 @@
-#include "Tests/NodeProcesses/CrashFleet.h"
+#include "Tests/NodeProcesses/ServingFleet.h"
 
 #include <algorithm>
 #include <gtest/gtest.h>
@@ -17,9 +17,9 @@
 constexpr Duration PollInterval = 10ms;
 constexpr Duration MaxWait = 60s;
 
-CrashFleet::Parts sharedParts(Http::HttpRequest const &request)
+ServingFleet::Parts sharedParts(Http::HttpRequest const &request)
 {
-    CrashFleet::Parts parts;
+    ServingFleet::Parts parts;
     std::string text(request.headers.find("Anvilyard-Prompt-Prefix").value_or(""));
     for (auto comma = text.find(','); comma != std::string::npos; comma = text.find(',')) {
         parts.push_back(text.substr(0, text.find(':')));
@@ -62,7 +62,7 @@
 
 } // namespace
 
-CrashFleet::CrashFleet()
+ServingFleet::ServingFleet()
 {
     auto folder = (std::filesystem::temp_directory_path() / "anvilyard-test-XXXXXX").string();
     if (!::mkdtemp(folder.data()))
@@ -75,7 +75,7 @@
     });
 }
 
-CrashFleet::~CrashFleet()
+ServingFleet::~ServingFleet()
 {
     nodes_.clear();
     thread_.call([this] {
@@ -90,7 +90,7 @@
         std::filesystem::remove_all(folder_);
 }
 
-void CrashFleet::startServers(std::size_t count, ModelServer::ResponseForm form)
+void ServingFleet::startServers(std::size_t count, ModelServer::ResponseForm form)
 {
     serverCount_ += count;
     thread_.call([&] {
@@ -99,17 +99,17 @@
     });
 }
 
-void CrashFleet::setIdAfterCrash(IdAfterCrash id)
+void ServingFleet::setIdAfterCrash(IdAfterCrash id)
 {
     thread_.call([&] { idAfterCrash_ = id; });
 }
 
-std::string CrashFleet::nextServerId() const
+std::string ServingFleet::nextServerId() const
 {
     return "i-" + std::to_string(servers_.size());
 }
 
-void CrashFleet::startServer(Start const &start)
+void ServingFleet::startServer(Start const &start)
 {
     auto const &id = start.id;
     auto server = std::make_unique<ModelServer>(
@@ -130,7 +130,7 @@
     servers_.push_back(std::move(server));
 }
 
-void CrashFleet::onReceived(Http::HttpRequest const &request)
+void ServingFleet::onReceived(Http::HttpRequest const &request)
 {
     auto const now = readLocalClock();
     for (auto const &part : sharedParts(request))
@@ -138,7 +138,7 @@
     arrivals_[identityOf(request)].push_back(now);
 }
 
-void CrashFleet::onRun(ModelServer &server, std::shared_ptr<ModelServer::Run> const &run)
+void ServingFleet::onRun(ModelServer &server, std::shared_ptr<ModelServer::Run> const &run)
 {
     for (auto const &part : sharedParts(run->request)) {
         if (crashingParts_.contains(part)) {
@@ -162,7 +162,7 @@
     server.complete(run);
 }
 
-void CrashFleet::onCrashed(std::string const &id, std::size_t position)
+void ServingFleet::onCrashed(std::string const &id, std::size_t position)
 {
     allCrashes_.push_back(readLocalClock());
     restarts_.push_back(thread_.loop().at(readLocalClock() + RestartTime, [this, id, position] {
@@ -177,7 +177,7 @@
     }));
 }
 
-NodeProcess &CrashFleet::startNode(std::string const &name, Serving::InstanceRole role)
+NodeProcess &ServingFleet::startNode(std::string const &name, Serving::InstanceRole role)
 {
     auto const number = static_cast<unsigned>(::getpid());
     auto &node = nodes_[name];
@@ -192,7 +192,7 @@
     return *node;
 }
 
-void CrashFleet::waitUntilReady(NodeProcess const &entry)
+void ServingFleet::waitUntilReady(NodeProcess const &entry)
 {
     auto const end = readLocalClock() + MaxWait;
     for (;;) {
@@ -206,7 +206,7 @@
     }
 }
 
-void CrashFleet::waitUntilServersAreUp()
+void ServingFleet::waitUntilServersAreUp()
 {
     waitUntil("all servers are up", [this] {
         auto const up = std::ranges::count_if(servers_, [](auto const &server) { return server->isUp(); });
@@ -214,13 +214,13 @@
     });
 }
 
-void CrashFleet::waitUntilCrashed(Http::HttpRequest const &request)
+void ServingFleet::waitUntilCrashed(Http::HttpRequest const &request)
 {
     waitUntil("a server crashes on a request for " + request.target,
               [this, identity = identityOf(request)] { return crashes_.contains(identity); });
 }
 
-void CrashFleet::waitUntil(std::string const &description, std::function<bool()> const &condition)
+void ServingFleet::waitUntil(std::string const &description, std::function<bool()> const &condition)
 {
     for (auto const end = readLocalClock() + MaxWait; !thread_.call(condition);) {
         if (readLocalClock() > end)
@@ -229,27 +229,27 @@
     }
 }
 
-void CrashFleet::waitUntil(Instant time)
+void ServingFleet::waitUntil(Instant time)
 {
     std::this_thread::sleep_until(time);
 }
 
-void CrashFleet::addCrashingPart(std::string const &part)
+void ServingFleet::addCrashingPart(std::string const &part)
 {
     thread_.call([&] { crashingParts_.insert(part); });
 }
 
-void CrashFleet::addCrashingRequest(Http::HttpRequest const &request, CrashMoment moment)
+void ServingFleet::addCrashingRequest(Http::HttpRequest const &request, CrashMoment moment)
 {
     thread_.call([&] { crashingRequests_.insert_or_assign(identityOf(request), moment); });
 }
 
-void CrashFleet::setBehaviour(ModelServer::Behaviour behaviour)
+void ServingFleet::setBehaviour(ModelServer::Behaviour behaviour)
 {
     thread_.call([&] { behaviour_ = std::move(behaviour); });
 }
 
-Http::Headers CrashFleet::promptHeaders(Parts const &parts)
+Http::Headers ServingFleet::promptHeaders(Parts const &parts)
 {
     std::string prompt;
     for (auto const &part : parts)
@@ -260,7 +260,7 @@
             {"Anvilyard-Prompt-Prefix", std::move(prompt)}};
 }
 
-Http::HttpRequest CrashFleet::requestOf(Parts const &parts)
+Http::HttpRequest ServingFleet::requestOf(Parts const &parts)
 {
     auto headers = promptHeaders(parts);
     auto const number = std::to_string(requests_);
@@ -270,23 +270,23 @@
     return {.method = "POST", .target = "/s/" + number, .headers = std::move(headers), .body = "body " + number};
 }
 
-Http::HttpRequest CrashFleet::plainRequest(std::string const &target, std::string const &body)
+Http::HttpRequest ServingFleet::plainRequest(std::string const &target, std::string const &body)
 {
     return {.method = "POST", .target = target, .headers = {{"Host", "h.example"}, {"Anvilyard-Deadline-Ms", "5000"}}, .body = body};
 }
 
-std::future<CrashFleet::Answer> CrashFleet::sendAgain(NodeProcess const &entry, Http::HttpRequest request)
+std::future<ServingFleet::Answer> ServingFleet::sendAgain(NodeProcess const &entry, Http::HttpRequest request)
 {
     request.headers.set("Anvilyard-Attempt-Id", "r" + std::to_string(++requests_));
     return send(entry, std::move(request));
 }
 
-std::future<CrashFleet::Answer> CrashFleet::send(NodeProcess const &entry, Http::HttpRequest request)
+std::future<ServingFleet::Answer> ServingFleet::send(NodeProcess const &entry, Http::HttpRequest request)
 {
     return sendTo(entry.callers(), std::move(request));
 }
 
-std::future<CrashFleet::Answer> CrashFleet::sendTo(Address const &server, Http::HttpRequest request)
+std::future<ServingFleet::Answer> ServingFleet::sendTo(Address const &server, Http::HttpRequest request)
 {
     auto promise = std::make_shared<std::promise<Answer>>();
     auto future = promise->get_future();
@@ -300,27 +300,27 @@
     return future;
 }
 
-std::vector<Instant> CrashFleet::arrivals(std::string const &part)
+std::vector<Instant> ServingFleet::arrivals(std::string const &part)
 {
     return thread_.call([&] { return arrivals_[part]; });
 }
 
-std::vector<Instant> CrashFleet::crashes(std::string const &part)
+std::vector<Instant> ServingFleet::crashes(std::string const &part)
 {
     return thread_.call([&] { return crashes_[part]; });
 }
 
-std::vector<Instant> CrashFleet::arrivals(Http::HttpRequest const &request)
+std::vector<Instant> ServingFleet::arrivals(Http::HttpRequest const &request)
 {
     return arrivals(identityOf(request));
 }
 
-std::vector<Instant> CrashFleet::crashes(Http::HttpRequest const &request)
+std::vector<Instant> ServingFleet::crashes(Http::HttpRequest const &request)
 {
     return crashes(identityOf(request));
 }
 
-std::vector<Instant> CrashFleet::crashes()
+std::vector<Instant> ServingFleet::crashes()
 {
     return thread_.call([&] { return allCrashes_; });
 }
--- a/Tests/NodeProcesses/CrashFleet.h
+++ b/Tests/NodeProcesses/ServingFleet.h
@@ -17,7 +17,7 @@
 
 /// Node processes, the store and model servers that crash on certain requests: on those whose prompts hold certain parts, and on those that
 /// are equal to certain ones. A crashed server is started again, every other one at another address.
-class CrashFleet
+class ServingFleet
 {
 public:
     using Answer = tl::expected<Http::HttpResponse, Http::ExchangeFailure>;
@@ -34,10 +34,10 @@
         Same,
     };
 
-    CrashFleet();
-    ~CrashFleet();
-    CrashFleet(CrashFleet const &) = delete;
-    CrashFleet &operator=(CrashFleet const &) = delete;
+    ServingFleet();
+    ~ServingFleet();
+    ServingFleet(ServingFleet const &) = delete;
+    ServingFleet &operator=(ServingFleet const &) = delete;
 
     /// Starts servers of the pool that responds in this form.
     void startServers(std::size_t count, ModelServer::ResponseForm form = ModelServer::ResponseForm::EventStream);
--- a/Tests/NodeProcesses/TestCrashingParts.cpp
+++ b/Tests/NodeProcesses/TestCrashingParts.cpp
@@ -1,4 +1,4 @@
-#include "Tests/NodeProcesses/CrashFleet.h"
+#include "Tests/NodeProcesses/ServingFleet.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
@@ -20,7 +20,7 @@
 constexpr int SoundPerEntry = 2;
 constexpr std::size_t ServerCount = 8;
 
-CrashFleet::Parts const soundParts = {"a1", "b1"};
+ServingFleet::Parts const soundParts = {"a1", "b1"};
 
 /// A request whose prompt holds only sound parts, and when it was sent.
 struct SoundRequest {
@@ -53,7 +53,7 @@
     }
 
     /// Returns a prompt with the part. Where the part is and what else the prompt holds varies.
-    CrashFleet::Parts promptWith(std::string const &part)
+    ServingFleet::Parts promptWith(std::string const &part)
     {
         switch (prompts_++ % 3) {
         case 0:
@@ -68,8 +68,8 @@
     /// Sends a number of requests with each of the parts to each entry, together with sound ones, and waits for all responses.
     void sendRound(Entries const &entries, std::vector<std::string> const &parts, std::size_t requestsPerPart = 1)
     {
-        std::vector<std::future<CrashFleet::Answer>> crashing;
-        std::vector<std::future<CrashFleet::Answer>> sound;
+        std::vector<std::future<ServingFleet::Answer>> crashing;
+        std::vector<std::future<ServingFleet::Answer>> sound;
         auto const sentAt = readLocalClock();
         for (auto const *entry : entries) {
             for (int number = 0; number < SoundPerEntry; ++number)
@@ -178,7 +178,7 @@
         expectSoundRequestsAreServed(entries);
     }
 
-    CrashFleet fleet_;
+    ServingFleet fleet_;
     std::size_t prompts_ = 0;
     std::vector<SoundRequest> sound_;
 };
--- a/Tests/NodeProcesses/TestCrashingRequests.cpp
+++ b/Tests/NodeProcesses/TestCrashingRequests.cpp
@@ -1,5 +1,5 @@
 #include "LibJobs/Base64.h"
-#include "Tests/NodeProcesses/CrashFleet.h"
+#include "Tests/NodeProcesses/ServingFleet.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
@@ -28,7 +28,7 @@
 /// Time after which entries have found servers that were started again.
 constexpr Duration RestartInterval = 500ms;
 
-CrashFleet::Parts const sharedParts = {"a1", "b1"};
+ServingFleet::Parts const sharedParts = {"a1", "b1"};
 
 struct SoundResponse {
     Instant sentAt;
@@ -79,7 +79,7 @@
     [[nodiscard]] static Http::HttpRequest
     plain(std::string const &target, std::string const &body, std::string const &caller = "Bearer c1")
     {
-        auto request = CrashFleet::plainRequest(target, body);
+        auto request = ServingFleet::plainRequest(target, body);
         request.headers.set("Authorization", caller);
         return request;
     }
@@ -98,8 +98,8 @@
     /// crashing one, so that they share servers with it.
     void sendRound(Entries const &entries, Requests const &crashing, std::size_t copies = 1)
     {
-        std::vector<std::future<CrashFleet::Answer>> crashingAnswers;
-        std::vector<std::future<CrashFleet::Answer>> soundAnswers;
+        std::vector<std::future<ServingFleet::Answer>> crashingAnswers;
+        std::vector<std::future<ServingFleet::Answer>> soundAnswers;
         auto const sentAt = readLocalClock();
         for (auto const *entry : entries) {
             for (std::size_t index = 0; index < std::max(sound_.size(), crashing.size()); ++index) {
@@ -295,14 +295,14 @@
         }
     }
 
-    CrashFleet fleet_;
+    ServingFleet fleet_;
     Entries entries_;
     /// Number of items by job.
     std::map<std::string, std::size_t> items_;
     /// They come again at every entry in each round.
     Requests sound_;
     std::vector<SoundResponse> responses_;
-    CrashFleet::CrashMoment moment_ = CrashFleet::CrashMoment::BeforeResponse;
+    ServingFleet::CrashMoment moment_ = ServingFleet::CrashMoment::BeforeResponse;
 };
 
 /// Requests without a prompt, with whole responses.
@@ -397,7 +397,7 @@
 /// Guards against crashes that are not counted because the server returns under its old id.
 TEST_F(WholeRequestTest, EntriesStopSendingARequestWhoseServersReturnUnderTheirIds)
 {
-    fleet_.setIdAfterCrash(CrashFleet::IdAfterCrash::Same);
+    fleet_.setIdAfterCrash(ServingFleet::IdAfterCrash::Same);
     startFleet(3);
     crashServers({crashing_}, {entries_[0]});
     expectFewArrivalsAndSoundRequestsServed({crashing_}, entries_);
@@ -414,7 +414,7 @@
 /// Guards against a stream that is taken for answered because its first event came before the crash.
 TEST_F(StreamTest, EntriesStopSendingAStreamThatCrashesAfterItsFirstEvent)
 {
-    moment_ = CrashFleet::CrashMoment::AfterFirstEvent;
+    moment_ = ServingFleet::CrashMoment::AfterFirstEvent;
     startFleet(4);
     crashServers({crashing_}, {entries_[0], entries_[1]});
     expectFewArrivalsAndSoundRequestsServed({crashing_}, entries_);
@@ -489,7 +489,7 @@
 TEST_F(JobTest, ItemsThatCrashServersStopReachingThemAndAllJobsEnd)
 {
     startFleet(3);
-    auto const online = CrashFleet::plainRequest("/b/online/crash", "crash");
+    auto const online = ServingFleet::plainRequest("/b/online/crash", "crash");
     auto const item = [&](std::string const &id) { return Item{.id = id, .target = online.target, .body = online.body}; };
     fleet_.addCrashingRequest(online);
     submit(*entries_[0], "first", {item("crashing-first")});
