Read the limits that backend servers state, log their changes and count the sends to limited servers

Callers see nothing of it yet: no decision reads the limits.

A limit that is no rate changes nothing and is logged. A missing one ends the limit only in a signed answer to a request that was sent after the last statement, since answers of several connections arrive in another order than the server sent them in; a health check never ends it. A limit ends with the server process. ServerProcess moves to a header of its own.

--- a/Libraries/LibServing/PromptEvidence.h
+++ b/Libraries/LibServing/PromptEvidence.h
@@ -3,6 +3,7 @@
 #include "LibCore/Ids.h"
 #include "LibCore/Result.h"
 #include "LibCore/Time.h"
+#include "LibServing/ServerProcess.h"
 #include "LibServing/Suspect.h"
 
 #include <cstdint>
@@ -13,15 +14,6 @@
 
 namespace Anvilyard::Serving {
 
-/// One process of a backend server. A server may start again under its id.
-struct ServerProcess {
-    ServerId id;
-    /// Wall time of the start in milliseconds, as the server states it.
-    std::int64_t startedAt = 0;
-
-    auto operator<=>(ServerProcess const &) const = default;
-};
-
 /// A response that ended with its server process before the server had answered the request.
 struct LostResponse {
     ServerProcess server;
--- a/Services/Node/HealthProber.cpp
+++ b/Services/Node/HealthProber.cpp
@@ -85,10 +85,12 @@
     };
     auto const record = server->record;
     context_.serverClient->fetch(
-        std::move(request), [this, record, report](tl::expected<Http::HttpResponse, Http::ExchangeFailure> answer) {
-            if (answer)
-                reportIfLeaving(
-                    context_, record, context_.protocol.readResponseHead({.status = answer->status, .headers = answer->headers}));
+        std::move(request), [this, record, report, now](tl::expected<Http::HttpResponse, Http::ExchangeFailure> answer) {
+            if (answer) {
+                auto const response = context_.protocol.readResponseHead({.status = answer->status, .headers = answer->headers});
+                reportIfLeaving(context_, record, response);
+                recordResponse(context_, record, response, now);
+            }
             // Any response will do: a server without a free slot refuses the probe but is reachable.
             report(answer ? Routing::ProbeOutcome::Answered : Routing::ProbeOutcome::Failed);
         });
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -487,6 +487,8 @@
         ++started;
         jobs_.onStarted(*next);
         metrics_.itemStarts.add();
+        if (context_.limits.isLimited(server->record))
+            metrics_.limitedSends.add();
         stalls_.onStarted(pool, now);
         auto const run = std::make_shared<ItemRun>(
             context_,
--- a/Services/Node/NodeContext.h
+++ b/Services/Node/NodeContext.h
@@ -14,6 +14,7 @@
 #include "LibServing/ServerDirectory.h"
 #include "Services/Node/NodeSettings.h"
 #include "Services/Node/PromptGuard.h"
+#include "Services/Node/ServerLimits.h"
 #include "Services/Node/ServingProtocol.h"
 
 #include <functional>
@@ -50,6 +51,8 @@
     Routing::ServerHealth health;
     /// Refuses requests that crash servers.
     PromptGuard prompts{{.expirySpread = QuarantineExpirySpread, .instanceHash = std::hash<InstanceId>{}(settings.instance)}};
+    /// Limits of servers that take only so many requests a second.
+    ServerLimits limits = {};
     /// Limits the requests and streams that are moved away from a slow or silent server, as it may only be busy.
     Routing::RetryBudget moveBudget;
     /// The desired state in force; null until the first one is read.
@@ -68,7 +71,7 @@
         context.onServerLeaving(server);
 }
 
-/// Records which server responded to what was sent to this one.
+/// Records which server responded to what was sent to this one, and what it states about its limit.
 inline void recordResponse(NodeContext &context, Serving::ServerRecord const &server, ResponseTraits const &response, Instant sentAt)
 {
     bool const isFromServer = !response.server || *response.server == server.id;
@@ -76,6 +79,7 @@
     if (!isFromServer)
         return context.prompts.onRefused(server);
     context.prompts.onReached(server, sentAt);
+    context.limits.onResponse(server, response.limit, sentAt);
 }
 
 /// Whether a lost response may show that the server has crashed. A server that leaves ends its connections, too.
--- a/Services/Node/NodeMetrics.cpp
+++ b/Services/Node/NodeMetrics.cpp
@@ -43,6 +43,8 @@
     : registry_(registry)
     , requests(registry.counter("anvilyard_node_requests_total", "Online requests taken from callers"))
     , sends(registry.counter("anvilyard_node_sends_total", "Sends of online requests to servers"))
+    , limitedSends(
+          registry.counter("anvilyard_node_limited_sends_total", "Sends of online requests and batch items to servers that state a limit"))
     , resumes(registry.counter("anvilyard_node_resumes_total", "Streams that another send went on with"))
     , unfinishedEvents(registry.counter("anvilyard_node_unfinished_events_total", "Sends of streams that ended within an event"))
     , lostResponses(registry.counter("anvilyard_node_lost_responses_total",
--- a/Services/Node/NodeMetrics.h
+++ b/Services/Node/NodeMetrics.h
@@ -54,6 +54,7 @@
 public:
     Observe::Counter &requests;
     Observe::Counter &sends;
+    Observe::Counter &limitedSends;
     Observe::Counter &resumes;
     Observe::Counter &unfinishedEvents;
     Observe::Counter &lostResponses;
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -258,6 +258,9 @@
     setServers("usable", servers.size() - lastResort);
     setServers("last_resort", lastResort);
     setServers("ejected", context_.health.ejected().size());
+    set("anvilyard_node_limited_servers",
+        "Backend servers that take a limited rate of requests",
+        static_cast<double>(context_.limits.limitedServers()));
     std::uint32_t online = 0;
     for (auto const &[id, count] : context_.load.all())
         online += count.online;
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -210,6 +210,8 @@
     auto &context = parts_.context;
     ++attempts_;
     parts_.metrics.sends.add();
+    if (context.limits.isLimited(server))
+        parts_.metrics.limitedSends.add();
     plan_.onSent(server.id);
     attempt_ = std::make_shared<Attempt>(
         Attempt{.server = server, .sentAt = now, .events = Serving::EventReader(events_), .earlierEvents = events_.count()});
--- a/Services/Node/ServingProtocol.h
+++ b/Services/Node/ServingProtocol.h
@@ -9,6 +9,7 @@
 #include "LibServing/PromptPart.h"
 #include "LibServing/RequestFingerprint.h"
 #include "LibServing/ServerDirectory.h"
+#include "LibServing/ServerLimit.h"
 
 #include <optional>
 #include <string>
@@ -53,6 +54,7 @@
     bool isEncoded = false;
     /// The server states that it is leaving and must receive no new requests.
     bool isServerLeaving = false;
+    Serving::StatedLimit limit;
 };
 
 /// Reads the results of a job from a position on.
--- a/Tests/FleetAdapter/TestFleetProtocol.cpp
+++ b/Tests/FleetAdapter/TestFleetProtocol.cpp
@@ -237,6 +237,27 @@
     EXPECT_EQ(protocol.readResponseHead({.status = 200, .headers = {{"Anvilyard-Instance-Id", "i-1"}}}).server, ServerId("i-1"));
 }
 
+/// A server names a limit that is no rate, or another server responds. Guards against taking it for a limit, or for the end of one.
+TEST(FleetProtocolTest, AResponseStatesTheLimitOfItsServer)
+{
+    using Kind = Serving::StatedLimit::Kind;
+    auto const limitOf = [](int status, Http::Headers headers) {
+        return protocol.readResponseHead({.status = status, .headers = std::move(headers)}).limit;
+    };
+    for (auto const &[text, rate] :
+         std::vector<std::pair<std::string, double>>{{"2.5", 2.5}, {"0", 0}, {"40", 40}, {"1000000000000", 1e12}}) {
+        auto const limit = limitOf(503, {{"server-limit", text}});
+        EXPECT_EQ(limit.kind, Kind::Limited) << text;
+        EXPECT_EQ(limit.rate, Serving::RequestRate(rate)) << text;
+    }
+    for (auto const *text : {"", "-1", "nan", "inf", "2.5 a second", "two", " 2"})
+        EXPECT_EQ(limitOf(200, {{"Server-Limit", text}}).kind, Kind::Unreadable) << text;
+    EXPECT_EQ(limitOf(200, {{"Anvilyard-Response-Signature", "s"}}).kind, Kind::Unlimited);
+    EXPECT_EQ(limitOf(500, {{"Anvilyard-Response-Signature", "s"}}).kind, Kind::Unlimited);
+    EXPECT_EQ(limitOf(200, {}).kind, Kind::NotStated) << "a health check";
+    EXPECT_EQ(limitOf(421, {{"Server-Limit", "2"}}).kind, Kind::NotStated);
+}
+
 TEST(FleetProtocolTest, JobCallsAreDistinguishedFromRequests)
 {
     auto const read = protocol.readJobCall(requestOf("GET", "/api/lots/j1?after=12", {{"Anvilyard-Wait-Ms", "1000"}}));
