--- a/Tests/NodeProcesses/ModelServer.cpp
+++ b/Tests/NodeProcesses/ModelServer.cpp
@@ -146,9 +146,13 @@
 
 Http::Headers ModelServer::headersFor(Http::HttpRequest const &request) const
 {
-    return {{"Anvilyard-Instance-Id", id()},
-            {"Anvilyard-Attempt-Id", std::string(request.headers.find("Anvilyard-Attempt-Id").value_or(""))},
-            {"Anvilyard-Response-Signature", "sig"}};
+    Http::Headers headers{{"Anvilyard-Instance-Id", id()},
+                          {"Anvilyard-Attempt-Id", std::string(request.headers.find("Anvilyard-Attempt-Id").value_or(""))},
+                          {"Anvilyard-Response-Signature", "sig"}};
+    auto const extraHeaders = options_.extraHeaders();
+    for (auto const &field : extraHeaders.fields())
+        headers.append(field);
+    return headers;
 }
 
 } // namespace Anvilyard::Tests
--- a/Tests/NodeProcesses/ModelServer.h
+++ b/Tests/NodeProcesses/ModelServer.h
@@ -44,6 +44,8 @@
         /// Called for each request that is to be run, before the server decides whether it runs it.
         std::function<void(Http::HttpRequest const &)> onReceived = [](auto const &) {};
         std::function<void()> onCrashed = [] {};
+        /// Returns headers that the responses to requests have besides those of the protocol.
+        std::function<Http::Headers()> extraHeaders = [] { return Http::Headers(); };
     };
 
     ModelServer(Http::EventLoop &loop, Options options);
--- a/Tests/NodeProcesses/ServingFleet.cpp
+++ b/Tests/NodeProcesses/ServingFleet.cpp
@@ -119,8 +119,13 @@
             .listen = start.address,
             .form = start.form,
             .behaviour = [this](ModelServer &started, std::shared_ptr<ModelServer::Run> const &run) { onRun(started, run); },
-            .onReceived = [this](Http::HttpRequest const &request) { onReceived(request); },
+            .onReceived = [this, id](Http::HttpRequest const &request) { onReceived(id, request); },
             .onCrashed = [this, id, position = servers_.size()] { onCrashed(id, position); },
+            .extraHeaders =
+                [this, id] {
+                    auto const limit = limits_.find(id);
+                    return limit == limits_.end() ? Http::Headers() : Http::Headers{{"Server-Limit", limit->second}};
+                },
         });
     auto const born = std::chrono::duration_cast<std::chrono::milliseconds>(readClocks().wall.time_since_epoch()).count();
     store_->put("servers",
@@ -130,9 +135,24 @@
     servers_.push_back(std::move(server));
 }
 
-void ServingFleet::onReceived(Http::HttpRequest const &request)
+void ServingFleet::setLimit(std::string const &server, std::optional<std::string> limit)
+{
+    thread_.call([&] {
+        limits_.erase(server);
+        if (limit)
+            limits_[server] = std::move(*limit);
+    });
+}
+
+std::vector<Instant> ServingFleet::arrivalsAt(std::string const &server)
+{
+    return thread_.call([&] { return arrivalsByServer_[server]; });
+}
+
+void ServingFleet::onReceived(std::string const &server, Http::HttpRequest const &request)
 {
     auto const now = readLocalClock();
+    arrivalsByServer_[server].push_back(now);
     for (auto const &part : sharedParts(request))
         arrivals_[part].push_back(now);
     arrivals_[identityOf(request)].push_back(now);
--- a/Tests/NodeProcesses/ServingFleet.h
+++ b/Tests/NodeProcesses/ServingFleet.h
@@ -15,8 +15,8 @@
 
 namespace Anvilyard::Tests {
 
-/// Node processes, the store and model servers that crash on certain requests: on those whose prompts hold certain parts, and on those that
-/// are equal to certain ones. A crashed server is started again, every other one at another address.
+/// Node processes, the store and model servers. Servers may state limits, and crash on certain requests: on those whose prompts hold
+/// certain parts, and on those that are equal to certain ones. A crashed server is started again, every other one at another address.
 class ServingFleet
 {
 public:
@@ -55,6 +55,11 @@
     void waitUntil(std::string const &description, std::function<bool()> const &condition);
     void waitUntil(Instant time);
 
+    /// Sets the limit that a server states in its responses, as text; unset for none.
+    void setLimit(std::string const &server, std::optional<std::string> limit);
+    /// When requests reached the server, including those that it did not run.
+    [[nodiscard]] std::vector<Instant> arrivalsAt(std::string const &server);
+
     /// Makes servers crash on prompts that hold the part.
     void addCrashingPart(std::string const &part);
     /// Makes servers crash when they run a request that is equal to this one in what comes again: method, target, caller and body.
@@ -94,7 +99,7 @@
     std::future<Answer> sendTo(Address const &server, Http::HttpRequest request);
     void startServer(Start const &start);
     [[nodiscard]] std::string nextServerId() const;
-    void onReceived(Http::HttpRequest const &request);
+    void onReceived(std::string const &server, Http::HttpRequest const &request);
     void onRun(ModelServer &server, std::shared_ptr<ModelServer::Run> const &run);
     void onCrashed(std::string const &id, std::size_t position);
 
@@ -115,6 +120,8 @@
     std::map<std::string, std::vector<Instant>> arrivals_;
     std::map<std::string, std::vector<Instant>> crashes_;
     std::vector<Instant> allCrashes_;
+    std::map<std::string, std::string> limits_;
+    std::map<std::string, std::vector<Instant>> arrivalsByServer_;
     std::map<std::string, std::unique_ptr<NodeProcess>> nodes_;
     std::size_t requests_ = 0;
 };
