--- a/Libraries/LibServing/PeerExchange.cpp
+++ b/Libraries/LibServing/PeerExchange.cpp
@@ -43,7 +43,7 @@
     // The peer may not have this instance's address yet.
     if (isNew) {
         schedule_.scheduleNow(sender);
-        promptEvidenceSentAt_.reset();
+        promptNews_.scheduleNow();
     }
     if (!peers_.onReport(std::move(report), now))
         return Acceptance::Ignored;
@@ -170,23 +170,12 @@
 
 void PeerExchange::addPromptEvidence(Outgoing &outgoing, PromptQuarantine const &prompts, Instant now)
 {
-    bool const isChanged = prompts.version() != sentPromptEvidence_ || !promptEvidenceSentAt_;
-    bool const isUrgent = isChanged || duePromptMessages_ > 0;
-    auto const interval = isUrgent ? options_.minPromptEvidenceInterval : options_.promptEvidenceInterval;
-    if (promptEvidenceSentAt_ && now < *promptEvidenceSentAt_ + interval)
+    if (!promptNews_.isDue(prompts.version(), now))
         return;
     auto messages = splitPromptEvidence(prompts.evidence(), MaxLostResponsesPerMessage);
     if (messages.empty())
         return;
-    // A change during a pass is sent with the next one, so that the last messages get their turn under steady changes.
-    if (isChanged && duePromptMessages_ == 0) {
-        sentPromptEvidence_ = prompts.version();
-        nextPromptMessage_ = 0;
-        duePromptMessages_ = messages.size();
-    }
-    promptEvidenceSentAt_ = now;
-    duePromptMessages_ -= std::min<std::size_t>(duePromptMessages_, 1);
-    auto &message = messages[nextPromptMessage_++ % messages.size()];
+    auto &message = messages[promptNews_.take(prompts.version(), messages.size(), now)];
     outgoing.promptEvidence = {.receivers = promptEvidenceReceivers(), .evidence = std::move(message)};
 }
 
--- a/Libraries/LibServing/PeerExchange.h
+++ b/Libraries/LibServing/PeerExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibServing/NewsSchedule.h"
 #include "LibServing/PeerTable.h"
 #include "LibServing/PromptQuarantine.h"
 #include "LibServing/ReportSchedule.h"
@@ -36,10 +37,6 @@
     Duration relayLossDelay = 1500ms;
     /// Time for which relays must have reached the store before an instance stops watching it. Each change of the source costs lists.
     Duration relayedWatchDelay = 5s;
-    /// Time between two messages with prompt evidence that has not changed. Repeats serve instances that missed one.
-    Duration promptEvidenceInterval = 1s;
-    /// Time between two messages with prompt evidence after a change, until all of it was sent.
-    Duration minPromptEvidenceInterval = 50ms;
 };
 
 /// State of this instance that its reports contain.
@@ -139,13 +136,7 @@
     std::uint64_t lastReportNumber_ = 0;
     std::uint64_t lastSummaryNumber_ = 0;
     std::uint64_t receivedReports_ = 0;
-    std::uint64_t sentPromptEvidence_ = 0;
-    /// Position of the next message among those that the evidence is split into.
-    std::size_t nextPromptMessage_ = 0;
-    /// Number of messages after a change that were not sent yet.
-    std::size_t duePromptMessages_ = 0;
-    /// Unset if it is due at once.
-    std::optional<Instant> promptEvidenceSentAt_;
+    NewsSchedule promptNews_;
     std::uint64_t seenTopology_ = 0;
     std::optional<Instant> lastSummarySilenceAt_;
     bool hasListed_ = false;
