Send to servers that state a limit only with a permit

Class of fault: a bound on a sum over instances, while each instance counts by itself.

The runner that ranks first for a server issues a permit for each send there: first sends, fresh connections, resumes, items, health probes. Instances pass limits on to each other as they do evidence of crashing prompts. Limited servers count as occupied but for what their limits use, so placing no longer takes them for idle. What no server takes is refused at once (limits_reached, or overloaded), and refused callers return one after the other. Items get a permit only when no more can be saved.

PeerExchangeTest: a limit reaches 12, 83 and 300 instances in 2.5 s with a twentieth of the datagrams lost.

--- a/Libraries/LibRouting/RateLimiter.cpp
+++ b/Libraries/LibRouting/RateLimiter.cpp
@@ -46,10 +46,15 @@
 }
 
 Duration RateLimiter::tryTake(double cost, Instant now)
+{
+    return tryTake(cost, 0, now);
+}
+
+Duration RateLimiter::tryTake(double cost, double reserve, Instant now)
 {
     refill(now);
-    if (level_ + RoundingTolerance < cost)
-        return timeToRefill(cost - level_);
+    if (level_ + RoundingTolerance < cost + reserve)
+        return timeToRefill(cost + reserve - level_);
     level_ -= cost;
     return Duration(0);
 }
--- a/Libraries/LibRouting/RateLimiter.h
+++ b/Libraries/LibRouting/RateLimiter.h
@@ -16,6 +16,8 @@
     void setRate(double perSecond, double burst, Instant now);
     /// Takes the cost if the level is sufficient. Otherwise takes nothing and returns the time until it would be.
     [[nodiscard]] Duration tryTake(double cost, Instant now);
+    /// Like tryTake() above, but leaves the reserve in the bucket.
+    [[nodiscard]] Duration tryTake(double cost, double reserve, Instant now);
     /// Returns the time until the level is above zero, or zero if it is already.
     [[nodiscard]] Duration waitUntilPositive(Instant now);
     /// Takes the cost regardless of the level.
--- a/Libraries/LibServing/OnlinePlacement.cpp
+++ b/Libraries/LibServing/OnlinePlacement.cpp
@@ -1,6 +1,7 @@
 #include "LibServing/OnlinePlacement.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Anvilyard::Serving {
 
@@ -19,6 +20,13 @@
     return own.at(server).online + peers.othersAt(server).online;
 }
 
+/// Slots of a server that requests occupy on average at its limit; at least one.
+std::uint32_t slotsWithin(RequestRate limit, std::uint32_t slots, Duration meanRun)
+{
+    auto const occupied = limit.value() * std::chrono::duration<double>(meanRun).count();
+    return static_cast<std::uint32_t>(std::clamp<double>(std::floor(occupied), 1, std::max<std::uint32_t>(1, slots)));
+}
+
 /// As many requests start within the time of a run as are in flight.
 double unreportedArrivals(std::span<ServerLoad const> servers, Duration meanRun, Duration loadAge)
 {
@@ -98,39 +106,68 @@
 }
 
 /// The requests of this instance are known exactly, those of other instances as of their last report.
-void OnlinePlacement::refreshLoads(Pool &pool, LoadTracker const &own, PeerTable const &peers, LoadAge const &age, Instant now)
+void OnlinePlacement::refreshLoads(
+    Pool &pool, Candidates const &candidates, LoadTracker const &own, PeerTable const &peers, LoadAge const &age, Instant now)
 {
     for (auto const &[id, record] : pool.servers) {
         auto const ownInFlight = own.at(id);
         auto const others = peers.othersAt(id);
-        auto const load = ownInFlight.online + others.online + options_.batchWeight * (ownInFlight.batch + others.batch);
+        // A limited server has few requests in flight, but not for want of load.
+        auto const unused = candidates.unusedSlots.find(id);
+        auto const load = ownInFlight.online + others.online + options_.batchWeight * (ownInFlight.batch + others.batch)
+            + (unused == candidates.unusedSlots.end() ? 0 : unused->second);
         pool.chooser.onLoadReport(id, {.running = load}, now - (record.dataCentre == options_.dataCentre ? age.near : age.far));
     }
 }
 
+OnlinePlacement::Candidates OnlinePlacement::findCandidates(
+    Pool const &pool, PlacementRequest const &request, LoadTracker const &own, PeerTable const &peers, Instant now) const
+{
+    Candidates candidates{.excluded = {request.excluded.begin(), request.excluded.end()}};
+    for (auto const &[id, record] : pool.servers) {
+        if (std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end())
+            continue;
+        auto const allowance = request.allowances ? request.allowances->find(record, request.urgency, now) : std::nullopt;
+        auto const slotRate = record.slots / std::chrono::duration<double>(std::max(Duration(1), pool.meanRun)).count();
+        auto const taken = allowance ? std::min(allowance->rate.value(), slotRate) : slotRate;
+        candidates.takenRate = RequestRate(candidates.takenRate.value() + taken);
+        if (allowance) {
+            if (allowance->exhaustedUntil || request.limitedServers == PlacementRequest::LimitedServers::Avoid) {
+                auto const until = allowance->exhaustedUntil.value_or(now + options_.admission.minRetryAfter);
+                candidates.excluded.push_back(id);
+                candidates.permitExpectedAt = std::min(until, candidates.permitExpectedAt.value_or(until));
+                continue;
+            }
+            candidates.unusedSlots[id] = record.slots - slotsWithin(allowance->rate, record.slots, pool.meanRun);
+        }
+        candidates.loads.push_back({.slots = record.slots, .online = onlineAt(id, own, peers)});
+    }
+    return candidates;
+}
+
 Placement
 OnlinePlacement::place(PlacementRequest const &request, LoadTracker const &own, PeerTable const &peers, Instant now, RandomSource &random)
 {
     auto &pool = poolNamed(request.pool);
-    std::vector<ServerLoad> loads;
-    for (auto const &[id, record] : pool.servers) {
-        bool const isExcluded = std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end();
-        if (!isExcluded)
-            loads.push_back({.slots = record.slots, .online = onlineAt(id, own, peers)});
-    }
+    auto const candidates = findCandidates(pool, request, own, peers, now);
+    auto const &loads = candidates.loads;
+    auto const limitedRate = candidates.permitExpectedAt ? std::optional(candidates.takenRate) : std::nullopt;
+    if (loads.empty() && candidates.permitExpectedAt)
+        return {.outcome = Placement::Outcome::LimitsReached, .retryAfter = *candidates.permitExpectedAt - now, .limitedRate = limitedRate};
     if (loads.empty())
         return {};
     auto const verdict = admit(loads, pool.meanRun, request.latencyTarget, options_.admission);
     if (!verdict.isAdmitted)
         return {.outcome = Placement::Outcome::Full,
                 .retryAfter = verdict.retryAfter,
+                .limitedRate = limitedRate,
                 .servers = loads.size(),
                 .shortestWait = verdict.shortestWait};
-    refreshLoads(pool, own, peers, request.loadAge, now);
+    refreshLoads(pool, candidates, own, peers, request.loadAge, now);
     auto const *chosen = pool.chooser.choose(
         {
             .prefix = request.prefix,
-            .excluded = request.excluded,
+            .excluded = candidates.excluded,
             .unreportedArrivals = unreportedArrivals(loads, pool.meanRun, request.loadAge.near),
         },
         now,
@@ -145,6 +182,7 @@
     return {.outcome = Placement::Outcome::Chosen,
             .server = record,
             .hasFreeSlot = hasFreeSlot,
+            .isLimited = candidates.unusedSlots.contains(record.id),
             .servers = loads.size(),
             .shortestWait = verdict.shortestWait};
 }
--- a/Libraries/LibServing/OnlinePlacement.h
+++ b/Libraries/LibServing/OnlinePlacement.h
@@ -5,6 +5,7 @@
 #include "LibServing/Admission.h"
 #include "LibServing/LoadTracker.h"
 #include "LibServing/PeerTable.h"
+#include "LibServing/ServerAllowances.h"
 #include "LibServing/ServerDirectory.h"
 
 #include <map>
@@ -44,6 +45,13 @@
     Routing::PromptPrefix const *prefix = nullptr;
     std::span<ServerId const> excluded;
     LoadAge loadAge = {};
+    /// Null if no server has a limit.
+    ServerAllowances const *allowances = nullptr;
+    enum class LimitedServers {
+        Use,
+        Avoid,
+    } limitedServers = LimitedServers::Use;
+    Urgency urgency = Urgency::Highest;
 };
 
 struct Placement {
@@ -51,13 +59,19 @@
         Chosen,
         /// At every server the expected wait exceeds its share of the latency target.
         Full,
+        /// Every server has a limit, and none has permits now.
+        LimitsReached,
         NoServer,
     } outcome = Outcome::NoServer;
     ServerRecord server;
     /// Whether a slot is certainly free at the server, allowing for one unreported request of another instance.
     bool hasFreeSlot = true;
-    /// Full: time until a slot is expected.
+    /// Full: time until a slot is expected. LimitsReached: time until a permit may be had.
     Duration retryAfter{0};
+    /// Whether the chosen server has a limit, so that the request needs a permit.
+    bool isLimited = false;
+    /// Full, LimitsReached: rate of requests that all servers take, if limits of servers are the reason; unset if they are not.
+    std::optional<RequestRate> limitedRate;
     /// Number of candidate servers.
     std::size_t servers = 0;
     /// Shortest expected wait for a slot over the candidate servers.
@@ -95,7 +109,22 @@
     };
 
     Pool &poolNamed(PoolName const &name);
-    void refreshLoads(Pool &pool, LoadTracker const &own, PeerTable const &peers, LoadAge const &age, Instant now);
+    /// Candidate servers of a request.
+    struct Candidates {
+        std::vector<ServerLoad> loads;
+        std::vector<ServerId> excluded;
+        /// Slots of limited servers that their limits leave unused.
+        std::map<ServerId, std::uint32_t> unusedSlots;
+        /// When the first of the servers without permits may have one again; unset if all have.
+        std::optional<Instant> permitExpectedAt;
+        /// Rate of requests that all servers take by their limits and, for others, their slots.
+        RequestRate takenRate{0};
+    };
+
+    [[nodiscard]] Candidates
+    findCandidates(Pool const &pool, PlacementRequest const &request, LoadTracker const &own, PeerTable const &peers, Instant now) const;
+    void
+    refreshLoads(Pool &pool, Candidates const &candidates, LoadTracker const &own, PeerTable const &peers, LoadAge const &age, Instant now);
 
     OnlinePlacementOptions options_;
     std::map<PoolName, Pool> pools_;
--- a/Libraries/LibServing/PeerExchange.cpp
+++ b/Libraries/LibServing/PeerExchange.cpp
@@ -1,5 +1,7 @@
 #include "LibServing/PeerExchange.h"
 
+#include "LibServing/ServerLimitNews.h"
+
 #include <algorithm>
 #include <set>
 
@@ -44,6 +46,7 @@
     if (isNew) {
         schedule_.scheduleNow(sender);
         promptNews_.scheduleNow();
+        limitNews_.scheduleNow();
     }
     if (!peers_.onReport(std::move(report), now))
         return Acceptance::Ignored;
@@ -97,6 +100,7 @@
     if (!schedule_.isSmallFleet())
         addSummaries(outgoing, own, now);
     addPromptEvidence(outgoing, own.prompts, now);
+    addServerLimits(outgoing, own.limits, now);
     return outgoing;
 }
 
@@ -176,11 +180,20 @@
     if (messages.empty())
         return;
     auto &message = messages[promptNews_.take(prompts.version(), messages.size(), now)];
-    outgoing.promptEvidence = {.receivers = promptEvidenceReceivers(), .evidence = std::move(message)};
+    outgoing.promptEvidence = {.receivers = newsReceivers(), .evidence = std::move(message)};
+}
+
+void PeerExchange::addServerLimits(Outgoing &outgoing, ServerLimitTable const &limits, Instant now)
+{
+    if (limits.all().empty() || !limitNews_.isDue(limits.version(), now))
+        return;
+    auto messages = splitServerLimits(limits.all(), MaxLimitsPerMessage);
+    auto &message = messages[limitNews_.take(limits.version(), messages.size(), now)];
+    outgoing.serverLimits = {.receivers = newsReceivers(), .limits = std::move(message)};
 }
 
-/// In a large fleet evidence passes through the relays, as load does. All instances merge it and pass it on.
-std::vector<Address> PeerExchange::promptEvidenceReceivers() const
+/// In a large fleet news passes through the relays, as load does. All instances merge it and pass it on.
+std::vector<Address> PeerExchange::newsReceivers() const
 {
     std::vector<Address> receivers;
     auto const add = [&](InstanceId const &id) {
@@ -255,4 +268,9 @@
     return schedule_.farLoadAge();
 }
 
+std::size_t PeerExchange::fleetSize() const
+{
+    return schedule_.fleetSize();
+}
+
 } // namespace Anvilyard::Serving
--- a/Libraries/LibServing/PeerExchange.h
+++ b/Libraries/LibServing/PeerExchange.h
@@ -4,6 +4,7 @@
 #include "LibServing/PeerTable.h"
 #include "LibServing/PromptQuarantine.h"
 #include "LibServing/ReportSchedule.h"
+#include "LibServing/ServerLimitTable.h"
 
 #include <functional>
 #include <map>
@@ -52,6 +53,7 @@
     /// Increases with each change of `inFlight` or `waitingTokens`.
     std::uint64_t changes = 0;
     PromptQuarantine const &prompts;
+    ServerLimitTable const &limits;
 };
 
 /// Where an instance gets changes of the desired state and the servers from.
@@ -88,10 +90,16 @@
         PromptEvidence evidence;
     };
 
+    struct OutgoingServerLimits {
+        std::vector<Address> receivers;
+        std::vector<ServerLimit> limits;
+    };
+
     struct Outgoing {
         std::vector<OutgoingReport> reports;
         std::vector<OutgoingSummary> summaries;
         std::optional<OutgoingPromptEvidence> promptEvidence;
+        std::optional<OutgoingServerLimits> serverLimits;
     };
 
     enum class Acceptance {
@@ -118,6 +126,8 @@
     /// Average age of the known load.
     [[nodiscard]] Duration nearLoadAge() const;
     [[nodiscard]] Duration farLoadAge() const;
+    /// Number of instances in the fleet, this one included.
+    [[nodiscard]] std::size_t fleetSize() const;
 
 private:
     void refreshTopology();
@@ -125,7 +135,8 @@
     [[nodiscard]] PeerReport compose(ReportSchedule::ReportGroup const &group, OwnState const &own);
     void addSummaries(Outgoing &outgoing, OwnState const &own, Instant now);
     void addPromptEvidence(Outgoing &outgoing, PromptQuarantine const &prompts, Instant now);
-    [[nodiscard]] std::vector<Address> promptEvidenceReceivers() const;
+    void addServerLimits(Outgoing &outgoing, ServerLimitTable const &limits, Instant now);
+    [[nodiscard]] std::vector<Address> newsReceivers() const;
     [[nodiscard]] bool mustWatchStore(Instant now);
 
     PeerExchangeOptions options_;
@@ -137,6 +148,7 @@
     std::uint64_t lastSummaryNumber_ = 0;
     std::uint64_t receivedReports_ = 0;
     NewsSchedule promptNews_;
+    NewsSchedule limitNews_;
     std::uint64_t seenTopology_ = 0;
     std::optional<Instant> lastSummarySilenceAt_;
     bool hasListed_ = false;
--- a/Libraries/LibServing/PeerTable.cpp
+++ b/Libraries/LibServing/PeerTable.cpp
@@ -521,6 +521,11 @@
     return firstRunnerFor(route.value());
 }
 
+std::optional<InstanceId> PeerTable::permitIssuerOf(ServerId const &server) const
+{
+    return firstRunnerFor(server.value());
+}
+
 std::optional<InstanceId> PeerTable::firstRunnerFor(std::string const &key) const
 {
     auto const owner = rendezvousOwner(key, runners_, [](InstanceId const &id) -> std::string const & { return id.value(); });
--- a/Libraries/LibServing/PeerTable.h
+++ b/Libraries/LibServing/PeerTable.h
@@ -143,6 +143,8 @@
     [[nodiscard]] std::uint64_t waitingTokens(Instant now) const;
     /// The runner that decides on accepting jobs of a route near its limit of waiting tokens; `std::nullopt` if no runner is known.
     [[nodiscard]] std::optional<InstanceId> admitterOf(RouteName const &route) const;
+    /// The runner that issues the permits for requests to a limited server; `std::nullopt` if no runner is known.
+    [[nodiscard]] std::optional<InstanceId> permitIssuerOf(ServerId const &server) const;
 
 private:
     struct Peer {
--- a/Services/Node/HealthProber.cpp
+++ b/Services/Node/HealthProber.cpp
@@ -16,8 +16,9 @@
 
 } // namespace
 
-HealthProber::HealthProber(NodeContext &context, std::function<void()> onEjectionsChanged)
+HealthProber::HealthProber(NodeContext &context, PermitClient &permits, std::function<void()> onEjectionsChanged)
     : context_(context)
+    , permits_(permits)
     , onEjectionsChanged_(std::move(onEjectionsChanged))
 {
 }
@@ -75,21 +76,34 @@
         std::find_if(pools.begin(), pools.end(), [&](Serving::PoolDescription const &known) { return known.name == server->record.pool; });
     if (pool == pools.end())
         return report(Routing::ProbeOutcome::Failed);
+    permits_.request(
+        server->record, Serving::Urgency::Highest, [this, server = server->record, path = pool->healthPath, report](bool isGranted) {
+            // Other instances use up what the server takes, so it gets no probe for now.
+            if (!isGranted)
+                return report(Routing::ProbeOutcome::Failed);
+            sendProbe(server, path, report);
+        });
+}
+
+void HealthProber::sendProbe(Serving::ServerRecord const &server,
+                             std::string const &path,
+                             std::function<void(Routing::ProbeOutcome)> const &report)
+{
+    auto const now = readLocalClock();
     Http::ClientRequest request{
-        .server = server->record.address,
-        .request = {.method = "GET", .target = pool->healthPath},
+        .server = server.address,
+        .request = {.method = "GET", .target = path},
         .deadline = now + ProbeTimeout,
         .connectTimeout = ProbeConnectTimeout,
         .bodyLimitBytes = MaxProbeResponseBytes,
         .connection = Http::ClientRequest::Connection::FreshOnly,
     };
-    auto const record = server->record;
     context_.serverClient->fetch(
-        std::move(request), [this, record, report, now](tl::expected<Http::HttpResponse, Http::ExchangeFailure> answer) {
+        std::move(request), [this, server, report, now](tl::expected<Http::HttpResponse, Http::ExchangeFailure> answer) {
             if (answer) {
                 auto const response = context_.protocol.readResponseHead({.status = answer->status, .headers = answer->headers});
-                reportIfLeaving(context_, record, response);
-                recordResponse(context_, record, response, now);
+                reportIfLeaving(context_, server, response);
+                recordResponse(context_, server, response, now);
             }
             // Any response will do: a server without a free slot refuses the probe but is reachable.
             report(answer ? Routing::ProbeOutcome::Answered : Routing::ProbeOutcome::Failed);
--- a/Services/Node/HealthProber.h
+++ b/Services/Node/HealthProber.h
@@ -2,6 +2,7 @@
 
 #include "LibHttp/ListenProbe.h"
 #include "Services/Node/NodeContext.h"
+#include "Services/Node/PermitClient.h"
 
 namespace Anvilyard::Node {
 
@@ -9,7 +10,7 @@
 class HealthProber
 {
 public:
-    HealthProber(NodeContext &context, std::function<void()> onEjectionsChanged);
+    HealthProber(NodeContext &context, PermitClient &permits, std::function<void()> onEjectionsChanged);
 
     void onEvidence(ServerId const &server, Routing::ServerEvidence evidence);
     void onTick(Instant now);
@@ -19,8 +20,10 @@
 private:
     void perform(std::vector<Routing::HealthAction> const &actions);
     void probe(ServerId const &server);
+    void sendProbe(Serving::ServerRecord const &server, std::string const &path, std::function<void(Routing::ProbeOutcome)> const &report);
 
     NodeContext &context_;
+    PermitClient &permits_;
     std::function<void()> onEjectionsChanged_;
     std::map<ServerId, std::unique_ptr<Http::ListenProbe>> listenProbes_;
 };
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -45,11 +45,13 @@
 JobRunner::JobRunner(NodeContext &context,
                      NodeMetrics &metrics,
                      HealthProber &health,
+                     PermitClient &permits,
                      PeerReportExchange &peerReports,
                      Jobs::OwnerCheckOptions const &ownerCheck)
     : context_(context)
     , metrics_(metrics)
     , health_(health)
+    , permits_(permits)
     , peerReports_(peerReports)
     , placement_({.self = context.settings.instance})
     , jobs_(Jobs::JobTrackerOptions{})
@@ -364,11 +366,13 @@
     auto const tokens = jobs_.waitingTokens();
     for (auto const &[pool, servers] : poolServers_) {
         Jobs::ItemDemand const demand{.waiting = jobs_.waiting(pool, now), .tokens = tokens};
-        for (auto const &change : placement_.plan(pool, servers, demand, context_.load, context_.peers, now)) {
+        bool const hasLimits = context_.limits.limitedServers() > 0;
+        auto const &available = hasLimits ? withinLimits(servers, now) : servers;
+        for (auto const &change : placement_.plan(pool, available, demand, context_.load, context_.peers, now)) {
             if (change.preempt > 0)
                 preempt(change.server, change.preempt, now);
             if (change.start > 0)
-                startItems(pool, change.server, change.start, now);
+                startItems(change.server, change.start, now);
         }
     }
 }
@@ -470,11 +474,47 @@
     return withRoom == 0 ? "no-server-with-room" : "other-items-first";
 }
 
-void JobRunner::startItems(PoolName const &pool, ServerId const &serverId, std::uint32_t count, Instant now)
+void JobRunner::startItems(ServerId const &serverId, std::uint32_t count, Instant now)
 {
     auto const server = context_.directory.find(serverId, now);
     if (!server)
         return;
+    if (context_.limits.isLimited(server->record))
+        return startItemWithPermit(server->record);
+    startItemsAt(server->record, count, now);
+}
+
+std::vector<Jobs::PoolServer> JobRunner::withinLimits(std::vector<Jobs::PoolServer> servers, Instant now) const
+{
+    for (auto &server : servers) {
+        auto const known = context_.directory.find(server.id, now);
+        auto const allowance = known ? context_.limits.allowances().find(known->record, Serving::Urgency::Batch, now) : std::nullopt;
+        server.acceptsNew = server.acceptsNew && !(allowance && allowance->exhaustedUntil);
+    }
+    return servers;
+}
+
+bool JobRunner::hasFreeSlot(Serving::ServerRecord const &server) const
+{
+    auto const own = context_.load.at(server.id);
+    auto const others = context_.peers.othersAt(server.id);
+    return own.online + own.batch + others.online + others.batch < server.slots;
+}
+
+void JobRunner::startItemWithPermit(Serving::ServerRecord const &server)
+{
+    if (!pendingPermits_.insert(server.id).second)
+        return;
+    permits_.request(server, Serving::Urgency::Batch, [this, server](bool isGranted) {
+        pendingPermits_.erase(server.id);
+        if (isGranted && hasFreeSlot(server))
+            startItemsAt(server, 1, readLocalClock());
+    });
+}
+
+void JobRunner::startItemsAt(Serving::ServerRecord const &server, std::uint32_t count, Instant now)
+{
+    auto const &pool = server.pool;
     for (std::uint32_t started = 0; started < count;) {
         auto const next = jobs_.next(pool, meanRunTime_, now);
         if (!next)
@@ -487,13 +527,13 @@
         ++started;
         jobs_.onStarted(*next);
         metrics_.itemStarts.add();
-        if (context_.limits.isLimited(server->record))
+        if (context_.limits.isLimited(server))
             metrics_.limitedSends.add();
         stalls_.onStarted(pool, now);
         auto const run = std::make_shared<ItemRun>(
             context_,
             health_,
-            server->record,
+            server,
             *next,
             ItemRun::Hooks{
                 .onEvent = [this, item = *next](std::optional<std::uint64_t> eventId,
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -23,6 +23,7 @@
     JobRunner(NodeContext &context,
               NodeMetrics &metrics,
               HealthProber &health,
+              PermitClient &permits,
               PeerReportExchange &peerReports,
               Jobs::OwnerCheckOptions const &ownerCheck);
 
@@ -77,7 +78,13 @@
     /// Logs why no items of a job start.
     void logWaits(Instant now);
     [[nodiscard]] std::string reasonFor(Jobs::JobWait const &wait, std::size_t accepting, std::size_t withRoom) const;
-    void startItems(PoolName const &pool, ServerId const &server, std::uint32_t count, Instant now);
+    /// Starts items, or requests a permit for one first if the server has a limit.
+    void startItems(ServerId const &server, std::uint32_t count, Instant now);
+    void startItemsAt(Serving::ServerRecord const &server, std::uint32_t count, Instant now);
+    void startItemWithPermit(Serving::ServerRecord const &server);
+    [[nodiscard]] bool hasFreeSlot(Serving::ServerRecord const &server) const;
+    /// The servers, of which those without permits accept no new items.
+    [[nodiscard]] std::vector<Jobs::PoolServer> withinLimits(std::vector<Jobs::PoolServer> servers, Instant now) const;
     void preempt(ServerId const &server, std::uint32_t count, Instant now);
     void cancelRuns(JobId const &job);
     void storeOutcomes(Instant now);
@@ -113,6 +120,7 @@
     NodeContext &context_;
     NodeMetrics &metrics_;
     HealthProber &health_;
+    PermitClient &permits_;
     PeerReportExchange &peerReports_;
     /// Determined anew only after a change of servers or runners. Load changes many times a second, and ranking all runners for each of
     /// hundreds of servers each time would take most of the processor time of a runner.
@@ -129,6 +137,8 @@
     /// Last change of the runners, until the watch has been checked after it.
     std::optional<Instant> uncheckedChangeAt_;
     std::list<std::shared_ptr<ItemRun>> runs_;
+    /// Servers for which a permit is requested.
+    std::set<ServerId> pendingPermits_;
     std::list<PendingRead> pendingReads_;
     /// Jobs that may have more segments in the store than this runner has listed. The value is true while the next one is being
     /// read.
--- a/Services/Node/NodeContext.h
+++ b/Services/Node/NodeContext.h
@@ -10,6 +10,7 @@
 #include "LibServing/LoadTracker.h"
 #include "LibServing/OnlinePlacement.h"
 #include "LibServing/PeerTable.h"
+#include "LibServing/ReturnSchedule.h"
 #include "LibServing/RouteTable.h"
 #include "LibServing/ServerDirectory.h"
 #include "Services/Node/NodeSettings.h"
@@ -44,10 +45,14 @@
     Serving::PeerTable peers;
     Serving::LoadTracker load;
     Serving::LoadAge loadAge;
+    /// Number of instances in the fleet, this one included.
+    std::size_t fleetSize = 1;
     Serving::ServerDirectory directory;
     /// Increases with each change of the usable or ejected servers.
     std::uint64_t serversVersion = 0;
     Serving::OnlinePlacement placement;
+    /// By pool, when callers may return that were refused because of the limits of servers.
+    std::map<PoolName, Serving::ReturnSchedule> returns = {};
     Routing::ServerHealth health;
     /// Refuses requests that crash servers.
     PromptGuard prompts{{.expirySpread = QuarantineExpirySpread, .instanceHash = std::hash<InstanceId>{}(settings.instance)}};
--- a/Services/Node/NodeMetrics.cpp
+++ b/Services/Node/NodeMetrics.cpp
@@ -78,6 +78,15 @@
     found->second->add();
 }
 
+void NodeMetrics::onPermit(std::string_view outcome)
+{
+    registry_
+        .counter("anvilyard_node_permits_total",
+                 "Permits requested for sends to limited servers, by what became of them",
+                 {{"outcome", std::string(outcome)}})
+        .add();
+}
+
 void NodeMetrics::onConnectionClosed(Http::ConnectionClose close)
 {
     registry_
--- a/Services/Node/NodeMetrics.h
+++ b/Services/Node/NodeMetrics.h
@@ -43,6 +43,8 @@
     void onRefused(std::string_view reason);
     /// `reason` is one of a small fixed set, the same as in the log.
     void onBrokenStream(std::string_view reason);
+    /// `outcome` is one of a small fixed set.
+    void onPermit(std::string_view outcome);
     void onConnectionClosed(Http::ConnectionClose close);
 
 private:
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -95,11 +95,12 @@
     , metrics_(registry_)
     , store_(options.store, options.statuses, registry_)
     , context_(makeContext(options, store_, registry_))
-    , health_(context_, [this] { fleet_.onEjectionsChanged(); })
+    , permits_(context_, metrics_)
+    , health_(context_, permits_, [this] { fleet_.onEjectionsChanged(); })
     , fleet_(context_, [this] { onStateChanged(); })
     , peerReports_(context_, fleet_, [this] { onLoadChanged(); })
     , jobApi_(context_, metrics_)
-    , runner_(context_, metrics_, health_, peerReports_, options.ownerCheck)
+    , runner_(context_, metrics_, health_, permits_, peerReports_, options.ownerCheck)
     , retirements_(context_,
                    {
                        .onRetire =
@@ -226,7 +227,7 @@
         return writer->respond(
             {.status = fleet_.isComplete() ? 200 : 503, .body = fleet_.changesSince(version, readNumberParameter(request, "since"))});
     }
-    if (!runner_.handle(request, writer))
+    if (!permits_.handle(request, writer) && !runner_.handle(request, writer))
         writer->respond({.status = 404});
 }
 
@@ -349,6 +350,7 @@
                                      .context = context_,
                                      .metrics = metrics_,
                                      .health = health_,
+                                     .permits = permits_,
                                      .route = *route,
                                      .head = std::move(*head),
                                      .request = std::move(request),
--- a/Services/Node/NodeProgram.h
+++ b/Services/Node/NodeProgram.h
@@ -79,6 +79,7 @@
     NodeMetrics metrics_;
     Platform::MeteredStore store_;
     NodeContext context_;
+    PermitClient permits_;
     HealthProber health_;
     FleetFollower fleet_;
     PeerReportExchange peerReports_;
--- a/Services/Node/NodeRefusals.cpp
+++ b/Services/Node/NodeRefusals.cpp
@@ -56,6 +56,11 @@
     return unavailable("overloaded", "the servers of this route could not answer in time now", retryAfter);
 }
 
+Refusal limitsReached(Duration retryAfter)
+{
+    return unavailable("limits_reached", "the servers of this route take no more requests now", retryAfter);
+}
+
 Refusal noServer()
 {
     return unavailable("no_server_available", "no server of this route can be reached now", NoServerRetryAfter);
--- a/Services/Node/NodeRefusals.h
+++ b/Services/Node/NodeRefusals.h
@@ -13,6 +13,8 @@
 Http::Refusal noRoute();
 Http::Refusal notReady();
 Http::Refusal overloaded(Duration retryAfter);
+/// All servers of the service have limits, and these are reached.
+Http::Refusal limitsReached(Duration retryAfter);
 Http::Refusal noServer();
 Http::Refusal notServed();
 /// Part of the request's prompt crashes the servers that run it.
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -27,6 +27,8 @@
 /// Silence, in multiples of the gap target, after which a stream that no other server may run is resumed where it ran. The stream is
 /// late by then; a shorter silence is more often a busy server than a dead connection.
 constexpr double SilenceGapTargetsAtLastServer = 2;
+/// Number of permits that are requested for one request. Each takes some milliseconds.
+constexpr std::size_t MaxPermitRequests = 8;
 
 Repeatability repeatabilityOf(Serving::Route const &route)
 {
@@ -150,35 +152,87 @@
     // A stream that may run at no further server is resumed at the server where it ran.
     if (auto const only = plan_.onlyServer()) {
         auto const server = parts_.context.directory.find(*only, readLocalClock());
-        return server ? send(server->record, false, Connection::Fresh) : abortStream("only-server-gone");
+        return server ? sendWithPermit(server->record, false, Connection::Fresh) : abortStream("only-server-gone");
     }
-    auto const excluded = plan_.excluded();
     // A request that may already have run is not refused because of load.
     auto const latencyTarget = attempts_ == 0 ? parts_.route.latencyTarget : Duration::max() / 4;
-    auto const placement = findPlacement(latencyTarget, excluded);
+    using LimitedServers = Serving::PlacementRequest::LimitedServers;
+    auto const placement = findPlacement(latencyTarget, permitRequests_ < MaxPermitRequests ? LimitedServers::Use : LimitedServers::Avoid);
     if (attempts_ == 0)
         parts_.metrics.expectedWaitSeconds.record(toSeconds(placement.shortestWait));
     switch (placement.outcome) {
     case Serving::Placement::Outcome::Chosen:
-        return send(placement.server, placement.hasFreeSlot, Connection::Any);
+        return sendWithPermit(placement.server, placement.hasFreeSlot, Connection::Any);
     case Serving::Placement::Outcome::Full:
         logNoPlacement(placement, latencyTarget);
-        return refuse(Refusals::overloaded(placement.retryAfter));
+        return refuse(Refusals::overloaded(returnDelay(placement)));
+    case Serving::Placement::Outcome::LimitsReached:
+        logNoPlacement(placement, latencyTarget);
+        return refuseAtLimits(placement);
     case Serving::Placement::Outcome::NoServer:
         logNoPlacement(placement, latencyTarget);
         return isRelaying_ ? resumeLater("no-server") : refuseAfterAttempts();
     }
 }
 
-Serving::Placement OnlineCall::findPlacement(Duration latencyTarget, std::vector<ServerId> const &excluded)
+void OnlineCall::sendWithPermit(Serving::ServerRecord const &server, bool hasFreeSlot, Connection connection)
+{
+    if (!parts_.context.limits.isLimited(server))
+        return send(server, hasFreeSlot, connection);
+    ++permitRequests_;
+    parts_.permits.request(
+        server, Serving::urgencyOf(parts_.route.priority), [self = shared_from_this(), server, hasFreeSlot, connection](bool isGranted) {
+            if (self->isFinished_)
+                return;
+            if (isGranted)
+                self->send(server, hasFreeSlot, connection);
+            else
+                self->onPermitDenied();
+        });
+}
+
+void OnlineCall::onPermitDenied()
+{
+    if (!plan_.onlyServer())
+        return placeAndSend();
+    if (isRelaying_)
+        return resumeLater("limits-reached");
+    refuse(Refusals::outcomeUnknown());
+}
+
+void OnlineCall::refuseAtLimits(Serving::Placement const &placement)
 {
+    if (isRelaying_)
+        return resumeLater("limits-reached");
+    if (plan_.mayHaveRun())
+        return refuse(Refusals::outcomeUnknown());
+    refuse(Refusals::limitsReached(returnDelay(placement)));
+}
+
+Duration OnlineCall::returnDelay(Serving::Placement const &placement)
+{
+    if (!placement.limitedRate)
+        return placement.retryAfter;
     auto &context = parts_.context;
+    // Entries are assumed to refuse equally often.
+    Serving::RequestRate const share(placement.limitedRate->value() / static_cast<double>(std::max<std::size_t>(1, context.fleetSize)));
+    auto const urgency = Serving::urgencyOf(parts_.route.priority);
+    return context.returns[pool_].next(urgency, placement.retryAfter, share, readLocalClock());
+}
+
+Serving::Placement OnlineCall::findPlacement(Duration latencyTarget, Serving::PlacementRequest::LimitedServers limitedServers)
+{
+    auto &context = parts_.context;
+    auto const excluded = plan_.excluded();
     Serving::PlacementRequest const request{
         .pool = pool_,
         .latencyTarget = latencyTarget,
         .prefix = &parts_.head.prefix,
         .excluded = excluded,
         .loadAge = context.loadAge,
+        .allowances = context.limits.limitedServers() > 0 ? &context.limits.allowances() : nullptr,
+        .limitedServers = limitedServers,
+        .urgency = Serving::urgencyOf(parts_.route.priority),
     };
     return context.placement.place(request, context.load, context.peers, readLocalClock(), context.random);
 }
@@ -481,7 +535,7 @@
 /// Whether another server has a free slot for this request and the budget allows to move it. Takes one move from the budget.
 bool OnlineCall::mayMoveToFreeSlot()
 {
-    auto const placement = findPlacement(parts_.route.latencyTarget, plan_.excluded());
+    auto const placement = findPlacement(parts_.route.latencyTarget, Serving::PlacementRequest::LimitedServers::Avoid);
     bool const isBetter = placement.outcome == Serving::Placement::Outcome::Chosen && placement.hasFreeSlot;
     return isBetter && parts_.context.moveBudget.tryTake(readLocalClock());
 }
@@ -492,8 +546,9 @@
     auto &context = parts_.context;
     auto const &id = attempt_->server.id;
     auto const server = context.directory.find(id, now);
-    // A leaving or ejected server would not take the stream again.
-    bool const takesIt = server && server->use == Serving::ServerUse::Usable && !context.health.ejected().contains(id);
+    // A leaving or ejected server would not take the stream again, and a limited one should not get it twice.
+    bool const takesIt = server && server->use == Serving::ServerUse::Usable && !context.health.ejected().contains(id)
+        && !context.limits.isLimited(server->record);
     return takesIt && context.moveBudget.tryTake(now);
 }
 
@@ -554,7 +609,7 @@
     case NextStep::SendOnFreshConnection:
         if (refuseIfQuarantined())
             return;
-        return send(Serving::ServerRecord(attempt_->server), true, Connection::Fresh);
+        return sendWithPermit(Serving::ServerRecord(attempt_->server), true, Connection::Fresh);
     case NextStep::SendToOtherServer:
         return placeAndSend();
     case NextStep::ResumeStream:
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -6,6 +6,7 @@
 #include "Services/Node/HealthProber.h"
 #include "Services/Node/NodeContext.h"
 #include "Services/Node/NodeMetrics.h"
+#include "Services/Node/PermitClient.h"
 
 namespace Anvilyard::Node {
 
@@ -18,6 +19,7 @@
         NodeContext &context;
         NodeMetrics &metrics;
         HealthProber &health;
+        PermitClient &permits;
         Serving::Route route;
         OnlineRequestHead head;
         Http::HttpRequest request;
@@ -60,6 +62,12 @@
     };
 
     void placeAndSend();
+    /// Sends the request if the server has no limit or a permit is granted. Otherwise it is placed again, without that server.
+    void sendWithPermit(Serving::ServerRecord const &server, bool hasFreeSlot, Connection connection);
+    void onPermitDenied();
+    void refuseAtLimits(Serving::Placement const &placement);
+    /// When the caller may return after a refusal by this placement.
+    [[nodiscard]] Duration returnDelay(Serving::Placement const &placement);
     void send(Serving::ServerRecord const &server, bool hasFreeSlot, Connection connection);
     void logNoPlacement(Serving::Placement const &placement, Duration latencyTarget) const;
     void onHead(Http::ResponseHead head);
@@ -83,7 +91,7 @@
     void onSilenceCheck();
     [[nodiscard]] bool mayMoveToFreeSlot();
     [[nodiscard]] bool mayResumeHere(Instant now);
-    [[nodiscard]] Serving::Placement findPlacement(Duration latencyTarget, std::vector<ServerId> const &excluded);
+    [[nodiscard]] Serving::Placement findPlacement(Duration latencyTarget, Serving::PlacementRequest::LimitedServers limitedServers);
     void finishAttempt();
     void perform(Routing::NextStep step);
     [[nodiscard]] bool refuseIfQuarantined();
@@ -107,6 +115,7 @@
     /// The current or last attempt; null before the first.
     std::shared_ptr<Attempt> attempt_;
     std::size_t attempts_ = 0;
+    std::size_t permitRequests_ = 0;
     /// Attempts that the node itself ended because they were silent or malformed.
     std::size_t abortedAttempts_ = 0;
     /// Why the response was broken off; empty if it was not.
--- a/Services/Node/PeerReportExchange.cpp
+++ b/Services/Node/PeerReportExchange.cpp
@@ -1,6 +1,7 @@
 #include "Services/Node/PeerReportExchange.h"
 
 #include "LibObserve/Events.h"
+#include "LibServing/ServerLimitNews.h"
 
 #include <boost/json.hpp>
 
@@ -133,6 +134,11 @@
         auto const evidence = Serving::decodePromptEvidence(content);
         return evidence ? context_.prompts.merge(*evidence) : reject("prompt evidence of a peer", evidence.error());
     }
+    if (Serving::isServerLimits(content)) {
+        auto const now = readLocalClock();
+        auto const limits = Serving::decodeServerLimits(content, now);
+        return limits ? context_.limits.merge(*limits, now) : reject("server limits of a peer", limits.error());
+    }
     auto report = Serving::decodePeerReport(content);
     return report ? onReport(std::move(*report)) : reject("report of a peer", report.error());
 }
@@ -181,6 +187,7 @@
 void PeerReportExchange::onTick(Instant now)
 {
     context_.peers.onTick(now);
+    context_.fleetSize = exchange_.fleetSize();
     context_.loadAge = {.near = exchange_.nearLoadAge(), .far = exchange_.farLoadAge()};
     auto const due = exchange_.takeDue(
         {
@@ -194,6 +201,7 @@
             .inFlight = context_.load.all(),
             .changes = context_.load.changes() + waitingTokensChanges_,
             .prompts = context_.prompts.quarantine(),
+            .limits = context_.limits.allowances().limits(),
         },
         now);
     for (auto const &[receivers, report] : due.reports) {
@@ -211,6 +219,11 @@
         for (auto const &receiver : due.promptEvidence->receivers)
             socket_->send(receiver, content);
     }
+    if (due.serverLimits) {
+        auto const content = Serving::encodeServerLimits(due.serverLimits->limits, now);
+        for (auto const &receiver : due.serverLimits->receivers)
+            socket_->send(receiver, content);
+    }
     fleet_.setChangeSource(exchange_.changeSource(now));
 }
 
--- a/Services/Node/ServerLimits.cpp
+++ b/Services/Node/ServerLimits.cpp
@@ -6,15 +6,8 @@
 
 namespace Anvilyard::Node {
 
-using Serving::ServerProcess;
-
 namespace {
 
-ServerProcess processOf(Serving::ServerRecord const &server)
-{
-    return {.id = server.id, .startedAt = server.startedAt};
-}
-
 void logLimit(Serving::ServerLimit const &limit, char const *source)
 {
     Observe::log(Observe::Events::NodeServerLimitChanged,
@@ -32,18 +25,38 @@
         Observe::log(Observe::Events::NodeRecordRejected, {{"record", server.id.value()}, {"error", "the stated limit is not a rate"}});
         return;
     }
-    if (table_.onResponse(processOf(server), stated, sentAt, readLocalClock()))
-        logLimit(table_.all().at(server.id), "response");
+    auto &limits = allowances_.limits();
+    if (limits.onResponse(processOf(server), stated, sentAt, readLocalClock()))
+        logLimit(limits.all().at(server.id), "response");
+}
+
+void ServerLimits::merge(std::span<Serving::ServerLimit const> limits, Instant now)
+{
+    auto &known = allowances_.limits();
+    for (auto const &limit : limits) {
+        if (known.merge(std::span(&limit, 1), now))
+            logLimit(known.all().at(limit.server.id), "peer");
+    }
+}
+
+void ServerLimits::onDenied(Serving::ServerProcess const &server, Serving::Urgency urgency, Instant until)
+{
+    allowances_.onDenied(server, urgency, until);
+}
+
+Serving::ServerAllowances const &ServerLimits::allowances() const
+{
+    return allowances_;
 }
 
 bool ServerLimits::isLimited(Serving::ServerRecord const &server) const
 {
-    return table_.find(processOf(server)).has_value();
+    return allowances_.limits().find(processOf(server)).has_value();
 }
 
 std::size_t ServerLimits::limitedServers() const
 {
-    auto const &limits = table_.all();
+    auto const &limits = allowances_.limits().all();
     return static_cast<std::size_t>(
         std::count_if(limits.begin(), limits.end(), [](auto const &entry) { return entry.second.rate.has_value(); }));
 }
--- a/Tests/LibServing/ExchangeSimulation.cpp
+++ b/Tests/LibServing/ExchangeSimulation.cpp
@@ -72,7 +72,8 @@
                                     .address = addressOf(index),
                                     .inFlight = instance.inFlight,
                                     .changes = instance.changes,
-                                    .prompts = instance.prompts},
+                                    .prompts = instance.prompts,
+                                    .limits = instance.limits},
                                    now_);
     for (auto const &[receivers, report] : due.reports) {
         auto const message = std::make_shared<Message const>(report);
@@ -89,6 +90,11 @@
         for (auto const &receiver : due.promptEvidence->receivers)
             send(index, receiver, message, std::nullopt);
     }
+    if (due.serverLimits) {
+        auto const message = std::make_shared<Message const>(due.serverLimits->limits);
+        for (auto const &receiver : due.serverLimits->receivers)
+            send(index, receiver, message, std::nullopt);
+    }
 }
 
 void ExchangeSimulation::send(std::size_t from,
@@ -116,6 +122,10 @@
         to.prompts.merge(*evidence, wallTime());
         return;
     }
+    if (auto const *limits = std::get_if<std::vector<ServerLimit>>(delivery.message.get())) {
+        to.limits.merge(*limits, now_);
+        return;
+    }
     auto summary = std::get<LoadSummary>(*delivery.message);
     summary.included = delivery.included;
     to.exchange->onSummary(std::move(summary), now_);
@@ -173,6 +183,7 @@
     instance.peers.reset();
     instance.exchange.reset();
     instance.inFlight.clear();
+    instance.limits = ServerLimitTable(ServerLimitTableOptions{});
     instance.prompts = PromptQuarantine(PromptQuarantineOptions{});
     instance.startsAt = now_;
     ++instance.statedStart;
@@ -185,6 +196,11 @@
     return WallInstant(std::chrono::duration_cast<std::chrono::milliseconds>(now_.time_since_epoch()));
 }
 
+Instant ExchangeSimulation::now() const
+{
+    return now_;
+}
+
 void ExchangeSimulation::setCut(std::function<bool(Instance const &from, Instance const &to)> isCut)
 {
     isCut_ = std::move(isCut);
--- a/Tests/LibServing/ExchangeSimulation.h
+++ b/Tests/LibServing/ExchangeSimulation.h
@@ -34,6 +34,7 @@
         std::unique_ptr<Serving::PeerExchange> exchange;
         Serving::LoadByServer inFlight;
         std::uint64_t changes = 0;
+        Serving::ServerLimitTable limits{Serving::ServerLimitTableOptions{}};
         Serving::PromptQuarantine prompts{Serving::PromptQuarantineOptions{}};
         Instant startsAt;
         /// Start time that its reports state.
@@ -65,9 +66,10 @@
     [[nodiscard]] Serving::InFlight actualAt(ServerId const &server) const;
     [[nodiscard]] std::vector<ServerId> const &servers() const;
     [[nodiscard]] WallInstant wallTime() const;
+    [[nodiscard]] Instant now() const;
 
 private:
-    using Message = std::variant<Serving::PeerReport, Serving::LoadSummary, Serving::PromptEvidence>;
+    using Message = std::variant<Serving::PeerReport, Serving::LoadSummary, Serving::PromptEvidence, std::vector<Serving::ServerLimit>>;
 
     struct Delivery {
         Instant at;
--- a/Tests/LibServing/TestPeerExchange.cpp
+++ b/Tests/LibServing/TestPeerExchange.cpp
@@ -281,6 +281,28 @@
     return count;
 }
 
+/// Load changes a second of each entry while the messages about load are few.
+constexpr double CalmChanges = 0.5;
+/// Time in which the limits of hundreds of servers have reached all instances.
+constexpr Duration SpreadTime = 6s;
+
+/// Number of live instances that know this limit of the server; 0 for none.
+std::size_t instancesThatKnow(ExchangeSimulation const &fleet, ServerProcess const &server, double rate)
+{
+    std::size_t count = 0;
+    for (auto const &instance : fleet.instances())
+        count += instance.isAlive && instance.limits.find(server).value_or(RequestRate(0)) == RequestRate(rate) ? 1 : 0;
+    return count;
+}
+
+/// Lets one instance receive a response that states the limit; 0 for none.
+void stateLimit(ExchangeSimulation &fleet, ServerProcess const &server, double rate, std::size_t instance)
+{
+    using Kind = StatedLimit::Kind;
+    StatedLimit const stated{.kind = rate > 0 ? Kind::Limited : Kind::Unlimited, .rate = RequestRate(rate)};
+    fleet.instances()[instance].limits.onResponse(server, stated, fleet.now(), fleet.now());
+}
+
 } // namespace
 
 /// A prompt that crashes servers comes to other entries than the ones that lost servers to it. Guards against instances that do not know of
@@ -315,3 +337,52 @@
         EXPECT_EQ(instancesThatSend(fleet), 0U) << size;
     }
 }
+
+/// A server states a limit to one instance, changes it and ends it. Guards against instances that do not know of it within the time in
+/// which peers are considered reached, in a small and a large fleet, also if datagrams are lost or instances start again.
+TEST(PeerExchangeTest, LimitsOfServersReachAllInstances)
+{
+    ServerProcess const server{.id = ServerId("limited"), .startedAt = 10};
+    for (std::size_t const size : {12, 83, 300}) {
+        ExchangeSimulation fleet({.instances = size, .lossShare = 0.05});
+        fleet.run(2s, CalmChanges);
+        std::size_t stating = 0;
+        for (double const rate : {2.5, 4.0, 0.0}) {
+            stateLimit(fleet, server, rate, stating);
+            fleet.run(2500ms, CalmChanges);
+            EXPECT_EQ(instancesThatKnow(fleet, server, rate), size) << size << " instances, " << rate;
+            // The instance that states the next one has it from others.
+            stating = size - 1;
+            if (rate == 2.5) {
+                fleet.restart(fleet.instances()[size - 1]);
+                fleet.run(2500ms, CalmChanges);
+                EXPECT_EQ(instancesThatKnow(fleet, server, rate), size) << size << " instances, after a start";
+            }
+        }
+    }
+}
+
+/// Hundreds of servers have limits in a large fleet for a while. Guards against news that grows with the square of the fleet.
+TEST(PeerExchangeTest, MessagesWithLimitsStayFewInALargeFleet)
+{
+    auto const receivedIn = [](double rate) {
+        ExchangeSimulation fleet({.instances = 300});
+        fleet.run(2s, CalmChanges);
+        for (int number = 0; rate > 0 && number < 600; ++number)
+            stateLimit(fleet, {.id = ServerId("limited-" + std::to_string(number))}, rate, static_cast<std::size_t>(number) % 300);
+        fleet.run(SpreadTime, CalmChanges);
+        std::uint64_t before = 0;
+        for (auto const &instance : fleet.instances())
+            before += instance.received;
+        fleet.run(2s, CalmChanges);
+        std::uint64_t after = 0;
+        for (auto const &instance : fleet.instances())
+            after += instance.received;
+        return static_cast<double>(after - before) / 2 / 300;
+    };
+    auto const without = receivedIn(0);
+    auto const with = receivedIn(2.5);
+    RecordProperty("messages_a_second_without", std::to_string(without));
+    RecordProperty("messages_a_second_with", std::to_string(with));
+    EXPECT_LE(with - without, 10) << "messages a second and instance";
+}
--- a/Tests/NodeProcesses/ServingFleet.cpp
+++ b/Tests/NodeProcesses/ServingFleet.cpp
@@ -1,6 +1,7 @@
 #include "Tests/NodeProcesses/ServingFleet.h"
 
 #include <algorithm>
+#include <boost/json.hpp>
 #include <gtest/gtest.h>
 #include <stdexcept>
 #include <system_error>
@@ -9,6 +10,8 @@
 
 namespace Anvilyard::Tests {
 
+namespace json = boost::json;
+
 namespace {
 
 constexpr Duration RestartTime = 500ms;
@@ -306,18 +309,53 @@
     return sendTo(entry.callers(), std::move(request));
 }
 
+std::future<ServingFleet::TimedAnswer> ServingFleet::sendTimed(NodeProcess const &entry, Http::HttpRequest request)
+{
+    auto promise = std::make_shared<std::promise<TimedAnswer>>();
+    auto future = promise->get_future();
+    auto const sentAt = readLocalClock();
+    fetch(entry.callers(), std::move(request), [promise, sentAt](Answer answer) {
+        promise->set_value({.answer = std::move(answer), .time = readLocalClock() - sentAt});
+    });
+    return future;
+}
+
+JobId ServingFleet::submitJob(NodeProcess const &entry, std::size_t items)
+{
+    json::array list;
+    auto const number = std::to_string(++requests_);
+    for (std::size_t item = 0; item < items; ++item) {
+        auto const id = "i" + number + "-" + std::to_string(item);
+        list.push_back(json::object{{"id", id}, {"path", "/b/" + id}, {"headers", json::object{}}, {"body", ""}, {"tokens", 10}});
+    }
+    auto const job = "j" + number;
+    Http::HttpRequest request{.method = "POST",
+                              .target = "/b/jobs",
+                              .headers = {{"Host", "h.example"}, {"Anvilyard-Attempt-Id", job}, {"Content-Type", "application/json"}},
+                              .body = json::serialize(json::object{{"items", std::move(list)}})};
+    auto const answer = send(entry, std::move(request)).get();
+    if (!answer || answer->status != 202)
+        throw std::runtime_error(entry.name() + " does not accept the job");
+    return JobId(job);
+}
+
 std::future<ServingFleet::Answer> ServingFleet::sendTo(Address const &server, Http::HttpRequest request)
 {
     auto promise = std::make_shared<std::promise<Answer>>();
     auto future = promise->get_future();
+    fetch(server, std::move(request), [promise](Answer answer) { promise->set_value(std::move(answer)); });
+    return future;
+}
+
+void ServingFleet::fetch(Address const &server, Http::HttpRequest request, std::function<void(Answer)> onDone)
+{
     thread_.call([&] {
         client_->fetch({.server = server,
                         .request = std::move(request),
                         .deadline = readLocalClock() + 10s,
                         .connection = Http::ClientRequest::Connection::FreshOnly},
-                       [promise](Answer answer) { promise->set_value(std::move(answer)); });
+                       std::move(onDone));
     });
-    return future;
 }
 
 std::vector<Instant> ServingFleet::arrivals(std::string const &part)
--- a/Tests/NodeProcesses/ServingFleet.h
+++ b/Tests/NodeProcesses/ServingFleet.h
@@ -76,6 +76,14 @@
     /// Sends the request under an id of its own.
     std::future<Answer> sendAgain(NodeProcess const &entry, Http::HttpRequest request);
     std::future<Answer> send(NodeProcess const &entry, Http::HttpRequest request);
+    struct TimedAnswer {
+        Answer answer;
+        /// From the request to the end of the answer.
+        Duration time{0};
+    };
+    std::future<TimedAnswer> sendTimed(NodeProcess const &entry, Http::HttpRequest request);
+    /// Submits a batch job with so many items and waits until it is accepted.
+    JobId submitJob(NodeProcess const &entry, std::size_t items);
 
     /// When requests whose prompts hold the part reached servers.
     [[nodiscard]] std::vector<Instant> arrivals(std::string const &part);
@@ -96,6 +104,7 @@
         ModelServer::ResponseForm form;
     };
 
+    void fetch(Address const &server, Http::HttpRequest request, std::function<void(Answer)> onDone);
     std::future<Answer> sendTo(Address const &server, Http::HttpRequest request);
     void startServer(Start const &start);
     [[nodiscard]] std::string nextServerId() const;
