Log the software versions of servers and of the streams that they serve

No decision reads them yet. The test fleet gets servers of several versions, which can be stopped for good, and streams of which a caller has a part.

--- a/Libraries/LibServing/ServerDirectory.h
+++ b/Libraries/LibServing/ServerDirectory.h
@@ -10,6 +10,9 @@
 
 namespace Anvilyard::Serving {
 
+/// Version of a server's software, not of the weights that it has loaded. Versions have no order.
+using SoftwareVersion = StrongType<struct SoftwareVersionTag, std::string>;
+
 /// Registration of a backend server.
 struct ServerRecord {
     ServerId id;
@@ -24,6 +27,8 @@
     } state = State::Ready;
     /// Start time as reported by the server, in Unix milliseconds. Another value under the same id means that the server restarted.
     std::int64_t startedAt = 0;
+    /// Empty if the registration states none.
+    SoftwareVersion softwareVersion;
 
     bool operator==(ServerRecord const &) const = default;
 };
--- a/Services/Node/FleetFollower.cpp
+++ b/Services/Node/FleetFollower.cpp
@@ -181,6 +181,7 @@
                          {{"server", id.value()},
                           {"state", record->state == Serving::ServerRecord::State::Ready ? "ready" : "draining"},
                           {"started_at", std::to_string(record->startedAt)},
+                          {"software_version", record->softwareVersion.value()},
                           {"revision", std::to_string(revision)}});
             context_.directory.onRegistered(std::move(*record), now);
         } else {
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -97,6 +97,14 @@
     return "unknown";
 }
 
+std::string join(std::set<Serving::SoftwareVersion> const &versions)
+{
+    std::string text;
+    for (auto const &version : versions)
+        text += (text.empty() ? "" : ",") + version.value();
+    return text;
+}
+
 std::string millisecondsSince(Instant since, Instant now)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count());
@@ -360,6 +368,7 @@
             routeMetrics_.eventGapSeconds.record(toSeconds(now - lastEventAt_));
         }
         lastEventAt_ = now;
+        softwareVersions_.insert(attempt_->server.softwareVersion);
         parts_.writer->write(std::move(completeEvents), [weak = std::weak_ptr(attempt_)](Http::WriteOutcome outcome) {
             auto const attempt = weak.lock();
             if (attempt && outcome == Http::WriteOutcome::Written && std::exchange(attempt->isPaused, false) && attempt->exchange)
@@ -729,6 +738,8 @@
                   {"events", std::to_string(events_.count())},
                   {"after_event", eventIdText(parts_.head.lastEventId)},
                   {"last_event", eventIdText(events_.lastId())},
+                  {"resumes", parts_.head.resumes.value()},
+                  {"software_versions", join(softwareVersions_)},
                   {"ms", millisecondsSince(startedAt_, now)}});
     resumeTimer_.reset();
     parts_.context.waitingStreams.erase(shared_from_this());
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -124,6 +124,8 @@
     bool isRelaying_ = false;
     std::unique_ptr<Http::Timer> resumeTimer_;
     Instant lastEventAt_;
+    /// Software versions of the servers that sent events of this response.
+    std::set<Serving::SoftwareVersion> softwareVersions_;
     /// A server has generated more than the events that a crashing one may send.
     bool isAnswered_ = false;
     bool isFinished_ = false;
--- a/Services/Node/ServingProtocol.h
+++ b/Services/Node/ServingProtocol.h
@@ -25,6 +25,8 @@
     std::optional<Duration> timeLeft;
     /// Streams: last event that the caller has received.
     std::optional<std::uint64_t> lastEventId;
+    /// Streams: the caller's attempt that brought the first event, if the caller has events; empty if not stated.
+    RequestId resumes;
     /// Parts of the prompt that other requests may share.
     Routing::PromptPrefix prefix;
     /// The same parts by their ids, in their order.
--- a/Tests/NodeProcesses/ModelServer.cpp
+++ b/Tests/NodeProcesses/ModelServer.cpp
@@ -18,6 +18,11 @@
 }
 
 ModelServer::~ModelServer()
+{
+    stop();
+}
+
+void ModelServer::stop()
 {
     options_.onCrashed = [] {};
     crash();
@@ -97,7 +102,7 @@
 void ModelServer::writeEvent(std::shared_ptr<Run> const &run)
 {
     auto const number = std::to_string(run->nextEvent++);
-    run->writer->write("id: " + number + "\ndata: t" + number + "\n\n", nullptr);
+    run->writer->write("id: " + number + "\ndata: " + options_.eventPrefix + "t" + number + "\n\n", nullptr);
 }
 
 void ModelServer::writeEvents(std::shared_ptr<Run> const &run)
--- a/Tests/NodeProcesses/ModelServer.h
+++ b/Tests/NodeProcesses/ModelServer.h
@@ -40,6 +40,8 @@
         Duration promptTime = 30ms;
         Duration eventGap = 10ms;
         std::uint64_t events = 10;
+        /// Precedes the text of each event.
+        std::string eventPrefix;
         Behaviour behaviour = [](ModelServer &server, std::shared_ptr<Run> const &run) { server.complete(run); };
         /// Called for each request that is to be run, before the server decides whether it runs it.
         std::function<void(Http::HttpRequest const &)> onReceived = [](auto const &) {};
@@ -61,13 +63,15 @@
     /// Completes the response in the server's form.
     void complete(std::shared_ptr<Run> const &run);
     /// Writes the next event of the run.
-    static void writeEvent(std::shared_ptr<Run> const &run);
+    void writeEvent(std::shared_ptr<Run> const &run);
     /// Writes the remaining events of the run, one after the other, and ends its response.
     void writeEvents(std::shared_ptr<Run> const &run);
     /// Closes the connection of the run.
     void cut(std::shared_ptr<Run> const &run);
     /// Closes all connections and refuses new ones.
     void crash();
+    /// Like crash(), but does not call onCrashed.
+    void stop();
 
 private:
     void handle(Http::HttpRequest request, std::shared_ptr<Http::ResponseWriter> const &writer);
--- a/Tests/NodeProcesses/ServingFleet.cpp
+++ b/Tests/NodeProcesses/ServingFleet.cpp
@@ -102,6 +102,46 @@
     });
 }
 
+void ServingFleet::startServersOf(std::string const &version, std::size_t count)
+{
+    serverCount_ += count;
+    thread_.call([&] {
+        for (std::size_t started = 0; started < count; ++started)
+            startServer({.id = nextServerId(),
+                         .address = Address("127.0.0.1:0"),
+                         .form = ModelServer::ResponseForm::EventStream,
+                         .version = version});
+    });
+}
+
+void ServingFleet::stopServersOf(std::string const &version)
+{
+    thread_.call([&] {
+        for (auto const &server : servers_) {
+            if (!server->isUp() || versions_.at(server->id()) != version)
+                continue;
+            --serverCount_;
+            store_->remove("servers", server->id());
+            server->stop();
+        }
+    });
+}
+
+void ServingFleet::crashServerOf(std::string const &version)
+{
+    thread_.call([&] {
+        auto const server = std::ranges::find_if(
+            servers_, [&](auto const &candidate) { return candidate->isUp() && versions_.at(candidate->id()) == version; });
+        (*server)->crash();
+    });
+}
+
+void ServingFleet::setStreams(std::uint64_t events, Duration eventGap)
+{
+    events_ = events;
+    eventGap_ = eventGap;
+}
+
 void ServingFleet::setIdAfterCrash(IdAfterCrash id)
 {
     thread_.call([&] { idAfterCrash_ = id; });
@@ -121,6 +161,9 @@
             .id = id,
             .listen = start.address,
             .form = start.form,
+            .eventGap = eventGap_,
+            .events = events_,
+            .eventPrefix = start.version.empty() ? "" : start.version + "-",
             .behaviour = [this](ModelServer &started, std::shared_ptr<ModelServer::Run> const &run) { onRun(started, run); },
             .onReceived = [this, id](Http::HttpRequest const &request) { onReceived(id, request); },
             .onCrashed = [this, id, position = servers_.size()] { onCrashed(id, position); },
@@ -134,7 +177,9 @@
     store_->put("servers",
                 id,
                 R"({"service":")" + poolOf(start.form) + R"(","address":")" + server->address().value()
-                    + R"(","zone":"dc","slots":4,"state":"ready","born":)" + std::to_string(born) + "}");
+                    + R"(","zone":"dc","slots":4,"state":"ready","version":")" + start.version + R"(","born":)" + std::to_string(born)
+                    + "}");
+    versions_[id] = start.version;
     servers_.push_back(std::move(server));
 }
 
@@ -176,7 +221,7 @@
         };
         if (crashingRequests_.at(identity) == CrashMoment::BeforeResponse)
             return crash();
-        ModelServer::writeEvent(run);
+        server.writeEvent(run);
         run->timer = thread_.loop().at(readLocalClock() + TimeToCrash, crash);
         return;
     }
@@ -196,7 +241,8 @@
         // Every other server returns at another address.
         startServer({.id = isSameId ? id : nextServerId(),
                      .address = restarts_.size() % 2 == 0 ? crashed.address() : Address("127.0.0.1:0"),
-                     .form = crashed.form()});
+                     .form = crashed.form(),
+                     .version = versions_.at(id)});
     }));
 }
 
@@ -309,6 +355,48 @@
     return sendTo(entry.callers(), std::move(request));
 }
 
+std::shared_ptr<ServingFleet::Stream> ServingFleet::openStream(NodeProcess const &entry, Http::HttpRequest request)
+{
+    auto const stream = std::make_shared<Stream>();
+    stream->request = request;
+    thread_.call([&] {
+        stream->exchange = client_->send({.server = entry.callers(),
+                                          .request = std::move(request),
+                                          .deadline = readLocalClock() + 10s,
+                                          .connection = Http::ClientRequest::Connection::FreshOnly},
+                                         {
+                                             .onHead = [stream](Http::ResponseHead const &head) { stream->status = head.status; },
+                                             .onPiece = [stream](std::string_view piece) { stream->text += piece; },
+                                             .onEnd =
+                                                 [stream] {
+                                                     stream->end = Stream::End::Complete;
+                                                     stream->exchange.reset();
+                                                 },
+                                             .onFailure =
+                                                 [stream](Http::ExchangeFailure const &) {
+                                                     stream->end = Stream::End::Broken;
+                                                     stream->exchange.reset();
+                                                 },
+                                         });
+    });
+    return stream;
+}
+
+Http::HttpRequest ServingFleet::takeUp(Http::HttpRequest request, std::uint64_t lastEvent)
+{
+    if (!request.headers.contains("Resumes"))
+        request.headers.append({"Resumes", std::string(*request.headers.find("Anvilyard-Attempt-Id"))});
+    request.headers.set("Last-Event-Id", std::to_string(lastEvent));
+    request.headers.set("Anvilyard-Attempt-Id", "r" + std::to_string(++requests_));
+    return request;
+}
+
+void ServingFleet::waitUntilEnded(std::vector<std::shared_ptr<Stream>> const &streams)
+{
+    waitUntil("all streams end",
+              [&] { return std::ranges::all_of(streams, [](auto const &stream) { return stream->end != Stream::End::Open; }); });
+}
+
 std::future<ServingFleet::TimedAnswer> ServingFleet::sendTimed(NodeProcess const &entry, Http::HttpRequest request)
 {
     auto promise = std::make_shared<std::promise<TimedAnswer>>();
--- a/Tests/NodeProcesses/ServingFleet.h
+++ b/Tests/NodeProcesses/ServingFleet.h
@@ -6,6 +6,7 @@
 #include "Tests/NodeProcesses/ModelServer.h"
 #include "Tests/NodeProcesses/NodeProcess.h"
 
+#include <atomic>
 #include <future>
 #include <map>
 #include <optional>
@@ -41,6 +42,13 @@
 
     /// Starts servers of the pool that responds in this form.
     void startServers(std::size_t count, ModelServer::ResponseForm form = ModelServer::ResponseForm::EventStream);
+    /// Starts servers with event streams whose events name the software version.
+    void startServersOf(std::string const &version, std::size_t count);
+    /// Ends all servers of a version for good.
+    void stopServersOf(std::string const &version);
+    void crashServerOf(std::string const &version);
+    /// Sets the length of the streams of servers that are started later.
+    void setStreams(std::uint64_t events, Duration eventGap);
     /// Sets under which id servers that crash later are started again.
     void setIdAfterCrash(IdAfterCrash id);
     /// Starts a node process without waiting until it is ready.
@@ -76,6 +84,24 @@
     /// Sends the request under an id of its own.
     std::future<Answer> sendAgain(NodeProcess const &entry, Http::HttpRequest request);
     std::future<Answer> send(NodeProcess const &entry, Http::HttpRequest request);
+    /// Response of which parts may have arrived. Its end is set on the event loop; the rest may be read after that.
+    struct Stream {
+        enum class End {
+            Open,
+            Complete,
+            Broken,
+        };
+
+        Http::HttpRequest request;
+        std::optional<int> status;
+        std::string text;
+        std::atomic<End> end = End::Open;
+        std::shared_ptr<Http::Exchange> exchange;
+    };
+    std::shared_ptr<Stream> openStream(NodeProcess const &entry, Http::HttpRequest request);
+    /// Returns the request with which a caller goes on after the event.
+    Http::HttpRequest takeUp(Http::HttpRequest request, std::uint64_t lastEvent);
+    void waitUntilEnded(std::vector<std::shared_ptr<Stream>> const &streams);
     struct TimedAnswer {
         Answer answer;
         /// From the request to the end of the answer.
@@ -102,6 +128,7 @@
         std::string id;
         Address address;
         ModelServer::ResponseForm form;
+        std::string version = {};
     };
 
     void fetch(Address const &server, Http::HttpRequest request, std::function<void(Answer)> onDone);
@@ -117,6 +144,10 @@
     std::unique_ptr<FleetStoreServer> store_;
     std::shared_ptr<Http::HttpClient> client_;
     std::size_t serverCount_ = 0;
+    std::uint64_t events_ = 10;
+    Duration eventGap_ = 10ms;
+    /// By server.
+    std::map<std::string, std::string> versions_;
     /// Crashed servers stay, because callbacks of their connections may refer to them.
     std::vector<std::unique_ptr<ModelServer>> servers_;
     IdAfterCrash idAfterCrash_ = IdAfterCrash::New;
