Let streams and items go on only at the software version that began them

Cause: no decision knew a version. ServerRecord had none, placing chose by load among all servers of a pool, and nothing read Resumes. Class of fault: state that belongs to the process at the other end (which server wrote this) is not part of what goes on elsewhere.

An entry pins a stream to the version of its first event; items keep the version with their text and start anew if they cannot go on there. While several versions are in use, two runners are notified of each begin. One object of the store a pool records the versions at which streams may have begun; a stream begins only at a recorded version, so that a record of one version is a proof, also for instances that have all just started. What nobody knows is refused, and said so: origin_unknown, version_gone, origin_unreachable. A take-up stays in the pool of the attempt that began the stream, where a route has several.

--- a/Libraries/LibJobs/JobTracker.cpp
+++ b/Libraries/LibJobs/JobTracker.cpp
@@ -106,11 +106,23 @@
     return !job.isEnded && job.policy.isRouted && job.policy.pool == pool;
 }
 
-std::optional<JobTracker::Candidate> JobTracker::candidateOf(JobId const &id, Job const &job, Duration runTime, Instant now) const
+bool JobTracker::canGoOnAt(Item const &item, Serving::SoftwareVersion const &version)
+{
+    return item.events == 0 || item.version == version;
+}
+
+bool JobTracker::mayRunAt(Item const &item, ItemVersions const &versions, Instant now) const
+{
+    return canGoOnAt(item, versions.current) || !versions.inUse.contains(item.version)
+        || now - item.waitingSince >= options_.versionPatience;
+}
+
+std::optional<JobTracker::Candidate>
+JobTracker::candidateOf(JobId const &id, Job const &job, ItemVersions const &versions, Duration runTime, Instant now) const
 {
     auto waitingItem = job.items.end();
     for (auto item = job.items.begin(); item != job.items.end(); ++item) {
-        bool const mayStart = item->state == Item::State::Waiting && item->notBefore <= now;
+        bool const mayStart = item->state == Item::State::Waiting && item->notBefore <= now && mayRunAt(*item, versions, now);
         if (mayStart && (waitingItem == job.items.end() || item->events > waitingItem->events))
             waitingItem = item;
     }
@@ -121,19 +133,25 @@
         .due = due,
         .start = {.job = id,
                   .index = static_cast<std::size_t>(waitingItem - job.items.begin()),
-                  .lastEventId = waitingItem->lastEventId,
-                  .isLate = now + timeLeft(*waitingItem, runTime) > due},
+                  .lastEventId = canGoOnAt(*waitingItem, versions.current) ? waitingItem->lastEventId : std::nullopt,
+                  .isLate = now + timeLeft(*waitingItem, runTime) > due,
+                  .version = versions.current},
     };
 }
 
 std::optional<ItemStart> JobTracker::next(PoolName const &pool, Duration runTime, Instant now) const
+{
+    return next(pool, ItemVersions(), runTime, now);
+}
+
+std::optional<ItemStart> JobTracker::next(PoolName const &pool, ItemVersions const &versions, Duration runTime, Instant now) const
 {
     std::optional<Candidate> onTime;
     std::optional<Candidate> late;
     for (auto const &[id, job] : jobs_) {
         if (!mayRun(job, pool))
             continue;
-        auto candidate = candidateOf(id, job, runTime, now);
+        auto candidate = candidateOf(id, job, versions, runTime, now);
         if (!candidate)
             continue;
         auto &best = candidate->start.isLate ? late : onTime;
@@ -189,6 +207,9 @@
     auto &item = job->items[start.index];
     item.state = Item::State::Running;
     item.isHeldBack = false;
+    if (!canGoOnAt(item, start.version))
+        restart(item);
+    item.version = start.version;
     ++job->starts;
     auto &starts = startsSinceLate_[job->policy.pool];
     starts = start.isLate ? 0 : starts + 1;
@@ -254,6 +275,7 @@
         return;
     auto &item = job->items[index];
     item.state = Item::State::Waiting;
+    item.waitingSince = now;
     switch (end) {
     case SendEnd::Complete:
         meanEvents_ +=
--- a/Libraries/LibJobs/JobTracker.h
+++ b/Libraries/LibJobs/JobTracker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibJobs/Job.h"
+#include "LibServing/SoftwareVersion.h"
 
 #include <map>
 #include <optional>
@@ -43,6 +44,16 @@
     /// Of this many starts one is of an item that cannot be on time if there is any. Otherwise a late job would wait for the end of an
     /// overload.
     std::uint32_t startsPerLateStart = 8;
+    /// Time for which an item that ran partially waits for a server of the software version that began it. Then it starts anew.
+    Duration versionPatience = 1500ms;
+};
+
+/// Software versions of the servers to which a runner sends items of a pool.
+struct ItemVersions {
+    /// Of the server for which an item is requested.
+    Serving::SoftwareVersion current;
+    /// Of all of them.
+    Serving::SoftwareVersions inUse;
 };
 
 /// An item to be sent now.
@@ -53,6 +64,8 @@
     std::optional<std::uint64_t> lastEventId;
     /// Whether it is expected to end after the completion target of its job.
     bool isLate = false;
+    /// Software version of the server to which it is sent.
+    Serving::SoftwareVersion version = {};
 };
 
 /// How one send of an item ended.
@@ -117,6 +130,10 @@
     [[nodiscard]] bool isDone(JobId const &job) const;
 
     /// Returns the next item to send to a server of the pool. `runTime`: average run time of an item.
+    /// An item that ran partially goes on only at the software version that began it, as texts of two versions do not fit together. If none
+    /// of the servers has this version, or it has waited for long, it starts anew.
+    [[nodiscard]] std::optional<ItemStart> next(PoolName const &pool, ItemVersions const &versions, Duration runTime, Instant now) const;
+    /// The same for servers that state no version.
     [[nodiscard]] std::optional<ItemStart> next(PoolName const &pool, Duration runTime, Instant now) const;
     /// Number of items waiting for a server of the pool.
     [[nodiscard]] std::size_t waiting(PoolName const &pool, Instant now) const;
@@ -165,6 +182,10 @@
         std::string output;
         std::size_t events = 0;
         std::optional<std::uint64_t> lastEventId;
+        /// Version that generated the output.
+        Serving::SoftwareVersion version;
+        /// When its last run ended.
+        Instant waitingSince = Instant::min();
         std::uint32_t failures = 0;
         std::uint32_t pauses = 0;
         Instant notBefore = Instant::min();
@@ -198,7 +219,11 @@
 
     [[nodiscard]] Job *find(JobId const &job, std::size_t index);
     /// The item of a job to start first; `std::nullopt` if none may start now.
-    [[nodiscard]] std::optional<Candidate> candidateOf(JobId const &id, Job const &job, Duration runTime, Instant now) const;
+    [[nodiscard]] std::optional<Candidate>
+    candidateOf(JobId const &id, Job const &job, ItemVersions const &versions, Duration runTime, Instant now) const;
+    [[nodiscard]] bool mayRunAt(Item const &item, ItemVersions const &versions, Instant now) const;
+    /// Whether the item can go on after its last event at this version.
+    [[nodiscard]] static bool canGoOnAt(Item const &item, Serving::SoftwareVersion const &version);
     /// Expected run time of what is left of an item.
     [[nodiscard]] Duration timeLeft(Item const &item, Duration runTime) const;
     [[nodiscard]] Duration commitDelay(Job const &job, Instant now) const;
--- a/Libraries/LibServing/OnlinePlacement.cpp
+++ b/Libraries/LibServing/OnlinePlacement.cpp
@@ -77,13 +77,10 @@
         pool.servers.clear();
         std::vector<Fleet::BackendServer> candidates;
         for (auto const &[record, use] : members) {
-            if (use == ServerUse::LastResort && hasUsable)
-                continue;
-            // If every server of a pool is ejected, all of them stay candidates: refusing the request would be no better.
-            if (hasUsable && ejected.contains(record.id))
-                continue;
+            // If every server of a pool is leaving or ejected, all of them stay candidates: refusing the request would be no better.
+            bool const isReserve = hasUsable && (use == ServerUse::LastResort || ejected.contains(record.id));
             candidates.push_back(toBackendServer(record));
-            pool.servers.emplace(record.id, record);
+            pool.servers.emplace(record.id, Member{.record = record, .isReserve = isReserve});
         }
         pool.chooser.setServers(candidates);
     }
@@ -109,7 +106,8 @@
 void OnlinePlacement::refreshLoads(
     Pool &pool, Candidates const &candidates, LoadTracker const &own, PeerTable const &peers, LoadAge const &age, Instant now)
 {
-    for (auto const &[id, record] : pool.servers) {
+    for (auto const &[id, member] : pool.servers) {
+        auto const &record = member.record;
         auto const ownInFlight = own.at(id);
         auto const others = peers.othersAt(id);
         // A limited server has few requests in flight, but not for want of load.
@@ -122,11 +120,27 @@
 
 OnlinePlacement::Candidates OnlinePlacement::findCandidates(
     Pool const &pool, PlacementRequest const &request, LoadTracker const &own, PeerTable const &peers, Instant now) const
+{
+    auto candidates = findCandidates(Extent::WithoutReserve, pool, request, own, peers, now);
+    // The servers of one version are leaving or ejected sooner than those of all.
+    bool const mayUseReserve = request.reserveServers == PlacementRequest::ReserveServers::Use;
+    bool const needsReserve = mayUseReserve && candidates.loads.empty() && !candidates.permitExpectedAt;
+    return needsReserve ? findCandidates(Extent::WithReserve, pool, request, own, peers, now) : candidates;
+}
+
+OnlinePlacement::Candidates OnlinePlacement::findCandidates(
+    Extent extent, Pool const &pool, PlacementRequest const &request, LoadTracker const &own, PeerTable const &peers, Instant now) const
 {
     Candidates candidates{.excluded = {request.excluded.begin(), request.excluded.end()}};
-    for (auto const &[id, record] : pool.servers) {
+    for (auto const &[id, member] : pool.servers) {
+        auto const &record = member.record;
         if (std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end())
             continue;
+        bool const isReserve = member.isReserve && extent == Extent::WithoutReserve;
+        if (isReserve || (request.acceptsVersion && !request.acceptsVersion(record.softwareVersion))) {
+            candidates.excluded.push_back(id);
+            continue;
+        }
         auto const allowance = request.allowances ? request.allowances->find(record, request.urgency, now) : std::nullopt;
         auto const slotRate = record.slots / std::chrono::duration<double>(std::max(Duration(1), pool.meanRun)).count();
         auto const taken = allowance ? std::min(allowance->rate.value(), slotRate) : slotRate;
@@ -174,7 +188,7 @@
         random);
     if (!chosen)
         return {};
-    auto const &record = pool.servers.at(chosen->id);
+    auto const &record = pool.servers.at(chosen->id).record;
     auto const others = peers.othersAt(record.id);
     auto const ownInFlight = own.at(record.id);
     auto const unreported = request.loadAge.near > Duration::zero() ? 1U : 0U;
--- a/Libraries/LibServing/OnlinePlacement.h
+++ b/Libraries/LibServing/OnlinePlacement.h
@@ -8,6 +8,7 @@
 #include "LibServing/ServerAllowances.h"
 #include "LibServing/ServerDirectory.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <span>
@@ -52,6 +53,13 @@
         Avoid,
     } limitedServers = LimitedServers::Use;
     Urgency urgency = Urgency::Highest;
+    /// Whether the request may run at servers of a software version; unset if it may run at all.
+    std::function<bool(SoftwareVersion const &)> acceptsVersion = {};
+    /// Whether servers that are leaving or ejected are used if no other one of an accepted version is left.
+    enum class ReserveServers {
+        Avoid,
+        Use,
+    } reserveServers = ReserveServers::Avoid;
 };
 
 struct Placement {
@@ -96,6 +104,12 @@
     [[nodiscard]] Duration meanRun(PoolName const &pool) const;
 
 private:
+    struct Member {
+        ServerRecord record;
+        /// It receives requests only if no other server of an accepted version may: it is leaving or ejected.
+        bool isReserve = false;
+    };
+
     struct Pool {
         explicit Pool(Routing::ChooserOptions options)
             : chooser(std::move(options))
@@ -103,8 +117,7 @@
         }
 
         Routing::ServerChooser chooser;
-        /// Servers that may receive requests; last-resort servers only if no other is usable.
-        std::map<ServerId, ServerRecord> servers;
+        std::map<ServerId, Member> servers;
         Duration meanRun;
     };
 
@@ -121,8 +134,20 @@
         RequestRate takenRate{0};
     };
 
+    /// Which servers of a pool are considered.
+    enum class Extent {
+        WithoutReserve,
+        WithReserve,
+    };
+
     [[nodiscard]] Candidates
     findCandidates(Pool const &pool, PlacementRequest const &request, LoadTracker const &own, PeerTable const &peers, Instant now) const;
+    [[nodiscard]] Candidates findCandidates(Extent extent,
+                                            Pool const &pool,
+                                            PlacementRequest const &request,
+                                            LoadTracker const &own,
+                                            PeerTable const &peers,
+                                            Instant now) const;
     void
     refreshLoads(Pool &pool, Candidates const &candidates, LoadTracker const &own, PeerTable const &peers, LoadAge const &age, Instant now);
 
--- a/Libraries/LibServing/PeerTable.cpp
+++ b/Libraries/LibServing/PeerTable.cpp
@@ -509,11 +509,22 @@
 
 std::optional<InstanceId> PeerTable::nextOwnerOf(JobId const &job) const
 {
-    auto others = runners_;
-    if (auto const owner = ownerOf(job))
-        std::erase(others, *owner);
-    auto const next = rendezvousOwner(job.value(), others, [](InstanceId const &id) -> std::string const & { return id.value(); });
-    return next == others.end() ? std::nullopt : std::optional(*next);
+    return secondRunnerFor(job.value());
+}
+
+std::optional<InstanceId> PeerTable::firstRunnerOf(PoolName const &pool) const
+{
+    return firstRunnerFor(pool.value());
+}
+
+std::vector<InstanceId> PeerTable::originKeepersOf(RequestId const &stream) const
+{
+    std::vector<InstanceId> keepers;
+    for (auto const &keeper : {firstRunnerFor(stream.value()), secondRunnerFor(stream.value())}) {
+        if (keeper)
+            keepers.push_back(*keeper);
+    }
+    return keepers;
 }
 
 std::optional<InstanceId> PeerTable::admitterOf(RouteName const &route) const
@@ -532,6 +543,15 @@
     return owner == runners_.end() ? std::nullopt : std::optional(*owner);
 }
 
+std::optional<InstanceId> PeerTable::secondRunnerFor(std::string const &key) const
+{
+    auto others = runners_;
+    if (auto const first = firstRunnerFor(key))
+        std::erase(others, *first);
+    auto const second = rendezvousOwner(key, others, [](InstanceId const &id) -> std::string const & { return id.value(); });
+    return second == others.end() ? std::nullopt : std::optional(*second);
+}
+
 std::uint64_t PeerTable::runnersHash() const
 {
     return runnersHash_;
--- a/Libraries/LibServing/PeerTable.h
+++ b/Libraries/LibServing/PeerTable.h
@@ -143,6 +143,10 @@
     [[nodiscard]] std::uint64_t waitingTokens(Instant now) const;
     /// The runner that decides on accepting jobs of a route near its limit of waiting tokens; `std::nullopt` if no runner is known.
     [[nodiscard]] std::optional<InstanceId> admitterOf(RouteName const &route) const;
+    /// The runner that writes the record of a pool's software versions; `std::nullopt` if no runner is known.
+    [[nodiscard]] std::optional<InstanceId> firstRunnerOf(PoolName const &pool) const;
+    /// The runners that remember where a stream began, at most two.
+    [[nodiscard]] std::vector<InstanceId> originKeepersOf(RequestId const &stream) const;
     /// The runner that issues the permits for requests to a limited server; `std::nullopt` if no runner is known.
     [[nodiscard]] std::optional<InstanceId> permitIssuerOf(ServerId const &server) const;
 
@@ -183,6 +187,7 @@
     void removeLoad(PeerReport const &report);
     void retainTokens(PeerReport const &report, Instant now);
     [[nodiscard]] std::optional<InstanceId> firstRunnerFor(std::string const &key) const;
+    [[nodiscard]] std::optional<InstanceId> secondRunnerFor(std::string const &key) const;
 
     [[nodiscard]] bool isTimedOut(PeerReport const &report, Instant receivedAt, Instant now) const;
     /// All runners that this instance or a live peer observes.
--- a/Libraries/LibServing/ServerDirectory.h
+++ b/Libraries/LibServing/ServerDirectory.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Time.h"
 #include "LibFleet/FleetView.h"
+#include "LibServing/SoftwareVersion.h"
 
 #include <cstdint>
 #include <map>
@@ -10,9 +11,6 @@
 
 namespace Anvilyard::Serving {
 
-/// Version of a server's software, not of the weights that it has loaded. Versions have no order.
-using SoftwareVersion = StrongType<struct SoftwareVersionTag, std::string>;
-
 /// Registration of a backend server.
 struct ServerRecord {
     ServerId id;
--- a/Services/Node/FleetFollower.cpp
+++ b/Services/Node/FleetFollower.cpp
@@ -286,7 +286,11 @@
         }
     }
     bool const hasNewerState = context_.routes && context_.routes->state().version > version;
+    json::object versions;
+    for (auto const &[pool, recorded] : context_.versions.all())
+        versions[pool.value()] = Serving::encodeVersions(recorded);
     json::object changes{
+        {"versions", std::move(versions)},
         {"state", hasNewerState ? stateSpec_ : std::string()},
         {"revision", serversRevision_},
         {"complete", !hasAllRemovals},
@@ -305,6 +309,12 @@
     auto const &object = value.as_object();
     if (auto const &state = object.at("state").as_string(); !state.empty())
         applyState(std::string(state));
+    if (auto const *versions = object.if_contains("versions")) {
+        for (auto const &[pool, recorded] : versions->as_object()) {
+            if (auto const known = Serving::decodeVersions(recorded.as_string()))
+                context_.versions.onRecorded(PoolName(std::string(pool)), *known, readLocalClock());
+        }
+    }
     auto const revision = object.at("revision").to_number<std::uint64_t>();
     if (revision <= serversRevision_)
         return;
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -345,18 +345,24 @@
         return;
     assignmentVersions_ = versions;
     poolServers_.clear();
+    itemVersions_.clear();
+    std::map<ServerId, Serving::SoftwareVersion> softwareVersions;
     auto const ejected = context_.health.ejected();
     std::map<PoolName, std::vector<Serving::ItemServer>> pools;
     for (auto const &[record, use] : context_.directory.usable(now)) {
         bool const acceptsNew = use == Serving::ServerUse::Usable && !ejected.contains(record.id);
         pools[record.pool].push_back({.id = record.id, .dataCentre = record.dataCentre, .acceptsNew = acceptsNew});
         bool const isFar = record.dataCentre != context_.settings.dataCentre;
+        softwareVersions[record.id] = record.softwareVersion;
         poolServers_[record.pool].push_back({.id = record.id, .slots = record.slots, .isFar = isFar, .acceptsNew = acceptsNew});
     }
     for (auto &[pool, servers] : poolServers_) {
         auto const assigned = context_.peers.itemServers(pools[pool]);
-        for (auto &server : servers)
+        for (auto &server : servers) {
             server.isAssigned = assigned.contains(server.id);
+            if (server.isAssigned && server.acceptsNew)
+                itemVersions_[pool].insert(softwareVersions.at(server.id));
+        }
     }
 }
 
@@ -516,7 +522,7 @@
 {
     auto const &pool = server.pool;
     for (std::uint32_t started = 0; started < count;) {
-        auto const next = jobs_.next(pool, meanRunTime_, now);
+        auto const next = jobs_.next(pool, {.current = server.softwareVersion, .inUse = itemVersions_[pool]}, meanRunTime_, now);
         if (!next)
             return;
         auto const *record = jobs_.find(next->job);
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -125,6 +125,8 @@
     /// Determined anew only after a change of servers or runners. Load changes many times a second, and ranking all runners for each of
     /// hundreds of servers each time would take most of the processor time of a runner.
     std::map<PoolName, std::vector<Jobs::PoolServer>> poolServers_;
+    /// Software versions of the servers that get items of this runner.
+    std::map<PoolName, Serving::SoftwareVersions> itemVersions_;
     std::optional<std::pair<std::uint64_t, std::uint64_t>> assignmentVersions_;
     Jobs::ItemPlacement placement_;
     Jobs::JobTracker jobs_;
--- a/Services/Node/NodeContext.h
+++ b/Services/Node/NodeContext.h
@@ -13,6 +13,8 @@
 #include "LibServing/ReturnSchedule.h"
 #include "LibServing/RouteTable.h"
 #include "LibServing/ServerDirectory.h"
+#include "LibServing/StreamOrigins.h"
+#include "LibServing/VersionRecord.h"
 #include "Services/Node/NodeSettings.h"
 #include "Services/Node/PromptGuard.h"
 #include "Services/Node/ServerLimits.h"
@@ -48,6 +50,9 @@
     /// Number of instances in the fleet, this one included.
     std::size_t fleetSize = 1;
     Serving::ServerDirectory directory;
+    Serving::VersionRecord versions;
+    /// Streams that began here, and on runners those of entries.
+    Serving::StreamOrigins origins;
     /// Increases with each change of the usable or ejected servers.
     std::uint64_t serversVersion = 0;
     Serving::OnlinePlacement placement;
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -77,6 +77,8 @@
         .random = random,
         .peers = Serving::PeerTable({.self = settings.instance, .ownRole = settings.role, .dataCentre = settings.dataCentre}),
         .directory = Serving::ServerDirectory({}),
+        .versions = Serving::VersionRecord(),
+        .origins = Serving::StreamOrigins(),
         .placement = Serving::OnlinePlacement({.instance = settings.instance, .dataCentre = settings.dataCentre}),
         .health = Routing::ServerHealth(healthOptions(), RandomSource(healthSeed)),
         .moveBudget = Routing::RetryBudget(moveBudgetOptions(), readLocalClock()),
@@ -99,6 +101,8 @@
     , health_(context_, permits_, [this] { fleet_.onEjectionsChanged(); })
     , fleet_(context_, [this] { onStateChanged(); })
     , peerReports_(context_, fleet_, [this] { onLoadChanged(); })
+    , versions_(context_)
+    , origins_(context_, versions_, [this](Address const &to, std::string const &content) { peerReports_.send(to, content); })
     , jobApi_(context_, metrics_)
     , runner_(context_, metrics_, health_, permits_, peerReports_, options.ownerCheck)
     , retirements_(context_,
@@ -147,6 +151,7 @@
     context_.onServerLeaving = [this](Serving::ServerRecord const &server) { fleet_.onServerLeaving(server); };
     peerReports_.setStage(Serving::InstanceStage::Serving);
     fleet_.start();
+    versions_.start();
     if (context_.settings.role == InstanceRole::Runner) {
         runner_.start();
         retirements_.start();
@@ -227,7 +232,7 @@
         return writer->respond(
             {.status = fleet_.isComplete() ? 200 : 503, .body = fleet_.changesSince(version, readNumberParameter(request, "since"))});
     }
-    if (!permits_.handle(request, writer) && !runner_.handle(request, writer))
+    if (!permits_.handle(request, writer) && !origins_.handle(request, writer) && !runner_.handle(request, writer))
         writer->respond({.status = 404});
 }
 
@@ -304,12 +309,15 @@
 {
     heldRequestsTimer_.reset();
     auto const now = readLocalClock();
-    if (!fleet_.isComplete() && now < heldRequests_.front().until) {
+    if (fleet_.isComplete() && !versions_.isComplete())
+        versions_.recordNow(now);
+    bool const isComplete = fleet_.isComplete() && versions_.isComplete();
+    if (!isComplete && now < heldRequests_.front().until) {
         heldRequestsTimer_ = context_.loop.at(now + HoldCheckInterval, [this] { releaseHeldRequests(); });
         return;
     }
     // If the oldest request has waited long enough in vain, the store does not answer, and the others need not wait either.
-    if (!fleet_.isComplete())
+    if (!isComplete)
         holdsUntil_ = now;
     for (auto &held : std::exchange(heldRequests_, {}))
         handleCaller(std::move(held.request), std::move(held.writer));
@@ -333,10 +341,12 @@
             return refuse(Refusals::badRequest(call->error().detail));
         return jobApi_.handle(**call, std::move(writer));
     }
-    if (!fleet_.isComplete()) {
+    bool const isComplete = fleet_.isComplete();
+    if (!isComplete || !versions_.isComplete()) {
         if (auto const now = readLocalClock(); now < holdsUntil_ && !stoppingSince_)
             return holdUntilReady(std::move(request), std::move(writer), now);
-        return refuse(Refusals::notReady());
+        if (!isComplete)
+            return refuse(Refusals::notReady());
     }
     auto const *route = context_.routes->find(request.headers.find("Host").value_or(""), request.path());
     if (!route)
@@ -351,6 +361,7 @@
                                      .metrics = metrics_,
                                      .health = health_,
                                      .permits = permits_,
+                                     .origins = origins_,
                                      .route = *route,
                                      .head = std::move(*head),
                                      .request = std::move(request),
@@ -382,6 +393,7 @@
         Observe::log(ready ? Observe::Events::NodeReady : Observe::Events::NodeNotReady);
     health_.onTick(now);
     fleet_.onTick(now);
+    versions_.onTick(now);
     if (context_.settings.role == InstanceRole::Runner) {
         runner_.onTick(now);
         retirements_.onTick(now);
--- a/Services/Node/NodeProgram.h
+++ b/Services/Node/NodeProgram.h
@@ -7,6 +7,7 @@
 #include "Services/Node/JobRunner.h"
 #include "Services/Node/RetirementHandler.h"
 #include "Services/Node/Signals.h"
+#include "Services/Node/StreamOriginClient.h"
 
 #include <list>
 #include <memory>
@@ -83,6 +84,8 @@
     HealthProber health_;
     FleetFollower fleet_;
     PeerReportExchange peerReports_;
+    VersionRegister versions_;
+    StreamOriginClient origins_;
     JobApiHandler jobApi_;
     JobRunner runner_;
     RetirementHandler retirements_;
--- a/Services/Node/NodeRefusals.cpp
+++ b/Services/Node/NodeRefusals.cpp
@@ -66,6 +66,27 @@
     return unavailable("no_server_available", "no server of this route can be reached now", NoServerRetryAfter);
 }
 
+Refusal originUnknown()
+{
+    return refusal(503,
+                   "service_unavailable_error",
+                   "origin_unknown",
+                   "it is not known which software version began this stream, so it cannot go on; a new request can be served");
+}
+
+Refusal originUnreachable()
+{
+    return unavailable("origin_unreachable", "it cannot be found out now which software version began this stream", StoreRetryAfter);
+}
+
+Refusal versionGone()
+{
+    return refusal(503,
+                   "service_unavailable_error",
+                   "version_gone",
+                   "no server of the software version that began this stream is left, so it cannot go on; a new request can be served");
+}
+
 Refusal notServed()
 {
     return unavailable("not_served", "the servers that were asked did not take the request", NoServerRetryAfter);
--- a/Services/Node/NodeRefusals.h
+++ b/Services/Node/NodeRefusals.h
@@ -16,6 +16,12 @@
 /// All servers of the service have limits, and these are reached.
 Http::Refusal limitsReached(Duration retryAfter);
 Http::Refusal noServer();
+/// It is not known which software version began the stream that the caller takes up, and will not be.
+Http::Refusal originUnknown();
+/// It cannot be found out now which software version began the stream.
+Http::Refusal originUnreachable();
+/// No server of the software version that began the stream is left.
+Http::Refusal versionGone();
 Http::Refusal notServed();
 /// Part of the request's prompt crashes the servers that run it.
 Http::Refusal promptQuarantined(Duration retryAfter);
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -114,7 +114,8 @@
 
 OnlineCall::OnlineCall(Parts parts)
     : parts_(std::move(parts))
-    , pool_(Serving::poolFor(parts_.route, parts_.head.id))
+    // A stream goes on in the pool in which its first attempt began it.
+    , pool_(Serving::poolFor(parts_.route, parts_.head.resumes.value().empty() ? parts_.head.id : parts_.head.resumes))
     , routeMetrics_(parts_.metrics.route(parts_.route.name))
     , startedAt_(readLocalClock())
     , deadline_(startedAt_ + std::min(parts_.route.timeout, parts_.head.timeLeft.value_or(parts_.route.timeout)))
@@ -136,7 +137,10 @@
         if (auto const self = weak.lock())
             self->onCallerGone();
     });
-    placeAndSend();
+    if (isResumable() && parts_.head.lastEventId)
+        findOrigin();
+    else
+        placeAndSend();
 }
 
 bool OnlineCall::isStream() const
@@ -144,6 +148,60 @@
     return parts_.route.kind == RouteKind::Streaming;
 }
 
+bool OnlineCall::isResumable() const
+{
+    return isStream() && parts_.route.isResumable;
+}
+
+void OnlineCall::findOrigin()
+{
+    parts_.origins.find(
+        parts_.head.resumes, pool_, [self = shared_from_this()](StreamOriginClient::Finding finding, Serving::StreamOrigin const &origin) {
+            if (!self->isFinished_)
+                self->onOrigin(finding, origin);
+        });
+}
+
+void OnlineCall::onOrigin(StreamOriginClient::Finding finding, Serving::StreamOrigin const &origin)
+{
+    switch (finding) {
+    case StreamOriginClient::Finding::Known:
+        break;
+    case StreamOriginClient::Finding::Unknown:
+        return refuse(Refusals::originUnknown());
+    case StreamOriginClient::Finding::Unreachable:
+        return refuse(Refusals::originUnreachable());
+    }
+    auto const &pools = parts_.route.pools;
+    bool const isRouted = std::ranges::any_of(pools, [&](Serving::WeightedPool const &pool) { return pool.pool == origin.pool; });
+    // The desired state no longer allows the pool in which the stream began.
+    if (!isRouted)
+        return refuse(Refusals::versionGone());
+    pool_ = origin.pool;
+    streamVersion_ = origin.version;
+    placeAndSend();
+}
+
+void OnlineCall::onStreamBegins()
+{
+    if (!isResumable() || streamVersion_)
+        return;
+    streamVersion_ = attempt_->server.softwareVersion;
+    parts_.origins.onBegun(parts_.head.id, {.pool = pool_, .version = *streamVersion_});
+}
+
+/// A stream goes on only at the version that began it. A new one begins only at a version in the record, or it would not be known later
+/// that this version may have begun it.
+bool OnlineCall::acceptsVersion(Serving::SoftwareVersion const &version) const
+{
+    return streamVersion_ ? version == *streamVersion_ : parts_.context.versions.isRecorded(pool_, version);
+}
+
+bool OnlineCall::isVersionGone() const
+{
+    return streamVersion_ && !parts_.context.versions.inUse(pool_).contains(*streamVersion_);
+}
+
 /// Silence after which the current stream may be resumed; `std::nullopt` if it cannot be.
 std::optional<Duration> OnlineCall::silenceLimit() const
 {
@@ -160,7 +218,9 @@
     // A stream that may run at no further server is resumed at the server where it ran.
     if (auto const only = plan_.onlyServer()) {
         auto const server = parts_.context.directory.find(*only, readLocalClock());
-        return server ? sendWithPermit(server->record, false, Connection::Fresh) : abortStream("only-server-gone");
+        // It may have started again with another version.
+        bool const isSame = server && (!isResumable() || acceptsVersion(server->record.softwareVersion));
+        return isSame ? sendWithPermit(server->record, false, Connection::Fresh) : abortStream("only-server-gone");
     }
     // A request that may already have run is not refused because of load.
     auto const latencyTarget = attempts_ == 0 ? parts_.route.latencyTarget : Duration::max() / 4;
@@ -179,7 +239,9 @@
         return refuseAtLimits(placement);
     case Serving::Placement::Outcome::NoServer:
         logNoPlacement(placement, latencyTarget);
-        return isRelaying_ ? resumeLater("no-server") : refuseAfterAttempts();
+        if (isRelaying_)
+            return resumeLater("no-server");
+        return isVersionGone() && !plan_.mayHaveRun() ? refuse(Refusals::versionGone()) : refuseAfterAttempts();
     }
 }
 
@@ -241,6 +303,10 @@
         .allowances = context.limits.limitedServers() > 0 ? &context.limits.allowances() : nullptr,
         .limitedServers = limitedServers,
         .urgency = Serving::urgencyOf(parts_.route.priority),
+        .acceptsVersion = isResumable() ? [this](Serving::SoftwareVersion const &version) { return acceptsVersion(version); }
+                                        : std::function<bool(Serving::SoftwareVersion const &)>(),
+        .reserveServers =
+            streamVersion_ ? Serving::PlacementRequest::ReserveServers::Use : Serving::PlacementRequest::ReserveServers::Avoid,
     };
     return context.placement.place(request, context.load, context.peers, readLocalClock(), context.random);
 }
@@ -359,6 +425,7 @@
     }
     if (!completeEvents.empty()) {
         auto const now = readLocalClock();
+        onStreamBegins();
         if (!std::exchange(isRelaying_, true)) {
             // The caller receives the head of the first server even if another server resumes the stream.
             parts_.writer->start(
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -7,6 +7,7 @@
 #include "Services/Node/NodeContext.h"
 #include "Services/Node/NodeMetrics.h"
 #include "Services/Node/PermitClient.h"
+#include "Services/Node/StreamOriginClient.h"
 
 namespace Anvilyard::Node {
 
@@ -20,6 +21,7 @@
         NodeMetrics &metrics;
         HealthProber &health;
         PermitClient &permits;
+        StreamOriginClient &origins;
         Serving::Route route;
         OnlineRequestHead head;
         Http::HttpRequest request;
@@ -61,6 +63,11 @@
         std::unique_ptr<Http::Timer> progressTimer;
     };
 
+    /// Finds out where the stream began that the caller takes up, and sends the request there or refuses it.
+    void findOrigin();
+    void onOrigin(StreamOriginClient::Finding finding, Serving::StreamOrigin const &origin);
+    /// Records where a new stream begins.
+    void onStreamBegins();
     void placeAndSend();
     /// Sends the request if the server has no limit or a permit is granted. Otherwise it is placed again, without that server.
     void sendWithPermit(Serving::ServerRecord const &server, bool hasFreeSlot, Connection connection);
@@ -103,6 +110,9 @@
     void abortStream(char const *reason);
     void finish(char const *outcome);
     [[nodiscard]] bool isStream() const;
+    [[nodiscard]] bool isResumable() const;
+    [[nodiscard]] bool acceptsVersion(Serving::SoftwareVersion const &version) const;
+    [[nodiscard]] bool isVersionGone() const;
     [[nodiscard]] std::optional<Duration> silenceLimit() const;
 
     Parts parts_;
@@ -114,6 +124,8 @@
     Serving::EventSequence events_;
     /// The current or last attempt; null before the first.
     std::shared_ptr<Attempt> attempt_;
+    /// Version that began the stream, and at which alone it goes on; unset before its first event.
+    std::optional<Serving::SoftwareVersion> streamVersion_;
     std::size_t attempts_ = 0;
     std::size_t permitRequests_ = 0;
     /// Attempts that the node itself ended because they were silent or malformed.
--- a/Services/Node/PeerReportExchange.cpp
+++ b/Services/Node/PeerReportExchange.cpp
@@ -134,6 +134,11 @@
         auto const evidence = Serving::decodePromptEvidence(content);
         return evidence ? context_.prompts.merge(*evidence) : reject("prompt evidence of a peer", evidence.error());
     }
+    if (Serving::isStreamBegin(content)) {
+        auto begun = Serving::decodeStreamBegin(content);
+        return begun ? context_.origins.onBegun(begun->first, std::move(begun->second), readLocalClock())
+                     : reject("begin of a stream of a peer", begun.error());
+    }
     if (Serving::isServerLimits(content)) {
         auto const now = readLocalClock();
         auto const limits = Serving::decodeServerLimits(content, now);
@@ -227,6 +232,11 @@
     fleet_.setChangeSource(exchange_.changeSource(now));
 }
 
+void PeerReportExchange::send(Address const &to, std::string const &content)
+{
+    socket_->send(to, content);
+}
+
 void PeerReportExchange::setStage(Serving::InstanceStage stage)
 {
     stage_ = stage;
--- a/Services/Node/PeerReportExchange.h
+++ b/Services/Node/PeerReportExchange.h
@@ -17,6 +17,8 @@
     Result<std::monostate> start();
     /// Sends the reports that are due. Call about 20 times a second and after each change of load.
     void onTick(Instant now);
+    /// Sends a datagram to another instance.
+    void send(Address const &to, std::string const &content);
     void setStage(Serving::InstanceStage stage);
     /// Sets whether this instance reaches the platform's store.
     void setStoreReachability(Serving::StoreReachability reachability);
--- a/Tests/LibJobs/TestJobTracker.cpp
+++ b/Tests/LibJobs/TestJobTracker.cpp
@@ -520,3 +520,35 @@
     }
     RC_ASSERT(tracker.takeCommits(now).at(0).second.outcomes.at(0).output == "t0\nt1\nt2\nt3\nt4\nt5");
 }
+
+/// A server of one software version breaks an item off while servers of two serve. Guards against a text that the other version goes on
+/// with, and against an item that starts anew though its version serves.
+TEST_F(JobTrackerTest, AnItemGoesOnAtTheVersionThatBeganItOrStartsAnew)
+{
+    Serving::SoftwareVersion const v1("v1");
+    Serving::SoftwareVersion const v2("v2");
+    Serving::SoftwareVersions const both{v1, v2};
+    add("a", 1);
+    auto const begin = [&](Instant now) {
+        auto const first = tracker_.next(batchPool, {.current = v1, .inUse = both}, RunTime, now);
+        ASSERT_TRUE(first);
+        tracker_.onStarted(*first);
+        tracker_.onEvent(first->job, first->index, 7, "text of v1");
+        tracker_.onSendEnded(first->job, first->index, SendEnd::Preempted, now);
+    };
+    begin(Start);
+    EXPECT_FALSE(tracker_.next(batchPool, {.current = v2, .inUse = both}, RunTime, Start));
+    EXPECT_EQ(tracker_.next(batchPool, {.current = v1, .inUse = both}, RunTime, Start)->lastEventId, 7U);
+    auto const anew = tracker_.next(batchPool, {.current = v2, .inUse = {v2}}, RunTime, Start);
+    ASSERT_TRUE(anew) << "no server of its version is left";
+    EXPECT_FALSE(anew->lastEventId);
+    auto const patient = tracker_.next(batchPool, {.current = v2, .inUse = both}, RunTime, Start + 2s);
+    ASSERT_TRUE(patient) << "servers of its version have no room";
+    EXPECT_FALSE(patient->lastEventId);
+    tracker_.onStarted(*patient);
+    tracker_.onEvent(patient->job, patient->index, 0, "text of v2");
+    tracker_.onSendEnded(patient->job, patient->index, SendEnd::Complete, Start + 3s);
+    auto const commits = tracker_.takeCommits(Start + 10s);
+    ASSERT_EQ(commits.size(), 1U);
+    EXPECT_EQ(commits.front().second.outcomes.front().output, "text of v2");
+}
--- a/Tests/NodeProcesses/TestSoftwareVersions.cpp
+++ b/Tests/NodeProcesses/TestSoftwareVersions.cpp
@@ -150,3 +150,92 @@
     EXPECT_GE(takenUp_, StreamCount / 2);
     EXPECT_GE(goneOn_ * 2, takenUp_);
 }
+
+/// All entries are killed at once while two versions serve. Guards against a version that only the killed entries knew.
+TEST_F(SoftwareVersionTest, TheVersionOfAStreamOutlivesAllEntries)
+{
+    startFleet({"v1", "v2"});
+    auto const streams = open(entries_);
+    kill(entries_);
+    start(entries_);
+    waitUntilEntriesAreReady();
+    EXPECT_LE(joined(takeUp(streams, entries_)), MaxJoinedStreams);
+    EXPECT_GE(takenUp_, StreamCount / 2);
+    EXPECT_GE(goneOn_ * 2, takenUp_);
+}
+
+/// The servers of the old version leave right after all entries were killed. Guards against instances that see one version only and take it
+/// for the one that began all streams.
+TEST_F(SoftwareVersionTest, StreamsOfAVersionThatHasLeftAreRefused)
+{
+    startFleet({"v1", "v2"});
+    auto const streams = open(entries_);
+    kill(entries_);
+    fleet_.stopServersOf("v1");
+    start(entries_);
+    waitUntilEntriesAreReady();
+    std::this_thread::sleep_for(300ms);
+    EXPECT_LE(joined(takeUp(streams, entries_)), MaxJoinedStreams);
+    EXPECT_GE(goneOn_, StreamCount / 8) << "those of the new version";
+    EXPECT_GE(refused_, StreamCount / 8) << "those of the old version";
+    EXPECT_EQ(goneOn_ + refused_, takenUp_);
+}
+
+/// All entries and runners are killed at once while two versions serve. Guards against guesses: no instance knows any more which began a
+/// stream.
+TEST_F(SoftwareVersionTest, NoStreamIsJoinedAfterAllInstancesWereKilled)
+{
+    startFleet({"v1", "v2"});
+    auto const streams = open(entries_);
+    kill(entries_);
+    kill(runners_);
+    start(runners_);
+    start(entries_);
+    waitUntilEntriesAreReady();
+    std::this_thread::sleep_for(500ms);
+    EXPECT_LE(joined(takeUp(streams, entries_)), MaxJoinedStreams);
+    EXPECT_EQ(goneOn_ + refused_, takenUp_);
+    std::this_thread::sleep_for(ContactTime);
+    // Streams that begin after that can be taken up again.
+    takenUp_ = goneOn_ = refused_ = 0;
+    auto const later = open({entries_[0]});
+    kill({entries_[0]});
+    EXPECT_LE(joined(takeUp(later, {entries_[1], entries_[2]})), MaxJoinedStreams);
+    EXPECT_GE(goneOn_ * 2, takenUp_);
+}
+
+/// One version serves, and all instances are killed at once. Guards against refusals where only one version can have begun a stream.
+TEST_F(SoftwareVersionTest, StreamsOfASingleVersionGoOnAfterAllInstancesWereKilled)
+{
+    startFleet({"v1"});
+    auto const streams = open(entries_);
+    kill(entries_);
+    kill(runners_);
+    start(runners_);
+    start(entries_);
+    waitUntilEntriesAreReady();
+    EXPECT_EQ(joined(takeUp(streams, entries_)), 0U);
+    EXPECT_GE(takenUp_, StreamCount / 2);
+    EXPECT_GE(goneOn_ * 2, takenUp_);
+}
+
+/// Another version replaces the only one while streams run, and servers crash. Guards against a stream within one response that goes on at
+/// another version, and against new streams that have to wait for the record of the new version.
+TEST_F(SoftwareVersionTest, AResponseHoldsEventsOfOneVersion)
+{
+    startFleet({"v1"});
+    auto const streams = open(entries_);
+    fleet_.startServersOf("v2", ServersOfVersion);
+    fleet_.crashServerOf("v1");
+    std::this_thread::sleep_for(300ms);
+    fleet_.crashServerOf("v1");
+    auto const later = open(entries_);
+    fleet_.crashServerOf("v2");
+    fleet_.stopServersOf("v1");
+    auto const outcomes = takeUp(streams, entries_);
+    EXPECT_LE(joined(outcomes) + joined(takeUp(later, entries_)), MaxJoinedStreams);
+    auto const last = open(entries_);
+    auto const served = takeUp(last, entries_);
+    EXPECT_EQ(std::ranges::count_if(served, [](Outcome const &outcome) { return outcome.isComplete; }), std::ssize(served));
+    EXPECT_EQ(joined(served), 0U);
+}
