--- a/Libraries/LibServing/PermitIssuer.cpp
+++ b/Libraries/LibServing/PermitIssuer.cpp
@@ -18,7 +18,7 @@
         removeIdle(now);
         Server server{.startedAt = request.server.startedAt, .permits = Routing::RateLimiter(rate, saved, now), .usedAt = now};
         server.permits.charge(saved - 1, now);
-        found = servers_.insert_or_assign(request.server.id, std::move(server)).first;
+        found = servers_.insert_or_assign(request.server.id, server).first;
     }
     auto &server = found->second;
     server.usedAt = now;
