--- a/Libraries/LibServing/VersionRecord.cpp
+++ b/Libraries/LibServing/VersionRecord.cpp
@@ -61,7 +61,8 @@
 
 void VersionRecord::onTick(Instant now)
 {
-    for (auto &[name, pool] : pools_) {
+    for (auto &[name, known] : pools_) {
+        auto &pool = known;
         for (auto const &version : pool.inUse)
             pool.seenAt[version] = now;
         std::erase_if(pool.recorded, [&](SoftwareVersion const &version) { return now - pool.seenAt[version] >= options_.trustTime; });
