--- a/Libraries/LibServing/PermitIssuer.h
+++ b/Libraries/LibServing/PermitIssuer.h
@@ -22,8 +22,9 @@
 };
 
 struct PermitIssuerOptions {
-    /// Permits that may be saved up while nobody requests any, as a time at the server's rate, but at least minSaved.
+    /// While nobody requests permits, those of this time at the server's rate are saved up.
     Duration savedTime = 1s;
+    /// Number of permits that may be saved up even if that is more than those of `savedTime`.
     double minSaved = 2;
     /// Rate of permits for a server that takes less. Without any request nothing would show that its limit has ended.
     RequestRate minRate{0.2};
