--- a/Services/Node/StreamOriginClient.h
+++ b/Services/Node/StreamOriginClient.h
@@ -9,8 +9,9 @@
 
 namespace Anvilyard::Node {
 
-/// Remembers at which software versions streams began, and finds it out for those that callers take up. While several versions are in use,
-/// two runners are notified of each begin, so that it outlives the entry. What is not known is not guessed.
+/// Remembers which software version each stream began at, and finds that version for a stream that its caller resumes. While several
+/// versions are in use, two runners are notified of the start of each stream, so that it is still known when the entry is gone. A version
+/// that no instance knows is not guessed.
 class StreamOriginClient
 {
 public:
