--- a/Services/Node/PermitClient.cpp
+++ b/Services/Node/PermitClient.cpp
@@ -18,17 +18,12 @@
 constexpr Duration SilenceTime = 500ms;
 constexpr int BadRequestStatus = 400;
 
-Serving::PermitIssuerOptions ownShareOptions()
-{
-    return {.minSaved = 1, .minRate = Serving::RequestRate(0)};
-}
-
 } // namespace
 
 PermitClient::PermitClient(NodeContext &context, NodeMetrics &metrics)
     : context_(context)
     , metrics_(metrics)
-    , ownShare_(ownShareOptions())
+    , ownShare_(Serving::makeShareOptions(context.random))
 {
 }
 
--- a/Tests/LibServing/TestPermitSum.cpp
+++ b/Tests/LibServing/TestPermitSum.cpp
@@ -147,10 +147,11 @@
             silentUntil = now + SilenceTime;
         }
         RequestRate const share(rate->value() / static_cast<double>(fleet_.instances().size()));
-        auto const own = shares_.try_emplace(instance.id, PermitIssuerOptions{.minSaved = 1, .minRate = RequestRate(0)}).first;
+        auto const own = shares_.try_emplace(instance.id, makeShareOptions(random_)).first;
         return own->second.request({.server = server, .rate = share}, now).isGranted;
     }
 
+    RandomSource random_{1};
     ExchangeSimulation fleet_;
     std::map<InstanceId, PermitIssuer> permits_;
     std::map<InstanceId, PermitIssuer> shares_;
