Test versions of servers that return under their ids, and with the store away

Two cases of ORDER were not tested on processes. Servers of the old version crash and return at the new one under their ids, half of them at their addresses, while an entry is killed; and an entry is killed during an outage of the store.

Not covered: a server that serves at another version before its registration shows it. Nothing that instances receive tells them of it.

--- a/Tests/NodeProcesses/ServingFleet.cpp
+++ b/Tests/NodeProcesses/ServingFleet.cpp
@@ -147,6 +147,16 @@
     thread_.call([&] { idAfterCrash_ = id; });
 }
 
+void ServingFleet::setVersionAfterCrash(std::string version)
+{
+    thread_.call([&] { versionAfterCrash_ = std::move(version); });
+}
+
+void ServingFleet::setStoreOutage(OutageMode outage)
+{
+    thread_.call([&] { store_->faults().setFaults({.outage = outage}); });
+}
+
 std::string ServingFleet::nextServerId() const
 {
     return "i-" + std::to_string(servers_.size());
@@ -242,7 +252,7 @@
         startServer({.id = isSameId ? id : nextServerId(),
                      .address = restarts_.size() % 2 == 0 ? crashed.address() : Address("127.0.0.1:0"),
                      .form = crashed.form(),
-                     .version = versions_.at(id)});
+                     .version = versionAfterCrash_.value_or(versions_.at(id))});
     }));
 }
 
--- a/Tests/NodeProcesses/ServingFleet.h
+++ b/Tests/NodeProcesses/ServingFleet.h
@@ -51,6 +51,10 @@
     void setStreams(std::uint64_t events, Duration eventGap);
     /// Sets under which id servers that crash later are started again.
     void setIdAfterCrash(IdAfterCrash id);
+    /// Sets the software version at which servers that crash later are started again.
+    void setVersionAfterCrash(std::string version);
+    /// Makes the store refuse all calls, or serve them again.
+    void setStoreOutage(OutageMode outage);
     /// Starts a node process without waiting until it is ready.
     NodeProcess &startNode(std::string const &name, Serving::InstanceRole role = Serving::InstanceRole::Entry);
     void waitUntilReady(NodeProcess const &entry);
@@ -151,6 +155,8 @@
     /// Crashed servers stay, because callbacks of their connections may refer to them.
     std::vector<std::unique_ptr<ModelServer>> servers_;
     IdAfterCrash idAfterCrash_ = IdAfterCrash::New;
+    /// Unset for the version that the server had.
+    std::optional<std::string> versionAfterCrash_;
     std::vector<std::unique_ptr<Http::Timer>> restarts_;
     ModelServer::Behaviour behaviour_;
     std::set<std::string> crashingParts_;
--- a/Tests/NodeProcesses/TestSoftwareVersions.cpp
+++ b/Tests/NodeProcesses/TestSoftwareVersions.cpp
@@ -239,3 +239,40 @@
     EXPECT_EQ(std::ranges::count_if(served, [](Outcome const &outcome) { return outcome.isComplete; }), std::ssize(served));
     EXPECT_EQ(joined(served), 0U);
 }
+
+/// All servers of the old version crash one after the other and return at the new one, under their ids and half of them at their addresses,
+/// and an entry is killed meanwhile. Guards against streams that go on at a server because it had their version before.
+TEST_F(SoftwareVersionTest, AServerThatReturnsAtAnotherVersionUnderItsIdJoinsNoStream)
+{
+    startFleet({"v1", "v2"});
+    fleet_.setIdAfterCrash(ServingFleet::IdAfterCrash::Same);
+    fleet_.setVersionAfterCrash("v2");
+    auto const streams = open(entries_);
+    for (std::size_t crashed = 0; crashed < ServersOfVersion; ++crashed) {
+        fleet_.crashServerOf("v1");
+        std::this_thread::sleep_for(200ms);
+        if (crashed == ServersOfVersion / 2)
+            kill({entries_[0]});
+    }
+    std::vector<NodeProcess *> const others{entries_[1], entries_[2]};
+    EXPECT_LE(joined(takeUp(streams, others)), MaxJoinedStreams);
+    EXPECT_GE(refused_, 1U) << "streams of the old version";
+    fleet_.waitUntilServersAreUp();
+    std::this_thread::sleep_for(ContactTime);
+    auto const served = takeUp(open(others), others);
+    EXPECT_EQ(std::ranges::count_if(served, [](Outcome const &outcome) { return outcome.isComplete; }), std::ssize(served));
+}
+
+/// The store is away when an entry is killed. Guards against streams that are refused because the record of versions cannot be read, and
+/// against guesses.
+TEST_F(SoftwareVersionTest, StreamsAreTakenUpDuringAStoreOutage)
+{
+    startFleet({"v1", "v2"});
+    fleet_.setStoreOutage(OutageMode::Refuse);
+    std::this_thread::sleep_for(ContactTime);
+    auto const streams = open({entries_[0]});
+    kill({entries_[0]});
+    EXPECT_LE(joined(takeUp(streams, {entries_[1], entries_[2]})), MaxJoinedStreams);
+    EXPECT_GE(takenUp_, StreamCount / 2);
+    EXPECT_GE(goneOn_ * 2, takenUp_);
+}
