Add a failing test of taken-up streams that are refused for load

An entry is killed during a burst while two versions serve.

The test has one full server of the old version and a free one of the new. New streams are served, the one that its caller takes up gets 503 overloaded.

--- a/Tests/Node/NodeFixture.h
+++ b/Tests/Node/NodeFixture.h
@@ -149,10 +149,11 @@
                    Address const &address,
                    std::string const &state = "ready",
                    int slots = 8,
-                   std::string const &dataCentre = "dc")
+                   std::string const &dataCentre = "dc",
+                   std::string const &version = "")
     {
         auto const spec = R"({"service":"p","address":")" + address.value() + R"(","zone":")" + dataCentre + R"(","slots":)"
-            + std::to_string(slots) + R"(,"state":")" + state + R"(","born":1})";
+            + std::to_string(slots) + R"(,"state":")" + state + R"(","version":")" + version + R"(","born":1})";
         thread_.call([&] { store_->put("servers", id, spec); });
     }
 
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -944,3 +944,54 @@
     EXPECT_EQ(requestCount(), 1U);
     thread_.call([&] { timer.reset(); });
 }
+
+/// A release replaces half of the servers, an entry is killed at a load peak, and callers take its streams up. Guards against refusing
+/// these for the load of the few servers of their version while the others serve new streams.
+TEST_F(OnlineTest, AStreamThatItsCallerTakesUpIsNotRefusedForTheLoadOfItsVersion)
+{
+    putState(1);
+    std::vector<FleetServer::Writer> held;
+    std::unique_ptr<Http::Timer> timer;
+    FleetServer old(thread_, [&](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        if (request.target == "/s/slow") {
+            timer = thread_.loop().at(readLocalClock() + 900ms, [request, writer] { answerEvents(request, writer, 10); });
+            return;
+        }
+        if (request.headers.contains("Last-Event-Id"))
+            return answerEvents(request, writer, 10);
+        held.push_back(writer);
+        writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+        writer->write(eventTexts(0, 4), nullptr);
+    });
+    FleetServer newer(thread_,
+                      [](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) { answerEvents(request, writer, 10); });
+    putServer("s1", old.address(), "ready", 1, "dc", "v1");
+    waitUntilReady(startNode("runner-1", Serving::InstanceRole::Runner));
+    auto &node = startNode("entry-1");
+    waitUntilReady(node);
+    // The node learns that requests run for longer than the target of their first event.
+    ASSERT_EQ(ask(node, requestOf("/s/slow", "slow"))->status, 200);
+    auto first = sendTo(node, requestOf("/s/1", "a"));
+    waitUntil([&] { return held.size() == 1; });
+    auto second = sendTo(node, requestOf("/s/1", "b"));
+    waitUntil([&] { return held.size() == 2; });
+    putServer("s2", newer.address(), "ready", 8, "dc", "v2");
+    // New streams begin at the new version as soon as the runner has recorded it.
+    for (int number = 0; ask(node, requestOf("/s/1", "new-" + std::to_string(number)))->status != 200; ++number)
+        continue;
+    auto takenUp = requestOf("/s/1", "d");
+    takenUp.headers.set("Resumes", "a");
+    takenUp.headers.set("Last-Event-Id", "3");
+    auto const answer = ask(node, std::move(takenUp));
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200) << answer->body;
+    EXPECT_EQ(answer->body, eventTexts(4, 10));
+    thread_.call([&] {
+        timer.reset();
+        for (auto const &writer : held)
+            writer->abort();
+        held.clear();
+    });
+    first.wait();
+    second.wait();
+}
