Do not refuse streams that their callers resume because of load

Cause: a resumed stream was admitted like a new one. It may go on only at the servers of its version, so while two versions serve and load is high these few are full for its target while new streams begin at the others, and nearly all resumed streams were refused, each with what was generated before.

Change: a stream whose origin is known waits at a server of its version, as a request does that may already have run.

--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -222,8 +222,10 @@
         bool const isSame = server && (!isResumable() || acceptsVersion(server->record.softwareVersion));
         return isSame ? sendWithPermit(server->record, false, Connection::Fresh) : abortStream("only-server-gone");
     }
-    // A request that may already have run is not refused because of load.
-    auto const latencyTarget = attempts_ == 0 ? parts_.route.latencyTarget : Duration::max() / 4;
+    // A request that may already have run is not refused because of load, nor is a stream that its caller resumes: it may go on only at the
+    // servers of its version, which may be few.
+    bool const mayBeRefusedForLoad = attempts_ == 0 && !streamVersion_;
+    auto const latencyTarget = mayBeRefusedForLoad ? parts_.route.latencyTarget : Duration::max() / 4;
     using LimitedServers = Serving::PlacementRequest::LimitedServers;
     auto const placement = findPlacement(latencyTarget, permitRequests_ < MaxPermitRequests ? LimitedServers::Use : LimitedServers::Avoid);
     if (attempts_ == 0)
