Review: engines crash at a signal of their own, and can spoil an answer

The stand-in closes its port first now, spoils an event where asked, scripts exit with 2 on any error, and processes end with their script.

--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -1,12 +1,15 @@
-"""Stand-in for a model engine. It registers itself, answers POST requests with events and crashes when it is killed.
+"""Stand-in for a model engine. It registers itself, answers POST requests with events, and crashes at SIGUSR1: its port is closed and its
+channels break off.
 
 usage: engine.py JSON, with id, address, store, service, version, zone, slots, log (a file), head_s (time from the head of an answer to
 its first event), events, gap_s (time between two events) and start_s (time from the start of the process to its readiness). Optional:
 fails, the number of runs that are answered with 500, by the id of the request; extra, the ids of requests whose 500 is sent a second time on
-its channel, at the point where the next response is expected.
+its channel, at the point where the next response is expected; spoil, the ids of requests of which the first run's last event is spoiled.
 """
 import asyncio
 import json
+import os
+import signal
 import sys
 import time
 
@@ -23,6 +26,7 @@
         self.running = 0
         self.waiting = []
         self.failed = {}
+        self.spoil = list(options.get("spoil", []))
         self.log = open(options["log"], "a", buffering=1)
 
     def note(self, **fields):
@@ -78,8 +82,12 @@
         await writer.drain()
         await asyncio.sleep(options["head_s"])
         for number in range(after + 1, options["events"] + 1):
-            event = f"id: {number}\ndata: {options['version']}-{attempt}-{number}\n\n"
-            writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
+            event = f"id: {number}\ndata: {options['version']}-{attempt}-{number}\n\n".encode()
+            if number == options["events"] and attempt in self.spoil:
+                self.spoil.remove(attempt)
+                self.note(event="spoils", request=attempt)
+                event = event.replace(b"data: ", b"data: \xff\xfe")
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
             await asyncio.sleep(options["gap_s"])
         writer.write(b"0\r\n\r\n")
@@ -148,6 +156,13 @@
     engine = Engine(options)
     host, port = options["address"].rsplit(":", 1)
     server = await asyncio.start_server(engine.serve, host, int(port))
+
+    def crash():
+        # The kernel would close the channels of a killed process some microseconds before its port.
+        server.close()
+        os._exit(1)
+
+    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, crash)
     engine.note(event="started")
     async with server:
         await asyncio.gather(server.serve_forever(), engine.register())
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -2,10 +2,12 @@
 templates of the deploy file, and the stand-ins of the platform's store and of the engines."""
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -20,6 +22,8 @@
 STANDINS = os.path.dirname(os.path.abspath(__file__))
 ZONES = ["zone-a", "zone-b", "zone-c"]
 GRACE_S = 8
+# A script may run for 120 seconds.
+MAX_RUN_S = 110
 CALLER_PORT, READY_PORT, CONTROL_PORT, PEER_PORT, METRICS_PORT, ENGINE_PORT, STORE_PORT = 8144, 8140, 8146, 7660, 9464, 8587, 8142
 
 LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
@@ -46,6 +50,12 @@
     return re.sub(r"\{\{([A-Za-z0-9.]+)\}\}", value, template)
 
 
+def end_with_parent():
+    """Has the kernel kill the new process when the script ends, however that happens."""
+    PR_SET_PDEATHSIG = 1
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Process:
     def __init__(self, arguments, log, environment=None):
         self.arguments, self.log, self.environment = arguments, log, environment
@@ -54,7 +64,7 @@
     def start(self):
         with open(self.log, "ab") as output:
             self.child = subprocess.Popen(self.arguments, cwd=REPOSITORY, stdin=subprocess.DEVNULL, stdout=output, stderr=output,
-                                          env=self.environment or dict(os.environ))
+                                          env=self.environment or dict(os.environ), preexec_fn=end_with_parent)
 
     def signal(self, number):
         if self.child and self.child.poll() is None:
@@ -150,6 +160,10 @@
         self.engine_options[name] = options
         self.engines[name] = self.spawn("engine-" + name, [sys.executable, "-B", os.path.join(STANDINS, "engine.py"), json.dumps(options)])
 
+    def crash_engine(self, name):
+        self.engines[name].signal(signal.SIGUSR1)
+        self.engines[name].child.wait()
+
     async def is_ready(self, entry):
         answer = await http1.call(self.entries[entry]["ready"], "GET", "/api/readyz", timeout=1.0)
         return answer is not None and answer[0] == 200
@@ -200,21 +214,23 @@
     2 if the case could not run."""
     folder = os.path.dirname(os.path.abspath(sys.modules["__main__"].__file__))
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    fleet = Fleet(os.path.join(folder, "record.txt"))
-    fleet.note(f"TROUBLE={'1' if trouble else '0'}")
+    fleet = None
     status = 2
     try:
-        broken = asyncio.run(case(fleet, trouble))
+        fleet = Fleet(os.path.join(folder, "record.txt"))
+        fleet.note(f"TROUBLE={'1' if trouble else '0'}")
+        broken = asyncio.run(asyncio.wait_for(case(fleet, trouble), MAX_RUN_S))
         status = 1 if broken else 0
         fleet.note(f"the rule was broken: {broken}" if broken else "the rule held")
         print(f"broken: {broken}" if broken else "held")
     except Exception as error:
-        fleet.note(f"the case could not run: {error!r}")
         print(f"could not run: {error!r}")
-    finally:
+        if fleet:
+            fleet.note(f"the case could not run: {error!r}")
+    if fleet:
         fleet.end()
         if os.environ.get("KEEP") == "1":
             print("logs:", fleet.folder)
         else:
-            subprocess.run(["rm", "-rf", fleet.folder], check=False)
+            shutil.rmtree(fleet.folder, ignore_errors=True)
     sys.exit(status)
--- a/review/standins/http1.py
+++ b/review/standins/http1.py
@@ -61,7 +61,7 @@
     return text.encode("latin-1") + b"\r\n" + body
 
 
-REASONS = {200: "OK", 201: "Created", 202: "Accepted", 404: "Not Found", 409: "Conflict", 410: "Gone", 421: "Misdirected Request",
+REASONS = {200: "OK", 201: "Created", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 409: "Conflict", 410: "Gone", 421: "Misdirected Request",
            429: "Too Many Requests", 503: "Service Unavailable"}
 
 
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -154,7 +154,11 @@
                 if is_node and self.mode == "busy":
                     writer.write(http1.response_bytes(503, [], b"{}"))
                     continue
-                status, answer = await self.handle(method, target, headers, body)
+                try:
+                    status, answer = await self.handle(method, target, headers, body)
+                except ValueError as error:
+                    # The body is not JSON, or not UTF-8.
+                    status, answer = 400, {"error": str(error)}
                 if is_node and self.mode == "silent":
                     await self.stay_silent()
                     writer.transport.abort()
