--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,5 +1,4 @@
-"""Engines of a newer software version join a service. Right after, one of three entries is killed, and its callers take up their streams at
-the other two."""
+"""3 of 18 engines crash at the same moment, once, while they read the prompts of the first items with a new shared part."""
 import asyncio
 import os
 import sys
@@ -8,119 +7,92 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
 import fleet as standins
 
-http1 = standins.http1
-HOST = "site.example"
+HOST = "batch.example"
 STATE = {
     "version": 1,
-    "routes": [{"name": "s", "host": HOST, "pathPrefix": "/s/", "kind": "streaming", "timeoutMs": 5000, "sloMs": 300, "priority": 0,
-                "service": "p", "attempts": 2, "resumable": True, "gapAimMs": 600, "sessionAffinity": True}],
+    "routes": [{"name": "b", "host": HOST, "pathPrefix": "/b/", "kind": "batch", "timeoutMs": 15000, "sloMs": 400, "priority": 2,
+                "service": "p", "attempts": 3, "completionTargetMs": 18000, "queueTtlS": 60, "cap": 1900000, "resumable": True,
+                "sessionAffinity": True}],
     "services": [{"name": "p", "healthPath": "/healthz", "maxConns": 310}],
     "limits": standins.LIMITS,
 }
-DEADLINE_S = 5.0
-STREAMS = 24
-EVENTS = 50
-# The rule is about 12 or more streams that are taken up.
-MIN_TAKEN_UP = 12
+ENGINES = [f"e{number}" for number in range(18)]
+# Engines read 61.2 prompt tokens in a millisecond.
+SHARED_TOKENS = 60000
+READ_S = SHARED_TOKENS / 61.2 / 1000
+DOWN_S = 4.5
+FINISH_S = 18
+# Items that failed at an engine in the last 20 s do not count.
+FAILED_S = 20
+CALM_S = 5
 
 
-async def attempt(fleet, entry, name, until, resumes=None, after=0):
-    """Returns the status, the events received and whether the answer was complete."""
-    host, port = fleet.entries[entry]["callers"].rsplit(":", 1)
-    headers = [("Host", HOST), ("Anvilyard-Attempt-Id", name), ("Anvilyard-Deadline-Ms", str(int((until - time.time()) * 1000))),
-               ("Anvilyard-Model", "m"), ("Anvilyard-Token-Usage", "250,50"),
-               ("Anvilyard-Prompt-Prefix", f"aa:100,{(resumes or name)}:150")]
-    if resumes:
-        headers += [("Last-Event-Id", str(after)), ("Resumes", resumes)]
-    status, events = None, []
-    try:
-        reader, writer = await asyncio.open_connection(host, int(port))
-        try:
-            writer.write(http1.request_bytes("POST", "/s/ask", headers, b"what fails"))
-            line, answered = await http1.read_head(reader)
-            status = int(line.split(" ")[1])
-            if status != 200:
-                return status, [(await http1.read_body(reader, answered)).decode()], False
-            text = b""
-            while chunk := await asyncio.wait_for(http1.read_chunk(reader), max(0.01, until - time.time())):
-                text += chunk
-                *whole, text = text.split(b"\n\n")
-                events += [event.decode() for event in whole]
-            return status, events, True
-        finally:
-            writer.close()
-    except (OSError, http1.Closed, asyncio.TimeoutError):
-        return status, events, False
+def items_of(job, count, part):
+    return [standins.batch_item(f"{job}i{number}", f"/b/{job}/{number}", f"{part}:{SHARED_TOKENS},{job}0{number}:250", f"{job} {number}".encode())
+            for number in range(count)]
 
 
-async def caller(fleet, name, counts):
-    until = time.time() + DEADLINE_S
-    first = list(fleet.entries)[0]
-    status, events, is_complete = await attempt(fleet, first, name, until)
-    if is_complete or not events:
-        counts["whole" if is_complete else "without an event"] += 1
-        return
-    other = list(fleet.entries)[1 + int(name[1:]) % 2]
-    counts["taken up"] += 1
-    status, more, is_complete = await attempt(fleet, other, name + "b", until, name, len(events))
-    goes_on = status == 200 and len(more) > 0
-    counts["gone on"] += goes_on
-    fleet.note(f"stream {name}: {len(events)} events of version {events[0].split('data: ')[1].split('-')[0]}, broken off; taken up at "
-               f"{other}: status {status}, " + (f"{len(more)} events" if status == 200 else more[0] if more else "no answer"))
-
-
-async def new_caller(fleet, name, counts):
-    entry = list(fleet.entries)[1 + int(name[1:]) % 2]
-    status, events, _ = await attempt(fleet, entry, name, time.time() + DEADLINE_S)
-    counts["new"] += 1
-    counts["begun"] += status == 200 and len(events) > 0
+async def all_listed(fleet, job, limit_s):
+    for _ in range(int(limit_s / 0.5)):
+        status, page = await fleet.results("entry-zone-a-1", HOST, job)
+        if status == 200 and len(page["results"]) == page["total"]:
+            return True
+        await asyncio.sleep(0.5)
+    return False
 
 
 async def case(fleet, trouble):
     await fleet.start_store(STATE)
-    engine = {"service": "p", "slots": 8, "head_s": 0.01, "events": EVENTS, "gap_s": 0.06}
-    for number in range(6):
-        fleet.start_engine(f"old{number}", number % 3, version="1.0", **engine)
-    for role, zone in (("entry", 0), ("entry", 1), ("entry", 2), ("runner", 0), ("runner", 1), ("runner", 2)):
+    for number, engine in enumerate(ENGINES):
+        fleet.start_engine(engine, number % 3, service="p", version="1.0", slots=8, head_s=READ_S, events=40, gap_s=0.03)
+    for role, zone in (("entry", 0), ("entry", 1), ("runner", 0), ("runner", 1), ("runner", 2)):
         fleet.start_node(role, zone)
     if not await fleet.wait_until_ready():
         raise RuntimeError("the entries did not become ready")
-    # All machines are in touch and the store is stable from here on.
-    await asyncio.sleep(4)
+    await asyncio.sleep(3)
+
+    answer = await fleet.submit("entry-zone-a-1", HOST, "/b/warm", "aaaa", items_of("aaaa", 3, "11111111"))
+    fleet.note(f"job aaaa with 3 items sent, answer: {answer and answer[0]}")
+    if not await all_listed(fleet, "aaaa", 10):
+        raise RuntimeError("the first job was not served")
+    fleet.note("job aaaa is listed as a whole")
 
-    counts = dict.fromkeys(("whole", "without an event", "taken up", "gone on", "new", "begun"), 0)
-    callers = []
-    for number in range(STREAMS):
-        callers.append(asyncio.ensure_future(caller(fleet, f"a{number}", counts)))
-        await asyncio.sleep(0.03)
-    await asyncio.sleep(0.3)
-    # Left out without the disruption; CONTROL=1 leaves out only the newer version.
-    version = "2.0" if trouble and os.environ.get("CONTROL") != "1" else "1.0"
-    for number in range(3):
-        fleet.start_engine(f"new{number}", number % 3, version=version, **engine)
-    for _ in range(100):
-        if len({line["engine"] for line in fleet.runs(event="registered")}) == 9:
+    answer = await fleet.submit("entry-zone-b-2", HOST, "/b/night", "bbbb", items_of("bbbb", 3, "22222222"))
+    fleet.note(f"job bbbb with 3 items, which share the part 22222222, sent, answer: {answer and answer[0]}")
+    if not answer or answer[0] != 202:
+        raise RuntimeError("the job was not accepted")
+    running = []
+    for _ in range(200):
+        running = sorted({line["engine"] for line in fleet.runs(event="runs") if line["request"].startswith("bbbb")})
+        if len(running) == 3:
             break
-        await asyncio.sleep(0.02)
-    fleet.note(f"3 engines of version {version} have registered beside 6 of version 1.0")
-    await asyncio.sleep(1)
+        await asyncio.sleep(0.01)
+    if len(running) != 3:
+        raise RuntimeError(f"the items run at {running}")
+    # Amid the reading of the prompts.
+    await asyncio.sleep(READ_S / 3)
+    crashed_at = time.time()
     if trouble:
-        fleet.nodes[list(fleet.nodes)[0]].kill()
-        fleet.note(f"{list(fleet.nodes)[0]} killed")
-    for number in range(MIN_TAKEN_UP):
-        callers.append(asyncio.ensure_future(new_caller(fleet, f"n{number}", counts)))
-        await asyncio.sleep(0.05)
-    await asyncio.gather(*callers)
+        for engine in running:
+            fleet.crash_engine(engine)
+        fleet.note(f"crashed: 3 of {len(ENGINES)} engines: {running}")
+        await asyncio.sleep(DOWN_S)
+        for engine in running:
+            fleet.start_engine(engine, ENGINES.index(engine) % 3)
+        fleet.note("started them again")
+    await asyncio.sleep(max(FINISH_S, FAILED_S) + CALM_S)
 
-    fleet.note(f"{counts}")
-    if trouble and counts["taken up"] < MIN_TAKEN_UP:
-        raise RuntimeError("too few streams were taken up")
-    gone_on = counts["gone on"] / max(1, counts["taken up"])
-    begun = counts["begun"] / counts["new"]
-    if counts["taken up"] >= MIN_TAKEN_UP and gone_on < begun / 2:
-        return (f"LOST: of {counts['taken up']} streams that are taken up {counts['gone on']} go on, of {counts['new']} new ones "
-                f"{counts['begun']} begin, while 6 engines of the version of the former serve")
-    return ""
+    status, page = await fleet.results("entry-zone-a-1", HOST, "bbbb")
+    fleet.note(f"read of job bbbb: {status}, {page}")
+    status, other = await fleet.results("entry-zone-b-2", HOST, "bbbb")
+    fleet.note(f"the same at the other entry: {status}, {other}")
+    if page is None or other is None:
+        return "LOST: the accepted job cannot be read"
+    missing = page["total"] - len(page["results"])
+    again = [line for line in fleet.runs(event="runs") if line["request"].startswith("bbbb") and line["at"] > crashed_at + 0.1]
+    if not missing:
+        return ""
+    return f"LOST: {missing} of {page['total']} items are not listed; later than 0.1 s after the crash {len(again)} reached engines"
 
 
 standins.run_case(case)
