Count the failures of items over all owners of their job

What callers saw: items that fail at each run reached servers again and again (BUDGET: after three times `attempts` answers of 500, or three of 422).

Cause: JobTracker kept the number of failures in the memory of the runner that owns the job, and collected outcomes for 0.4 to 1.5 s before it stored them. A new owner began at 0 and ran items again that had been decided. Class of fault: a limit that holds for the whole life of accepted work is counted in the memory of a process that may end.

Change: the failures of a job's items are in an object of the store, each owner with counts of its own, so a repeated write counts once. An item that failed is not sent again before its failure is recorded, and the outcome of an item that failed for good is stored at once. A first failure costs one read and one write; jobs without failures cost nothing, as no owner reads the record before it has seen a failure itself.

The test of JobTracker that gives an item up after its attempts records each failure now, as the runner does; its bounds are unchanged.

--- a/Libraries/LibJobs/JobTracker.cpp
+++ b/Libraries/LibJobs/JobTracker.cpp
@@ -16,10 +16,10 @@
 {
 }
 
-void JobTracker::add(JobRecord record, std::vector<ResultSegment> segments, Duration acceptedAgo, Instant now)
+void JobTracker::add(JobRecord record, std::vector<ResultSegment> segments, Duration acceptedAgo, Instant now, TenureId tenure)
 {
     auto const id = record.id;
-    Job job{.record = std::move(record), .acceptedAt = now - acceptedAgo};
+    Job job{.record = std::move(record), .acceptedAt = now - acceptedAgo, .tenure = std::move(tenure)};
     job.items.resize(job.record.items.size());
     for (std::size_t index = 0; index < job.items.size(); ++index)
         job.indexOf.emplace(job.record.items[index].id, index);
@@ -122,7 +122,7 @@
 {
     auto waitingItem = job.items.end();
     for (auto item = job.items.begin(); item != job.items.end(); ++item) {
-        bool const mayStart = item->state == Item::State::Waiting && item->notBefore <= now && mayRunAt(*item, versions, now);
+        bool const mayStart = item->state == Item::State::Waiting && !isPaused(*item, now) && mayRunAt(*item, versions, now);
         if (mayStart && (waitingItem == job.items.end() || item->events > waitingItem->events))
             waitingItem = item;
     }
@@ -179,7 +179,7 @@
         if (!mayRun(job, pool))
             continue;
         count += static_cast<std::size_t>(std::count_if(job.items.begin(), job.items.end(), [&](Item const &item) {
-            return item.state == Item::State::Waiting && item.notBefore <= now;
+            return item.state == Item::State::Waiting && !isPaused(item, now);
         }));
     }
     return count;
@@ -237,7 +237,7 @@
                 continue;
             ++wait.waiting;
             wait.heldBack += item.isHeldBack ? 1 : 0;
-            wait.paused += !item.isHeldBack && now < item.notBefore ? 1 : 0;
+            wait.paused += !item.isHeldBack && isPaused(item, now) ? 1 : 0;
         }
     }
     return waits;
@@ -282,10 +282,11 @@
             meanEvents_ > 0 ? (static_cast<double>(item.events) - meanEvents_) * MeanEventsWeight : static_cast<double>(item.events);
         return decide(*job, index, OutcomeState::Completed, now);
     case SendEnd::Impossible:
-        return decide(*job, index, OutcomeState::GivenUp, now);
+        return giveUpFailed(*job, index, now);
     case SendEnd::Failed:
-        if (++item.failures >= job->policy.maxAttempts)
-            return decide(*job, index, OutcomeState::GivenUp, now);
+        ++item.failures;
+        if (failuresOf(item) >= job->policy.maxAttempts)
+            return giveUpFailed(*job, index, now);
         return pause(item, now);
     case SendEnd::Unserved:
         return pause(item, now);
@@ -306,6 +307,22 @@
         restart(item);
 }
 
+bool JobTracker::isPaused(Item const &item, Instant now)
+{
+    return now < item.notBefore || item.recordedFailures < item.failures;
+}
+
+std::uint32_t JobTracker::failuresOf(Item const &item)
+{
+    return item.failures + item.otherFailures;
+}
+
+void JobTracker::giveUpFailed(Job &job, std::size_t index, Instant now)
+{
+    job.hasFailedItem = true;
+    decide(job, index, OutcomeState::GivenUp, now);
+}
+
 void JobTracker::decide(Job &job, std::size_t index, OutcomeState outcome, Instant now)
 {
     auto &item = job.items[index];
@@ -347,7 +364,7 @@
         if (job.decided.empty() || job.isStoring || now < job.storeNotBefore)
             continue;
         bool const isLast = job.listed.size() + job.decided.size() == job.items.size();
-        if (!isLast && now - *job.firstDecidedAt < commitDelay(job, now))
+        if (!isLast && !job.hasFailedItem && now - *job.firstDecidedAt < commitDelay(job, now))
             continue;
         ResultSegment segment{.first = job.listed.size()};
         std::size_t bytes = 0;
@@ -381,8 +398,10 @@
         job.record.items[found->second].body = {};
         std::erase(job.decided, found->second);
     }
-    if (job.decided.empty())
-        job.firstDecidedAt.reset();
+    if (!job.decided.empty())
+        return;
+    job.firstDecidedAt.reset();
+    job.hasFailedItem = false;
 }
 
 void JobTracker::onStored(JobId const &id, ResultSegment segment)
@@ -415,6 +434,62 @@
     found->second.storeNotBefore = now + options_.retryPause;
 }
 
+std::vector<FailureCommit> JobTracker::takeFailures(Instant now)
+{
+    std::vector<FailureCommit> commits;
+    for (auto &[id, job] : jobs_) {
+        if (job.isEnded || job.isRecording || now < job.recordNotBefore)
+            continue;
+        FailureCommit commit{.job = id, .tenure = job.tenure};
+        bool isDue = false;
+        for (std::size_t index = 0; index < job.items.size(); ++index) {
+            auto const &item = job.items[index];
+            isDue = isDue || (item.state == Item::State::Waiting && item.recordedFailures < item.failures);
+            if (item.failures > 0)
+                commit.counts.emplace(index, item.failures);
+        }
+        if (!isDue)
+            continue;
+        job.isRecording = true;
+        commits.push_back(std::move(commit));
+    }
+    return commits;
+}
+
+JobTracker::Job *JobTracker::find(FailureCommit const &commit)
+{
+    auto const found = jobs_.find(commit.job);
+    return found != jobs_.end() && found->second.tenure == commit.tenure ? &found->second : nullptr;
+}
+
+void JobTracker::onFailuresRecorded(FailureCommit const &commit, FailureCounts const &others, Instant now)
+{
+    auto *job = find(commit);
+    if (!job)
+        return;
+    job->isRecording = false;
+    for (auto const &[index, count] : commit.counts)
+        job->items[index].recordedFailures = count;
+    for (auto const &[index, count] : others) {
+        if (index >= job->items.size())
+            continue;
+        auto &item = job->items[index];
+        item.otherFailures = count;
+        bool const isExhausted = job->policy.isRouted && failuresOf(item) >= job->policy.maxAttempts;
+        if (item.state == Item::State::Waiting && isExhausted)
+            giveUpFailed(*job, index, now);
+    }
+}
+
+void JobTracker::onFailuresNotRecorded(FailureCommit const &commit, Instant now)
+{
+    auto *job = find(commit);
+    if (!job)
+        return;
+    job->isRecording = false;
+    job->recordNotBefore = now + options_.retryPause;
+}
+
 std::optional<ResultPage> JobTracker::read(JobId const &id, std::size_t from, std::size_t maxBytes) const
 {
     auto const found = jobs_.find(id);
--- a/Libraries/LibJobs/JobTracker.h
+++ b/Libraries/LibJobs/JobTracker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibJobs/FailureRecord.h"
 #include "LibJobs/Job.h"
 #include "LibServing/SoftwareVersion.h"
 
@@ -82,6 +83,14 @@
     Preempted,
 };
 
+/// Failures of a job's items to be recorded now.
+struct FailureCommit {
+    JobId job;
+    TenureId tenure;
+    /// All failures of this tenure, including those that are recorded.
+    FailureCounts counts;
+};
+
 /// What the items of a job wait for.
 struct JobWait {
     JobId job;
@@ -108,14 +117,16 @@
 /// Tracks the jobs that a runner owns and the state of their items. Items of the job with the earliest due time run first. Items that
 /// cannot be on time run after all others, so that some jobs are on time under overload, but get a small part of the starts. Items are
 /// preempted many times where online requests come in bursts, so an item counts by what is left of it, and those of a job that are closest
-/// to their end go first. Performs no I/O.
+/// to their end go first. An item that failed is not sent again before its failure is recorded: the number of its runs is limited over all
+/// owners of the job. Performs no I/O.
 class JobTracker
 {
 public:
     explicit JobTracker(JobTrackerOptions options);
 
-    /// Adds a job with its stored segments. `acceptedAgo`: age of the job by the wall clock.
-    void add(JobRecord job, std::vector<ResultSegment> segments, Duration acceptedAgo, Instant now);
+    /// Adds a job with its stored segments. `acceptedAgo`: age of the job by the wall clock. `tenure`: unique to this call, over all
+    /// runners.
+    void add(JobRecord job, std::vector<ResultSegment> segments, Duration acceptedAgo, Instant now, TenureId tenure = {});
     /// Removes a job that another runner owns now, or that is over.
     void remove(JobId const &job);
     void onEnded(JobId const &job);
@@ -160,6 +171,13 @@
     /// Called when the store did not accept the segment or did not respond. takeCommits() returns it again after a pause.
     void onStoreFailed(JobId const &job, Instant now);
 
+    /// Returns the failures to be recorded now. A job has at most one record being written at a time.
+    [[nodiscard]] std::vector<FailureCommit> takeFailures(Instant now);
+    /// Called when the counts of the commit are in the store, with those of other tenures. Items that failed often enough are given up.
+    void onFailuresRecorded(FailureCommit const &commit, FailureCounts const &others, Instant now);
+    /// Called when the store did not accept the counts or did not respond. takeFailures() returns them again after a pause.
+    void onFailuresNotRecorded(FailureCommit const &commit, Instant now);
+
     /// Returns listed outcomes from a position on, up to `maxBytes` of output but at least one. Returns `std::nullopt` if the job is
     /// not tracked.
     [[nodiscard]] std::optional<ResultPage> read(JobId const &job, std::size_t from, std::size_t maxBytes) const;
@@ -186,7 +204,12 @@
         Serving::SoftwareVersion version;
         /// When its last run ended.
         Instant waitingSince = Instant::min();
+        /// Failures in this tenure.
         std::uint32_t failures = 0;
+        /// How many of these are recorded.
+        std::uint32_t recordedFailures = 0;
+        /// Failures in other tenures, as of the last record.
+        std::uint32_t otherFailures = 0;
         std::uint32_t pauses = 0;
         Instant notBefore = Instant::min();
         /// Whether it waits since it was held back.
@@ -210,6 +233,11 @@
         bool isEnded = false;
         bool isStoring = false;
         Instant storeNotBefore = Instant::min();
+        TenureId tenure;
+        bool isRecording = false;
+        Instant recordNotBefore = Instant::min();
+        /// An item was given up because of a response. Its outcome is stored at once, as the next owner would run it again.
+        bool hasFailedItem = false;
     };
 
     struct Candidate {
@@ -229,6 +257,12 @@
     [[nodiscard]] Duration commitDelay(Job const &job, Instant now) const;
     void decide(Job &job, std::size_t index, OutcomeState outcome, Instant now);
     void pause(Item &item, Instant now) const;
+    /// Whether the item may not be sent yet.
+    [[nodiscard]] static bool isPaused(Item const &item, Instant now);
+    [[nodiscard]] static std::uint32_t failuresOf(Item const &item);
+    void giveUpFailed(Job &job, std::size_t index, Instant now);
+    /// The job if it is still in the tenure of the commit.
+    [[nodiscard]] Job *find(FailureCommit const &commit);
     static void restart(Item &item);
     void list(Job &job, ResultSegment &segment);
     [[nodiscard]] bool mayRun(Job const &job, PoolName const &pool) const;
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -34,6 +34,11 @@
 /// runners.
 constexpr Duration StoreOutageTolerance = 700ms;
 
+Jobs::TenureId makeTenure(RandomSource &random)
+{
+    return Jobs::TenureId(std::to_string(random()));
+}
+
 Duration ageOf(WallInstant acceptedAt)
 {
     // After a backward step of the clock the difference would be negative.
@@ -215,7 +220,7 @@
                       {"runners", std::to_string(context_.peers.runners().size())}});
         auto const age = ageOf(loaded->record.acceptedAt);
         found->second.isEnded = found->second.isEnded || loaded->isEnded;
-        jobs_.add(std::move(loaded->record), std::move(loaded->segments), age, now);
+        jobs_.add(std::move(loaded->record), std::move(loaded->segments), age, now, makeTenure(context_.random));
         if (found->second.isEnded)
             jobs_.onEnded(job);
         refreshPolicy(job, now);
@@ -324,6 +329,7 @@
         logWaits(now);
     }
     storeOutcomes(now);
+    recordFailures(now);
     confirmJobs(now);
     servePendingReads(now);
     peerReports_.setWaitingTokens(jobs_.waitingTokens());
@@ -557,6 +563,11 @@
                             runs_.erase(found);
                         }
                         jobs_.onSendEnded(item.job, item.index, end, ended);
+                        // A new owner that does not find them in the store would run the item again.
+                        if (end == SendEnd::Failed || end == SendEnd::Impossible) {
+                            storeOutcomes(ended);
+                            recordFailures(ended);
+                        }
                     },
             });
         runs_.push_back(run);
@@ -599,6 +610,31 @@
         store(job, std::move(segment));
 }
 
+void JobRunner::recordFailures(Instant now)
+{
+    for (auto &commit : jobs_.takeFailures(now)) {
+        ++pendingStoreCalls_;
+        Jobs::recordFailures(
+            context_.store, commit.job, commit.tenure, commit.counts, [this, commit](Result<Jobs::FailureCounts> const &others) {
+                --pendingStoreCalls_;
+                auto const recorded = readLocalClock();
+                if (!others) {
+                    Observe::log(Observe::Events::NodeFailuresNotRecorded,
+                                 {{"job", commit.job.value()}, {"error", others.error().toString()}});
+                    return jobs_.onFailuresNotRecorded(commit, recorded);
+                }
+                std::uint32_t otherFailures = 0;
+                for (auto const &[index, count] : *others)
+                    otherFailures += count;
+                if (otherFailures > 0)
+                    Observe::log(Observe::Events::NodeFailuresOfOthersFound,
+                                 {{"job", commit.job.value()}, {"failures", std::to_string(otherFailures)}});
+                jobs_.onFailuresRecorded(commit, *others, recorded);
+                storeOutcomes(recorded);
+            });
+    }
+}
+
 void JobRunner::store(JobId const &job, Jobs::ResultSegment segment)
 {
     ++pendingStoreCalls_;
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -89,6 +89,8 @@
     void cancelRuns(JobId const &job);
     void storeOutcomes(Instant now);
     void store(JobId const &job, Jobs::ResultSegment segment);
+    /// Records failures of items, so that the next owner of their jobs counts them.
+    void recordFailures(Instant now);
     void onSegmentStored(JobId const &job, Jobs::ResultSegment segment);
     void onStoreFailed(JobId const &job, Error const &error, Instant now);
     /// Whether the store may have shown a segment of this runner to others for a while that this runner does not list yet.
--- a/Tests/LibJobs/TestJobTracker.cpp
+++ b/Tests/LibJobs/TestJobTracker.cpp
@@ -51,9 +51,24 @@
         tracker_.onSendEnded(item.job, item.index, SendEnd::Complete, now);
     }
 
+    /// Fails the next item and returns its position.
+    std::size_t fail(Instant now)
+    {
+        auto const item = run(now);
+        tracker_.onSendEnded(item.job, item.index, SendEnd::Failed, now);
+        return item.index;
+    }
+
     JobTracker tracker_{JobTrackerOptions{}};
 };
 
+/// Records all failures, with those that other tenures recorded.
+void recordFailures(JobTracker &tracker, Instant now, FailureCounts const &others = {})
+{
+    for (auto const &commit : tracker.takeFailures(now))
+        tracker.onFailuresRecorded(commit, others, now);
+}
+
 } // namespace
 
 TEST_F(JobTrackerTest, ItemsOfTheJobThatIsDueFirstGoFirst)
@@ -313,6 +328,7 @@
         auto const item = run(now);
         EXPECT_EQ(item.index, 0U);
         tracker_.onSendEnded(item.job, item.index, SendEnd::Failed, now);
+        recordFailures(tracker_, now);
         now += 2s;
     }
     auto const impossible = run(now);
@@ -326,6 +342,71 @@
     }
 }
 
+/// Guards against items that are run again by each new owner of their job, as often as one owner may run them.
+TEST_F(JobTrackerTest, FailuresOfEarlierOwnersCount)
+{
+    add("j", 2);
+    EXPECT_EQ(fail(Start), 0U);
+    recordFailures(tracker_, Start, {{0, 2}});
+    EXPECT_EQ(run(Start + 2s).index, 1U) << "the first item has no attempt left";
+    auto const commits = tracker_.takeCommits(Start + 2s);
+    ASSERT_EQ(commits.size(), 1U);
+    EXPECT_EQ(commits[0].second.outcomes[0].id, ItemId("j-0"));
+    EXPECT_EQ(commits[0].second.outcomes[0].state, OutcomeState::GivenUp);
+}
+
+/// A run that follows an unrecorded failure is one that the next owner would not count.
+TEST_F(JobTrackerTest, AnItemThatFailedWaitsUntilItsFailureIsRecorded)
+{
+    add("j", 1);
+    EXPECT_EQ(fail(Start), 0U);
+    auto const later = Start + 10s;
+    EXPECT_FALSE(tracker_.next(batchPool, RunTime, later));
+    EXPECT_EQ(tracker_.waiting(batchPool, later), 0U);
+    auto const commits = tracker_.takeFailures(later);
+    ASSERT_EQ(commits.size(), 1U);
+    EXPECT_EQ(commits[0].counts, (FailureCounts{{0, 1}}));
+    EXPECT_TRUE(tracker_.takeFailures(later).empty()) << "one write at a time";
+    tracker_.onFailuresNotRecorded(commits[0], later);
+    EXPECT_TRUE(tracker_.takeFailures(later).empty()) << "it is repeated after a pause";
+    EXPECT_FALSE(tracker_.next(batchPool, RunTime, later));
+    recordFailures(tracker_, later + 1s);
+    EXPECT_TRUE(tracker_.next(batchPool, RunTime, later + 1s));
+    EXPECT_TRUE(tracker_.takeFailures(later + 20s).empty());
+}
+
+/// A record that was written in an earlier tenure of the same runner says nothing of the failures in this one.
+TEST_F(JobTrackerTest, ARecordOfAnEarlierTenureDoesNotReleaseAnItem)
+{
+    tracker_.add(recordOf("j", 1), {}, 0s, Start, TenureId("first"));
+    tracker_.setPolicy(JobId("j"), policy(), Start);
+    EXPECT_EQ(fail(Start), 0U);
+    auto const early = tracker_.takeFailures(Start);
+    tracker_.remove(JobId("j"));
+    tracker_.add(recordOf("j", 1), {}, 0s, Start, TenureId("second"));
+    tracker_.setPolicy(JobId("j"), policy(), Start);
+    EXPECT_EQ(fail(Start), 0U);
+    tracker_.onFailuresRecorded(early.at(0), {}, Start);
+    EXPECT_FALSE(tracker_.next(batchPool, RunTime, Start + 10s));
+    recordFailures(tracker_, Start + 10s, {{0, 1}});
+    EXPECT_TRUE(tracker_.next(batchPool, RunTime, Start + 10s));
+}
+
+/// Outcomes that are collected before they are stored are lost with their owner, and the next one runs the items again.
+TEST_F(JobTrackerTest, TheOutcomeOfAnItemThatFailedIsStoredAtOnce)
+{
+    add("j", 3);
+    complete();
+    EXPECT_TRUE(tracker_.takeCommits(Start).empty());
+    auto const impossible = run();
+    tracker_.onSendEnded(impossible.job, impossible.index, SendEnd::Impossible, Start);
+    auto commits = tracker_.takeCommits(Start);
+    ASSERT_EQ(commits.size(), 1U);
+    EXPECT_EQ(commits[0].second.outcomes.size(), 2U);
+    tracker_.onStored(commits[0].first, std::move(commits[0].second));
+    EXPECT_EQ(tracker_.listedCount(JobId("j")), 2U);
+}
+
 /// If broken exchanges counted as failures of the item, a runner that is cut off from its servers would give up all items of its jobs.
 TEST_F(JobTrackerTest, BrokenExchangesDoNotCountAsAttempts)
 {
@@ -499,6 +580,7 @@
     auto const end =
         !isCut && !reader.isBroken() ? SendEnd::Complete : *rc::gen::element(SendEnd::Unserved, SendEnd::Preempted, SendEnd::Failed);
     tracker.onSendEnded(start->job, start->index, end, now);
+    recordFailures(tracker, now);
 }
 
 } // namespace
--- a/Tests/NodeProcesses/ModelServer.cpp
+++ b/Tests/NodeProcesses/ModelServer.cpp
@@ -79,18 +79,26 @@
         auto const run = waiting_.front();
         waiting_.pop_front();
         running_.push_back(run);
-        if (options_.form == ResponseForm::EventStream) {
+        run->rejection = options_.rejection(run->request);
+        if (options_.form == ResponseForm::EventStream && !run->rejection) {
             auto headers = headersFor(run->request);
             headers.append({"Content-Type", "text/event-stream"});
             run->writer->start({.status = 200, .headers = std::move(headers)});
         }
         run->timer = loop_.at(readLocalClock() + options_.promptTime, [this, weak = std::weak_ptr(run)] {
             if (auto const ready = weak.lock())
-                options_.behaviour(*this, ready);
+                ready->rejection ? reject(ready) : options_.behaviour(*this, ready);
         });
     }
 }
 
+void ModelServer::reject(std::shared_ptr<Run> const &run)
+{
+    options_.onRejected(run->request);
+    run->writer->respond({.status = *run->rejection, .headers = headersFor(run->request)});
+    end(run);
+}
+
 void ModelServer::complete(std::shared_ptr<Run> const &run)
 {
     if (options_.form == ResponseForm::EventStream)
--- a/Tests/NodeProcesses/ModelServer.h
+++ b/Tests/NodeProcesses/ModelServer.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Anvilyard::Tests {
@@ -26,6 +27,8 @@
         std::shared_ptr<Http::ResponseWriter> writer;
         std::uint64_t nextEvent = 0;
         std::unique_ptr<Http::Timer> timer;
+        /// Status with which the server rejects the request instead of running it to its end.
+        std::optional<int> rejection;
     };
     /// Called once the request has run for a while, before the first event or the whole response.
     using Behaviour = std::function<void(ModelServer &server, std::shared_ptr<Run> const &run)>;
@@ -43,6 +46,9 @@
         /// Precedes the text of each event.
         std::string eventPrefix;
         Behaviour behaviour = [](ModelServer &server, std::shared_ptr<Run> const &run) { server.complete(run); };
+        /// Returns the status of a request that ends with an error response.
+        std::function<std::optional<int>(Http::HttpRequest const &)> rejection = [](auto const &) { return std::nullopt; };
+        std::function<void(Http::HttpRequest const &)> onRejected = [](auto const &) {};
         /// Called for each request that is to be run, before the server decides whether it runs it.
         std::function<void(Http::HttpRequest const &)> onReceived = [](auto const &) {};
         std::function<void()> onCrashed = [] {};
@@ -76,6 +82,7 @@
 private:
     void handle(Http::HttpRequest request, std::shared_ptr<Http::ResponseWriter> const &writer);
     void startWaiting();
+    void reject(std::shared_ptr<Run> const &run);
     void end(std::shared_ptr<Run> const &run);
     [[nodiscard]] Http::Headers headersFor(Http::HttpRequest const &request) const;
 
--- a/Tests/NodeProcesses/NodeProcess.cpp
+++ b/Tests/NodeProcesses/NodeProcess.cpp
@@ -96,6 +96,18 @@
     process_ = 0;
 }
 
+void NodeProcess::terminate()
+{
+    ::kill(process_, SIGTERM);
+}
+
+bool NodeProcess::isRunning()
+{
+    if (process_ > 0 && ::waitpid(process_, nullptr, WNOHANG) == process_)
+        process_ = 0;
+    return process_ > 0;
+}
+
 void NodeProcess::pause()
 {
     ::kill(process_, SIGSTOP);
--- a/Tests/NodeProcesses/NodeProcess.h
+++ b/Tests/NodeProcesses/NodeProcess.h
@@ -32,6 +32,10 @@
     /// Starts the process, also again after kill(), at the same addresses.
     void start();
     void kill();
+    /// Asks the process by SIGTERM to end.
+    void terminate();
+    /// Whether the process is there, also while it is paused or ends.
+    [[nodiscard]] bool isRunning();
     /// Stops the process by SIGSTOP and waits until it has stopped.
     void pause();
     void resume();
--- a/Tests/NodeProcesses/ServingFleet.cpp
+++ b/Tests/NodeProcesses/ServingFleet.cpp
@@ -44,6 +44,34 @@
     return identity;
 }
 
+std::string attemptIdOf(Http::HttpRequest const &request)
+{
+    return std::string(request.headers.find("Anvilyard-Attempt-Id").value_or(""));
+}
+
+constexpr std::string_view FailingPath = "/b/fails/";
+constexpr std::string_view ImpossiblePath = "/b/impossible/";
+
+std::string_view pathOf(ServingFleet::ItemEnd end)
+{
+    switch (end) {
+    case ServingFleet::ItemEnd::Completes:
+        break;
+    case ServingFleet::ItemEnd::Fails:
+        return FailingPath;
+    case ServingFleet::ItemEnd::IsImpossible:
+        return ImpossiblePath;
+    }
+    return "/b/";
+}
+
+std::optional<int> rejectionOf(Http::HttpRequest const &request)
+{
+    if (request.target.starts_with(FailingPath))
+        return 500;
+    return request.target.starts_with(ImpossiblePath) ? std::optional(422) : std::nullopt;
+}
+
 std::string poolOf(ModelServer::ResponseForm form)
 {
     return form == ModelServer::ResponseForm::EventStream ? "p" : "q";
@@ -53,7 +81,7 @@
     {"name":"s","host":"h.example","pathPrefix":"/s/","kind":"streaming","timeoutMs":5000,"sloMs":300,"priority":0,"service":"p",
      "attempts":2,"resumable":true,"gapAimMs":600,"sessionAffinity":true},
     {"name":"b","host":"h.example","pathPrefix":"/b/","kind":"batch","timeoutMs":15000,"sloMs":400,"priority":2,"service":"p",
-     "attempts":3,"completionTargetMs":2000,"queueTtlS":2,"cap":100000},
+     "attempts":3,"completionTargetMs":2000,"queueTtlS":$queueTime,"cap":100000},
     {"name":"o","host":"h.example","pathPrefix":"/b/online/","kind":"streaming","timeoutMs":5000,"sloMs":300,"priority":0,"service":"p",
      "attempts":2,"resumable":true,"gapAimMs":600},
     {"name":"q","host":"h.example","pathPrefix":"/q/","kind":"idempotent","timeoutMs":5000,"sloMs":300,"priority":0,"service":"q",
@@ -63,17 +91,29 @@
     "services":[{"name":"p","healthPath":"/healthz","maxConns":100},{"name":"q","healthPath":"/healthz","maxConns":100}],
     "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 
+std::string desiredState(std::chrono::seconds queueTime)
+{
+    constexpr std::string_view Placeholder = "$queueTime";
+    std::string text(DesiredState);
+    return text.replace(text.find(Placeholder), Placeholder.size(), std::to_string(queueTime.count()));
+}
+
 } // namespace
 
 ServingFleet::ServingFleet()
+    : ServingFleet(Options())
+{
+}
+
+ServingFleet::ServingFleet(Options options)
 {
     auto folder = (std::filesystem::temp_directory_path() / "anvilyard-test-XXXXXX").string();
     if (!::mkdtemp(folder.data()))
         throw std::system_error(errno, std::generic_category(), folder);
     folder_ = folder;
-    thread_.call([this] {
+    thread_.call([&] {
         store_ = std::make_unique<FleetStoreServer>(thread_.loop());
-        store_->put("config", "main", std::string(DesiredState));
+        store_->put("config", "main", desiredState(options.queueTime));
         client_ = Http::HttpClient::create(thread_.loop(), {});
     });
 }
@@ -175,6 +215,8 @@
             .events = events_,
             .eventPrefix = start.version.empty() ? "" : start.version + "-",
             .behaviour = [this](ModelServer &started, std::shared_ptr<ModelServer::Run> const &run) { onRun(started, run); },
+            .rejection = rejectionOf,
+            .onRejected = [this](Http::HttpRequest const &request) { rejections_[attemptIdOf(request)].push_back(readLocalClock()); },
             .onReceived = [this, id](Http::HttpRequest const &request) { onReceived(id, request); },
             .onCrashed = [this, id, position = servers_.size()] { onCrashed(id, position); },
             .extraHeaders =
@@ -214,6 +256,7 @@
     for (auto const &part : sharedParts(request))
         arrivals_[part].push_back(now);
     arrivals_[identityOf(request)].push_back(now);
+    arrivalsById_[attemptIdOf(request)].push_back(now);
 }
 
 void ServingFleet::onRun(ModelServer &server, std::shared_ptr<ModelServer::Run> const &run)
@@ -419,22 +462,53 @@
 }
 
 JobId ServingFleet::submitJob(NodeProcess const &entry, std::size_t items)
+{
+    auto const job = trySubmitJob(entry, std::vector(items, ItemEnd::Completes));
+    if (!job)
+        throw std::runtime_error(entry.name() + " does not accept the job");
+    return job->id;
+}
+
+std::optional<ServingFleet::SubmittedJob> ServingFleet::trySubmitJob(NodeProcess const &entry, std::vector<ItemEnd> const &items)
 {
     json::array list;
     auto const number = std::to_string(++requests_);
-    for (std::size_t item = 0; item < items; ++item) {
-        auto const id = "i" + number + "-" + std::to_string(item);
-        list.push_back(json::object{{"id", id}, {"path", "/b/" + id}, {"headers", json::object{}}, {"body", ""}, {"tokens", 10}});
+    SubmittedJob job{.id = JobId("j" + number)};
+    for (std::size_t item = 0; item < items.size(); ++item) {
+        auto const &id = job.items.emplace_back("i" + number + "-" + std::to_string(item));
+        auto const path = std::string(pathOf(items[item])) + id;
+        list.push_back(json::object{{"id", id}, {"path", path}, {"headers", json::object{}}, {"body", ""}, {"tokens", 10}});
     }
-    auto const job = "j" + number;
-    Http::HttpRequest request{.method = "POST",
-                              .target = "/b/jobs",
-                              .headers = {{"Host", "h.example"}, {"Anvilyard-Attempt-Id", job}, {"Content-Type", "application/json"}},
-                              .body = json::serialize(json::object{{"items", std::move(list)}})};
+    Http::HttpRequest request{
+        .method = "POST",
+        .target = "/b/jobs",
+        .headers = {{"Host", "h.example"}, {"Anvilyard-Attempt-Id", job.id.value()}, {"Content-Type", "application/json"}},
+        .body = json::serialize(json::object{{"items", std::move(list)}})};
     auto const answer = send(entry, std::move(request)).get();
-    if (!answer || answer->status != 202)
-        throw std::runtime_error(entry.name() + " does not accept the job");
-    return JobId(job);
+    return answer && answer->status == 202 ? std::optional(std::move(job)) : std::nullopt;
+}
+
+std::optional<std::map<std::string, std::string>> ServingFleet::readStates(NodeProcess const &entry, JobId const &job)
+{
+    Http::HttpRequest request{.method = "GET", .target = "/api/lots/" + job.value() + "?after=0", .headers = {{"Host", "h.example"}}};
+    auto const answer = send(entry, std::move(request)).get();
+    if (!answer || answer->status != 200)
+        return std::nullopt;
+    std::map<std::string, std::string> states;
+    auto const page = json::parse(answer->body);
+    for (auto const &result : page.as_object().at("results").as_array())
+        states.emplace(result.at("id").as_string(), result.at("state").as_string());
+    return states;
+}
+
+std::vector<Instant> ServingFleet::arrivalsOf(std::string const &id)
+{
+    return thread_.call([&] { return arrivalsById_[id]; });
+}
+
+std::vector<Instant> ServingFleet::rejections(std::string const &item)
+{
+    return thread_.call([&] { return rejections_[item]; });
 }
 
 std::future<ServingFleet::Answer> ServingFleet::sendTo(Address const &server, Http::HttpRequest request)
--- a/Tests/NodeProcesses/ServingFleet.h
+++ b/Tests/NodeProcesses/ServingFleet.h
@@ -30,12 +30,31 @@
         BeforeResponse,
         AfterFirstEvent,
     };
+    /// How the runs of an item end.
+    enum class ItemEnd {
+        Completes,
+        /// Servers answer with 500 each time.
+        Fails,
+        /// Servers answer with 422 each time.
+        IsImpossible,
+    };
+    struct SubmittedJob {
+        JobId id;
+        /// Ids of the items, in their order.
+        std::vector<std::string> items;
+    };
     enum class IdAfterCrash {
         New,
         Same,
     };
 
+    struct Options {
+        /// Time after which items that are not done are given up.
+        std::chrono::seconds queueTime = 2s;
+    };
+
     ServingFleet();
+    explicit ServingFleet(Options options);
     ~ServingFleet();
     ServingFleet(ServingFleet const &) = delete;
     ServingFleet &operator=(ServingFleet const &) = delete;
@@ -114,6 +133,14 @@
     std::future<TimedAnswer> sendTimed(NodeProcess const &entry, Http::HttpRequest request);
     /// Submits a batch job with so many items and waits until it is accepted.
     JobId submitJob(NodeProcess const &entry, std::size_t items);
+    /// Submits a batch job with such items; `std::nullopt` if it is not accepted.
+    std::optional<SubmittedJob> trySubmitJob(NodeProcess const &entry, std::vector<ItemEnd> const &items);
+    /// States of the listed items of a job by item; `std::nullopt` if they cannot be read.
+    std::optional<std::map<std::string, std::string>> readStates(NodeProcess const &entry, JobId const &job);
+    /// When the item reached servers, or the attempt with this id.
+    [[nodiscard]] std::vector<Instant> arrivalsOf(std::string const &id);
+    /// When servers answered runs of the item with an error response.
+    [[nodiscard]] std::vector<Instant> rejections(std::string const &item);
 
     /// When requests whose prompts hold the part reached servers.
     [[nodiscard]] std::vector<Instant> arrivals(std::string const &part);
@@ -165,6 +192,9 @@
     /// By part, and by what comes again of a request.
     std::map<std::string, std::vector<Instant>> arrivals_;
     std::map<std::string, std::vector<Instant>> crashes_;
+    /// By the id of an attempt or item.
+    std::map<std::string, std::vector<Instant>> arrivalsById_;
+    std::map<std::string, std::vector<Instant>> rejections_;
     std::vector<Instant> allCrashes_;
     std::map<std::string, std::string> limits_;
     std::map<std::string, std::vector<Instant>> arrivalsByServer_;
