--- a/Tests/NodeProcesses/ModelServer.cpp
+++ b/Tests/NodeProcesses/ModelServer.cpp
@@ -52,6 +52,12 @@
 {
     if (!isUp())
         return writer->abort();
+    if (readLocalClock() < silentUntil_) {
+        // A paused process finds the request when it goes on, also if its caller has left.
+        auto const held = std::make_shared<Http::HttpRequest>(std::move(request));
+        deferred_.push_back(loop_.at(silentUntil_, [this, held, writer] { handle(std::move(*held), writer); }));
+        return;
+    }
     if (request.method == "GET")
         return writer->respond({.status = request.path() == "/healthz" ? 200 : 404, .headers = {{"Anvilyard-Instance-Id", id()}}});
     options_.onReceived(request);
@@ -73,21 +79,43 @@
     startWaiting();
 }
 
+void ModelServer::silence(Instant until)
+{
+    silentUntil_ = until;
+}
+
+Instant ModelServer::afterSilence(Instant time) const
+{
+    return std::max(time, silentUntil_);
+}
+
+void ModelServer::schedule(std::shared_ptr<Run> const &run, Instant at, std::function<void(std::shared_ptr<Run> const &)> action)
+{
+    run->timer = loop_.at(afterSilence(at), [this, weak = std::weak_ptr(run), action = std::move(action)] {
+        auto const due = weak.lock();
+        if (!due)
+            return;
+        if (readLocalClock() < silentUntil_)
+            return schedule(due, silentUntil_, action);
+        action(due);
+    });
+}
+
 void ModelServer::startWaiting()
 {
     while (!waiting_.empty() && running_.size() < options_.slots) {
         auto const run = waiting_.front();
         waiting_.pop_front();
         running_.push_back(run);
+        options_.onStarted(run->request);
         run->rejection = options_.rejection(run->request);
         if (options_.form == ResponseForm::EventStream && !run->rejection) {
             auto headers = headersFor(run->request);
             headers.append({"Content-Type", "text/event-stream"});
             run->writer->start({.status = 200, .headers = std::move(headers)});
         }
-        run->timer = loop_.at(readLocalClock() + options_.promptTime, [this, weak = std::weak_ptr(run)] {
-            if (auto const ready = weak.lock())
-                ready->rejection ? reject(ready) : options_.behaviour(*this, ready);
+        schedule(run, readLocalClock() + options_.promptTime, [this](std::shared_ptr<Run> const &ready) {
+            ready->rejection ? reject(ready) : options_.behaviour(*this, ready);
         });
     }
 }
@@ -116,14 +144,12 @@
 void ModelServer::writeEvents(std::shared_ptr<Run> const &run)
 {
     if (run->nextEvent >= options_.events) {
+        options_.onFinished(run->request);
         run->writer->finish();
         return end(run);
     }
     writeEvent(run);
-    run->timer = loop_.at(readLocalClock() + options_.eventGap, [this, weak = std::weak_ptr(run)] {
-        if (auto const next = weak.lock())
-            writeEvents(next);
-    });
+    schedule(run, readLocalClock() + options_.eventGap, [this](std::shared_ptr<Run> const &next) { writeEvents(next); });
 }
 
 void ModelServer::cut(std::shared_ptr<Run> const &run)
--- a/Tests/NodeProcesses/ModelServer.h
+++ b/Tests/NodeProcesses/ModelServer.h
@@ -49,6 +49,10 @@
         /// Returns the status of a request that ends with an error response.
         std::function<std::optional<int>(Http::HttpRequest const &)> rejection = [](auto const &) { return std::nullopt; };
         std::function<void(Http::HttpRequest const &)> onRejected = [](auto const &) {};
+        /// Called when a run begins.
+        std::function<void(Http::HttpRequest const &)> onStarted = [](auto const &) {};
+        /// Called when the server has generated the whole response to a request.
+        std::function<void(Http::HttpRequest const &)> onFinished = [](auto const &) {};
         /// Called for each request that is to be run, before the server decides whether it runs it.
         std::function<void(Http::HttpRequest const &)> onReceived = [](auto const &) {};
         std::function<void()> onCrashed = [] {};
@@ -74,6 +78,8 @@
     void writeEvents(std::shared_ptr<Run> const &run);
     /// Closes the connection of the run.
     void cut(std::shared_ptr<Run> const &run);
+    /// Stops reading and writing until then, while its host still accepts connections and bytes, as a process that is paused.
+    void silence(Instant until);
     /// Closes all connections and refuses new ones.
     void crash();
     /// Like crash(), but does not call onCrashed.
@@ -81,6 +87,10 @@
 
 private:
     void handle(Http::HttpRequest request, std::shared_ptr<Http::ResponseWriter> const &writer);
+    /// Returns the time, or the end of the silence if that is later.
+    [[nodiscard]] Instant afterSilence(Instant time) const;
+    /// Starts the timer of a run. It is started again if the server is silent then.
+    void schedule(std::shared_ptr<Run> const &run, Instant at, std::function<void(std::shared_ptr<Run> const &)> action);
     void startWaiting();
     void reject(std::shared_ptr<Run> const &run);
     void end(std::shared_ptr<Run> const &run);
@@ -92,6 +102,9 @@
     std::unique_ptr<Http::HttpServer> server_;
     std::list<std::shared_ptr<Run>> waiting_;
     std::list<std::shared_ptr<Run>> running_;
+    Instant silentUntil_ = Instant::min();
+    /// Requests that arrived during a silence.
+    std::list<std::unique_ptr<Http::Timer>> deferred_;
 };
 
 } // namespace Anvilyard::Tests
--- a/Tests/NodeProcesses/ServingFleet.cpp
+++ b/Tests/NodeProcesses/ServingFleet.cpp
@@ -1,5 +1,7 @@
 #include "Tests/NodeProcesses/ServingFleet.h"
 
+#include "LibJobs/Base64.h"
+
 #include <algorithm>
 #include <boost/json.hpp>
 #include <gtest/gtest.h>
@@ -194,7 +196,50 @@
 
 void ServingFleet::setStoreOutage(OutageMode outage)
 {
-    thread_.call([&] { store_->faults().setFaults({.outage = outage}); });
+    setStoreFaults({.outage = outage});
+}
+
+void ServingFleet::setStoreFaults(PlatformFaults faults)
+{
+    thread_.call([&] { store_->faults().setFaults(faults); });
+}
+
+ModelServer *ServingFleet::findUp(std::size_t position)
+{
+    std::vector<ModelServer *> up;
+    for (auto const &server : servers_) {
+        if (server->isUp())
+            up.push_back(server.get());
+    }
+    return up.empty() ? nullptr : up[position % up.size()];
+}
+
+void ServingFleet::silenceServer(std::size_t position, Duration time)
+{
+    thread_.call([&] {
+        if (auto *server = findUp(position))
+            server->silence(readLocalClock() + time);
+    });
+}
+
+void ServingFleet::crashServer(std::size_t position)
+{
+    thread_.call([&] {
+        if (auto *server = findUp(position))
+            server->crash();
+    });
+}
+
+std::map<std::string, bool> ServingFleet::serversOf(std::string const &attempt)
+{
+    return thread_.call([&] {
+        std::map<std::string, bool> servers;
+        for (auto const position : runServers_[attempt]) {
+            auto const &server = *servers_.at(position);
+            servers.emplace(server.id() + "#" + std::to_string(position), !server.isUp());
+        }
+        return servers;
+    });
 }
 
 std::string ServingFleet::nextServerId() const
@@ -217,6 +262,9 @@
             .behaviour = [this](ModelServer &started, std::shared_ptr<ModelServer::Run> const &run) { onRun(started, run); },
             .rejection = rejectionOf,
             .onRejected = [this](Http::HttpRequest const &request) { rejections_[attemptIdOf(request)].push_back(readLocalClock()); },
+            .onStarted = [this, position = servers_.size()](
+                             Http::HttpRequest const &request) { runServers_[attemptIdOf(request)].insert(position); },
+            .onFinished = [this](Http::HttpRequest const &request) { finished_.insert(attemptIdOf(request)); },
             .onReceived = [this, id](Http::HttpRequest const &request) { onReceived(id, request); },
             .onCrashed = [this, id, position = servers_.size()] { onCrashed(id, position); },
             .extraHeaders =
@@ -451,13 +499,24 @@
 }
 
 std::future<ServingFleet::TimedAnswer> ServingFleet::sendTimed(NodeProcess const &entry, Http::HttpRequest request)
+{
+    return sendTimed(entry, std::move(request), Connection::FreshOnly);
+}
+
+std::future<ServingFleet::TimedAnswer> ServingFleet::sendKept(NodeProcess const &entry, Http::HttpRequest request)
+{
+    return sendTimed(entry, std::move(request), Connection::AnyIdle);
+}
+
+std::future<ServingFleet::TimedAnswer> ServingFleet::sendTimed(NodeProcess const &entry, Http::HttpRequest request, Connection connection)
 {
     auto promise = std::make_shared<std::promise<TimedAnswer>>();
     auto future = promise->get_future();
     auto const sentAt = readLocalClock();
-    fetch(entry.callers(), std::move(request), [promise, sentAt](Answer answer) {
+    auto const onDone = [promise, sentAt](Answer answer) {
         promise->set_value({.answer = std::move(answer), .time = readLocalClock() - sentAt});
-    });
+    };
+    fetch(entry.callers(), std::move(request), onDone, connection);
     return future;
 }
 
@@ -477,7 +536,8 @@
     for (std::size_t item = 0; item < items.size(); ++item) {
         auto const &id = job.items.emplace_back("i" + number + "-" + std::to_string(item));
         auto const path = std::string(pathOf(items[item])) + id;
-        list.push_back(json::object{{"id", id}, {"path", path}, {"headers", json::object{}}, {"body", ""}, {"tokens", 10}});
+        list.push_back(
+            json::object{{"id", id}, {"path", path}, {"headers", json::object{}}, {"body", Jobs::encodeBase64(id)}, {"tokens", 10}});
     }
     Http::HttpRequest request{
         .method = "POST",
@@ -488,10 +548,21 @@
     return answer && answer->status == 202 ? std::optional(std::move(job)) : std::nullopt;
 }
 
+std::future<ServingFleet::Answer> ServingFleet::readResults(NodeProcess const &entry, JobId const &job, std::size_t from)
+{
+    auto target = "/api/lots/" + job.value() + "?after=" + std::to_string(from);
+    return send(entry, {.method = "GET", .target = std::move(target), .headers = {{"Host", "h.example"}}});
+}
+
+std::future<ServingFleet::Answer> ServingFleet::readBody(NodeProcess const &entry, JobId const &job, std::string const &item)
+{
+    auto target = "/api/items/" + job.value() + "?id=" + item;
+    return send(entry, {.method = "GET", .target = std::move(target), .headers = {{"Host", "h.example"}}});
+}
+
 std::optional<std::map<std::string, std::string>> ServingFleet::readStates(NodeProcess const &entry, JobId const &job)
 {
-    Http::HttpRequest request{.method = "GET", .target = "/api/lots/" + job.value() + "?after=0", .headers = {{"Host", "h.example"}}};
-    auto const answer = send(entry, std::move(request)).get();
+    auto const answer = readResults(entry, job, 0).get();
     if (!answer || answer->status != 200)
         return std::nullopt;
     std::map<std::string, std::string> states;
@@ -506,6 +577,11 @@
     return thread_.call([&] { return arrivalsById_[id]; });
 }
 
+bool ServingFleet::isFinished(std::string const &item)
+{
+    return thread_.call([&] { return finished_.contains(item) || !rejections_[item].empty(); });
+}
+
 std::vector<Instant> ServingFleet::rejections(std::string const &item)
 {
     return thread_.call([&] { return rejections_[item]; });
@@ -519,13 +595,10 @@
     return future;
 }
 
-void ServingFleet::fetch(Address const &server, Http::HttpRequest request, std::function<void(Answer)> onDone)
+void ServingFleet::fetch(Address const &server, Http::HttpRequest request, std::function<void(Answer)> onDone, Connection connection)
 {
     thread_.call([&] {
-        client_->fetch({.server = server,
-                        .request = std::move(request),
-                        .deadline = readLocalClock() + 10s,
-                        .connection = Http::ClientRequest::Connection::FreshOnly},
+        client_->fetch({.server = server, .request = std::move(request), .deadline = readLocalClock() + 10s, .connection = connection},
                        std::move(onDone));
     });
 }
--- a/Tests/NodeProcesses/ServingFleet.h
+++ b/Tests/NodeProcesses/ServingFleet.h
@@ -74,6 +74,11 @@
     void setVersionAfterCrash(std::string version);
     /// Makes the store refuse all calls, or serve them again.
     void setStoreOutage(OutageMode outage);
+    void setStoreFaults(PlatformFaults faults);
+    /// Silences the server that was started as this one, or a later one in its place.
+    void silenceServer(std::size_t position, Duration time);
+    /// Crashes the server that was started as this one, or a later one in its place.
+    void crashServer(std::size_t position);
     /// Starts a node process without waiting until it is ready.
     NodeProcess &startNode(std::string const &name, Serving::InstanceRole role = Serving::InstanceRole::Entry);
     void waitUntilReady(NodeProcess const &entry);
@@ -107,6 +112,8 @@
     /// Sends the request under an id of its own.
     std::future<Answer> sendAgain(NodeProcess const &entry, Http::HttpRequest request);
     std::future<Answer> send(NodeProcess const &entry, Http::HttpRequest request);
+    /// Servers that have run the attempt and whether each of them has crashed since.
+    [[nodiscard]] std::map<std::string, bool> serversOf(std::string const &attempt);
     /// Response of which parts may have arrived. Its end is set on the event loop; the rest may be read after that.
     struct Stream {
         enum class End {
@@ -131,14 +138,22 @@
         Duration time{0};
     };
     std::future<TimedAnswer> sendTimed(NodeProcess const &entry, Http::HttpRequest request);
+    /// Sends the request on a kept connection if there is one. The connection is kept for the next request.
+    std::future<TimedAnswer> sendKept(NodeProcess const &entry, Http::HttpRequest request);
     /// Submits a batch job with so many items and waits until it is accepted.
     JobId submitJob(NodeProcess const &entry, std::size_t items);
     /// Submits a batch job with such items; `std::nullopt` if it is not accepted.
     std::optional<SubmittedJob> trySubmitJob(NodeProcess const &entry, std::vector<ItemEnd> const &items);
+    /// Asks for the results of a job from a position on.
+    std::future<Answer> readResults(NodeProcess const &entry, JobId const &job, std::size_t from);
+    /// Asks for the body of an item, which is its id.
+    std::future<Answer> readBody(NodeProcess const &entry, JobId const &job, std::string const &item);
     /// States of the listed items of a job by item; `std::nullopt` if they cannot be read.
     std::optional<std::map<std::string, std::string>> readStates(NodeProcess const &entry, JobId const &job);
     /// When the item reached servers, or the attempt with this id.
     [[nodiscard]] std::vector<Instant> arrivalsOf(std::string const &id);
+    /// Whether a server has generated the whole response to the item, or has answered it with an error.
+    [[nodiscard]] bool isFinished(std::string const &item);
     /// When servers answered runs of the item with an error response.
     [[nodiscard]] std::vector<Instant> rejections(std::string const &item);
 
@@ -162,7 +177,14 @@
         std::string version = {};
     };
 
-    void fetch(Address const &server, Http::HttpRequest request, std::function<void(Answer)> onDone);
+    using Connection = Http::ClientRequest::Connection;
+
+    std::future<TimedAnswer> sendTimed(NodeProcess const &entry, Http::HttpRequest request, Connection connection);
+    void fetch(Address const &server,
+               Http::HttpRequest request,
+               std::function<void(Answer)> onDone,
+               Connection connection = Connection::FreshOnly);
+    [[nodiscard]] ModelServer *findUp(std::size_t position);
     std::future<Answer> sendTo(Address const &server, Http::HttpRequest request);
     void startServer(Start const &start);
     [[nodiscard]] std::string nextServerId() const;
@@ -195,6 +217,10 @@
     /// By the id of an attempt or item.
     std::map<std::string, std::vector<Instant>> arrivalsById_;
     std::map<std::string, std::vector<Instant>> rejections_;
+    /// Ids of attempts and items whose whole response a server has generated.
+    std::set<std::string> finished_;
+    /// Positions in servers_ of those that have run an attempt, by its id.
+    std::map<std::string, std::set<std::size_t>> runServers_;
     std::vector<Instant> allCrashes_;
     std::map<std::string, std::string> limits_;
     std::map<std::string, std::vector<Instant>> arrivalsByServer_;
--- a/Tests/NodeProcesses/SignalSeries.cpp
+++ b/Tests/NodeProcesses/SignalSeries.cpp
@@ -17,6 +17,31 @@
     return nextAt_;
 }
 
+std::size_t SignalSeries::indexOf(NodeProcess const &process) const
+{
+    return static_cast<std::size_t>(std::ranges::find(options_.processes, &process) - options_.processes.begin());
+}
+
+bool SignalSeries::isRunning(NodeProcess const &process) const
+{
+    return states_[indexOf(process)] == State::Running;
+}
+
+bool SignalSeries::isCalm(NodeProcess const &process, Duration time, Instant now) const
+{
+    return isRunning(process) && disturbance(process, now - time, now) == Disturbance::None;
+}
+
+SignalSeries::Disturbance SignalSeries::disturbance(NodeProcess const &process, Instant from, Instant to) const
+{
+    auto gravest = Disturbance::None;
+    for (auto const &change : changes_) {
+        if (change.process == indexOf(process) && change.at > from && change.at <= to)
+            gravest = std::max(gravest, change.state == State::Stopping ? Disturbance::Stop : Disturbance::Other);
+    }
+    return gravest;
+}
+
 std::size_t SignalSeries::pick(std::size_t count)
 {
     return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
@@ -40,9 +65,12 @@
         now + Milliseconds(std::uniform_int_distribution(toMilliseconds(options_.minPause), toMilliseconds(options_.maxPause))(random_));
     auto const process = pick(states_.size());
     auto const running = static_cast<std::size_t>(std::ranges::count(states_, State::Running));
-    if (states_[process] != State::Running)
-        return restore(process);
-    return running > options_.minRunning ? disturb(process) : std::string();
+    if (states_[process] == State::Running && running <= options_.minRunning)
+        return {};
+    auto signal = states_[process] == State::Running ? disturb(process) : restore(process);
+    if (!signal.empty())
+        changes_.push_back({.process = process, .at = now, .state = states_[process]});
+    return signal;
 }
 
 std::string SignalSeries::disturb(std::size_t process)
@@ -90,7 +118,8 @@
             options_.processes[process]->kill();
             states_[process] = State::Down;
         }
-        restore(process);
+        if (!restore(process).empty())
+            changes_.push_back({.process = process, .at = readLocalClock(), .state = states_[process]});
     }
 }
 
--- a/Tests/NodeProcesses/SignalSeries.h
+++ b/Tests/NodeProcesses/SignalSeries.h
@@ -29,6 +29,19 @@
     [[nodiscard]] Instant nextAt() const;
     /// Sends the next signal and returns what it was.
     std::string sendNext(Instant now);
+    /// Whether the process runs and got no signal, and was not started, for so long.
+    [[nodiscard]] bool isCalm(NodeProcess const &process, Duration time, Instant now) const;
+    /// Whether the process was neither paused nor ended by the series.
+    [[nodiscard]] bool isRunning(NodeProcess const &process) const;
+    enum class Disturbance {
+        None,
+        /// Only a request to stop.
+        Stop,
+        /// A kill, a pause or a start.
+        Other,
+    };
+    /// The gravest signal that a process got within a time.
+    [[nodiscard]] Disturbance disturbance(NodeProcess const &process, Instant from, Instant to) const;
     /// Resumes paused processes and starts those that are down.
     void restoreAll();
 
@@ -40,6 +53,7 @@
         Down,
     };
 
+    [[nodiscard]] std::size_t indexOf(NodeProcess const &process) const;
     [[nodiscard]] std::size_t pick(std::size_t count);
     void refresh();
     std::string disturb(std::size_t process);
@@ -48,6 +62,13 @@
     Options options_;
     RandomSource random_;
     std::vector<State> states_;
+    struct Change {
+        std::size_t process = 0;
+        Instant at;
+        State state = State::Running;
+    };
+    /// All signals and starts so far.
+    std::vector<Change> changes_;
     Instant nextAt_;
 };
 
