Count a process that stays paused as disturbed in series of signals

That entry had been paused more than three seconds before, and was paused until the end; the check only looked at signals within these seconds. A process that is paused does not run, so it is not in touch. The state before that time counts now.

--- a/Tests/NodeProcesses/SignalSeries.cpp
+++ b/Tests/NodeProcesses/SignalSeries.cpp
@@ -35,11 +35,18 @@
 SignalSeries::Disturbance SignalSeries::disturbance(NodeProcess const &process, Instant from, Instant to) const
 {
     auto gravest = Disturbance::None;
+    auto const effectOf = [](State state) { return state == State::Stopping ? Disturbance::Stop : Disturbance::Other; };
+    auto before = State::Running;
     for (auto const &change : changes_) {
-        if (change.process == indexOf(process) && change.at > from && change.at <= to)
-            gravest = std::max(gravest, change.state == State::Stopping ? Disturbance::Stop : Disturbance::Other);
+        if (change.process != indexOf(process) || change.at > to)
+            continue;
+        if (change.at <= from)
+            before = change.state;
+        else
+            gravest = std::max(gravest, effectOf(change.state));
     }
-    return gravest;
+    // A process may have been paused or down since before that time.
+    return before == State::Running ? gravest : std::max(gravest, effectOf(before));
 }
 
 std::size_t SignalSeries::pick(std::size_t count)
