--- a/Libraries/LibRouting/ServerHealth.cpp
+++ b/Libraries/LibRouting/ServerHealth.cpp
@@ -110,6 +110,14 @@
     return actions;
 }
 
+void ServerHealth::onPathRestored(Instant now)
+{
+    for (auto &[id, server] : servers_) {
+        if (server.state == Server::State::Ejected)
+            server.probeAt = now;
+    }
+}
+
 std::set<ServerId> ServerHealth::ejected() const
 {
     std::set<ServerId> ejected;
--- a/Libraries/LibRouting/ServerHealth.h
+++ b/Libraries/LibRouting/ServerHealth.h
@@ -68,6 +68,8 @@
     std::vector<HealthAction> onEvidence(ServerId const &server, ServerEvidence evidence, Instant now);
     std::vector<HealthAction> onProbe(ServerId const &server, ProbeOutcome outcome, Instant now);
     std::vector<HealthAction> onTick(Instant now);
+    /// Makes the probes of all ejected servers due, as the path to them has been restored.
+    void onPathRestored(Instant now);
 
     [[nodiscard]] std::set<ServerId> ejected() const;
     [[nodiscard]] std::optional<Instant> nextTick() const;
--- a/Libraries/LibServing/PeerExchange.cpp
+++ b/Libraries/LibServing/PeerExchange.cpp
@@ -23,8 +23,10 @@
     if (!addresses_.try_emplace(registration.id, registration.address).second)
         return;
     schedule_.add(registration.id);
-    if (registration.role)
+    if (registration.role) {
+        roles_[registration.id] = *registration.role;
         schedule_.setRoleAndDataCentre(registration.id, *registration.role, registration.dataCentre);
+    }
 }
 
 void PeerExchange::onInstancesListed()
@@ -38,6 +40,7 @@
         return Acceptance::Ignored;
     auto const sender = report.sender;
     addresses_[sender] = report.address;
+    roles_[sender] = report.role;
     schedule_.setRoleAndDataCentre(sender, report.role, report.dataCentre);
     schedule_.onReported(sender, now);
     schedule_.setKnownInstances(report.knownInstances);
@@ -61,6 +64,17 @@
     return !isOwn && peers_.onSummary(std::move(summary), now) ? Acceptance::Accepted : Acceptance::Ignored;
 }
 
+std::vector<RelayHelper> PeerExchange::otherEntries() const
+{
+    std::vector<RelayHelper> entries;
+    for (auto const &[id, address] : addresses_) {
+        auto const role = roles_.find(id);
+        if (id != options_.self && role != roles_.end() && role->second == InstanceRole::Entry)
+            entries.push_back({.id = id, .address = address});
+    }
+    return entries;
+}
+
 void PeerExchange::scheduleAllNow()
 {
     schedule_.scheduleAllNow();
--- a/Libraries/LibServing/PeerExchange.h
+++ b/Libraries/LibServing/PeerExchange.h
@@ -3,6 +3,7 @@
 #include "LibServing/NewsSchedule.h"
 #include "LibServing/PeerTable.h"
 #include "LibServing/PromptQuarantine.h"
+#include "LibServing/RelayHelpers.h"
 #include "LibServing/ReportSchedule.h"
 #include "LibServing/ServerLimitTable.h"
 
@@ -128,6 +129,8 @@
     [[nodiscard]] Duration farLoadAge() const;
     /// Number of instances in the fleet, this one included.
     [[nodiscard]] std::size_t fleetSize() const;
+    /// All other entries with their addresses, as they registered or reported them. Some may not run.
+    [[nodiscard]] std::vector<RelayHelper> otherEntries() const;
 
 private:
     void refreshTopology();
@@ -144,6 +147,7 @@
     ReportSchedule schedule_;
     /// Addresses from registrations, updated from the reports received.
     std::map<InstanceId, Address> addresses_;
+    std::map<InstanceId, InstanceRole> roles_;
     std::uint64_t lastReportNumber_ = 0;
     std::uint64_t lastSummaryNumber_ = 0;
     std::uint64_t receivedReports_ = 0;
--- a/Services/Node/FleetFollower.cpp
+++ b/Services/Node/FleetFollower.cpp
@@ -201,6 +201,7 @@
     for (auto const &server : servers)
         members.emplace(server.record.id, server.record.pool);
     context_.health.setServers(members);
+    context_.reach.setServers(members);
     context_.placement.setServers(std::move(servers), context_.health.ejected());
     nextServerChange_ = context_.directory.nextChange(now);
     ++context_.serversVersion;
--- a/Services/Node/HealthProber.cpp
+++ b/Services/Node/HealthProber.cpp
@@ -11,6 +11,8 @@
 /// A server responds to a probe within milliseconds, or once the request in its last slot ends.
 constexpr Duration ProbeTimeout = 1s;
 constexpr Duration ProbeConnectTimeout = 300ms;
+/// A connection within a region is established in a few milliseconds.
+constexpr Duration ReachProbeTimeout = 250ms;
 /// Only the head of a response counts.
 constexpr std::size_t MaxProbeResponseBytes = 64 * 1024;
 
@@ -25,11 +27,53 @@
 
 void HealthProber::onEvidence(ServerId const &server, Routing::ServerEvidence evidence)
 {
+    auto const known = context_.directory.find(server, readLocalClock());
+    // The path is to blame, and the servers are not to be ejected when it is restored.
+    if (known && evidence != Routing::ServerEvidence::Answered && context_.reach.isOutOfReach(known->record.pool))
+        return;
     perform(context_.health.onEvidence(server, evidence, readLocalClock()));
 }
 
+void HealthProber::onConnectFailed(ServerId const &server)
+{
+    auto const now = readLocalClock();
+    context_.reach.onConnectFailed(server, now);
+    checkReach(now);
+}
+
+void HealthProber::checkReach(Instant now)
+{
+    for (auto const &id : context_.reach.takeChecks(now, context_.random)) {
+        auto const onDone = [this, id](Http::ListenProbe::Outcome outcome) {
+            auto const probe = reachProbes_.extract(id);
+            auto const ended = readLocalClock();
+            bool const isConnected = outcome == Http::ListenProbe::Outcome::Listening;
+            auto const server = context_.directory.find(id, ended);
+            if (context_.reach.onChecked(id, isConnected, ended) && server)
+                onReachChanged(server->record.pool);
+        };
+        if (auto const server = context_.directory.find(id, now))
+            reachProbes_[id] = std::make_unique<Http::ListenProbe>(context_.loop, server->record.address, now + ReachProbeTimeout, onDone);
+        else
+            static_cast<void>(context_.reach.onChecked(id, false, now));
+    }
+}
+
+void HealthProber::onReachChanged(PoolName const &pool)
+{
+    if (context_.reach.isOutOfReach(pool)) {
+        Observe::log(Observe::Events::NodePoolOutOfReach, {{"pool", pool.value()}});
+        return;
+    }
+    Observe::log(Observe::Events::NodePoolInReach, {{"pool", pool.value()}});
+    auto const now = readLocalClock();
+    context_.health.onPathRestored(now);
+    perform(context_.health.onTick(now));
+}
+
 void HealthProber::onTick(Instant now)
 {
+    checkReach(now);
     perform(context_.health.onTick(now));
     context_.prompts.onTick(context_.directory, now);
     probeLostServers(now);
--- a/Services/Node/HealthProber.h
+++ b/Services/Node/HealthProber.h
@@ -13,6 +13,8 @@
     HealthProber(NodeContext &context, PermitClient &permits, std::function<void()> onEjectionsChanged);
 
     void onEvidence(ServerId const &server, Routing::ServerEvidence evidence);
+    /// Records that a new connection to the server failed. If others failed as well, it is checked whether the servers are out of reach.
+    void onConnectFailed(ServerId const &server);
     void onTick(Instant now);
     /// Finds out whether the servers at which responses were lost have crashed.
     void probeLostServers(Instant now);
@@ -20,12 +22,15 @@
 private:
     void perform(std::vector<Routing::HealthAction> const &actions);
     void probe(ServerId const &server);
+    void checkReach(Instant now);
+    void onReachChanged(PoolName const &pool);
     void sendProbe(Serving::ServerRecord const &server, std::string const &path, std::function<void(Routing::ProbeOutcome)> const &report);
 
     NodeContext &context_;
     PermitClient &permits_;
     std::function<void()> onEjectionsChanged_;
     std::map<ServerId, std::unique_ptr<Http::ListenProbe>> listenProbes_;
+    std::map<ServerId, std::unique_ptr<Http::ListenProbe>> reachProbes_;
 };
 
 } // namespace Anvilyard::Node
--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -134,6 +134,8 @@
         if (failure.reached == Http::Reached::NothingSent)
             health_.onEvidence(server_.id, Routing::ServerEvidence::FreshConnectionFailed);
     }
+    if (failure.error.code == Http::HttpError::ConnectFailed || failure.error.code == Http::HttpError::ConnectTimeout)
+        health_.onConnectFailed(server_.id);
     if (failure.isRefused)
         context_.prompts.onRefused(server_);
     recordLoss(failure);
--- a/Services/Node/NodeContext.h
+++ b/Services/Node/NodeContext.h
@@ -10,9 +10,11 @@
 #include "LibServing/LoadTracker.h"
 #include "LibServing/OnlinePlacement.h"
 #include "LibServing/PeerTable.h"
+#include "LibServing/RelayHelpers.h"
 #include "LibServing/ReturnSchedule.h"
 #include "LibServing/RouteTable.h"
 #include "LibServing/ServerDirectory.h"
+#include "LibServing/ServerReach.h"
 #include "LibServing/StreamOrigins.h"
 #include "LibServing/VersionRecord.h"
 #include "Services/Node/NodeSettings.h"
@@ -59,6 +61,14 @@
     /// By pool, when callers may return that were refused because of the limits of servers.
     std::map<PoolName, Serving::ReturnSchedule> returns = {};
     Routing::ServerHealth health;
+    /// Whether connections to the servers of a pool can be made from here.
+    Serving::ServerReach reach{{}};
+    /// Instances that send requests to servers which are out of reach from here.
+    Serving::RelayHelpers helpers{{}};
+    /// Returns all other entries, of which some may not run.
+    std::function<std::vector<Serving::RelayHelper>()> otherEntries = [] { return std::vector<Serving::RelayHelper>(); };
+    /// Requests in progress that other instances passed on to this one.
+    std::size_t relayedCalls = 0;
     /// Refuses requests that crash servers.
     PromptGuard prompts{{.expirySpread = QuarantineExpirySpread, .instanceHash = std::hash<InstanceId>{}(settings.instance)}};
     /// Limits of servers that take only so many requests a second.
--- a/Services/Node/NodeMetrics.cpp
+++ b/Services/Node/NodeMetrics.cpp
@@ -45,6 +45,11 @@
     , sends(registry.counter("anvilyard_node_sends_total", "Sends of online requests to servers"))
     , limitedSends(
           registry.counter("anvilyard_node_limited_sends_total", "Sends of online requests and batch items to servers that state a limit"))
+    , relayedSends(registry.counter("anvilyard_node_relayed_sends_total",
+                                    "Sends of online requests to other instances, as the servers were out of reach"))
+    , relayRefusals(registry.counter("anvilyard_node_relay_refusals_total", "Sends that the other instance could not take"))
+    , relayedRequests(
+          registry.counter("anvilyard_node_relayed_requests_total", "Online requests that other instances passed on to this one"))
     , resumes(registry.counter("anvilyard_node_resumes_total", "Streams that another send went on with"))
     , unfinishedEvents(registry.counter("anvilyard_node_unfinished_events_total", "Sends of streams that ended within an event"))
     , lostResponses(registry.counter("anvilyard_node_lost_responses_total",
--- a/Services/Node/NodeMetrics.h
+++ b/Services/Node/NodeMetrics.h
@@ -57,6 +57,12 @@
     Observe::Counter &requests;
     Observe::Counter &sends;
     Observe::Counter &limitedSends;
+    /// Sends to other instances, as the servers were out of reach.
+    Observe::Counter &relayedSends;
+    /// Of these, how many the other instance could not take.
+    Observe::Counter &relayRefusals;
+    /// Requests that other instances passed on to this one.
+    Observe::Counter &relayedRequests;
     Observe::Counter &resumes;
     Observe::Counter &unfinishedEvents;
     Observe::Counter &lostResponses;
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -6,6 +6,7 @@
 #include "Services/Node/OnlineCall.h"
 #include "Services/Node/PeerJobCalls.h"
 
+#include <algorithm>
 #include <iostream>
 
 namespace Anvilyard::Node {
@@ -30,6 +31,8 @@
 /// Within this time the balancer detects that a stopping entry is not ready: it probes every second and acts on the second result.
 /// Requests take up to five seconds, so one accepted before then ends within the eight seconds of a stop.
 constexpr Duration BalancerNoticeDelay = 2700ms;
+/// Requests of other instances that an entry handles at the same time, besides those of its own callers.
+constexpr std::size_t MaxRelayedCalls = 64;
 /// Part of the stop timeout that is reserved for the exit of the process.
 constexpr Duration ExitReserve = 500ms;
 
@@ -129,8 +132,8 @@
     auto const listen = [this](Address const &address, Http::RequestHandler handler) {
         return Http::HttpServer::create(context_.loop, {.listen = address}, std::move(handler));
     };
-    auto peers =
-        listen(context_.settings.peers, [this](Http::HttpRequest const &request, Writer const &writer) { handlePeer(request, writer); });
+    auto peers = listen(context_.settings.peers,
+                        [this](Http::HttpRequest request, Writer const &writer) { handlePeer(std::move(request), writer); });
     if (!peers)
         return tl::unexpected(peers.error());
     peers_ = std::move(*peers);
@@ -225,8 +228,38 @@
     writer->respond({.status = isReady() ? 200 : 503});
 }
 
-void NodeProgram::handlePeer(Http::HttpRequest const &request, Writer const &writer)
+std::optional<std::string> NodeProgram::relayObstacle(RelayTerms const &terms) const
 {
+    if (stoppingSince_)
+        return "stopping";
+    if (!fleet_.isComplete())
+        return "not-ready";
+    if (context_.routes->state().version < terms.stateVersion)
+        return "older-state";
+    if (context_.reach.isOutOfReach(terms.pool))
+        return "out-of-reach";
+    return context_.relayedCalls >= MaxRelayedCalls ? std::optional<std::string>("busy") : std::nullopt;
+}
+
+void NodeProgram::handleRelayed(Http::HttpRequest request, RelayTerms terms, Writer const &writer)
+{
+    if (auto reason = relayObstacle(terms))
+        return writer->respond(relayRefusal(std::move(*reason)));
+    auto const *route = context_.routes->find(request.headers.find("Host").value_or(""), request.path());
+    if (!route)
+        return writer->respond(Refusals::write(Refusals::noRoute(), context_.protocol));
+    auto const isPool = [&](Serving::WeightedPool const &pool) { return pool.pool == terms.pool; };
+    if (bool const isRouted = std::ranges::any_of(route->pools, isPool); !isRouted && terms.version)
+        return writer->respond(Refusals::write(Refusals::versionGone(), context_.protocol));
+    else if (!isRouted)
+        terms.pool = PoolName();
+    startOnlineCall(*route, std::move(request), writer, std::move(terms));
+}
+
+void NodeProgram::handlePeer(Http::HttpRequest request, Writer const &writer)
+{
+    if (auto terms = takeRelayTerms(request))
+        return handleRelayed(std::move(request), std::move(*terms), writer);
     if (request.path() == "/fleet") {
         Serving::StateVersion const version(readNumberParameter(request, "state"));
         return writer->respond(
@@ -264,6 +297,9 @@
     setServers("usable", servers.size() - lastResort);
     setServers("last_resort", lastResort);
     setServers("ejected", context_.health.ejected().size());
+    set("anvilyard_node_pools_out_of_reach",
+        "Pools to whose servers this node cannot connect, so that their requests are passed on through other nodes",
+        static_cast<double>(context_.reach.outOfReach().size()));
     set("anvilyard_node_limited_servers",
         "Backend servers that take a limited rate of requests",
         static_cast<double>(context_.limits.limitedServers()));
@@ -323,19 +359,22 @@
         handleCaller(std::move(held.request), std::move(held.writer));
 }
 
+void NodeProgram::refuse(Http::HttpRequest const &request, Writer const &writer, Http::Refusal const &refusal)
+{
+    metrics_.onRefused(refusal.code);
+    auto const head = context_.protocol.readOnlineRequest(request);
+    Observe::log(Observe::Events::NodeRequestRefused,
+                 {{"request", head ? head->id.value() : ""},
+                  {"target", request.target},
+                  {"reason", refusal.code},
+                  {"detail", refusal.message},
+                  {"state_version", context_.routes ? std::to_string(context_.routes->state().version.value()) : "none"}});
+    writer->respond(Refusals::write(refusal, context_.protocol));
+}
+
 void NodeProgram::handleCaller(Http::HttpRequest request, Writer writer)
 {
-    auto const refuse = [&](Http::Refusal const &refusal) {
-        metrics_.onRefused(refusal.code);
-        auto const head = context_.protocol.readOnlineRequest(request);
-        Observe::log(Observe::Events::NodeRequestRefused,
-                     {{"request", head ? head->id.value() : ""},
-                      {"target", request.target},
-                      {"reason", refusal.code},
-                      {"detail", refusal.message},
-                      {"state_version", context_.routes ? std::to_string(context_.routes->state().version.value()) : "none"}});
-        writer->respond(Refusals::write(refusal, context_.protocol));
-    };
+    auto const refuse = [&](Http::Refusal const &refusal) { this->refuse(request, writer, refusal); };
     if (auto call = context_.protocol.readJobCall(request)) {
         if (!*call)
             return refuse(Refusals::badRequest(call->error().detail));
@@ -353,19 +392,25 @@
         return refuse(Refusals::noRoute());
     if (route->kind == RouteKind::Batch)
         return jobApi_.submit(*route, request, std::move(writer));
+    startOnlineCall(*route, std::move(request), std::move(writer), std::nullopt);
+}
+
+void NodeProgram::startOnlineCall(Serving::Route const &route, Http::HttpRequest request, Writer writer, std::optional<RelayTerms> relay)
+{
     auto head = context_.protocol.readOnlineRequest(request);
     if (!head)
-        return refuse(Refusals::badRequest(head.error().detail));
+        return refuse(request, writer, Refusals::badRequest(head.error().detail));
     std::make_shared<OnlineCall>(OnlineCall::Parts{
                                      .context = context_,
                                      .metrics = metrics_,
                                      .health = health_,
                                      .permits = permits_,
                                      .origins = origins_,
-                                     .route = *route,
+                                     .route = route,
                                      .head = std::move(*head),
                                      .request = std::move(request),
                                      .writer = std::move(writer),
+                                     .relay = std::move(relay),
                                  })
         ->start();
 }
@@ -458,7 +503,7 @@
             callers_->stopAccepting();
             callers_->closeIdle();
         }
-        isIdle = isIdle && since >= BalancerNoticeDelay && callers_->openExchanges() == 0;
+        isIdle = isIdle && since >= BalancerNoticeDelay && callers_->openExchanges() == 0 && context_.relayedCalls == 0;
     }
     if (!isIdle && !isDeadlineReached)
         return;
--- a/Services/Node/NodeProgram.h
+++ b/Services/Node/NodeProgram.h
@@ -5,6 +5,7 @@
 #include "Services/Node/HealthProber.h"
 #include "Services/Node/JobApiHandler.h"
 #include "Services/Node/JobRunner.h"
+#include "Services/Node/PeerRelay.h"
 #include "Services/Node/RetirementHandler.h"
 #include "Services/Node/Signals.h"
 #include "Services/Node/StreamOriginClient.h"
@@ -60,8 +61,14 @@
     /// Keeps a request that arrived before the first lists of the store until these arrive or a short time has passed.
     void holdUntilReady(Http::HttpRequest request, Writer writer, Instant now);
     void releaseHeldRequests();
+    void refuse(Http::HttpRequest const &request, Writer const &writer, Http::Refusal const &refusal);
     void handleReadiness(Http::HttpRequest const &request, Writer const &writer);
-    void handlePeer(Http::HttpRequest const &request, Writer const &writer);
+    void handlePeer(Http::HttpRequest request, Writer const &writer);
+    /// Handles a request that another instance passed on, as servers are out of its reach.
+    void handleRelayed(Http::HttpRequest request, RelayTerms terms, Writer const &writer);
+    /// Why such a request cannot be taken; `std::nullopt` if it can.
+    [[nodiscard]] std::optional<std::string> relayObstacle(RelayTerms const &terms) const;
+    void startOnlineCall(Serving::Route const &route, Http::HttpRequest request, Writer writer, std::optional<RelayTerms> relay);
     void refreshGauges();
     void handleMetrics(Http::HttpRequest const &request, Writer const &writer);
     Result<std::monostate> listenAsEntry();
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -27,6 +27,10 @@
 /// Silence, in multiples of the gap target, after which a stream that no other server may run is resumed where it ran. The stream is
 /// late by then; a shorter silence is more often a busy server than a dead connection.
 constexpr double SilenceGapTargetsAtLastServer = 2;
+/// Interval at which a request without a server looks whether the servers are out of reach. That takes a quarter of a second at most.
+constexpr Duration ReachCheckDelay = 10ms;
+/// Number of instances that are asked to take a request whose servers are out of reach. Then it is sent from here.
+constexpr std::size_t MaxRelayRefusals = 4;
 /// Number of permits that are requested for one request. Each takes some milliseconds.
 constexpr std::size_t MaxPermitRequests = 8;
 
@@ -115,13 +119,16 @@
 OnlineCall::OnlineCall(Parts parts)
     : parts_(std::move(parts))
     // A stream goes on in the pool in which its first attempt began it.
-    , pool_(Serving::poolFor(parts_.route, parts_.head.resumes.value().empty() ? parts_.head.id : parts_.head.resumes))
+    , pool_(parts_.relay && !parts_.relay->pool.value().empty()
+                ? parts_.relay->pool
+                : Serving::poolFor(parts_.route, parts_.head.resumes.value().empty() ? parts_.head.id : parts_.head.resumes))
     , routeMetrics_(parts_.metrics.route(parts_.route.name))
     , startedAt_(readLocalClock())
     , deadline_(startedAt_ + std::min(parts_.route.timeout, parts_.head.timeLeft.value_or(parts_.route.timeout)))
     , plan_({
           .repeatability = repeatabilityOf(parts_.route),
-          .maxServers = parts_.route.maxServers,
+          // The instance that passed the request on counts it as one server.
+          .maxServers = parts_.relay ? 1 : parts_.route.maxServers,
           .latencyTarget = parts_.route.latencyTarget,
           .deadline = deadline_,
       })
@@ -131,13 +138,19 @@
 
 void OnlineCall::start()
 {
-    parts_.metrics.requests.add();
+    if (parts_.relay) {
+        streamVersion_ = parts_.relay->version;
+        ++parts_.context.relayedCalls;
+        parts_.metrics.relayedRequests.add();
+    } else {
+        parts_.metrics.requests.add();
+    }
     parts_.context.moveBudget.onFirstSend();
     parts_.writer->onCallerGone([weak = weak_from_this()] {
         if (auto const self = weak.lock())
             self->onCallerGone();
     });
-    if (isResumable() && parts_.head.lastEventId)
+    if (isResumable() && parts_.head.lastEventId && !streamVersion_)
         findOrigin();
     else
         placeAndSend();
@@ -187,7 +200,8 @@
     if (!isResumable() || streamVersion_)
         return;
     streamVersion_ = attempt_->server.softwareVersion;
-    parts_.origins.onBegun(parts_.head.id, {.pool = pool_, .version = *streamVersion_});
+    if (attempt_->isVersionKnown)
+        parts_.origins.onBegun(parts_.head.id, {.pool = pool_, .version = *streamVersion_});
 }
 
 /// A stream goes on only at the version that began it. A new one begins only at a version in the record, or it would not be known later
@@ -207,7 +221,9 @@
 {
     if (!isStream() || !parts_.route.isResumable || !parts_.route.eventGapTarget)
         return std::nullopt;
-    auto const factor = plan_.mayMoveFrom(attempt_->server.id) ? SilenceShareOfGapTarget : SilenceGapTargetsAtLastServer;
+    // The other instance moves the stream away from a silent server. Only if it is silent itself is it left.
+    auto const factor =
+        !attempt_->helper && plan_.mayMoveFrom(attempt_->server.id) ? SilenceShareOfGapTarget : SilenceGapTargetsAtLastServer;
     return std::chrono::duration_cast<Duration>(*parts_.route.eventGapTarget * factor);
 }
 
@@ -215,6 +231,8 @@
 {
     if (refuseIfQuarantined())
         return;
+    if (auto const helper = chooseHelper())
+        return sendToHelper(*helper);
     // A stream that may run at no further server is resumed at the server where it ran.
     if (auto const only = plan_.onlyServer()) {
         auto const server = parts_.context.directory.find(*only, readLocalClock());
@@ -240,6 +258,8 @@
         logNoPlacement(placement, latencyTarget);
         return refuseAtLimits(placement);
     case Serving::Placement::Outcome::NoServer:
+        if (placeAfterReachCheck())
+            return;
         logNoPlacement(placement, latencyTarget);
         if (isRelaying_)
             return resumeLater("no-server");
@@ -352,7 +372,7 @@
     if (auto const slowStartTimeout = plan_.responseTimeout(true, now); hasFreeSlot && slowStartTimeout < responseTimeout)
         scheduleSlowStartCheck(now + slowStartTimeout);
     bool const mayRunOnlyOnce = repeatabilityOf(parts_.route) == Repeatability::Unsafe;
-    Http::ClientRequest request{
+    Http::ClientRequest const request{
         .server = server.address,
         .request = context.protocol.makeServerRequest(parts_.request,
                                                       {.server = server.id, .timeLeft = deadline_ - now, .lastEventId = events_.lastId()}),
@@ -364,18 +384,77 @@
         .connection = mayRunOnlyOnce || connection == Connection::Fresh ? Http::ClientRequest::Connection::FreshOnly
                                                                         : Http::ClientRequest::Connection::AnyIdle,
         .framing = Http::ClientRequest::Framing::CloseMayEnd,
-        .matchesRequest =
-            [&protocol = context.protocol, id = parts_.head.id](Http::ResponseHead const &head) {
-                auto const answeredRequest = protocol.readResponseHead(head).answeredRequest;
-                return !answeredRequest || *answeredRequest == id;
-            },
+    };
+    startExchange(*context.serverClient, request);
+}
+
+std::optional<Serving::RelayHelper> OnlineCall::chooseHelper()
+{
+    auto &context = parts_.context;
+    auto const now = readLocalClock();
+    bool const mayRunAgain = repeatabilityOf(parts_.route) != Repeatability::Unsafe || !plan_.mayHaveRun();
+    bool const mayRelay = !parts_.relay && relayRefusals_ < MaxRelayRefusals && mayRunAgain && plan_.mayUseAnotherServer()
+        && now + Serving::MinTimeForSend < deadline_;
+    if (!mayRelay || !context.reach.isOutOfReach(pool_))
+        return std::nullopt;
+    return context.helpers.choose(pool_, context.otherEntries(), now, context.random);
+}
+
+bool OnlineCall::placeAfterReachCheck()
+{
+    auto const now = readLocalClock();
+    bool const isUndecided = !parts_.relay && parts_.context.reach.isBeingChecked(pool_) && now + ReachCheckDelay < deadline_;
+    if (!isUndecided)
+        return false;
+    resumeTimer_ = parts_.context.loop.at(now + ReachCheckDelay, [weak = weak_from_this()] {
+        if (auto const self = weak.lock())
+            self->placeAndSend();
+    });
+    return true;
+}
+
+void OnlineCall::sendToHelper(Serving::RelayHelper const &helper)
+{
+    auto const now = readLocalClock();
+    auto &context = parts_.context;
+    ++attempts_;
+    parts_.metrics.relayedSends.add();
+    // Each send counts as one server, as the other instance sends the request to one.
+    Serving::ServerRecord server{
+        .id = ServerId(helper.id.value() + "/" + std::to_string(attempts_)), .pool = pool_, .address = helper.address};
+    plan_.onSent(server.id);
+    attempt_ = std::make_shared<Attempt>(Attempt{.server = std::move(server),
+                                                 .helper = helper.id,
+                                                 .isVersionKnown = false,
+                                                 .sentAt = now,
+                                                 .events = Serving::EventReader(events_),
+                                                 .earlierEvents = events_.count()});
+    auto request = context.protocol.makeServerRequest(parts_.request, {.timeLeft = deadline_ - now, .lastEventId = events_.lastId()});
+    addRelayTerms(request, {.stateVersion = context.routes->state().version, .pool = pool_, .version = streamVersion_});
+    Http::ClientRequest const call{
+        .server = helper.address,
+        .request = std::move(request),
+        .deadline = deadline_,
+        .connectTimeout = ConnectTimeout,
+        .headTimeout = plan_.responseTimeout(false, now),
+        .progressTimeout = std::max(Duration::zero(), deadline_ - now),
+        .connection = Http::ClientRequest::Connection::FreshOnly,
+    };
+    startExchange(*context.peerClient, call);
+}
+
+void OnlineCall::startExchange(Http::HttpClient &client, Http::ClientRequest request)
+{
+    request.matchesRequest = [&protocol = parts_.context.protocol, id = parts_.head.id](Http::ResponseHead const &head) {
+        auto const answeredRequest = protocol.readResponseHead(head).answeredRequest;
+        return !answeredRequest || *answeredRequest == id;
     };
     // Handlers of an earlier attempt are ignored.
     auto const guarded = [self = shared_from_this(), attempt = attempt_](auto action) {
         if (self->attempt_ == attempt && attempt->exchange)
             action(*self);
     };
-    attempt_->exchange = context.serverClient->send(
+    attempt_->exchange = client.send(
         std::move(request),
         {
             .onHead = [guarded](Http::ResponseHead head) { guarded([&](OnlineCall &call) { call.onHead(std::move(head)); }); },
@@ -390,13 +469,18 @@
     attempt_->head = std::move(head);
     attempt_->traits = parts_.context.protocol.readResponseHead(attempt_->head);
     attempt_->progressTimer.reset();
-    reportIfLeaving(parts_.context, attempt_->server, attempt_->traits);
-    recordResponse(parts_.context, attempt_->server, attempt_->traits, attempt_->sentAt);
+    if (attempt_->helper) {
+        recordRelayedHead();
+    } else {
+        reportIfLeaving(parts_.context, attempt_->server, attempt_->traits);
+        recordResponse(parts_.context, attempt_->server, attempt_->traits, attempt_->sentAt);
+    }
     bool const isSuccess = attempt_->head.status >= Ok && attempt_->head.status < FirstNonSuccess;
     // A success without the server's signature is not a valid response of that server.
     if (isSuccess && (!attempt_->traits.isSigned || attempt_->traits.isEncoded))
         return abortAttempt(HttpError::Malformed);
-    parts_.health.onEvidence(attempt_->server.id, Routing::ServerEvidence::Answered);
+    if (!attempt_->helper)
+        parts_.health.onEvidence(attempt_->server.id, Routing::ServerEvidence::Answered);
     attempt_->isEventStream = isSuccess && isStream() && isEventStream(attempt_->head.headers);
     if (attempt_->isEventStream) {
         attempt_->lastPieceAt = readLocalClock();
@@ -407,6 +491,42 @@
         abortAttempt(HttpError::Malformed);
 }
 
+void OnlineCall::recordRelayedHead()
+{
+    auto &context = parts_.context;
+    auto const &traits = attempt_->traits;
+    auto const source = traits.server ? context.directory.find(*traits.server, readLocalClock()) : std::nullopt;
+    if (!source)
+        return;
+    reportIfLeaving(context, source->record, traits);
+    context.limits.onResponse(source->record, traits.limit, attempt_->sentAt);
+    attempt_->server.softwareVersion = source->record.softwareVersion;
+    attempt_->isVersionKnown = true;
+}
+
+void OnlineCall::endRelayed()
+{
+    auto const now = readLocalClock();
+    auto const server = attempt_->server.id;
+    auto const status = attempt_->head.status;
+    finishAttempt();
+    // To its callers, an instance guarantees by such a status that the request did not run.
+    auto const evidence = guaranteesNotRun(status) ? Routing::NotRunEvidence::Stated : Routing::NotRunEvidence::Withheld;
+    if (auto const reason = readRelayRefusal(attempt_->head.headers)) {
+        ++relayRefusals_;
+        parts_.metrics.relayRefusals.add();
+        parts_.context.helpers.onUnable(*attempt_->helper, pool_, now);
+        Observe::log(Observe::Events::NodeRelayRefused,
+                     {{"request", parts_.head.id.value()}, {"instance", attempt_->helper->value()}, {"reason", *reason}});
+    } else if (guaranteesNotRun(status) && !plan_.mayHaveRun() && !isRelaying_) {
+        parts_.writer->respond({.status = status,
+                                .headers = parts_.context.protocol.makeCallerHeaders(attempt_->head.headers),
+                                .body = std::move(attempt_->body)});
+        return finish("refused-by-helper");
+    }
+    perform(plan_.onEnded(server, Routing::ServerErrorResponse{.status = status, .evidence = evidence}, now));
+}
+
 void OnlineCall::onPiece(std::string_view piece)
 {
     if (attempt_->isEventStream)
@@ -487,6 +607,8 @@
                                 .body = std::move(attempt_->body)});
         return finish("served");
     }
+    if (attempt_->helper)
+        return endRelayed();
     auto const server = attempt_->server.id;
     auto const now = readLocalClock();
     auto const others = parts_.context.peers.othersAt(server);
@@ -514,18 +636,26 @@
     bool const isConnectFailure = failure.error.code == HttpError::ConnectFailed || failure.error.code == HttpError::ConnectTimeout;
     // At the deadline, or when its stream was moved, the server may merely be slow.
     bool const mayBeSlow = now >= deadline_ || (attempt_->isMoved && failure.reached == Http::Reached::ResponseStarted);
-    if (failure.connection == Http::ConnectionUse::Fresh && !mayBeSlow) {
+    if (attempt_->helper) {
+        if (!mayBeSlow)
+            parts_.context.helpers.onUnable(*attempt_->helper, pool_, now);
+    } else if (isConnectFailure) {
+        parts_.health.onConnectFailed(server);
+    }
+    if (failure.connection == Http::ConnectionUse::Fresh && !mayBeSlow && !attempt_->helper) {
         parts_.health.onEvidence(server, Routing::ServerEvidence::FreshConnectionFailed);
         if (isConnectFailure)
             parts_.health.onEvidence(server, Routing::ServerEvidence::FreshConnectionFailed);
     }
     if (attempt_->events.hasPartialEvent())
         parts_.metrics.unfinishedEvents.add();
-    if (isResponseLost(failure.error))
-        parts_.metrics.lostResponses.add();
-    if (failure.isRefused)
-        parts_.context.prompts.onRefused(attempt_->server);
-    recordLoss(failure);
+    if (!attempt_->helper) {
+        if (isResponseLost(failure.error))
+            parts_.metrics.lostResponses.add();
+        if (failure.isRefused)
+            parts_.context.prompts.onRefused(attempt_->server);
+        recordLoss(failure);
+    }
     auto const step = plan_.onEnded(server,
                                     Routing::ExchangeFailed{
                                         .reached = failure.reached,
@@ -653,7 +783,10 @@
         attempt_->lastPieceAt = now;
     if (now < attempt_->lastPieceAt + *silenceLimit())
         return scheduleSilenceCheck();
-    bool const mayMove = plan_.mayMoveFrom(attempt_->server.id) ? mayMoveToFreeSlot() : mayResumeHere(now);
+    bool const hasOther = plan_.mayMoveFrom(attempt_->server.id);
+    bool const mayMove = attempt_->helper ? hasOther && parts_.context.moveBudget.tryTake(now)
+        : hasOther                        ? mayMoveToFreeSlot()
+                                          : mayResumeHere(now);
     if (mayMove)
         return abortAttempt(HttpError::Silent);
     attempt_->lastPieceAt = now;
@@ -677,6 +810,8 @@
 {
     attempt_->progressTimer.reset();
     attempt_->exchange.reset();
+    if (attempt_->helper)
+        return;
     parts_.context.load.onFinished(attempt_->server.id, Serving::WorkClass::Online);
     parts_.context.placement.onFinished(attempt_->server);
 }
@@ -687,6 +822,8 @@
     case NextStep::SendOnFreshConnection:
         if (refuseIfQuarantined())
             return;
+        if (auto const helper = chooseHelper())
+            return sendToHelper(*helper);
         return sendWithPermit(Serving::ServerRecord(attempt_->server), true, Connection::Fresh);
     case NextStep::SendToOtherServer:
         return placeAndSend();
@@ -736,6 +873,16 @@
 {
     if (isRelaying_)
         return resumeLater(nameOf(plan_.giveUpReason()));
+    // The sends may have failed because all servers are out of reach from here.
+    if (placeAfterReachCheck())
+        return;
+    if (auto const helper = chooseHelper())
+        return sendToHelper(*helper);
+    // This instance may be cut off as well without having found it out yet.
+    if (parts_.relay && !plan_.mayHaveRun()) {
+        parts_.writer->respond(relayRefusal("no-server"));
+        return finish("relay-refused");
+    }
     bool const isLate = readLocalClock() + Serving::MinTimeForSend >= deadline_;
     if (plan_.mayHaveRun())
         return refuse(isLate ? Refusals::timedOut(Http::RunState::MayHaveRun) : Refusals::outcomeUnknown());
@@ -794,6 +941,8 @@
 {
     if (std::exchange(isFinished_, true))
         return;
+    if (parts_.relay)
+        --parts_.context.relayedCalls;
     auto const now = readLocalClock();
     routeMetrics_.onEnded(outcome, now - startedAt_);
     Observe::log(Observe::Events::NodeRequestEnded,
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -6,6 +6,7 @@
 #include "Services/Node/HealthProber.h"
 #include "Services/Node/NodeContext.h"
 #include "Services/Node/NodeMetrics.h"
+#include "Services/Node/PeerRelay.h"
 #include "Services/Node/PermitClient.h"
 #include "Services/Node/StreamOriginClient.h"
 
@@ -26,6 +27,8 @@
         OnlineRequestHead head;
         Http::HttpRequest request;
         std::shared_ptr<Http::ResponseWriter> writer;
+        /// Set if another instance passed the request on to this one.
+        std::optional<RelayTerms> relay = {};
     };
 
     explicit OnlineCall(Parts parts);
@@ -37,9 +40,15 @@
         Fresh,
     };
 
-    /// One send to a server and what its response has brought so far. Nothing of it is used for the next send.
+    /// One send to a server, or to another instance that sends it to a server, and what its response has brought so far. Nothing of it is
+    /// used for the next send.
     struct Attempt {
+        /// For a send to another instance, an id of its own with the address of that instance.
         Serving::ServerRecord server;
+        /// The other instance; unset for a send to a server.
+        std::optional<InstanceId> helper;
+        /// Unset version in `server` for a send to another instance, until its response names a known server.
+        bool isVersionKnown = true;
         Instant sentAt;
         Serving::EventReader events;
         /// Events of the stream before this attempt.
@@ -76,6 +85,16 @@
     /// When the caller may return after a refusal by this placement.
     [[nodiscard]] Duration returnDelay(Serving::Placement const &placement);
     void send(Serving::ServerRecord const &server, bool hasFreeSlot, Connection connection);
+    /// Returns the instance to pass the request on to; `std::nullopt` if it is sent from here.
+    [[nodiscard]] std::optional<Serving::RelayHelper> chooseHelper();
+    /// Places the request again if it is about to be found out that its servers are out of reach. Returns whether it does.
+    bool placeAfterReachCheck();
+    void sendToHelper(Serving::RelayHelper const &helper);
+    void startExchange(Http::HttpClient &client, Http::ClientRequest request);
+    /// Records what a response that came through another instance says about its server.
+    void recordRelayedHead();
+    /// Handles an error response that came through another instance.
+    void endRelayed();
     void logNoPlacement(Serving::Placement const &placement, Duration latencyTarget) const;
     void onHead(Http::ResponseHead head);
     void onPiece(std::string_view piece);
@@ -128,6 +147,8 @@
     std::optional<Serving::SoftwareVersion> streamVersion_;
     std::size_t attempts_ = 0;
     std::size_t permitRequests_ = 0;
+    /// Instances that could not take the request.
+    std::size_t relayRefusals_ = 0;
     /// Attempts that the node itself ended because they were silent or malformed.
     std::size_t abortedAttempts_ = 0;
     /// Why the response was broken off; empty if it was not.
--- a/Services/Node/PeerReportExchange.cpp
+++ b/Services/Node/PeerReportExchange.cpp
@@ -62,6 +62,7 @@
 
 Result<std::monostate> PeerReportExchange::start()
 {
+    context_.otherEntries = [this] { return exchange_.otherEntries(); };
     startedAt_ = readClocks().wall.time_since_epoch().count();
     auto socket = DatagramSocket::open(context_.loop, context_.settings.peers, [this](std::string_view content) { onDatagram(content); });
     if (!socket)
--- a/Services/Node/ServingProtocol.h
+++ b/Services/Node/ServingProtocol.h
@@ -36,7 +36,8 @@
 
 /// Parameters of one attempt to run a request or item at a server.
 struct AttemptParameters {
-    ServerId server;
+    /// Empty for a request that another instance sends to a server of its choice.
+    ServerId server = {};
     /// Time limit for the server; unlimited if unset.
     std::optional<Duration> timeLeft;
     std::optional<std::uint64_t> lastEventId;
--- a/Tests/FakeFleet/FleetStoreServer.cpp
+++ b/Tests/FakeFleet/FleetStoreServer.cpp
@@ -28,6 +28,13 @@
     };
 }
 
+Object rewritten(Object object, Kind const &kind, FleetStoreServer::Rewrite const &rewrite)
+{
+    if (rewrite)
+        object.spec = rewrite(kind, std::move(object.spec));
+    return object;
+}
+
 Http::HttpResponse responseOf(int status, json::value const &body = json::object{})
 {
     return {.status = status, .headers = {{"Content-Type", "application/json"}}, .body = json::serialize(body)};
@@ -56,10 +63,27 @@
 {
     server_ =
         std::move(*Http::HttpServer::create(loop, {.listen = Address("127.0.0.1:0")}, [this](Http::HttpRequest request, Writer writer) {
-            handle(std::move(request), std::move(writer));
+            handle(std::move(request), std::move(writer), nullptr);
         }));
 }
 
+Address FleetStoreServer::addView(Rewrite rewrite)
+{
+    views_.push_back(std::move(*Http::HttpServer::create(
+        loop_, {.listen = Address("127.0.0.1:0")}, [this, rewrite = std::move(rewrite)](Http::HttpRequest request, Writer writer) {
+            handle(std::move(request), std::move(writer), rewrite);
+        })));
+    return views_.back()->address();
+}
+
+void FleetStoreServer::touch(std::string const &kind)
+{
+    auto objects = std::move(table_.list(Kind(kind), {.limit = 100'000})->objects);
+    for (auto &object : objects)
+        static_cast<void>(table_.update(Kind(kind), std::move(object)));
+    respondToReadyWatches();
+}
+
 Address FleetStoreServer::address() const
 {
     return server_->address();
@@ -130,7 +154,7 @@
         std::count_if(watches_.begin(), watches_.end(), [&](PendingWatch const &watch) { return watch.kind == kind; }));
 }
 
-void FleetStoreServer::handle(Http::HttpRequest request, Writer writer)
+void FleetStoreServer::handle(Http::HttpRequest request, Writer writer, Rewrite const &rewrite)
 {
     // "/api/objects/KIND[/NAME[/status]]"
     std::istringstream path{std::string(request.path())};
@@ -139,7 +163,7 @@
         segments.push_back(segment);
     if (segments.size() < 4 || segments[1] != "api" || segments[2] != "objects")
         return writer->respond(responseOf(404));
-    Call call{.request = std::move(request), .kind = Kind(segments[3]), .writer = std::move(writer)};
+    Call call{.request = std::move(request), .kind = Kind(segments[3]), .writer = std::move(writer), .rewrite = rewrite};
     if (segments.size() > 4)
         call.name = ObjectName(segments[4]);
     call.isStatus = segments.size() == 6 && segments[5] == "status";
@@ -175,8 +199,12 @@
 {
     if (endIfFaulty(faults_.nextHandling(CallKind::Read), call.writer))
         return;
-    if (!call.name.value().empty())
-        return call.writer->respond(responseOf(table_.get(call.kind, call.name)));
+    if (!call.name.value().empty()) {
+        auto object = table_.get(call.kind, call.name);
+        if (object)
+            *object = rewritten(std::move(*object), call.kind, call.rewrite);
+        return call.writer->respond(responseOf(object));
+    }
     auto const all = table_.list(call.kind, {.limit = 100'000});
     auto const after = call.request.query("after").value_or("");
     if (areFurtherPagesSilent_ && !after.empty())
@@ -189,7 +217,7 @@
         hasMore = items.size() == pageSize_;
         if (hasMore)
             break;
-        items.push_back(encode(object));
+        items.push_back(encode(rewritten(object, call.kind, call.rewrite)));
     }
     call.writer->respond(responseOf(200, json::object{{"items", std::move(items)}, {"more", hasMore}, {"at", table_.revision()}}));
 }
@@ -251,8 +279,11 @@
     auto const after = ObjectTable::parseRevision(call.request.query("watch").value_or(""));
     if (!after)
         return call.writer->respond(responseOf(400));
-    PendingWatch pendingWatch{
-        .kind = call.kind, .after = *after, .writer = call.writer, .timer = std::make_shared<std::unique_ptr<Http::Timer>>()};
+    PendingWatch pendingWatch{.kind = call.kind,
+                              .after = *after,
+                              .writer = call.writer,
+                              .timer = std::make_shared<std::unique_ptr<Http::Timer>>(),
+                              .rewrite = call.rewrite};
     if (tryAnswer(pendingWatch, false))
         return;
     auto const wait = std::chrono::milliseconds(std::stoll(call.request.query("waitMs").value_or("0")));
@@ -275,8 +306,8 @@
         if (!*change)
             break;
         at = (*change)->revision;
-        events.push_back(
-            json::object{{"deleted", (*change)->change == Platform::WatchChange::Deleted}, {"object", encode((*change)->object)}});
+        events.push_back(json::object{{"deleted", (*change)->change == Platform::WatchChange::Deleted},
+                                      {"object", encode(rewritten((*change)->object, watch.kind, watch.rewrite))}});
     }
     if (events.empty() && !isTimeUp)
         return false;
--- a/Tests/FakeFleet/FleetStoreServer.h
+++ b/Tests/FakeFleet/FleetStoreServer.h
@@ -18,7 +18,14 @@
     FleetStoreServer(FleetStoreServer const &) = delete;
     FleetStoreServer &operator=(FleetStoreServer const &) = delete;
 
+    /// Returns the spec of an object as the callers of a view get it.
+    using Rewrite = std::function<std::string(Platform::Kind const &kind, std::string spec)>;
+
     [[nodiscard]] Address address() const;
+    /// Listens at a further address, whose callers get other contents of objects.
+    Address addView(Rewrite rewrite);
+    /// Changes all objects of a kind without another content, so that watches return them again.
+    void touch(std::string const &kind);
     [[nodiscard]] ObjectTable &table();
     [[nodiscard]] FaultPlan &faults();
     /// Sets the number of objects per page of a list.
@@ -46,6 +53,7 @@
         Platform::ObjectName name;
         bool isStatus = false;
         Writer writer;
+        Rewrite rewrite;
     };
 
     struct PendingWatch {
@@ -53,9 +61,10 @@
         Revision after = 0;
         Writer writer;
         std::shared_ptr<std::unique_ptr<Http::Timer>> timer;
+        Rewrite rewrite;
     };
 
-    void handle(Http::HttpRequest request, Writer writer);
+    void handle(Http::HttpRequest request, Writer writer, Rewrite const &rewrite);
     void read(Call const &call);
     void change(Call call);
     void watch(Call const &call);
@@ -75,6 +84,7 @@
     std::list<PendingWatch> watches_;
     std::list<Writer> unansweredWriters_;
     std::unique_ptr<Http::HttpServer> server_;
+    std::vector<std::unique_ptr<Http::HttpServer>> views_;
 };
 
 } // namespace Anvilyard::Tests
--- a/Tests/NodeProcesses/ServingFleet.cpp
+++ b/Tests/NodeProcesses/ServingFleet.cpp
@@ -348,13 +348,49 @@
 }
 
 NodeProcess &ServingFleet::startNode(std::string const &name, Serving::InstanceRole role)
+{
+    return startNode(name, role, thread_.call([this] { return store_->address(); }));
+}
+
+NodeProcess &ServingFleet::startCuttableNode(std::string const &name)
+{
+    auto const platform = thread_.call([this] {
+        if (!cuttableView_)
+            cuttableView_ = store_->addView([this](Platform::Kind const &kind, std::string spec) {
+                return kind.value() == "servers" && cut_ != Cut::None ? cutRecord(std::move(spec)) : spec;
+            });
+        return *cuttableView_;
+    });
+    return startNode(name, Serving::InstanceRole::Entry, platform);
+}
+
+void ServingFleet::setCut(Cut cut)
+{
+    thread_.call([&] {
+        cut_ = cut;
+        if (!silentAddress_)
+            silentAddress_ = std::make_unique<SilentAddress>();
+        store_->touch("servers");
+    });
+}
+
+std::string ServingFleet::cutRecord(std::string spec) const
+{
+    // Nothing listens at the discard port.
+    constexpr std::string_view RefusingAddress = "127.0.0.1:9";
+    auto record = json::parse(spec).as_object();
+    record["address"] = cut_ == Cut::Refused ? std::string(RefusingAddress) : silentAddress_->address().value();
+    return json::serialize(record);
+}
+
+NodeProcess &ServingFleet::startNode(std::string const &name, Serving::InstanceRole role, Address const &platform)
 {
     auto const number = static_cast<unsigned>(::getpid());
     auto &node = nodes_[name];
     node = std::make_unique<NodeProcess>(NodeProcess::Options{
         .name = name,
         .role = role,
-        .platform = thread_.call([this] { return store_->address(); }),
+        .platform = platform,
         .ip = "127." + std::to_string(1 + (number >> 8) % 250) + "." + std::to_string(number % 256) + "." + std::to_string(nodes_.size()),
         .folder = folder_,
     });
--- a/Tests/NodeProcesses/ServingFleet.h
+++ b/Tests/NodeProcesses/ServingFleet.h
@@ -5,6 +5,7 @@
 #include "Tests/LibHttp/LoopThread.h"
 #include "Tests/NodeProcesses/ModelServer.h"
 #include "Tests/NodeProcesses/NodeProcess.h"
+#include "Tests/NodeProcesses/SilentAddress.h"
 
 #include <atomic>
 #include <future>
@@ -81,6 +82,15 @@
     void crashServer(std::size_t position);
     /// Starts a node process without waiting until it is ready.
     NodeProcess &startNode(std::string const &name, Serving::InstanceRole role = Serving::InstanceRole::Entry);
+    /// What becomes of new connections to servers of entries that are cut off from them.
+    enum class Cut {
+        None,
+        Refused,
+        Silent,
+    };
+    /// Starts an entry that setCut() cuts off from servers. To it, servers seem to be at an address where none is.
+    NodeProcess &startCuttableNode(std::string const &name);
+    void setCut(Cut cut);
     void waitUntilReady(NodeProcess const &entry);
     /// Waits until no server is down.
     void waitUntilServersAreUp();
@@ -186,6 +196,9 @@
                Connection connection = Connection::FreshOnly);
     [[nodiscard]] ModelServer *findUp(std::size_t position);
     std::future<Answer> sendTo(Address const &server, Http::HttpRequest request);
+    NodeProcess &startNode(std::string const &name, Serving::InstanceRole role, Address const &platform);
+    /// Record of a server as entries get it that may be cut off.
+    [[nodiscard]] std::string cutRecord(std::string spec) const;
     void startServer(Start const &start);
     [[nodiscard]] std::string nextServerId() const;
     void onReceived(std::string const &server, Http::HttpRequest const &request);
@@ -195,6 +208,10 @@
     std::filesystem::path folder_;
     LoopThread thread_;
     std::unique_ptr<FleetStoreServer> store_;
+    Cut cut_ = Cut::None;
+    /// Accepts no connections: its queue is full.
+    std::unique_ptr<SilentAddress> silentAddress_;
+    std::optional<Address> cuttableView_;
     std::shared_ptr<Http::HttpClient> client_;
     std::size_t serverCount_ = 0;
     std::uint64_t events_ = 10;
--- /dev/null
+++ b/Tests/NodeProcesses/TestCutOffInstances.cpp
@@ -0,0 +1,149 @@
+#include "Tests/NodeProcesses/ServingFleet.h"
+
+#include <gtest/gtest.h>
+#include <thread>
+
+using namespace Anvilyard;
+using namespace Anvilyard::Tests;
+
+namespace {
+
+using Cut = ServingFleet::Cut;
+using ResponseForm = ModelServer::ResponseForm;
+
+constexpr std::size_t ServersOfForm = 4;
+/// The platform's bound on how long instances may take to learn of something.
+constexpr Duration ContactTime = 3s;
+constexpr Duration RequestInterval = 5ms;
+constexpr int RequestCount = 45;
+/// A refusal that is known to be one takes no longer, also after some other instances were asked.
+constexpr Duration MaxRefusalTime = 1500ms;
+/// Time in which a restored path has been found.
+constexpr Duration RestoreTime = 2s;
+
+class CutOffInstanceTest : public ::testing::Test
+{
+protected:
+    void startFleet(std::size_t cuttable, std::size_t others)
+    {
+        fleet_.startServers(ServersOfForm, ResponseForm::Whole);
+        fleet_.startServers(ServersOfForm);
+        fleet_.startNode("runner-1", Serving::InstanceRole::Runner);
+        for (std::size_t number = 1; number <= cuttable; ++number)
+            cuttable_.push_back(&fleet_.startCuttableNode("cut-" + std::to_string(number)));
+        for (std::size_t number = 1; number <= others; ++number)
+            others_.push_back(&fleet_.startNode("entry-" + std::to_string(number)));
+        for (auto const *entry : cuttable_)
+            fleet_.waitUntilReady(*entry);
+        for (auto const *entry : others_) {
+            fleet_.waitUntilReady(*entry);
+            // An entry that has just started helps once it serves streams.
+            for (auto answer = fleet_.send(*entry, fleet_.requestOf({"a1"})).get(); !answer || answer->status != 200;)
+                answer = fleet_.send(*entry, fleet_.requestOf({"a1"})).get();
+        }
+    }
+
+    ServingFleet::TimedAnswer send(NodeProcess const &entry)
+    {
+        char const *const prefixes[] = {"/q/", "/u/", "/s/"};
+        auto const number = std::to_string(++requests_);
+        auto const prefix = prefixes[static_cast<std::size_t>(requests_) / cuttable_.size() % 3];
+        auto request = ServingFleet::plainRequest(prefix + number, "body " + number);
+        request.headers.set("Anvilyard-Attempt-Id", "n" + number);
+        return fleet_.sendTimed(entry, std::move(request)).get();
+    }
+
+    /// Cuts the entries off, sends requests until they have detected it, and then expects that first attempts there are served.
+    void expectServedThroughOthers(Cut cut)
+    {
+        fleet_.setCut(cut);
+        for (auto const end = readLocalClock() + ContactTime; readLocalClock() < end;) {
+            for (auto const *entry : cuttable_)
+                send(*entry);
+        }
+        std::size_t served = 0;
+        for (int round = 0; round < RequestCount; ++round) {
+            auto const answer = send(*cuttable_[static_cast<std::size_t>(round) % cuttable_.size()]).answer;
+            served += answer && answer->status == 200 ? 1 : 0;
+            EXPECT_LE(fleet_.arrivalsOf("n" + std::to_string(requests_)).size(), 1U);
+            std::this_thread::sleep_for(RequestInterval);
+        }
+        // Two thirds are the bound of the platform. Nothing but the cut happens here.
+        EXPECT_EQ(served, static_cast<std::size_t>(RequestCount));
+    }
+
+    ServingFleet fleet_;
+    std::vector<NodeProcess *> cuttable_;
+    std::vector<NodeProcess *> others_;
+    int requests_ = 0;
+};
+
+} // namespace
+
+// Entries that cannot connect to any server refuse their callers' first attempts, although other entries could serve them.
+TEST_F(CutOffInstanceTest, CallersAreServedThroughOthersWhileConnectionsToServersAreRefused)
+{
+    startFleet(3, 2);
+    expectServedThroughOthers(Cut::Refused);
+}
+
+TEST_F(CutOffInstanceTest, CallersAreServedThroughOthersWhileConnectionsToServersHang)
+{
+    startFleet(3, 2);
+    expectServedThroughOthers(Cut::Silent);
+}
+
+// A cut that is not found to have ended would load other instances for good.
+TEST_F(CutOffInstanceTest, RequestsAreSentDirectlyAgainAfterTheCut)
+{
+    startFleet(1, 1);
+    expectServedThroughOthers(Cut::Refused);
+    fleet_.setCut(Cut::None);
+    std::this_thread::sleep_for(RestoreTime);
+    others_[0]->kill();
+    for (int round = 0; round < RequestCount; ++round) {
+        auto const answer = send(*cuttable_[0]).answer;
+        EXPECT_TRUE(answer && answer->status == 200);
+    }
+}
+
+// Instances that pass requests on to each other in a circle would never answer, and one that waits for help would answer late.
+TEST_F(CutOffInstanceTest, RequestsAreRefusedAtOnceIfAllInstancesAreCutOff)
+{
+    startFleet(3, 0);
+    fleet_.setCut(Cut::Refused);
+    for (auto const end = readLocalClock() + ContactTime; readLocalClock() < end;) {
+        for (auto const *entry : cuttable_)
+            send(*entry);
+    }
+    for (int round = 0; round < RequestCount; ++round) {
+        auto const [answer, time] = send(*cuttable_[static_cast<std::size_t>(round) % cuttable_.size()]);
+        EXPECT_TRUE(answer && answer->status == 503);
+        EXPECT_LT(time, MaxRefusalTime);
+    }
+}
+
+// A stream that was passed on ends with the instance that helped, although others could go on with it.
+TEST_F(CutOffInstanceTest, StreamsGoOnThroughAnotherInstanceIfTheOneThatHelpsEnds)
+{
+    fleet_.setStreams(60, 20ms);
+    startFleet(1, 3);
+    fleet_.setCut(Cut::Refused);
+    // Detects the cut.
+    send(*cuttable_[0]);
+    std::vector<std::shared_ptr<ServingFleet::Stream>> streams;
+    for (int stream = 0; stream < 12; ++stream) {
+        auto request = fleet_.requestOf({"a1"});
+        streams.push_back(fleet_.openStream(*cuttable_[0], std::move(request)));
+    }
+    std::this_thread::sleep_for(400ms);
+    others_[0]->kill();
+    fleet_.waitUntilEnded(streams);
+    for (auto const &stream : streams) {
+        EXPECT_EQ(stream->end, ServingFleet::Stream::End::Complete);
+        std::string expected;
+        for (int event = 0; event < 60; ++event)
+            expected += "id: " + std::to_string(event) + "\ndata: t" + std::to_string(event) + "\n\n";
+        EXPECT_EQ(stream->text, expected);
+    }
+}
