--- a/Services/Node/FleetFollower.cpp
+++ b/Services/Node/FleetFollower.cpp
@@ -133,8 +133,10 @@
     std::vector<Serving::ServerRecord> records;
     for (auto const &object : objects) {
         ServerId const id(object.name.value());
-        servers_[id] = {.revision = revisionNumber(object.version), .spec = object.spec};
-        if (auto record = context_.protocol.readServer(id, object.spec))
+        auto record = context_.protocol.readServer(id, object.spec);
+        // Peers get no text that cannot be read, as it would hide the other servers from them.
+        servers_[id] = {.revision = revisionNumber(object.version), .spec = record ? object.spec : std::string()};
+        if (record)
             records.push_back(std::move(*record));
         else
             Observe::log(Observe::Events::NodeRecordRejected, {{"record", id.value()}, {"error", record.error().toString()}});
@@ -175,8 +177,9 @@
         context_.directory.onUnregistered(id, now);
         Observe::log(Observe::Events::NodeServerUnregistered, {{"server", id.value()}, {"revision", std::to_string(revision)}});
     } else {
-        servers_[id] = {.revision = revision, .spec = object.spec};
-        if (auto record = context_.protocol.readServer(id, object.spec)) {
+        auto record = context_.protocol.readServer(id, object.spec);
+        servers_[id] = {.revision = revision, .spec = record ? object.spec : std::string()};
+        if (record) {
             Observe::log(Observe::Events::NodeServerRegistered,
                          {{"server", id.value()},
                           {"state", record->state == Serving::ServerRecord::State::Ready ? "ready" : "draining"},
