--- a/Tests/LibJobs/TestFailureRecord.cpp
+++ b/Tests/LibJobs/TestFailureRecord.cpp
@@ -60,7 +60,10 @@
     std::optional<Result<FailureCounts>> second;
     recordFailures(store_, job, TenureId("a"), {{0, 1}}, [&](Result<FailureCounts> others) { first = std::move(others); });
     recordFailures(other, job, TenureId("b"), {{0, 1}}, [&](Result<FailureCounts> others) { second = std::move(others); });
-    while (store_.deliverNext() | other.deliverNext()) { }
+    for (bool isBusy = true; isBusy;) {
+        isBusy = store_.deliverNext();
+        isBusy = other.deliverNext() || isBusy;
+    }
     EXPECT_NE(first->has_value(), second->has_value()) << "both have found no record, and one of them has created it";
     EXPECT_TRUE(first->has_value() ? record(other, "b", {{0, 1}}) : record(store_, "a", {{0, 1}}));
     EXPECT_EQ(stored().others(TenureId("c")), (FailureCounts{{0, 2}}));
