Test cut-off entries through proxies that reset, refuse and silence connections

The path from some entries to each server is a proxy of its own now, so that a cut also hits open connections; before, only new ones were refused or hung. Two more tests: connections that are reset, and sound streams with shared parts that are at servers when the cut begins, three times.

--- a/Tests/FakeFleet/FleetStoreServer.cpp
+++ b/Tests/FakeFleet/FleetStoreServer.cpp
@@ -76,14 +76,6 @@
     return views_.back()->address();
 }
 
-void FleetStoreServer::touch(std::string const &kind)
-{
-    auto objects = std::move(table_.list(Kind(kind), {.limit = 100'000})->objects);
-    for (auto &object : objects)
-        static_cast<void>(table_.update(Kind(kind), std::move(object)));
-    respondToReadyWatches();
-}
-
 Address FleetStoreServer::address() const
 {
     return server_->address();
--- a/Tests/FakeFleet/FleetStoreServer.h
+++ b/Tests/FakeFleet/FleetStoreServer.h
@@ -24,8 +24,6 @@
     [[nodiscard]] Address address() const;
     /// Listens at a further address, whose callers get other contents of objects.
     Address addView(Rewrite rewrite);
-    /// Changes all objects of a kind without another content, so that watches return them again.
-    void touch(std::string const &kind);
     [[nodiscard]] ObjectTable &table();
     [[nodiscard]] FaultPlan &faults();
     /// Sets the number of objects per page of a list.
--- a/Tests/NodeProcesses/ServingFleet.cpp
+++ b/Tests/NodeProcesses/ServingFleet.cpp
@@ -126,6 +126,7 @@
     thread_.call([this] {
         restarts_.clear();
         servers_.clear();
+        paths_.clear();
         client_.reset();
         store_.reset();
     });
@@ -184,6 +185,11 @@
     eventGap_ = eventGap;
 }
 
+void ServingFleet::setPromptTime(Duration time)
+{
+    promptTime_ = time;
+}
+
 void ServingFleet::setIdAfterCrash(IdAfterCrash id)
 {
     thread_.call([&] { idAfterCrash_ = id; });
@@ -256,6 +262,7 @@
             .id = id,
             .listen = start.address,
             .form = start.form,
+            .promptTime = promptTime_,
             .eventGap = eventGap_,
             .events = events_,
             .eventPrefix = start.version.empty() ? "" : start.version + "-",
@@ -356,9 +363,8 @@
 {
     auto const platform = thread_.call([this] {
         if (!cuttableView_)
-            cuttableView_ = store_->addView([this](Platform::Kind const &kind, std::string spec) {
-                return kind.value() == "servers" && cut_ != Cut::None ? cutRecord(std::move(spec)) : spec;
-            });
+            cuttableView_ = store_->addView(
+                [this](Platform::Kind const &kind, std::string spec) { return kind.value() == "servers" ? recordBehindPath(spec) : spec; });
         return *cuttableView_;
     });
     return startNode(name, Serving::InstanceRole::Entry, platform);
@@ -368,18 +374,22 @@
 {
     thread_.call([&] {
         cut_ = cut;
-        if (!silentAddress_)
-            silentAddress_ = std::make_unique<SilentAddress>();
-        store_->touch("servers");
+        for (auto const &[server, path] : paths_)
+            path->setCut(cut);
     });
 }
 
-std::string ServingFleet::cutRecord(std::string spec) const
+std::string ServingFleet::recordBehindPath(std::string const &spec)
 {
-    // Nothing listens at the discard port.
-    constexpr std::string_view RefusingAddress = "127.0.0.1:9";
     auto record = json::parse(spec).as_object();
-    record["address"] = cut_ == Cut::Refused ? std::string(RefusingAddress) : silentAddress_->address().value();
+    Address const server(std::string(record.at("address").as_string()));
+    auto &path = paths_[server];
+    if (!path) {
+        path = std::make_unique<CuttablePath>(server);
+        if (cut_ != Cut::None)
+            path->setCut(cut_);
+    }
+    record["address"] = path->address().value();
     return json::serialize(record);
 }
 
--- a/Tests/NodeProcesses/ServingFleet.h
+++ b/Tests/NodeProcesses/ServingFleet.h
@@ -3,9 +3,9 @@
 #include "LibHttp/HttpClient.h"
 #include "Tests/FakeFleet/FleetStoreServer.h"
 #include "Tests/LibHttp/LoopThread.h"
+#include "Tests/NodeProcesses/CuttablePath.h"
 #include "Tests/NodeProcesses/ModelServer.h"
 #include "Tests/NodeProcesses/NodeProcess.h"
-#include "Tests/NodeProcesses/SilentAddress.h"
 
 #include <atomic>
 #include <future>
@@ -69,6 +69,8 @@
     void crashServerOf(std::string const &version);
     /// Sets the length of the streams of servers that are started later.
     void setStreams(std::uint64_t events, Duration eventGap);
+    /// Sets how long servers that are started later run a request before its first event or whole response.
+    void setPromptTime(Duration time);
     /// Sets under which id servers that crash later are started again.
     void setIdAfterCrash(IdAfterCrash id);
     /// Sets the software version at which servers that crash later are started again.
@@ -82,13 +84,7 @@
     void crashServer(std::size_t position);
     /// Starts a node process without waiting until it is ready.
     NodeProcess &startNode(std::string const &name, Serving::InstanceRole role = Serving::InstanceRole::Entry);
-    /// What becomes of new connections to servers of entries that are cut off from them.
-    enum class Cut {
-        None,
-        Refused,
-        Silent,
-    };
-    /// Starts an entry that setCut() cuts off from servers. To it, servers seem to be at an address where none is.
+    /// Starts an entry that setCut() cuts off from servers.
     NodeProcess &startCuttableNode(std::string const &name);
     void setCut(Cut cut);
     void waitUntilReady(NodeProcess const &entry);
@@ -198,7 +194,7 @@
     std::future<Answer> sendTo(Address const &server, Http::HttpRequest request);
     NodeProcess &startNode(std::string const &name, Serving::InstanceRole role, Address const &platform);
     /// Record of a server as entries get it that may be cut off.
-    [[nodiscard]] std::string cutRecord(std::string spec) const;
+    [[nodiscard]] std::string recordBehindPath(std::string const &spec);
     void startServer(Start const &start);
     [[nodiscard]] std::string nextServerId() const;
     void onReceived(std::string const &server, Http::HttpRequest const &request);
@@ -209,13 +205,14 @@
     LoopThread thread_;
     std::unique_ptr<FleetStoreServer> store_;
     Cut cut_ = Cut::None;
-    /// Accepts no connections: its queue is full.
-    std::unique_ptr<SilentAddress> silentAddress_;
+    /// Paths of the entries that may be cut off, by the address of the server.
+    std::map<Address, std::unique_ptr<CuttablePath>> paths_;
     std::optional<Address> cuttableView_;
     std::shared_ptr<Http::HttpClient> client_;
     std::size_t serverCount_ = 0;
     std::uint64_t events_ = 10;
     Duration eventGap_ = 10ms;
+    Duration promptTime_ = 30ms;
     /// By server.
     std::map<std::string, std::string> versions_;
     /// Crashed servers stay, because callbacks of their connections may refer to them.
--- a/Tests/NodeProcesses/TestCutOffInstances.cpp
+++ b/Tests/NodeProcesses/TestCutOffInstances.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-using Cut = ServingFleet::Cut;
 using ResponseForm = ModelServer::ResponseForm;
 
 constexpr std::size_t ServersOfForm = 4;
@@ -87,6 +86,12 @@
     expectServedThroughOthers(Cut::Refused);
 }
 
+TEST_F(CutOffInstanceTest, CallersAreServedThroughOthersWhileConnectionsToServersAreReset)
+{
+    startFleet(3, 2);
+    expectServedThroughOthers(Cut::Reset);
+}
+
 TEST_F(CutOffInstanceTest, CallersAreServedThroughOthersWhileConnectionsToServersHang)
 {
     startFleet(3, 2);
@@ -147,3 +152,35 @@
         EXPECT_EQ(stream->text, expected);
     }
 }
+
+// Connections that are reset and refused look like crashes of the servers. Entries that are cut off would put sound requests, and parts
+// that their prompts share, into quarantine on all instances.
+TEST_F(CutOffInstanceTest, RequestsAreNotBlamedForConnectionsThatTheCutEnded)
+{
+    // All requests of a wave are at servers when the cut begins, and none has been answered.
+    constexpr Duration PromptTime = 300ms;
+    constexpr int Waves = 3;
+    constexpr std::size_t RequestsOfWave = 8;
+    fleet_.setPromptTime(PromptTime);
+    startFleet(3, 2);
+    ServingFleet::Parts const shared = {"a2", "b2"};
+    for (int wave = 0; wave < Waves; ++wave) {
+        std::vector<std::future<ServingFleet::Answer>> answers;
+        for (std::size_t request = 0; request < RequestsOfWave; ++request) {
+            for (auto const *entry : cuttable_)
+                answers.push_back(fleet_.send(*entry, fleet_.requestOf(shared)));
+        }
+        std::this_thread::sleep_for(PromptTime / 3);
+        fleet_.setCut(Cut::Reset);
+        std::this_thread::sleep_for(ContactTime);
+        fleet_.setCut(Cut::None);
+        for (auto &answer : answers)
+            answer.wait();
+        std::this_thread::sleep_for(RestoreTime);
+    }
+    for (auto const *entry : others_) {
+        auto const answer = fleet_.send(*entry, fleet_.requestOf(shared)).get();
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->status, 200) << answer->body;
+    }
+}
