Hold requests that wait for the check of the servers' reach

Found by reading the diff: a request that waits for the checks is referred to by no exchange, only weakly by its timer, so it could be destroyed and its connection closed without an answer (LOST). A stream that waits to be resumed is held in a set of the context; requests that wait for the checks are now held there by the same function.

waitingStreams is now waitingCalls, resumeTimer_ is waitTimer_.

--- a/Services/Node/NodeContext.h
+++ b/Services/Node/NodeContext.h
@@ -79,8 +79,8 @@
     std::shared_ptr<Serving::RouteTable const> routes;
     /// Called when a server states in a response that it is leaving.
     std::function<void(Serving::ServerRecord const &)> onServerLeaving;
-    /// Streams that wait until a server takes them.
-    std::set<std::shared_ptr<OnlineCall>> waitingStreams;
+    /// Requests that wait before they are placed again.
+    std::set<std::shared_ptr<OnlineCall>> waitingCalls;
 };
 
 /// Calls onServerLeaving if the response is from the server and states that it is leaving.
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -87,7 +87,7 @@
         .moveBudget = Routing::RetryBudget(moveBudgetOptions(), readLocalClock()),
         .routes = nullptr,
         .onServerLeaving = {},
-        .waitingStreams = {},
+        .waitingCalls = {},
     };
 }
 
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -406,10 +406,7 @@
     bool const isUndecided = !parts_.relay && parts_.context.reach.isBeingChecked(pool_) && now + ReachCheckDelay < deadline_;
     if (!isUndecided)
         return false;
-    resumeTimer_ = parts_.context.loop.at(now + ReachCheckDelay, [weak = weak_from_this()] {
-        if (auto const self = weak.lock())
-            self->placeAndSend();
-    });
+    placeAgainAt(now + ReachCheckDelay);
     return true;
 }
 
@@ -901,13 +898,18 @@
     auto const at = plan_.resumeLater(readLocalClock());
     if (!at)
         return abortStream(reason);
-    auto &waiting = parts_.context.waitingStreams;
-    waiting.insert(shared_from_this());
-    resumeTimer_ = parts_.context.loop.at(*at, [weak = weak_from_this()] {
+    placeAgainAt(*at);
+}
+
+void OnlineCall::placeAgainAt(Instant at)
+{
+    // No exchange refers to the call until then.
+    parts_.context.waitingCalls.insert(shared_from_this());
+    waitTimer_ = parts_.context.loop.at(at, [weak = weak_from_this()] {
         auto const self = weak.lock();
         if (!self)
             return;
-        self->parts_.context.waitingStreams.erase(self);
+        self->parts_.context.waitingCalls.erase(self);
         self->placeAndSend();
     });
 }
@@ -959,8 +961,8 @@
                   {"resumes", parts_.head.resumes.value()},
                   {"software_versions", join(softwareVersions_)},
                   {"ms", millisecondsSince(startedAt_, now)}});
-    resumeTimer_.reset();
-    parts_.context.waitingStreams.erase(shared_from_this());
+    waitTimer_.reset();
+    parts_.context.waitingCalls.erase(shared_from_this());
     parts_.writer.reset();
 }
 
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -125,6 +125,7 @@
     void refuse(Http::Refusal const &refusal);
     /// Sends a stream again after a delay, or breaks it off if that is not allowed. The caller has a part of it, so it cannot be refused.
     void resumeLater(char const *reason);
+    void placeAgainAt(Instant at);
     /// `reason` is one of a small fixed set.
     void abortStream(char const *reason);
     void finish(char const *outcome);
@@ -155,7 +156,7 @@
     std::string breakReason_;
     /// The response head, and perhaps events, were sent to the caller.
     bool isRelaying_ = false;
-    std::unique_ptr<Http::Timer> resumeTimer_;
+    std::unique_ptr<Http::Timer> waitTimer_;
     Instant lastEventAt_;
     /// Software versions of the servers that sent events of this response.
     std::set<Serving::SoftwareVersion> softwareVersions_;
--- a/Tests/NodeProcesses/TestCutOffInstances.cpp
+++ b/Tests/NodeProcesses/TestCutOffInstances.cpp
@@ -98,6 +98,32 @@
     expectServedThroughOthers(Cut::Silent);
 }
 
+// While it is being found out whether servers are out of reach, requests wait without being at a server. Their connections must not be
+// closed.
+TEST_F(CutOffInstanceTest, RequestsAreAnsweredWhileTheCutIsBeingDetected)
+{
+    constexpr std::size_t FurtherServers = 12;
+    constexpr int Cuts = 3;
+    fleet_.startServers(FurtherServers, ResponseForm::Whole);
+    startFleet(1, 2);
+    for (int cut = 0; cut < Cuts; ++cut) {
+        fleet_.setCut(Cut::Reset);
+        std::vector<std::future<ServingFleet::Answer>> answers;
+        for (int request = 0; request < RequestCount; ++request) {
+            auto const number = std::to_string(++requests_);
+            auto idempotent = ServingFleet::plainRequest("/q/" + number, "body " + number);
+            idempotent.headers.set("Anvilyard-Attempt-Id", "n" + number);
+            answers.push_back(fleet_.send(*cuttable_[0], std::move(idempotent)));
+        }
+        for (auto &answer : answers) {
+            auto const response = answer.get();
+            EXPECT_TRUE(response && response->status == 200) << (response ? response->body : response.error().error.toString());
+        }
+        fleet_.setCut(Cut::None);
+        std::this_thread::sleep_for(RestoreTime);
+    }
+}
+
 // A cut that is not found to have ended would load other instances for good.
 TEST_F(CutOffInstanceTest, RequestsAreSentDirectlyAgainAfterTheCut)
 {
