Do not send a request again from here after the check of the servers' reach

What callers saw: TWICE.

Cause: refuseAfterAttempts() is also the end of requests that may have run. If the servers' reach was being checked at that moment, the request waited and was then placed anew, without regard to what its plan had decided. Only chooseHelper() looked at the plan.

Change: mayRelay() holds for both, and after the wait a request is passed on or refused, never sent from here again.

The new test, servers that crash together under requests that may run once, passes before as well: the check is over in less than a millisecond on loopback, and the moment is not hit.

--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -258,7 +258,7 @@
         logNoPlacement(placement, latencyTarget);
         return refuseAtLimits(placement);
     case Serving::Placement::Outcome::NoServer:
-        if (placeAfterReachCheck())
+        if (!isRelaying_ && waitForReachCheck())
             return;
         logNoPlacement(placement, latencyTarget);
         if (isRelaying_)
@@ -388,25 +388,26 @@
     startExchange(*context.serverClient, request);
 }
 
+bool OnlineCall::mayRelay() const
+{
+    bool const mayRunAgain = repeatabilityOf(parts_.route) != Repeatability::Unsafe || !plan_.mayHaveRun();
+    return !parts_.relay && relayRefusals_ < MaxRelayRefusals && mayRunAgain && plan_.mayUseAnotherServer()
+        && readLocalClock() + Serving::MinTimeForSend < deadline_;
+}
+
 std::optional<Serving::RelayHelper> OnlineCall::chooseHelper()
 {
     auto &context = parts_.context;
-    auto const now = readLocalClock();
-    bool const mayRunAgain = repeatabilityOf(parts_.route) != Repeatability::Unsafe || !plan_.mayHaveRun();
-    bool const mayRelay = !parts_.relay && relayRefusals_ < MaxRelayRefusals && mayRunAgain && plan_.mayUseAnotherServer()
-        && now + Serving::MinTimeForSend < deadline_;
-    if (!mayRelay || !context.reach.isOutOfReach(pool_))
+    if (!mayRelay() || !context.reach.isOutOfReach(pool_))
         return std::nullopt;
-    return context.helpers.choose(pool_, context.otherEntries(), now, context.random);
+    return context.helpers.choose(pool_, context.otherEntries(), readLocalClock(), context.random);
 }
 
-bool OnlineCall::placeAfterReachCheck()
+bool OnlineCall::waitForReachCheck()
 {
-    auto const now = readLocalClock();
-    bool const isUndecided = !parts_.relay && parts_.context.reach.isBeingChecked(pool_) && now + ReachCheckDelay < deadline_;
-    if (!isUndecided)
+    if (!mayRelay() || !parts_.context.reach.isBeingChecked(pool_))
         return false;
-    placeAgainAt(now + ReachCheckDelay);
+    callAt(readLocalClock() + ReachCheckDelay, &OnlineCall::refuseAfterAttempts);
     return true;
 }
 
@@ -870,8 +871,8 @@
 {
     if (isRelaying_)
         return resumeLater(nameOf(plan_.giveUpReason()));
-    // The sends may have failed because all servers are out of reach from here.
-    if (placeAfterReachCheck())
+    // The sends may have failed because all servers are out of reach from here. The request is not sent from here again.
+    if (waitForReachCheck())
         return;
     if (auto const helper = chooseHelper())
         return sendToHelper(*helper);
@@ -898,19 +899,19 @@
     auto const at = plan_.resumeLater(readLocalClock());
     if (!at)
         return abortStream(reason);
-    placeAgainAt(*at);
+    callAt(*at, &OnlineCall::placeAndSend);
 }
 
-void OnlineCall::placeAgainAt(Instant at)
+void OnlineCall::callAt(Instant at, void (OnlineCall::*step)())
 {
     // No exchange refers to the call until then.
     parts_.context.waitingCalls.insert(shared_from_this());
-    waitTimer_ = parts_.context.loop.at(at, [weak = weak_from_this()] {
+    waitTimer_ = parts_.context.loop.at(at, [weak = weak_from_this(), step] {
         auto const self = weak.lock();
         if (!self)
             return;
         self->parts_.context.waitingCalls.erase(self);
-        self->placeAndSend();
+        ((*self).*step)();
     });
 }
 
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -87,8 +87,11 @@
     void send(Serving::ServerRecord const &server, bool hasFreeSlot, Connection connection);
     /// Returns the instance to pass the request on to; `std::nullopt` if it is sent from here.
     [[nodiscard]] std::optional<Serving::RelayHelper> chooseHelper();
-    /// Places the request again if it is about to be found out that its servers are out of reach. Returns whether it does.
-    bool placeAfterReachCheck();
+    /// Whether the request may be sent to another instance if its servers are out of reach.
+    [[nodiscard]] bool mayRelay() const;
+    /// Waits if it is about to be found out that the servers are out of reach, and then passes the request on or refuses it. Returns
+    /// whether it waits.
+    bool waitForReachCheck();
     void sendToHelper(Serving::RelayHelper const &helper);
     void startExchange(Http::HttpClient &client, Http::ClientRequest request);
     /// Records what a response that came through another instance says about its server.
@@ -125,7 +128,7 @@
     void refuse(Http::Refusal const &refusal);
     /// Sends a stream again after a delay, or breaks it off if that is not allowed. The caller has a part of it, so it cannot be refused.
     void resumeLater(char const *reason);
-    void placeAgainAt(Instant at);
+    void callAt(Instant at, void (OnlineCall::*step)());
     /// `reason` is one of a small fixed set.
     void abortStream(char const *reason);
     void finish(char const *outcome);
--- a/Tests/NodeProcesses/TestCutOffInstances.cpp
+++ b/Tests/NodeProcesses/TestCutOffInstances.cpp
@@ -210,3 +210,39 @@
         EXPECT_EQ(answer->status, 200) << answer->body;
     }
 }
+
+// While servers that crash together make it a question whether all are out of reach, requests that may run only once are lost with some of
+// them. They must not be sent again once the question is decided.
+TEST_F(CutOffInstanceTest, RequestsThatMayHaveRunAreNotSentAgainAfterTheCheck)
+{
+    constexpr Duration PromptTime = 200ms;
+    constexpr std::size_t FurtherServers = 16;
+    constexpr std::size_t CrashingServers = 12;
+    constexpr int Waves = 4;
+    constexpr int RequestsOfWave = 80;
+    fleet_.setPromptTime(PromptTime);
+    fleet_.startServers(FurtherServers, ResponseForm::Whole);
+    startFleet(0, 1);
+    for (int wave = 0; wave < Waves; ++wave) {
+        auto const first = requests_ + 1;
+        std::vector<std::future<ServingFleet::Answer>> answers;
+        for (int request = 0; request < RequestsOfWave; ++request) {
+            auto const number = std::to_string(++requests_);
+            auto once = ServingFleet::plainRequest((requests_ % 2 == 0 ? "/u/" : "/q/") + number, "body " + number);
+            once.headers.set("Anvilyard-Attempt-Id", "n" + number);
+            answers.push_back(fleet_.send(*others_[0], std::move(once)));
+        }
+        std::this_thread::sleep_for(PromptTime / 2);
+        for (std::size_t server = 0; server < CrashingServers; ++server)
+            fleet_.crashServer(server);
+        for (auto &answer : answers)
+            answer.wait();
+        for (int request = first; request <= requests_; ++request) {
+            if (request % 2 == 0) {
+                EXPECT_LE(fleet_.arrivalsOf("n" + std::to_string(request)).size(), 1U) << request;
+            }
+        }
+        fleet_.waitUntilServersAreUp();
+        std::this_thread::sleep_for(RestoreTime);
+    }
+}
