--- a/Tests/NodeProcesses/CuttablePath.cpp
+++ b/Tests/NodeProcesses/CuttablePath.cpp
@@ -119,13 +119,13 @@
         });
     }
 
-    void listen(int queue)
+    /// Keeps the port, so that no other process gets it. Without listen() connections are refused.
+    void bind()
     {
         acceptor = Tcp::acceptor(io);
         acceptor.open(endpoint.protocol());
         acceptor.set_option(Tcp::acceptor::reuse_address(true));
         acceptor.bind(endpoint);
-        acceptor.listen(queue);
     }
 
     void setCut(Cut cut)
@@ -141,11 +141,12 @@
             if (cut == Cut::Reset)
                 relay->reset();
         }
+        bind();
         if (cut == Cut::None) {
-            listen(asio::socket_base::max_listen_connections);
+            acceptor.listen(asio::socket_base::max_listen_connections);
             accept();
         } else if (cut == Cut::Silent) {
-            listen(0);
+            acceptor.listen(0);
             for (int filler = 0; filler < FillingConnections; ++filler) {
                 fillers.emplace_back(io);
                 fillers.back().async_connect(endpoint, [](boost::system::error_code) {});
