Try a suspected part of prompts again, one request at a time

Losses count as independent only if one request was sent after the other one was lost. With fewer than three, a part is held for 3 s, else for 10 s, as whole requests are. Then an instance sends one request with the suspect at a time until one is answered; a loss makes the next quarantine six times as long, as before. A part waits for the confirmation of its third loss, as requests do.

The evidence cannot tell the two cases apart, so a trial has to: that is why this works whatever the reason of the crashes was.

--- a/Libraries/LibServing/PromptQuarantine.cpp
+++ b/Libraries/LibServing/PromptQuarantine.cpp
@@ -15,11 +15,13 @@
     return std::find(parts.begin(), parts.end(), part) != parts.end();
 }
 
-bool contains(LostResponse const &response, Suspect const &suspect)
+/// For the suspects of a request and for a lost response.
+template<typename Suspects>
+bool contains(Suspects const &suspects, Suspect const &suspect)
 {
     if (auto const *part = std::get_if<PromptPartId>(&suspect))
-        return contains(response.parts, *part);
-    return response.request == std::get<RequestFingerprint>(suspect);
+        return contains(suspects.parts, *part);
+    return suspects.request == std::get<RequestFingerprint>(suspect);
 }
 
 /// Whether the known response says all that the other one does.
@@ -44,6 +46,8 @@
 
 /// Run times that differ by less do not show which request began last.
 constexpr milliseconds RunTimeTolerance{50};
+/// Times of requests that were sent one after the other may overlap by this much, as they are rounded.
+constexpr milliseconds OverlapTolerance{5};
 
 /// Spreads the instances evenly over the ends of the quarantines of different suspects.
 std::uint64_t mix(std::uint64_t value)
@@ -176,11 +180,12 @@
     auto const count = lost_.size();
     // What led to a quarantine is kept after its end, so that one more lost server renews it.
     std::erase_if(lost_, [&](LostResponse const &response) {
-        return response.at + options_.quarantineTime <= now
+        return response.at + options_.evidenceRetention <= now
             && std::none_of(verdicts_.begin(), verdicts_.end(), [&](Verdict const &verdict) {
-                   return verdict.servers.contains(response.server) && now < verdict.until + options_.quarantineTime;
+                   return verdict.servers.contains(response.server) && now < verdict.until + options_.evidenceRetention;
                });
     });
+    std::erase_if(nextTrialAt_, [&](auto const &entry) { return entry.second <= now; });
     limitLostResponses();
     if (lost_.size() != count)
         refreshVerdicts();
@@ -202,7 +207,7 @@
             if (isExcluded(suspect, response.at))
                 return;
             auto &suspicion = found[suspect];
-            suspicion.servers.try_emplace(response.server, response.at);
+            suspicion.servers.try_emplace(response.server, Loss{.sentAt = response.at - response.runTime, .lostAt = response.at});
             if (isSoon)
                 suspicion.soonLost.insert(response.server);
             suspicion.narrowness = std::max(suspicion.narrowness, narrowness);
@@ -238,21 +243,35 @@
 
 PromptQuarantine::Verdict PromptQuarantine::verdictOn(Suspect const &suspect, Suspicion const &suspicion) const
 {
+    // The same request runs several times at once only if its caller sends it several times.
     bool const isRequest = std::holds_alternative<RequestFingerprint>(suspect);
-    auto const firstTime = isRequest ? options_.requestQuarantineTime : options_.quarantineTime;
+    auto const quarantineTime = std::chrono::duration_cast<milliseconds>(options_.quarantineTime);
+    auto const firstTime = isRequest ? quarantineTime : std::chrono::duration_cast<milliseconds>(options_.suspicionTime);
     auto const maxTime = std::chrono::duration_cast<milliseconds>(options_.maxQuarantineTime);
-    Verdict verdict{.suspect = suspect, .time = std::chrono::duration_cast<milliseconds>(firstTime)};
-    std::vector<WallInstant> lostAt;
-    for (auto const &[server, at] : suspicion.servers) {
+    Verdict verdict{.suspect = suspect, .time = firstTime};
+    std::vector<Loss> losses;
+    for (auto const &[server, loss] : suspicion.servers) {
         verdict.servers.insert(server);
-        lostAt.push_back(at);
+        losses.push_back(loss);
     }
-    std::sort(lostAt.begin(), lostAt.end());
-    verdict.until = lostAt.at(options_.serversToQuarantine - 1) + verdict.time;
-    for (std::size_t index = options_.serversToQuarantine; index < lostAt.size(); ++index) {
-        if (lostAt[index] >= verdict.until)
+    std::sort(losses.begin(), losses.end(), [](Loss const &left, Loss const &right) { return left.lostAt < right.lostAt; });
+    std::size_t independent = 0;
+    auto lastIndependentAt = WallInstant::min();
+    for (std::size_t index = 0; index < losses.size(); ++index) {
+        auto const &loss = losses[index];
+        // Requests that were in progress at the same time may have been lost by one common cause.
+        if (loss.sentAt + OverlapTolerance >= lastIndependentAt) {
+            ++independent;
+            lastIndependentAt = loss.lostAt;
+        }
+        if (index + 1 < options_.serversToQuarantine)
+            continue;
+        if (independent >= options_.serversToQuarantine)
+            verdict.time = std::max(verdict.time, quarantineTime);
+        bool const isAfterEnd = index >= options_.serversToQuarantine && loss.lostAt >= verdict.until;
+        if (isAfterEnd)
             verdict.time = std::min(verdict.time * options_.quarantineGrowth, maxTime);
-        verdict.until = std::max(verdict.until, lostAt[index] + verdict.time);
+        verdict.until = std::max(verdict.until, loss.lostAt + verdict.time);
     }
     return verdict;
 }
@@ -266,6 +285,24 @@
     return verdict.until + milliseconds(mix(options_.instanceHash ^ mix(value)) % static_cast<std::uint64_t>(spread));
 }
 
+WallInstant PromptQuarantine::refusedUntil(Verdict const &verdict) const
+{
+    auto const trial = nextTrialAt_.find(verdict.suspect);
+    return trial == nextTrialAt_.end() ? endOf(verdict) : std::max(endOf(verdict), trial->second);
+}
+
+std::optional<Suspect> PromptQuarantine::onSent(RequestSuspects const &suspects, WallInstant now)
+{
+    std::optional<Suspect> tried;
+    for (auto const &verdict : verdicts_) {
+        if (!contains(suspects, verdict.suspect) || now < endOf(verdict))
+            continue;
+        nextTrialAt_[verdict.suspect] = now + std::chrono::duration_cast<milliseconds>(options_.trialInterval);
+        tried = verdict.suspect;
+    }
+    return tried;
+}
+
 std::optional<PromptQuarantine::Match> PromptQuarantine::find(std::span<PromptPartId const> parts, WallInstant now) const
 {
     if (verdicts_.empty())
@@ -276,10 +313,8 @@
 std::optional<PromptQuarantine::Match> PromptQuarantine::find(RequestSuspects const &suspects, WallInstant now) const
 {
     for (auto const &verdict : verdicts_) {
-        auto const *part = std::get_if<PromptPartId>(&verdict.suspect);
-        bool const isMatch = part ? contains(suspects.parts, *part) : suspects.request == std::get<RequestFingerprint>(verdict.suspect);
-        if (isMatch && now < endOf(verdict))
-            return Match{.suspect = verdict.suspect, .until = endOf(verdict)};
+        if (auto const until = refusedUntil(verdict); contains(suspects, verdict.suspect) && now < until)
+            return Match{.suspect = verdict.suspect, .until = until};
     }
     return std::nullopt;
 }
@@ -294,14 +329,14 @@
     return found;
 }
 
-std::set<ServerProcess> PromptQuarantine::unexplainedServers(RequestFingerprint request) const
+std::set<ServerProcess> PromptQuarantine::unexplainedServers(Suspect const &suspect) const
 {
     std::set<ServerProcess> servers;
     for (auto const &response : lost_) {
         bool const isExplained = std::any_of(verdicts_.begin(), verdicts_.end(), [&](Verdict const &verdict) {
-            return verdict.suspect != Suspect(request) && verdict.servers.contains(response.server);
+            return verdict.suspect != suspect && verdict.servers.contains(response.server);
         });
-        if (response.request == request && !isExplained && !isExcluded(request, response.at))
+        if (contains(response, suspect) && !isExplained && !isExcluded(suspect, response.at))
             servers.insert(response.server);
     }
     return servers;
--- a/Libraries/LibServing/PromptQuarantine.h
+++ b/Libraries/LibServing/PromptQuarantine.h
@@ -14,11 +14,16 @@
     /// A suspect that was answered is not blamed for what is lost before this time after the answer. A popular part is in most of the
     /// prompts that run at a server which crashes because of another one.
     Duration answeredRetention = 30s;
-    /// Time from the last lost response for which requests with a part are refused, and in which losses are counted together.
-    Duration quarantineTime = 5min;
-    /// The same for a request as a whole, of which sound ones may come again during a series of crashes as well.
-    Duration requestQuarantineTime = 10s;
-    /// Factor by which the time grows each time that a server is lost after it, as each end may cost one.
+    /// Time in which losses are counted together, and for which they are kept after the end of a quarantine.
+    Duration evidenceRetention = 5min;
+    /// Time from the last lost response for which requests with a suspect are refused. Then one at a time is sent as a trial.
+    Duration quarantineTime = 10s;
+    /// The same for a part while fewer than serversToQuarantine of its losses are independent. Servers that fail together, as those of one
+    /// rack, look like servers that were crashed by what they ran.
+    Duration suspicionTime = 3s;
+    /// Time from a trial, unless it is answered or lost, to the next one of the same instance.
+    Duration trialInterval = 2s;
+    /// Factor by which the time grows each time that a server is lost after it, as each trial may cost one.
     std::int64_t quarantineGrowth = 6;
     Duration maxQuarantineTime = 1h;
     /// Share of the quarantine time over which the instances spread the end of a quarantine. The first to send such a request finds out for
@@ -58,6 +63,8 @@
     /// Records that a server process ended before it had answered a request. Returns whether this is new evidence.
     bool onLost(ServerProcess const &server, RequestSuspects const &suspects, std::chrono::milliseconds runTime, WallInstant now);
     bool onLost(ServerProcess const &server, std::span<PromptPartId const> parts, WallInstant now);
+    /// Records that a request is sent to a server. Returns the suspect if it is a trial after the end of a quarantine.
+    std::optional<Suspect> onSent(RequestSuspects const &suspects, WallInstant now);
     /// Merges the evidence of another instance. Returns whether any of it is new.
     bool merge(PromptEvidence const &evidence, WallInstant now);
 
@@ -66,8 +73,10 @@
     [[nodiscard]] std::optional<Match> find(std::span<PromptPartId const> parts, WallInstant now) const;
     /// All suspects in quarantine, with the time of its end.
     [[nodiscard]] std::map<Suspect, WallInstant> quarantined(WallInstant now) const;
-    /// Server processes that were lost with the request and for which no other suspect is in quarantine.
-    [[nodiscard]] std::set<ServerProcess> unexplainedServers(RequestFingerprint request) const;
+    /// Server processes that were lost with the suspect and for which no other suspect is in quarantine.
+    [[nodiscard]] std::set<ServerProcess> unexplainedServers(Suspect const &suspect) const;
+    /// Whether an answer shows that the suspect is not to blame for a loss at this time.
+    [[nodiscard]] bool isExcluded(Suspect const &suspect, WallInstant lostAt) const;
     /// What other instances need to know, first what holds the quarantines; empty if there is nothing.
     [[nodiscard]] PromptEvidence evidence() const;
     /// Increases with each change of evidence() that other instances should receive at once.
@@ -83,9 +92,14 @@
         std::chrono::milliseconds time{0};
     };
 
+    struct Loss {
+        WallInstant sentAt;
+        WallInstant lostAt;
+    };
+
     struct Suspicion {
-        /// The servers that were lost with the suspect, with the time of the first loss at each.
-        std::map<ServerProcess, WallInstant> servers;
+        /// The servers that were lost with the suspect, with the first loss at each.
+        std::map<ServerProcess, Loss> servers;
         /// Servers that were lost soon after a request with the suspect was sent, compared with others at the same server. A request that
         /// crashes servers does so as it begins. What was lost with it may have run or waited for longer.
         std::set<ServerProcess> soonLost;
@@ -104,7 +118,6 @@
     /// What speaks against each suspect, apart from what was lost at servers that are explained already.
     [[nodiscard]] std::map<Suspect, Suspicion> suspicions(std::set<ServerProcess> const &explained) const;
     [[nodiscard]] Verdict verdictOn(Suspect const &suspect, Suspicion const &suspicion) const;
-    [[nodiscard]] bool isExcluded(Suspect const &suspect, WallInstant lostAt) const;
     [[nodiscard]] bool isLost(RequestFingerprint request) const;
     Insertion insert(LostResponse response);
     bool noteAnsweredRequest(RequestFingerprint request, WallInstant at);
@@ -118,6 +131,8 @@
     void limitLostResponsesOf(ServerProcess const &server);
     void limitAnsweredParts(WallInstant now);
     [[nodiscard]] WallInstant endOf(Verdict const &verdict) const;
+    /// Time until which requests with the suspect are refused, because of the quarantine or of a trial in progress.
+    [[nodiscard]] WallInstant refusedUntil(Verdict const &verdict) const;
 
     PromptQuarantineOptions options_;
     /// Ordered by their times.
@@ -127,6 +142,8 @@
     std::map<RequestFingerprint, WallInstant> answeredRequests_;
     /// Conclusions from the evidence, the strongest first.
     std::vector<Verdict> verdicts_;
+    /// Suspects of which this instance has sent a trial, with the earliest time of the next one.
+    std::map<Suspect, WallInstant> nextTrialAt_;
     std::uint64_t version_ = 0;
 };
 
--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -44,6 +44,7 @@
     itemId_ = item.id;
     suspects_ = suspectsOf(context_, item, host);
     context_.load.onStarted(server_.id, Serving::WorkClass::Batch);
+    context_.prompts.onSent(suspects_);
     Http::ClientRequest request{
         .server = server_.address,
         .request = context_.protocol.makeServerRequest(item, host, {.server = server_.id, .lastEventId = item_.lastEventId}),
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -363,6 +363,8 @@
     if (context.limits.isLimited(server))
         parts_.metrics.limitedSends.add();
     plan_.onSent(server.id);
+    if (!isAnswered_)
+        context.prompts.onSent(suspects());
     attempt_ = std::make_shared<Attempt>(
         Attempt{.server = server, .sentAt = now, .events = Serving::EventReader(events_), .earlierEvents = events_.count()});
     context.load.onStarted(server.id, Serving::WorkClass::Online);
--- a/Services/Node/PromptGuard.cpp
+++ b/Services/Node/PromptGuard.cpp
@@ -22,6 +22,13 @@
     return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
 }
 
+std::string toText(Serving::Suspect const &suspect)
+{
+    if (auto const *part = std::get_if<PromptPartId>(&suspect))
+        return Serving::toString(std::array{*part});
+    return Serving::toString(std::get<RequestFingerprint>(suspect));
+}
+
 template<typename Id>
 std::size_t countOf(std::map<Serving::Suspect, WallInstant> const &suspects)
 {
@@ -38,6 +45,12 @@
 {
 }
 
+void PromptGuard::onSent(Serving::RequestSuspects const &suspects)
+{
+    if (auto const suspect = quarantine_.onSent(suspects, readClocks().wall))
+        Observe::log(Observe::Events::NodeQuarantineTrial, {{"suspect", toText(*suspect)}});
+}
+
 void PromptGuard::onAnswered(Serving::RequestSuspects const &suspects)
 {
     auto const now = readClocks().wall;
@@ -112,18 +125,34 @@
     auto const now = readClocks().wall;
     if (auto const match = quarantine_.find(suspects, now))
         return RefusalReason{.suspect = match->suspect, .time = match->until - now};
+    if (confirmation_.pending().empty())
+        return std::nullopt;
     // A loss is confirmed within milliseconds. A retry sent before would cost one more server.
+    if (suspects.request && awaitsConfirmation(*suspects.request, now))
+        return RefusalReason{.suspect = *suspects.request, .time = ConfirmationRetryAfter};
+    auto const part = std::ranges::find_if(suspects.parts, [&](PromptPartId id) { return awaitsConfirmation(id, now); });
+    if (part != suspects.parts.end())
+        return RefusalReason{.suspect = *part, .time = ConfirmationRetryAfter};
+    return std::nullopt;
+}
+
+bool PromptGuard::awaitsConfirmation(Serving::Suspect const &suspect, WallInstant now) const
+{
+    auto const *part = std::get_if<PromptPartId>(&suspect);
+    auto const local = readLocalClock();
     std::set<ServerProcess> servers;
     for (auto const &loss : confirmation_.pending()) {
-        if (suspects.request && loss.suspects.request == suspects.request)
+        // Parts are shared by many requests, all of which wait for a server that cannot be reached.
+        bool const isLost = part
+            ? std::ranges::find(loss.suspects.parts, *part) != loss.suspects.parts.end() && local < loss.endedAt + ConfirmationRetryAfter
+            : loss.suspects.request == std::get<RequestFingerprint>(suspect);
+        if (isLost)
             servers.insert({.id = loss.server.id, .startedAt = loss.server.startedAt});
     }
-    if (servers.empty())
-        return std::nullopt;
-    servers.merge(quarantine_.unexplainedServers(*suspects.request));
-    if (servers.size() < options_.serversToQuarantine)
-        return std::nullopt;
-    return RefusalReason{.suspect = *suspects.request, .time = ConfirmationRetryAfter};
+    if (servers.empty() || (part && quarantine_.isExcluded(suspect, now)))
+        return false;
+    servers.merge(quarantine_.unexplainedServers(suspect));
+    return servers.size() >= options_.serversToQuarantine;
 }
 
 std::size_t PromptGuard::quarantinedParts() const
@@ -148,11 +177,10 @@
                          Observe::EventDefinition const &ofRequest,
                          Serving::Suspect const &suspect,
                          WallInstant until) {
-        if (auto const *part = std::get_if<PromptPartId>(&suspect))
-            Observe::log(ofPart, {{"part", Serving::toString(std::array{*part})}, {"ms", toText(until - now)}});
+        if (std::holds_alternative<PromptPartId>(suspect))
+            Observe::log(ofPart, {{"part", toText(suspect)}, {"ms", toText(until - now)}});
         else
-            Observe::log(ofRequest,
-                         {{"fingerprint", Serving::toString(std::get<RequestFingerprint>(suspect))}, {"ms", toText(until - now)}});
+            Observe::log(ofRequest, {{"fingerprint", toText(suspect)}, {"ms", toText(until - now)}});
     };
     for (auto const &[suspect, until] : current) {
         if (!logged_.contains(suspect))
--- a/Services/Node/PromptGuard.h
+++ b/Services/Node/PromptGuard.h
@@ -17,6 +17,8 @@
 
     explicit PromptGuard(Serving::PromptQuarantineOptions options);
 
+    /// Records that such a request is sent to a server.
+    void onSent(Serving::RequestSuspects const &suspects);
     /// Records that a server generates an answer to such a request.
     void onAnswered(Serving::RequestSuspects const &suspects);
     /// Records that the connection to a server ended after the request was sent and before it was answered.
@@ -38,6 +40,8 @@
     [[nodiscard]] Serving::PromptQuarantine const &quarantine() const;
 
 private:
+    /// Whether the confirmation of a server's crash is awaited that would put the suspect in quarantine.
+    [[nodiscard]] bool awaitsConfirmation(Serving::Suspect const &suspect, WallInstant now) const;
     void record(std::vector<Serving::UnconfirmedLoss> const &confirmed);
     void logChanges(WallInstant now);
 
--- a/Tests/NodeProcesses/TestCrashingParts.cpp
+++ b/Tests/NodeProcesses/TestCrashingParts.cpp
@@ -209,15 +209,31 @@
     static constexpr std::size_t SoundItems = 8;
     static constexpr std::size_t Items = CrashingItems + SoundItems;
 
+    struct Item {
+        std::string id;
+        ServingFleet::Parts parts;
+    };
+
     void submit(NodeProcess const &entry, std::string const &job, std::string const &part)
     {
-        json::array items;
+        std::vector<Item> items;
         for (std::size_t index = 0; index < Items; ++index) {
+            bool const isCrashing = index < CrashingItems;
+            items.push_back({.id = (isCrashing ? "crashing-" : "sound-") + job + "-" + std::to_string(index),
+                             .parts = isCrashing ? promptWith(part) : soundParts});
+        }
+        submit(entry, job, items);
+    }
+
+    void submit(NodeProcess const &entry, std::string const &job, std::vector<Item> const &jobItems)
+    {
+        json::array items;
+        for (std::size_t index = 0; index < jobItems.size(); ++index) {
             json::object headers;
-            auto const prompt = fleet_.promptHeaders(index < CrashingItems ? promptWith(part) : soundParts);
+            auto const prompt = fleet_.promptHeaders(jobItems[index].parts);
             for (auto const &header : prompt.fields())
                 headers[header.name] = header.value;
-            items.push_back(json::object{{"id", (index < CrashingItems ? "crashing-" : "sound-") + job + "-" + std::to_string(index)},
+            items.push_back(json::object{{"id", jobItems[index].id},
                                          {"path", "/b/" + std::to_string(index)},
                                          {"headers", std::move(headers)},
                                          {"body", "aGVsbG8="},
@@ -340,6 +356,31 @@
     expectFewArrivals("d1");
 }
 
+/// Servers fail together while they read the first prompts with a part. Guards against items that are kept from all other servers until
+/// they are given up because the part is taken for the cause.
+TEST_F(JobWithCrashingPartTest, ItemsCompleteAfterServersFailedTogetherWithTheirPart)
+{
+    constexpr std::size_t FailingServers = 3;
+    auto const entries = startFleet({"entry-1", "entry-2", "entry-3"});
+    auto const failing = std::make_shared<std::vector<ModelServer *>>();
+    fleet_.setBehaviour([failing](ModelServer &server, std::shared_ptr<ModelServer::Run> const &run) {
+        bool const isKnown = std::ranges::find(*failing, &server) != failing->end();
+        if (failing->size() >= FailingServers || isKnown)
+            return server.writeEvents(run);
+        failing->push_back(&server);
+        if (failing->size() < FailingServers)
+            return;
+        for (auto *each : *failing)
+            each->crash();
+    });
+    std::vector<Item> items;
+    for (std::size_t item = 0; item < FailingServers; ++item)
+        items.push_back({.id = "sound-" + std::to_string(item), .parts = {"e1"}});
+    submit(*entries[0], "job", items);
+    waitForResults(*entries[0], "job", items.size());
+    EXPECT_EQ(fleet_.crashes().size(), FailingServers);
+}
+
 /// Guards against refusals of sound parts that merely were in use when a server ended for another reason.
 TEST_F(SoundPartTest, ServersThatCrashForAnotherReasonCauseNoRefusals)
 {
