Store the results of a job although one of them is refused

An event with two bytes that are no UTF-8 counted as complete; the store answered 400 to the segment with it, and the runner sent the same segment again for good, ahead of all others.

An item's event that is not UTF-8 ends the run, and the item goes on after the event before. Besides, a segment that the store refuses for what it holds (400, 422, 413) is stored in halves until a single outcome is found, whose item runs again after a growing pause.

The stand-in of the store answers 400 to what it cannot parse, as the platform does; it threw before.

--- a/Libraries/LibJobs/JobTracker.cpp
+++ b/Libraries/LibJobs/JobTracker.cpp
@@ -300,13 +300,17 @@
 
 void JobTracker::pause(Item &item, Instant now) const
 {
-    constexpr std::uint32_t MaxDoublings = 10;
-    auto const doublings = std::min(item.pauses++, MaxDoublings);
-    item.notBefore = now + std::min(options_.maxRetryPause, options_.retryPause * (1U << doublings));
+    item.notBefore = now + pauseAfter(item.pauses++);
     if (!item.lastEventId)
         restart(item);
 }
 
+Duration JobTracker::pauseAfter(std::uint32_t earlierPauses) const
+{
+    constexpr std::uint32_t MaxDoublings = 10;
+    return std::min(options_.maxRetryPause, options_.retryPause * (1U << std::min(earlierPauses, MaxDoublings)));
+}
+
 bool JobTracker::isPaused(Item const &item, Instant now)
 {
     return now < item.notBefore || item.recordedFailures < item.failures;
@@ -371,7 +375,8 @@
         for (auto const index : job.decided) {
             auto const &item = job.items[index];
             bytes += item.output.size();
-            if (bytes > options_.maxSegmentBytes && !segment.outcomes.empty())
+            bool const isTooLarge = bytes > options_.maxSegmentBytes || segment.outcomes.size() >= job.maxStored;
+            if (isTooLarge && !segment.outcomes.empty())
                 break;
             segment.outcomes.push_back({.id = job.record.items[index].id, .state = item.outcome, .output = item.output});
         }
@@ -409,8 +414,11 @@
     auto const found = jobs_.find(id);
     if (found == jobs_.end())
         return;
-    found->second.isStoring = false;
-    list(found->second, segment);
+    auto &job = found->second;
+    job.isStoring = false;
+    if (job.maxStored <= job.items.size())
+        job.maxStored *= 2;
+    list(job, segment);
 }
 
 void JobTracker::onSegmentFound(JobId const &id, ResultSegment segment)
@@ -434,6 +442,31 @@
     found->second.storeNotBefore = now + options_.retryPause;
 }
 
+void JobTracker::onStoreRefused(JobId const &id, ResultSegment const &segment, Instant now)
+{
+    onStoreFailed(id, now);
+    auto const found = jobs_.find(id);
+    if (found == jobs_.end() || segment.outcomes.empty())
+        return;
+    auto &job = found->second;
+    job.maxStored = std::max<std::size_t>(1, segment.outcomes.size() / 2);
+    auto const index = job.indexOf.find(segment.outcomes.front().id);
+    if (segment.outcomes.size() > 1 || index == job.indexOf.end() || job.items[index->second].state != Item::State::Decided)
+        return;
+    auto &item = job.items[index->second];
+    std::erase(job.decided, index->second);
+    if (item.outcome == OutcomeState::GivenUp) {
+        job.decided.push_back(index->second);
+        return;
+    }
+    item.state = Item::State::Waiting;
+    item.waitingSince = now;
+    item.notBefore = now + pauseAfter(item.storeRefusals++);
+    restart(item);
+    if (job.decided.empty())
+        job.firstDecidedAt.reset();
+}
+
 std::vector<FailureCommit> JobTracker::takeFailures(Instant now)
 {
     std::vector<FailureCommit> commits;
--- a/Libraries/LibJobs/JobTracker.h
+++ b/Libraries/LibJobs/JobTracker.h
@@ -4,6 +4,7 @@
 #include "LibJobs/Job.h"
 #include "LibServing/SoftwareVersion.h"
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -170,6 +171,9 @@
     void onSegmentFound(JobId const &job, ResultSegment segment);
     /// Called when the store did not accept the segment or did not respond. takeCommits() returns it again after a pause.
     void onStoreFailed(JobId const &job, Instant now);
+    /// Called when the store refused the segment for what it holds. takeCommits() returns its first half after a pause. The item of a
+    /// single outcome runs again, so that the others are not held up by it.
+    void onStoreRefused(JobId const &job, ResultSegment const &segment, Instant now);
 
     /// Returns the failures to be recorded now. A job has at most one record being written at a time.
     [[nodiscard]] std::vector<FailureCommit> takeFailures(Instant now);
@@ -211,6 +215,8 @@
         /// Failures in other tenures, as of the last record.
         std::uint32_t otherFailures = 0;
         std::uint32_t pauses = 0;
+        /// How often the store refused its outcome.
+        std::uint32_t storeRefusals = 0;
         Instant notBefore = Instant::min();
         /// Whether it waits since it was held back.
         bool isHeldBack = false;
@@ -233,6 +239,8 @@
         bool isEnded = false;
         bool isStoring = false;
         Instant storeNotBefore = Instant::min();
+        /// Number of outcomes stored together. Reduced while the store refuses some for what they hold.
+        std::size_t maxStored = std::numeric_limits<std::size_t>::max();
         TenureId tenure;
         bool isRecording = false;
         Instant recordNotBefore = Instant::min();
@@ -257,6 +265,7 @@
     [[nodiscard]] Duration commitDelay(Job const &job, Instant now) const;
     void decide(Job &job, std::size_t index, OutcomeState outcome, Instant now);
     void pause(Item &item, Instant now) const;
+    [[nodiscard]] Duration pauseAfter(std::uint32_t earlierPauses) const;
     /// Whether the item may not be sent yet.
     [[nodiscard]] static bool isPaused(Item const &item, Instant now);
     [[nodiscard]] static std::uint32_t failuresOf(Item const &item);
--- a/Libraries/LibPlatform/ChangeSettlement.cpp
+++ b/Libraries/LibPlatform/ChangeSettlement.cpp
@@ -20,7 +20,7 @@
 bool isTransient(std::error_code const &error)
 {
     return error == PlatformError::OutcomeUnknown || error == PlatformError::Unavailable || error == PlatformError::TooManyCalls
-        || error == PlatformError::OverBudget || error == PlatformError::MalformedResponse;
+        || error == PlatformError::OverBudget || error == PlatformError::MalformedResponse || error == PlatformError::InvalidValue;
 }
 
 } // namespace
--- a/Libraries/LibPlatform/PlatformError.cpp
+++ b/Libraries/LibPlatform/PlatformError.cpp
@@ -29,6 +29,8 @@
         return "the platform sent a malformed response";
     case PlatformError::OverBudget:
         return "the budget of platform calls is exhausted";
+    case PlatformError::InvalidValue:
+        return "the platform refused the value as invalid";
     }
     return "unknown error";
 }
--- a/Libraries/LibPlatform/PlatformError.h
+++ b/Libraries/LibPlatform/PlatformError.h
@@ -23,6 +23,8 @@
     MalformedResponse,
     /// The process's call budget is exhausted; nothing was sent.
     OverBudget,
+    /// The platform refused what was sent as invalid; not applied.
+    InvalidValue,
 };
 
 std::error_code make_error_code(PlatformError error);
--- a/Libraries/LibPlatform/ResponseMapping.cpp
+++ b/Libraries/LibPlatform/ResponseMapping.cpp
@@ -9,6 +9,11 @@
 PlatformError mapStatus(CallVerb verb, Http::HttpResponse const &response)
 {
     switch (response.status) {
+    case 400:
+    case 422:
+        if (verb != CallVerb::Read)
+            return PlatformError::InvalidValue;
+        break;
     case 404:
         return PlatformError::NotFound;
     case 409:
--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -1,5 +1,6 @@
 #include "Services/Node/ItemRun.h"
 
+#include "LibCore/Utf8.h"
 #include "LibHttp/HttpError.h"
 #include "LibObserve/Events.h"
 
@@ -98,10 +99,18 @@
     if (status_ != Ok || isEnded_)
         return;
     auto const eventsBefore = sequence_.count();
-    bool isTooLarge = false;
-    events_.take(piece, [&](std::string_view data) { isTooLarge = isTooLarge || !hooks_.onEvent(sequence_.lastId(), data); });
-    if (isTooLarge)
-        return fail({.code = Http::HttpError::BodyTooLarge});
+    std::optional<Error> error;
+    events_.take(piece, [&](std::string_view data) {
+        if (error)
+            return;
+        // The store cannot hold it. The item goes on after the event before.
+        if (!isUtf8(data))
+            error = {.code = Http::HttpError::Malformed, .detail = "event data that is not UTF-8"};
+        else if (!hooks_.onEvent(sequence_.lastId(), data))
+            error = {.code = Http::HttpError::BodyTooLarge};
+    });
+    if (error)
+        return fail(*error);
     if (eventsBefore < Serving::EventsOfAnswer && sequence_.count() >= Serving::EventsOfAnswer)
         context_.prompts.onAnswered(suspects_);
     if (events_.isBroken())
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -656,6 +656,9 @@
             }
             if (created.error().code != PlatformError::AlreadyExists) {
                 Observe::log(Observe::Events::NodeSegmentStoreFailed, {{"job", job.value()}, {"error", created.error().toString()}});
+                auto const &code = created.error().code;
+                if (code == PlatformError::InvalidValue || code == PlatformError::ValueTooLarge)
+                    return onStoreRefused(job, segment, now);
                 return onStoreFailed(job, created.error(), now);
             }
             // Another runner stored this segment, or this runner did and the response was lost. The stored segment is
@@ -675,6 +678,20 @@
     servePendingReads(readLocalClock());
 }
 
+void JobRunner::onStoreRefused(JobId const &job, Jobs::ResultSegment const &segment, Instant now)
+{
+    metrics_.segmentsRefused.add();
+    auto const pending = pendingStores_.find(job);
+    if (pending != pendingStores_.end() && !pending->second.isOutcomeUnknown)
+        pendingStores_.erase(pending);
+    Observe::log(Observe::Events::NodeSegmentRefused,
+                 {{"job", job.value()},
+                  {"first", std::to_string(segment.first)},
+                  {"outcomes", std::to_string(segment.outcomes.size())},
+                  {"item", segment.outcomes.size() == 1 ? segment.outcomes.front().id.value() : ""}});
+    jobs_.onStoreRefused(job, segment, now);
+}
+
 void JobRunner::onStoreFailed(JobId const &job, Error const &error, Instant now)
 {
     auto const pending = pendingStores_.find(job);
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -92,6 +92,8 @@
     /// Records failures of items, so that the next owner of their jobs counts them.
     void recordFailures(Instant now);
     void onSegmentStored(JobId const &job, Jobs::ResultSegment segment);
+    /// The store refused the segment for what it holds.
+    void onStoreRefused(JobId const &job, Jobs::ResultSegment const &segment, Instant now);
     void onStoreFailed(JobId const &job, Error const &error, Instant now);
     /// Whether the store may have shown a segment of this runner to others for a while that this runner does not list yet.
     [[nodiscard]] bool mayHideSegment(JobId const &job, Instant now) const;
--- a/Services/Node/NodeMetrics.cpp
+++ b/Services/Node/NodeMetrics.cpp
@@ -58,6 +58,8 @@
     , itemStarts(registry.counter("anvilyard_node_item_starts_total", "Sends of batch items to servers"))
     , itemPreemptions(registry.counter("anvilyard_node_item_preemptions_total", "Items ended to make room for online requests"))
     , segmentsStored(registry.counter("anvilyard_node_segments_stored_total", "Writes of batch results that were stored"))
+    , segmentsRefused(
+          registry.counter("anvilyard_node_segments_refused_total", "Writes of batch results that the store refused for what they hold"))
     , jobsAccepted(registry.counter("anvilyard_node_jobs_accepted_total", "Batch jobs acknowledged"))
     , expectedWaitSeconds(registry.histogram("anvilyard_node_expected_wait_seconds",
                                              "Shortest expected wait for a slot at the arrival of online requests",
--- a/Services/Node/NodeMetrics.h
+++ b/Services/Node/NodeMetrics.h
@@ -70,6 +70,7 @@
     Observe::Counter &itemStarts;
     Observe::Counter &itemPreemptions;
     Observe::Counter &segmentsStored;
+    Observe::Counter &segmentsRefused;
     Observe::Counter &jobsAccepted;
     Observe::Histogram &expectedWaitSeconds;
 };
--- a/Tests/FakeFleet/FleetStoreServer.cpp
+++ b/Tests/FakeFleet/FleetStoreServer.cpp
@@ -243,7 +243,11 @@
         auto const removed = table_.remove(call.kind, call.name, Platform::ResourceVersion(call.request.query("revision").value_or("")));
         return removed ? responseOf(200) : responseOf(statusOf(removed.error().code));
     }
-    auto const body = json::parse(call.request.body).as_object();
+    boost::system::error_code error;
+    auto const parsed = json::parse(call.request.body, error);
+    if (error)
+        return responseOf(400);
+    auto const &body = parsed.as_object();
     auto const &metadata = body.at("metadata").as_object();
     if (call.request.method == "POST") {
         return responseOf(
--- a/Tests/LibJobs/TestJobTracker.cpp
+++ b/Tests/LibJobs/TestJobTracker.cpp
@@ -1,6 +1,7 @@
 #include "LibJobs/JobTracker.h"
 #include "LibServing/EventReader.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -258,6 +259,58 @@
     EXPECT_EQ(tracker_.takeCommits(Start + 100ms).size(), 1U);
 }
 
+/// The store refuses one of many results for what it holds. Guards against results that all wait behind it, and against an item that is
+/// given up because of one bad answer.
+TEST_F(JobTrackerTest, AResultThatTheStoreRefusesHoldsUpNoOther)
+{
+    constexpr std::size_t Items = 60;
+    add("j", Items);
+    for (std::size_t item = 0; item < Items; ++item)
+        complete();
+    auto now = Start;
+    std::set<ItemId> stored;
+    std::size_t calls = 0;
+    ItemId const refused("j-5");
+    for (; stored.size() + 1 < Items && calls < Items; now += 100ms) {
+        for (auto const &[job, segment] : tracker_.takeCommits(now)) {
+            ++calls;
+            if (std::ranges::any_of(segment.outcomes, [&](ItemOutcome const &outcome) { return outcome.id == refused; })) {
+                tracker_.onStoreRefused(job, segment, now);
+                continue;
+            }
+            for (auto const &outcome : segment.outcomes)
+                stored.insert(outcome.id);
+            tracker_.onStored(job, segment);
+        }
+    }
+    EXPECT_EQ(stored.size(), Items - 1);
+    EXPECT_LE(calls, 20U);
+    auto const again = run(now);
+    EXPECT_EQ(tracker_.find(again.job)->items[again.index].id, refused);
+    EXPECT_FALSE(again.lastEventId) << "it starts anew";
+    tracker_.onSendEnded(again.job, again.index, SendEnd::Complete, now);
+    auto const commits = tracker_.takeCommits(now);
+    ASSERT_EQ(commits.size(), 1U);
+    tracker_.onStored(commits[0].first, commits[0].second);
+    EXPECT_TRUE(tracker_.isDone(JobId("j")));
+}
+
+/// An item whose outcome is refused again and again. Guards against running it without pause.
+TEST_F(JobTrackerTest, AnItemWhoseResultIsRefusedAgainWaitsLongerEachTime)
+{
+    add("j", 1);
+    auto now = Start;
+    for (auto const pause : {100ms, 200ms, 400ms}) {
+        complete(now);
+        auto const commits = tracker_.takeCommits(now);
+        ASSERT_EQ(commits.size(), 1U);
+        tracker_.onStoreRefused(JobId("j"), commits[0].second, now);
+        EXPECT_FALSE(tracker_.next(batchPool, RunTime, now + pause - 1ms));
+        now += pause;
+        EXPECT_TRUE(tracker_.next(batchPool, RunTime, now));
+    }
+}
+
 TEST_F(JobTrackerTest, ATakenOverJobRunsOnlyWhatIsNotListed)
 {
     add("j", 3, {{.first = 0, .outcomes = {{.id = ItemId("j-2"), .output = "o"}}}, {.first = 1, .outcomes = {{.id = ItemId("j-0")}}}});
--- a/Tests/LibPlatform/TestResponseMapping.cpp
+++ b/Tests/LibPlatform/TestResponseMapping.cpp
@@ -55,6 +55,7 @@
         {CallVerb::Create, 409, false, PlatformError::AlreadyExists},     {CallVerb::Update, 409, false, PlatformError::Conflict},
         {CallVerb::Remove, 409, false, PlatformError::Conflict},          {CallVerb::Read, 404, false, PlatformError::NotFound},
         {CallVerb::Update, 404, false, PlatformError::NotFound},          {CallVerb::Read, 410, false, PlatformError::VersionTooOld},
+        {CallVerb::Create, 400, false, PlatformError::InvalidValue},      {CallVerb::Update, 422, false, PlatformError::InvalidValue},
         {CallVerb::Create, 413, false, PlatformError::ValueTooLarge},     {CallVerb::Create, 429, true, PlatformError::TooManyCalls},
         {CallVerb::Read, 429, false, PlatformError::TooManyCalls},        {CallVerb::Read, 500, false, PlatformError::Unavailable},
         {CallVerb::Read, 503, true, PlatformError::Unavailable},          {CallVerb::Create, 500, false, PlatformError::OutcomeUnknown},
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -282,6 +282,25 @@
     EXPECT_EQ(servers_[0]->requests().at(1).headers.find("Last-Event-Id"), "2");
 }
 
+/// A server spoils one event of an item's text. Guards against results of a whole job that the store refuses for it.
+TEST_F(JobsTest, AnEventThatIsNotUtf8IsAskedForAgain)
+{
+    addServer("s1", [](int number, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        if (number > 1)
+            return answerEvents(request, writer, 4);
+        writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+        writer->write(eventTexts(0, 2) + "id: 2\ndata: \xff\xfe\n\n" + eventText(3), nullptr);
+        writer->finish();
+    });
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    ask(entry, submissionOf("j", 3));
+    for (auto const &result : readResults(entry, "j", 3))
+        EXPECT_EQ(result.as_object().at("output").as_string(), "t0\nt1\nt2\nt3");
+    EXPECT_EQ(servers_[0]->requests().size(), 4U);
+}
+
 /// A server that crashes right after the head of a response without a length leaves one that looks whole, but has no event. Guards against
 /// items that are completed without any output.
 TEST_F(JobsTest, AResponseWithoutEventsDoesNotCompleteAnItem)
