Route each item of a job by its own path

After a route was split, the items of the other part ran at a service to which no desired state allowed them to go. If the first item's path lost its route, all items were given up.

Each item has the policy of its own path now, and one without a route is given up alone. An item that began at another service starts anew. Policies are made when the desired state or the owner changes, not with each tick.

The job's own path is not stored, as nothing would read it; stored jobs are unchanged.

--- a/Libraries/LibJobs/JobTracker.cpp
+++ b/Libraries/LibJobs/JobTracker.cpp
@@ -39,17 +39,33 @@
         found->second.isEnded = true;
 }
 
-void JobTracker::setPolicy(JobId const &id, ItemPolicy policy, Instant now)
+void JobTracker::setPolicies(JobId const &id, PolicyOf const &policyOf, Instant now)
 {
     auto const found = jobs_.find(id);
     if (found == jobs_.end())
         return;
     auto &job = found->second;
-    job.policy = std::move(policy);
-    if (job.policy.isRouted)
-        job.unroutedSince.reset();
-    else if (!job.unroutedSince)
-        job.unroutedSince = now;
+    job.pools.clear();
+    std::optional<Duration> completionTarget;
+    for (std::size_t index = 0; index < job.items.size(); ++index) {
+        auto &item = job.items[index];
+        item.policy = policyOf(job.record.items[index]);
+        if (!item.policy->isRouted) {
+            item.unroutedSince = item.unroutedSince.value_or(now);
+            continue;
+        }
+        item.unroutedSince.reset();
+        job.pools.insert(item.policy->pool);
+        completionTarget = std::min(completionTarget.value_or(item.policy->completionTarget), item.policy->completionTarget);
+    }
+    job.completionTarget = completionTarget.value_or(0s);
+}
+
+void JobTracker::setPolicy(JobId const &id, ItemPolicy policy, Instant now)
+{
+    auto const shared = std::make_shared<ItemPolicy const>(std::move(policy));
+    setPolicies(
+        id, [&](JobItem const &) { return shared; }, now);
 }
 
 bool JobTracker::contains(JobId const &job) const
@@ -101,14 +117,19 @@
     return found == jobs_.end() || index >= found->second.items.size() ? nullptr : &found->second;
 }
 
-bool JobTracker::mayRun(Job const &job, PoolName const &pool) const
+bool JobTracker::mayRun(Job const &job, PoolName const &pool)
 {
-    return !job.isEnded && job.policy.isRouted && job.policy.pool == pool;
+    return !job.isEnded && job.pools.contains(pool);
+}
+
+bool JobTracker::isWaitingFor(Item const &item, PoolName const &pool)
+{
+    return item.state == Item::State::Waiting && item.policy->isRouted && item.policy->pool == pool;
 }
 
 bool JobTracker::canGoOnAt(Item const &item, Serving::SoftwareVersion const &version)
 {
-    return item.events == 0 || item.version == version;
+    return item.events == 0 || (item.version == version && item.pool == item.policy->pool);
 }
 
 bool JobTracker::mayRunAt(Item const &item, ItemVersions const &versions, Instant now) const
@@ -117,18 +138,18 @@
         || now - item.waitingSince >= options_.versionPatience;
 }
 
-std::optional<JobTracker::Candidate>
-JobTracker::candidateOf(JobId const &id, Job const &job, ItemVersions const &versions, Duration runTime, Instant now) const
+std::optional<JobTracker::Candidate> JobTracker::candidateOf(
+    JobId const &id, Job const &job, PoolName const &pool, ItemVersions const &versions, Duration runTime, Instant now) const
 {
     auto waitingItem = job.items.end();
     for (auto item = job.items.begin(); item != job.items.end(); ++item) {
-        bool const mayStart = item->state == Item::State::Waiting && !isPaused(*item, now) && mayRunAt(*item, versions, now);
+        bool const mayStart = isWaitingFor(*item, pool) && !isPaused(*item, now) && mayRunAt(*item, versions, now);
         if (mayStart && (waitingItem == job.items.end() || item->events > waitingItem->events))
             waitingItem = item;
     }
     if (waitingItem == job.items.end())
         return std::nullopt;
-    auto const due = job.acceptedAt + job.policy.completionTarget;
+    auto const due = job.acceptedAt + waitingItem->policy->completionTarget;
     return Candidate{
         .due = due,
         .start = {.job = id,
@@ -151,7 +172,7 @@
     for (auto const &[id, job] : jobs_) {
         if (!mayRun(job, pool))
             continue;
-        auto candidate = candidateOf(id, job, versions, runTime, now);
+        auto candidate = candidateOf(id, job, pool, versions, runTime, now);
         if (!candidate)
             continue;
         auto &best = candidate->start.isLate ? late : onTime;
@@ -178,9 +199,8 @@
     for (auto const &[id, job] : jobs_) {
         if (!mayRun(job, pool))
             continue;
-        count += static_cast<std::size_t>(std::count_if(job.items.begin(), job.items.end(), [&](Item const &item) {
-            return item.state == Item::State::Waiting && !isPaused(item, now);
-        }));
+        count += static_cast<std::size_t>(std::count_if(
+            job.items.begin(), job.items.end(), [&](Item const &item) { return isWaitingFor(item, pool) && !isPaused(item, now); }));
     }
     return count;
 }
@@ -189,12 +209,12 @@
 {
     std::map<PoolName, std::size_t> counts;
     for (auto const &[id, job] : jobs_) {
-        if (!mayRun(job, job.policy.pool))
+        if (job.isEnded)
             continue;
-        auto const waiting =
-            std::count_if(job.items.begin(), job.items.end(), [](Item const &item) { return item.state == Item::State::Waiting; });
-        if (waiting > 0)
-            counts[job.policy.pool] += static_cast<std::size_t>(waiting);
+        for (auto const &item : job.items) {
+            if (item.state == Item::State::Waiting && item.policy->isRouted)
+                ++counts[item.policy->pool];
+        }
     }
     return counts;
 }
@@ -209,9 +229,10 @@
     item.isHeldBack = false;
     if (!canGoOnAt(item, start.version))
         restart(item);
+    item.pool = item.policy->pool;
     item.version = start.version;
     ++job->starts;
-    auto &starts = startsSinceLate_[job->policy.pool];
+    auto &starts = startsSinceLate_[item.pool];
     starts = start.isLate ? 0 : starts + 1;
 }
 
@@ -231,10 +252,14 @@
     for (auto const &[id, job] : jobs_) {
         if (job.isEnded)
             continue;
-        auto &wait = waits.emplace_back(JobWait{.job = id, .pool = job.policy.pool, .isRouted = job.policy.isRouted, .starts = job.starts});
+        auto &wait = waits.emplace_back(JobWait{.job = id, .starts = job.starts});
         for (auto const &item : job.items) {
             if (item.state != Item::State::Waiting)
                 continue;
+            if (wait.waiting == 0 || (!wait.isRouted && item.policy->isRouted)) {
+                wait.pool = item.policy->pool;
+                wait.isRouted = item.policy->isRouted;
+            }
             ++wait.waiting;
             wait.heldBack += item.isHeldBack ? 1 : 0;
             wait.paused += !item.isHeldBack && isPaused(item, now) ? 1 : 0;
@@ -285,7 +310,7 @@
         return giveUpFailed(*job, index, now);
     case SendEnd::Failed:
         ++item.failures;
-        if (failuresOf(item) >= job->policy.maxAttempts)
+        if (failuresOf(item) >= item.policy->maxAttempts)
             return giveUpFailed(*job, index, now);
         return pause(item, now);
     case SendEnd::Unserved:
@@ -342,13 +367,14 @@
 void JobTracker::onTick(Instant now)
 {
     for (auto &[id, job] : jobs_) {
-        bool const isTooOld =
-            job.policy.giveUpAfter > Duration::zero() && now - job.acceptedAt > job.policy.giveUpAfter + options_.maxClockSkew;
-        bool const isUnrouted = job.unroutedSince && now - *job.unroutedSince > options_.unroutedTimeout;
-        if (job.isEnded || (!isTooOld && !isUnrouted))
+        if (job.isEnded)
             continue;
         for (std::size_t index = 0; index < job.items.size(); ++index) {
-            if (job.items[index].state == Item::State::Waiting)
+            auto const &item = job.items[index];
+            auto const giveUpAfter = item.policy->giveUpAfter;
+            bool const isTooOld = giveUpAfter > Duration::zero() && now - job.acceptedAt > giveUpAfter + options_.maxClockSkew;
+            bool const isUnrouted = item.unroutedSince && now - *item.unroutedSince > options_.unroutedTimeout;
+            if (item.state == Item::State::Waiting && (isTooOld || isUnrouted))
                 decide(job, index, OutcomeState::GivenUp, now);
         }
     }
@@ -356,7 +382,7 @@
 
 Duration JobTracker::commitDelay(Job const &job, Instant now) const
 {
-    auto const timeLeft = job.acceptedAt + job.policy.completionTarget - now;
+    auto const timeLeft = job.acceptedAt + job.completionTarget - now;
     auto const share = std::chrono::duration_cast<Duration>(timeLeft * options_.commitShareOfTimeLeft);
     return std::clamp(share, options_.commitDelay, std::max(options_.commitDelay, options_.maxCommitDelay));
 }
@@ -508,7 +534,7 @@
             continue;
         auto &item = job->items[index];
         item.otherFailures = count;
-        bool const isExhausted = job->policy.isRouted && failuresOf(item) >= job->policy.maxAttempts;
+        bool const isExhausted = item.policy->isRouted && failuresOf(item) >= item.policy->maxAttempts;
         if (item.state == Item::State::Waiting && isExhausted)
             giveUpFailed(*job, index, now);
     }
--- a/Libraries/LibJobs/JobTracker.h
+++ b/Libraries/LibJobs/JobTracker.h
@@ -4,8 +4,10 @@
 #include "LibJobs/Job.h"
 #include "LibServing/SoftwareVersion.h"
 
+#include <functional>
 #include <limits>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -13,9 +15,9 @@
 
 namespace Anvilyard::Jobs {
 
-/// Settings for the items of a job in the current desired state.
+/// Settings for items of a job in the current desired state.
 struct ItemPolicy {
-    /// Whether the items match a route.
+    /// Whether the path of the items matches a route.
     bool isRouted = true;
     PoolName pool;
     /// Number of failure responses after which an item is given up.
@@ -95,6 +97,7 @@
 /// What the items of a job wait for.
 struct JobWait {
     JobId job;
+    /// Of one of the items; of one that matches a route if there is any.
     PoolName pool;
     bool isRouted = true;
     std::size_t waiting = 0;
@@ -131,6 +134,11 @@
     /// Removes a job that another runner owns now, or that is over.
     void remove(JobId const &job);
     void onEnded(JobId const &job);
+    /// Returns the policy of an item; never null.
+    using PolicyOf = std::function<std::shared_ptr<ItemPolicy const>(JobItem const &)>;
+    /// Sets the policy of each item. The paths of a job's items may match several routes.
+    void setPolicies(JobId const &job, PolicyOf const &policyOf, Instant now);
+    /// Sets one policy for all items.
     void setPolicy(JobId const &job, ItemPolicy policy, Instant now);
 
     [[nodiscard]] bool contains(JobId const &job) const;
@@ -201,10 +209,13 @@
             Decided,
             Listed,
         } state = State::Waiting;
+        std::shared_ptr<ItemPolicy const> policy = std::make_shared<ItemPolicy>();
+        std::optional<Instant> unroutedSince;
         std::string output;
         std::size_t events = 0;
         std::optional<std::uint64_t> lastEventId;
-        /// Version that generated the output.
+        /// Pool and version of the server that generated the output.
+        PoolName pool;
         Serving::SoftwareVersion version;
         /// When its last run ended.
         Instant waitingSince = Instant::min();
@@ -233,8 +244,10 @@
         std::vector<std::size_t> decided;
         std::optional<Instant> firstDecidedAt;
         Instant acceptedAt;
-        ItemPolicy policy;
-        std::optional<Instant> unroutedSince;
+        /// Pools of the items' policies, without those of items that match no route.
+        std::set<PoolName> pools;
+        /// Shortest one of all items.
+        Duration completionTarget{0};
         std::uint64_t starts = 0;
         bool isEnded = false;
         bool isStoring = false;
@@ -256,9 +269,9 @@
     [[nodiscard]] Job *find(JobId const &job, std::size_t index);
     /// The item of a job to start first; `std::nullopt` if none may start now.
     [[nodiscard]] std::optional<Candidate>
-    candidateOf(JobId const &id, Job const &job, ItemVersions const &versions, Duration runTime, Instant now) const;
+    candidateOf(JobId const &id, Job const &job, PoolName const &pool, ItemVersions const &versions, Duration runTime, Instant now) const;
     [[nodiscard]] bool mayRunAt(Item const &item, ItemVersions const &versions, Instant now) const;
-    /// Whether the item can go on after its last event at this version.
+    /// Whether the item can go on after its last event at a server of its pool with this version.
     [[nodiscard]] static bool canGoOnAt(Item const &item, Serving::SoftwareVersion const &version);
     /// Expected run time of what is left of an item.
     [[nodiscard]] Duration timeLeft(Item const &item, Duration runTime) const;
@@ -274,7 +287,9 @@
     [[nodiscard]] Job *find(FailureCommit const &commit);
     static void restart(Item &item);
     void list(Job &job, ResultSegment &segment);
-    [[nodiscard]] bool mayRun(Job const &job, PoolName const &pool) const;
+    /// Whether any item of the job may run in the pool.
+    [[nodiscard]] static bool mayRun(Job const &job, PoolName const &pool);
+    [[nodiscard]] static bool isWaitingFor(Item const &item, PoolName const &pool);
 
     JobTrackerOptions options_;
     std::map<JobId, Job> jobs_;
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -94,6 +94,7 @@
         ownerCheck_.remove(job);
         cancelRuns(job);
         jobs_.remove(job);
+        policyRoutes_.erase(job);
         return;
     }
     onJobKnown(job, Jobs::isEnded(object.status));
@@ -223,28 +224,39 @@
         jobs_.add(std::move(loaded->record), std::move(loaded->segments), age, now, makeTenure(context_.random));
         if (found->second.isEnded)
             jobs_.onEnded(job);
-        refreshPolicy(job, now);
+        policyRoutes_.erase(job);
+        refreshPolicies(job, now);
         servePendingReads(now);
     });
 }
 
-void JobRunner::refreshPolicy(JobId const &job, Instant now)
+void JobRunner::refreshPolicies(JobId const &job, Instant now)
 {
     auto const *record = jobs_.find(job);
-    if (!record || record->items.empty() || !context_.routes)
+    if (!record || !context_.routes || std::exchange(policyRoutes_[job], context_.routes) == context_.routes)
         return;
-    std::string_view const target = record->items.front().target;
-    auto const *route = context_.routes->find(record->host, target.substr(0, target.find('?')));
-    if (!route)
-        return jobs_.setPolicy(job, {.isRouted = false}, now);
-    jobs_.setPolicy(job,
-                    {
-                        .pool = Serving::poolFor(*route, RequestId(job.value())),
-                        .maxAttempts = route->maxServers,
-                        .completionTarget = route->completionTarget,
-                        .giveUpAfter = route->giveUpAfter,
-                    },
-                    now);
+    std::map<Serving::Route const *, std::shared_ptr<Jobs::ItemPolicy const>> policies;
+    auto const makePolicy = [&](Serving::Route const *route) {
+        if (!route)
+            return Jobs::ItemPolicy{.isRouted = false};
+        return Jobs::ItemPolicy{
+            .pool = Serving::poolFor(*route, RequestId(job.value())),
+            .maxAttempts = route->maxServers,
+            .completionTarget = route->completionTarget,
+            .giveUpAfter = route->giveUpAfter,
+        };
+    };
+    jobs_.setPolicies(
+        job,
+        [&](Jobs::JobItem const &item) {
+            std::string_view const target = item.target;
+            auto const *route = context_.routes->find(record->host, target.substr(0, target.find('?')));
+            auto &policy = policies[route];
+            if (!policy)
+                policy = std::make_shared<Jobs::ItemPolicy const>(makePolicy(route));
+            return policy;
+        },
+        now);
 }
 
 void JobRunner::reconcile(Instant now)
@@ -260,9 +272,10 @@
                 {{"job", job.value()}, {"owner", owner ? owner->value() : "none"}, {"observer", observer ? observer->value() : ""}});
             cancelRuns(job);
             jobs_.remove(job);
+            policyRoutes_.erase(job);
             pendingStores_.erase(job);
         } else {
-            refreshPolicy(job, now);
+            refreshPolicies(job, now);
         }
     }
     for (auto const &[job, known] : knownJobs_) {
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -69,7 +69,8 @@
     void lookForUnheardJob(JobId const &job);
     void onJobChanged(Platform::WatchChange change, Platform::Object const &object);
     void load(JobId const &job);
-    void refreshPolicy(JobId const &job, Instant now);
+    /// Applies the current routes to the items of a job if they have changed since.
+    void refreshPolicies(JobId const &job, Instant now);
     void reconcile(Instant now);
     void dispatch(Instant now);
     void refreshAssignments(Instant now);
@@ -136,6 +137,8 @@
     Jobs::JobTracker jobs_;
     StoreFollower jobFollower_;
     std::map<JobId, KnownJob> knownJobs_;
+    /// Routes from which the policies of the items of each tracked job were made.
+    std::map<JobId, std::shared_ptr<Serving::RouteTable const>> policyRoutes_;
     /// Runners for which `KnownJob::isOwned` holds. Ranking all runners for each of hundreds of jobs in every tick would take a third of
     /// the processor time of a runner.
     std::optional<std::uint64_t> ownershipHash_;
--- a/Tests/LibJobs/TestJobTracker.cpp
+++ b/Tests/LibJobs/TestJobTracker.cpp
@@ -500,6 +500,35 @@
     EXPECT_EQ(tracker_.takeCommits(Start + 9s).size(), 1U);
 }
 
+/// A route is split while items of one job wait. Guards against items that go to the pool of another item's path, and against a whole job
+/// that is given up because one path has no route any more.
+TEST_F(JobTrackerTest, EachItemFollowsTheRouteOfItsOwnPath)
+{
+    PoolName const north("north");
+    add("j", 3);
+    auto const begun = run();
+    tracker_.onSendEnded(begun.job, begun.index, SendEnd::Preempted, Start);
+    tracker_.setPolicies(
+        JobId("j"),
+        [&](JobItem const &item) {
+            auto moved = policy();
+            moved.pool = north;
+            moved.isRouted = item.id != ItemId("j-2");
+            return std::make_shared<ItemPolicy const>(item.id == ItemId("j-1") ? policy() : moved);
+        },
+        Start);
+    EXPECT_EQ(tracker_.waiting(batchPool, Start), 1U);
+    EXPECT_EQ(tracker_.waiting(north, Start), 1U);
+    auto const movedStart = tracker_.next(north, RunTime, Start + 2s);
+    ASSERT_TRUE(movedStart);
+    EXPECT_EQ(movedStart->index, begun.index);
+    EXPECT_FALSE(movedStart->lastEventId) << "texts of two services do not fit together";
+    tracker_.onTick(Start + 5s);
+    EXPECT_EQ(tracker_.counts().decided, 1U) << "only the item whose path has no route";
+    complete(Start + 5s);
+    EXPECT_FALSE(tracker_.next(batchPool, RunTime, Start + 5s));
+}
+
 TEST_F(JobTrackerTest, AnEndedJobStartsNoItemsAndCountsNoTokens)
 {
     add("j", 2);
--- a/Tests/Node/NodeFixture.h
+++ b/Tests/Node/NodeFixture.h
@@ -129,7 +129,10 @@
 
     /// Routes "/s/" (resumable streams), "/o/" (streams that are not resumable), "/i/" (idempotent), "/b/" (batch), "/u/" (at most
     /// once), all to the pool "p".
-    void putState(std::uint64_t version, std::string const &extraRoutes = "", std::uint64_t maxWaitingTokens = 100'000)
+    void putState(std::uint64_t version,
+                  std::string const &extraRoutes = "",
+                  std::uint64_t maxWaitingTokens = 100'000,
+                  std::string const &extraServices = "")
     {
         auto const route = [](std::string const &name, std::string const &kind, std::string const &rest) {
             return R"({"name":")" + name + R"(","host":"h.example","pathPrefix":"/)" + name + R"(/","kind":")" + kind
@@ -140,7 +143,7 @@
             + route("o", "streaming", R"("attempts":1,"resumable":false,"gapAimMs":2000)") + ","
             + route("i", "idempotent", R"("attempts":2)") + "," + route("u", "non_idempotent", R"("attempts":2)") + ","
             + route("b", "batch", R"("attempts":3,"completionTargetMs":18000,"queueTtlS":60,"cap":)" + std::to_string(maxWaitingTokens))
-            + extraRoutes + R"(],"services":[{"name":"p","healthPath":"/healthz","maxConns":100}],)"
+            + extraRoutes + R"(],"services":[{"name":"p","healthPath":"/healthz","maxConns":100})" + extraServices + "],"
             + R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
         thread_.call([&] { store_->put("config", "main", state); });
     }
@@ -150,10 +153,11 @@
                    std::string const &state = "ready",
                    int slots = 8,
                    std::string const &dataCentre = "dc",
-                   std::string const &version = "")
+                   std::string const &version = "",
+                   std::string const &service = "p")
     {
-        auto const spec = R"({"service":"p","address":")" + address.value() + R"(","zone":")" + dataCentre + R"(","slots":)"
-            + std::to_string(slots) + R"(,"state":")" + state + R"(","version":")" + version + R"(","born":1})";
+        auto const spec = R"({"service":")" + service + R"(","address":")" + address.value() + R"(","zone":")" + dataCentre
+            + R"(","slots":)" + std::to_string(slots) + R"(,"state":")" + state + R"(","version":")" + version + R"(","born":1})";
         thread_.call([&] { store_->put("servers", id, spec); });
     }
 
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -22,10 +22,10 @@
         putState(1);
     }
 
-    void addServer(std::string const &id, FleetServer::Script script)
+    void addServer(std::string const &id, FleetServer::Script script, std::string const &service = "p")
     {
         servers_.push_back(std::make_unique<FleetServer>(thread_, std::move(script)));
-        putServer(id, servers_.back()->address());
+        putServer(id, servers_.back()->address(), "ready", 8, "dc", "", service);
     }
 
     Http::HttpRequest submissionOf(std::string const &job, int items, std::uint64_t tokens = 100)
@@ -282,6 +282,37 @@
     EXPECT_EQ(servers_[0]->requests().at(1).headers.find("Last-Event-Id"), "2");
 }
 
+/// The operator splits a route while items of a job wait. Guards against items that run at a service to which no desired state allows them
+/// to go.
+TEST_F(JobsTest, ItemsFollowARouteThatIsSplitEachByItsOwnPath)
+{
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    constexpr int Items = 12;
+    ASSERT_EQ(ask(entry, submissionOf("j", Items))->status, 202);
+    std::string routes;
+    std::string services;
+    for (std::string const part : {"1", "2"}) {
+        routes += R"(,{"name":"b)" + part + R"(","host":"h.example","pathPrefix":"/b/x/)" + part
+            + R"(","kind":"batch","timeoutMs":3000,"sloMs":1000,"priority":0,"service":"p)" + part
+            + R"(","attempts":3,"completionTargetMs":18000,"queueTtlS":60,"cap":100000})";
+        services += R"(,{"name":"p)" + part + R"(","healthPath":"/healthz","maxConns":100})";
+    }
+    putState(2, routes, 100'000, services);
+    addServer("s0", complete);
+    addServer("s1", complete, "p1");
+    addServer("s2", complete, "p2");
+    EXPECT_EQ(readResults(entry, "j", Items).size(), static_cast<std::size_t>(Items));
+    for (std::size_t server = 0; server < servers_.size(); ++server) {
+        for (auto const &request : servers_[server]->requests()) {
+            auto const isOf = [&](std::string const &part) { return request.target.starts_with("/b/x/" + part); };
+            auto const expected = isOf("1") ? 1U : isOf("2") ? 2U : 0U;
+            EXPECT_EQ(server, expected) << request.target;
+        }
+    }
+}
+
 /// A server spoils one event of an item's text. Guards against results of a whole job that the store refuses for it.
 TEST_F(JobsTest, AnEventThatIsNotUtf8IsAskedForAgain)
 {
