--- a/Tests/NodeProcesses/ModelServer.cpp
+++ b/Tests/NodeProcesses/ModelServer.cpp
@@ -109,17 +109,23 @@
         running_.push_back(run);
         options_.onStarted(run->request);
         run->rejection = options_.rejection(run->request);
-        if (options_.form == ResponseForm::EventStream && !run->rejection) {
-            auto headers = headersFor(run->request);
-            headers.append({"Content-Type", "text/event-stream"});
-            run->writer->start({.status = 200, .headers = std::move(headers)});
-        }
+        if (options_.form == ResponseForm::EventStream && options_.headMoment == HeadMoment::RunBegins && !run->rejection)
+            sendHead(run);
         schedule(run, readLocalClock() + options_.promptTime, [this](std::shared_ptr<Run> const &ready) {
             ready->rejection ? reject(ready) : options_.behaviour(*this, ready);
         });
     }
 }
 
+void ModelServer::sendHead(std::shared_ptr<Run> const &run)
+{
+    if (std::exchange(run->isHeadSent, true))
+        return;
+    auto headers = headersFor(run->request);
+    headers.append({"Content-Type", "text/event-stream"});
+    run->writer->start({.status = 200, .headers = std::move(headers)});
+}
+
 void ModelServer::reject(std::shared_ptr<Run> const &run)
 {
     options_.onRejected(run->request);
@@ -137,6 +143,7 @@
 
 void ModelServer::writeEvent(std::shared_ptr<Run> const &run)
 {
+    sendHead(run);
     auto const number = std::to_string(run->nextEvent++);
     run->writer->write("id: " + number + "\ndata: " + options_.eventPrefix + "t" + number + "\n\n", nullptr);
 }
@@ -144,6 +151,7 @@
 void ModelServer::writeEvents(std::shared_ptr<Run> const &run)
 {
     if (run->nextEvent >= options_.events) {
+        sendHead(run);
         options_.onFinished(run->request);
         run->writer->finish();
         return end(run);
--- a/Tests/NodeProcesses/ModelServer.h
+++ b/Tests/NodeProcesses/ModelServer.h
@@ -16,14 +16,20 @@
 {
 public:
     enum class ResponseForm {
-        /// The head is sent when the run begins.
+        /// The head is sent at the HeadMoment of the server.
         EventStream,
         /// Head and body are sent together when the run ends.
         Whole,
     };
 
+    enum class HeadMoment {
+        RunBegins,
+        FirstEvent,
+    };
+
     struct Run {
         Http::HttpRequest request;
+        bool isHeadSent = false;
         std::shared_ptr<Http::ResponseWriter> writer;
         std::uint64_t nextEvent = 0;
         std::unique_ptr<Http::Timer> timer;
@@ -38,6 +44,8 @@
         /// If the port is taken, the system assigns another one.
         Address listen = Address("127.0.0.1:0");
         ResponseForm form = ResponseForm::EventStream;
+        /// Of event streams.
+        HeadMoment headMoment = HeadMoment::RunBegins;
         std::size_t slots = 4;
         /// Time from the start of a run until the behaviour is called.
         Duration promptTime = 30ms;
@@ -92,6 +100,7 @@
     /// Starts the timer of a run. It is started again if the server is silent then.
     void schedule(std::shared_ptr<Run> const &run, Instant at, std::function<void(std::shared_ptr<Run> const &)> action);
     void startWaiting();
+    void sendHead(std::shared_ptr<Run> const &run);
     void reject(std::shared_ptr<Run> const &run);
     void end(std::shared_ptr<Run> const &run);
     [[nodiscard]] Http::Headers headersFor(Http::HttpRequest const &request) const;
--- a/Tests/NodeProcesses/ServingFleet.cpp
+++ b/Tests/NodeProcesses/ServingFleet.cpp
@@ -185,6 +185,11 @@
     eventGap_ = eventGap;
 }
 
+void ServingFleet::setHeadMoment(ModelServer::HeadMoment moment)
+{
+    thread_.call([&] { headMoment_ = moment; });
+}
+
 void ServingFleet::setPromptTime(Duration time)
 {
     promptTime_ = time;
@@ -262,6 +267,7 @@
             .id = id,
             .listen = start.address,
             .form = start.form,
+            .headMoment = headMoment_,
             .promptTime = promptTime_,
             .eventGap = eventGap_,
             .events = events_,
--- a/Tests/NodeProcesses/ServingFleet.h
+++ b/Tests/NodeProcesses/ServingFleet.h
@@ -69,6 +69,8 @@
     void crashServerOf(std::string const &version);
     /// Sets the length of the streams of servers that are started later.
     void setStreams(std::uint64_t events, Duration eventGap);
+    /// Sets when servers that are started later send the heads of event streams.
+    void setHeadMoment(ModelServer::HeadMoment moment);
     /// Sets how long servers that are started later run a request before its first event or whole response.
     void setPromptTime(Duration time);
     /// Sets under which id servers that crash later are started again.
@@ -213,6 +215,7 @@
     std::uint64_t events_ = 10;
     Duration eventGap_ = 10ms;
     Duration promptTime_ = 30ms;
+    ModelServer::HeadMoment headMoment_ = ModelServer::HeadMoment::RunBegins;
     /// By server.
     std::map<std::string, std::string> versions_;
     /// Crashed servers stay, because callbacks of their connections may refer to them.
--- a/Tests/NodeProcesses/TestCrashingParts.cpp
+++ b/Tests/NodeProcesses/TestCrashingParts.cpp
@@ -183,6 +183,32 @@
     std::vector<SoundRequest> sound_;
 };
 
+/// Servers send the head of a stream with its first event, so that one which crashes has sent nothing.
+class LateHeadTest : public CrashingPartTest
+{
+protected:
+    void SetUp() override
+    {
+        fleet_.setHeadMoment(ModelServer::HeadMoment::FirstEvent);
+        CrashingPartTest::SetUp();
+    }
+
+    /// Sends requests with the parts until each has crashed servers, and then beside sound ones.
+    void expectPartsAreFound(std::vector<std::string> const &parts)
+    {
+        auto const entries = startFleet({"entry-1", "entry-2", "entry-3", "entry-4"});
+        for (auto const &part : parts)
+            fleet_.addCrashingPart(part);
+        for (int round = 0; round < 10; ++round)
+            sendRound(entries, parts);
+        for (auto const &part : parts)
+            waitForContact(part);
+        expectSoundRequestsAreServedBeside(parts, entries);
+        for (auto const &part : parts)
+            expectFewArrivals(part);
+    }
+};
+
 class SoundPartTest : public CrashingPartTest
 {
 protected:
@@ -290,6 +316,36 @@
     expectFewArrivals("d1");
 }
 
+/// Guards against a part that is never found because servers crash on it before they have sent the head of a response.
+TEST_F(LateHeadTest, EntriesStopSendingAPartThatCrashesServersBeforeTheHead)
+{
+    expectPartsAreFound({"d1"});
+}
+
+/// Guards against parts of which the last ones are sent on and on, as the crashes are put down to others.
+TEST_F(LateHeadTest, EntriesStopSendingFourPartsThatCrashServersBeforeTheHead)
+{
+    expectPartsAreFound({"d1", "d2", "d3", "d4"});
+}
+
+/// Servers crash for another reason while sound requests wait that have no head yet. Guards against taking their parts for the cause.
+TEST_F(LateHeadTest, PartsOfRequestsWithoutAHeadAreNotRefusedAfterOtherCrashes)
+{
+    auto const entries = startFleet({"entry-1", "entry-2", "entry-3"});
+    constexpr int Crashes = 10;
+    for (int crash = 0; crash < Crashes; ++crash) {
+        fleet_.setBehaviour([isDue = std::make_shared<bool>(true)](ModelServer &server, std::shared_ptr<ModelServer::Run> const &run) {
+            if (std::exchange(*isDue, false))
+                return server.crash();
+            server.writeEvents(run);
+        });
+        sendRound(entries, {});
+        fleet_.waitUntilServersAreUp();
+    }
+    expectSoundRequestsAreServed(entries);
+    EXPECT_EQ(std::ranges::count_if(sound_, [](SoundRequest const &request) { return request.status == 503 || request.status == 429; }), 0);
+}
+
 /// Guards against a second crashing part that is missed while requests with the first one still come.
 TEST_F(CrashingPartTest, EntriesStopSendingASecondPart)
 {
