Count the parts of a prompt as evidence when a server ends before the head

The loss of a request without a head was no evidence against the parts of its prompt, as it might only have waited.

The parts count now, for online requests and items alike.

PartsOfRequestsWithoutAHeadAreNotRefusedAfterOtherCrashes, the danger of this change, passes as before. Four parts at once still fail.

--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -159,8 +159,7 @@
         && sequence_.count() < Serving::EventsOfAnswer;
     if (!isLost || !mayCrash(context_, server_))
         return;
-    // A prompt is read once the head of the response was sent. An item without it may have waited.
-    context_.prompts.onLost(server_, status_ == Ok ? suspects_ : Serving::RequestSuspects{.request = suspects_.request}, startedAt_);
+    context_.prompts.onLost(server_, suspects_, startedAt_);
     health_.probeLostServers(readLocalClock());
 }
 
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -704,9 +704,6 @@
     if (!isLost || isAnswered || !mayCrash(context, attempt_->server))
         return;
     auto lost = suspects();
-    // A prompt is read once the head of the response was sent. A request without it may have waited.
-    if (!isResponseLost(failure.error))
-        lost.parts.clear();
     // An earlier attempt was answered.
     if (isAnswered_)
         lost.request.reset();
