Take only a server's failure that came through another instance as its answer

Requests with parts that crash servers went on for good although the parts had been found (BUDGET, real processes): an instance whose pool is out of reach passes requests on, and when the server behind the other instance crashes, that one answers 502 itself. The 502 counted as the answer of a server, so the parts of the prompt were cleared on all instances for 30 s.

A failure through another instance now needs the server's signature to count.

--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -596,7 +596,9 @@
 void OnlineCall::endBuffered()
 {
     bool const isSuccess = attempt_->head.status >= Ok && attempt_->head.status < FirstNonSuccess;
-    bool const isAnswered = isSuccess || (!attempt_->traits.isNotRun && !guaranteesNotRun(attempt_->head.status));
+    // Another instance sends failures of its own, too, when the server to which it passed the request on has crashed.
+    bool const isFromServer = !attempt_->helper || attempt_->traits.isSigned;
+    bool const isAnswered = isSuccess || (isFromServer && !attempt_->traits.isNotRun && !guaranteesNotRun(attempt_->head.status));
     if (isAnswered)
         parts_.context.prompts.onAnswered(suspects());
     if (isSuccess) {
