Hold every suspect that was lost soon at three servers, not only the strongest

After the first verdicts, a suspect is held as well if it was lost soon after it was sent at three servers, or without another explanation, unless a held one was lost at all of the same servers, or is in the same requests. As that may be wrong, it is held for 3 s at first and then tried, one request at a time; each further loss counts against it then. That bounds what a wrong suspicion costs, so that evidence need not tell the suspects apart.

--- a/Libraries/LibServing/PromptQuarantine.cpp
+++ b/Libraries/LibServing/PromptQuarantine.cpp
@@ -191,18 +191,18 @@
         refreshVerdicts();
 }
 
-std::map<Suspect, PromptQuarantine::Suspicion> PromptQuarantine::suspicions(std::set<ServerProcess> const &explained) const
+PromptQuarantine::Suspicions PromptQuarantine::suspicions(Filter const &counts) const
 {
     std::map<ServerProcess, milliseconds> shortestRuns;
     for (auto const &response : lost_) {
         auto const shortest = shortestRuns.try_emplace(response.server, response.runTime).first;
         shortest->second = std::min(shortest->second, response.runTime);
     }
-    std::map<Suspect, Suspicion> found;
+    Suspicions found;
     for (auto const &response : lost_) {
-        if (explained.contains(response.server))
-            continue;
         bool const isSoon = response.runTime <= 2 * shortestRuns.at(response.server) + RunTimeTolerance;
+        if (!counts(response, isSoon))
+            continue;
         forEachSuspect(response, [&](Suspect const &suspect, std::size_t narrowness) {
             if (isExcluded(suspect, response.at))
                 return;
@@ -217,6 +217,18 @@
     return found;
 }
 
+PromptQuarantine::Suspicions::const_iterator PromptQuarantine::strongest(Suspicions const &found,
+                                                                         std::function<bool(Suspect const &)> const &mayBeChosen) const
+{
+    auto best = found.end();
+    for (auto entry = found.begin(); entry != found.end(); ++entry) {
+        bool const isStronger = best == found.end() || entry->second.isStrongerThan(best->second);
+        if (entry->second.servers.size() >= options_.serversToQuarantine && isStronger && mayBeChosen(entry->first))
+            best = entry;
+    }
+    return best;
+}
+
 /// The suspect with the most lost servers explains all responses that were lost at these servers. Others are not suspected because of them:
 /// the requests that crash servers share the servers, and parts of their prompts, with others, which are lost with the server.
 void PromptQuarantine::refreshVerdicts()
@@ -224,15 +236,58 @@
     verdicts_.clear();
     std::set<ServerProcess> explained;
     while (true) {
-        auto const found = suspicions(explained);
-        auto const strongest = std::max_element(
-            found.begin(), found.end(), [](auto const &left, auto const &right) { return right.second.isStrongerThan(left.second); });
-        if (strongest == found.end() || strongest->second.servers.size() < options_.serversToQuarantine)
+        auto const found = suspicions([&](LostResponse const &response, bool) { return !explained.contains(response.server); });
+        auto const next = strongest(found, [](Suspect const &) { return true; });
+        if (next == found.end())
             break;
-        auto const &[suspect, suspicion] = *strongest;
-        verdicts_.push_back(verdictOn(suspect, suspicion));
+        verdicts_.push_back(verdictOn(next->first, next->second, Certainty::Sole));
         explained.insert(verdicts_.back().servers.begin(), verdicts_.back().servers.end());
     }
+    if (!verdicts_.empty())
+        addSharedVerdicts(explained);
+}
+
+/// Several suspects that crash servers are lost at some of the same servers, and the first verdicts explain these without the others, which
+/// would be sent again. What was lost as soon as the explaining suspect may be the cause as well.
+void PromptQuarantine::addSharedVerdicts(std::set<ServerProcess> const &explained)
+{
+    auto const isInQuarantine = [&](Suspect const &suspect) {
+        return std::any_of(verdicts_.begin(), verdicts_.end(), [&](Verdict const &verdict) { return verdict.suspect == suspect; });
+    };
+    while (true) {
+        auto const found = suspicions([&](LostResponse const &response, bool isSoon) {
+            if (!explained.contains(response.server))
+                return true;
+            return isSoon && std::none_of(verdicts_.begin(), verdicts_.end(), [&](Verdict const &verdict) {
+                       return contains(response, verdict.suspect);
+                   });
+        });
+        auto const next = strongest(found, [&](Suspect const &suspect) { return !isInQuarantine(suspect) && !isCovered(suspect); });
+        if (next == found.end())
+            return;
+        // Once it is suspected, each further loss counts, or it would be tried again at once after a trial that was lost beside others.
+        auto const all = suspicions([&](LostResponse const &response, bool) { return contains(response, next->first); });
+        verdicts_.push_back(verdictOn(next->first, all.at(next->first), Certainty::Shared));
+    }
+}
+
+bool PromptQuarantine::isCovered(Suspect const &suspect) const
+{
+    auto const servers = lostServers(suspect);
+    return std::any_of(verdicts_.begin(), verdicts_.end(), [&](Verdict const &verdict) {
+        auto const others = lostServers(verdict.suspect);
+        return std::includes(others.begin(), others.end(), servers.begin(), servers.end());
+    });
+}
+
+std::set<ServerProcess> PromptQuarantine::lostServers(Suspect const &suspect) const
+{
+    std::set<ServerProcess> servers;
+    for (auto const &response : lost_) {
+        if (contains(response, suspect) && !isExcluded(suspect, response.at))
+            servers.insert(response.server);
+    }
+    return servers;
 }
 
 bool PromptQuarantine::Suspicion::isStrongerThan(Suspicion const &other) const
@@ -241,12 +296,14 @@
         > std::tuple(other.servers.size(), other.narrowness, other.soonLost.size(), longestRun);
 }
 
-PromptQuarantine::Verdict PromptQuarantine::verdictOn(Suspect const &suspect, Suspicion const &suspicion) const
+PromptQuarantine::Verdict PromptQuarantine::verdictOn(Suspect const &suspect, Suspicion const &suspicion, Certainty certainty) const
 {
     // The same request runs several times at once only if its caller sends it several times.
     bool const isRequest = std::holds_alternative<RequestFingerprint>(suspect);
-    auto const quarantineTime = std::chrono::duration_cast<milliseconds>(options_.quarantineTime);
-    auto const firstTime = isRequest ? quarantineTime : std::chrono::duration_cast<milliseconds>(options_.suspicionTime);
+    auto const suspicionTime = std::chrono::duration_cast<milliseconds>(options_.suspicionTime);
+    auto const quarantineTime =
+        certainty == Certainty::Shared ? suspicionTime : std::chrono::duration_cast<milliseconds>(options_.quarantineTime);
+    auto const firstTime = isRequest ? quarantineTime : suspicionTime;
     auto const maxTime = std::chrono::duration_cast<milliseconds>(options_.maxQuarantineTime);
     Verdict verdict{.suspect = suspect, .time = firstTime};
     std::vector<Loss> losses;
--- a/Libraries/LibServing/PromptQuarantine.h
+++ b/Libraries/LibServing/PromptQuarantine.h
@@ -2,6 +2,7 @@
 
 #include "LibServing/PromptEvidence.h"
 
+#include <functional>
 #include <optional>
 #include <set>
 #include <span>
@@ -18,8 +19,8 @@
     Duration evidenceRetention = 5min;
     /// Time from the last lost response for which requests with a suspect are refused. Then one at a time is sent as a trial.
     Duration quarantineTime = 10s;
-    /// The same for a part while fewer than serversToQuarantine of its losses are independent. Servers that fail together, as those of one
-    /// rack, look like servers that were crashed by what they ran.
+    /// The same for a part while fewer than serversToQuarantine of its losses are independent, as servers that fail together, such as those
+    /// of one rack, look like servers that were crashed by what they ran; and for suspects whose losses another one explains as well.
     Duration suspicionTime = 3s;
     /// Time from a trial, unless it is answered or lost, to the next one of the same instance.
     Duration trialInterval = 2s;
@@ -115,15 +116,33 @@
         New,
     };
 
-    /// What speaks against each suspect, apart from what was lost at servers that are explained already.
-    [[nodiscard]] std::map<Suspect, Suspicion> suspicions(std::set<ServerProcess> const &explained) const;
-    [[nodiscard]] Verdict verdictOn(Suspect const &suspect, Suspicion const &suspicion) const;
+    enum class Certainty {
+        /// No other suspect explains the losses.
+        Sole,
+        /// Another suspect explains the losses, too, but both may have crashed servers.
+        Shared,
+    };
+    /// Returns whether a lost response counts; `isSoon`: whether it was lost soon after it was sent, compared with others at the server.
+    using Filter = std::function<bool(LostResponse const &response, bool isSoon)>;
+
+    using Suspicions = std::map<Suspect, Suspicion>;
+
+    /// What speaks against each suspect in the responses that count.
+    [[nodiscard]] Suspicions suspicions(Filter const &counts) const;
+    /// Returns the strongest of the suspicions that suffice for a quarantine and may be chosen; the end if there is none.
+    [[nodiscard]] Suspicions::const_iterator strongest(Suspicions const &found,
+                                                       std::function<bool(Suspect const &)> const &mayBeChosen) const;
+    [[nodiscard]] Verdict verdictOn(Suspect const &suspect, Suspicion const &suspicion, Certainty certainty) const;
+    /// Whether a verdict's suspect was lost at all servers at which this one was, so that it explains them alone.
+    [[nodiscard]] bool isCovered(Suspect const &suspect) const;
+    [[nodiscard]] std::set<ServerProcess> lostServers(Suspect const &suspect) const;
     [[nodiscard]] bool isLost(RequestFingerprint request) const;
     Insertion insert(LostResponse response);
     bool noteAnsweredRequest(RequestFingerprint request, WallInstant at);
     /// Brings the verdicts up to date and removes what is not needed any more.
     void settle(WallInstant now);
     void refreshVerdicts();
+    void addSharedVerdicts(std::set<ServerProcess> const &explained);
     /// Position of the verdict to which the response has led; the number of verdicts if there is none.
     [[nodiscard]] std::size_t verdictOf(LostResponse const &response) const;
     [[nodiscard]] bool holdsQuarantine(LostResponse const &response) const;
--- a/Tests/LibServing/TestRequestQuarantine.cpp
+++ b/Tests/LibServing/TestRequestQuarantine.cpp
@@ -369,6 +369,7 @@
         auto const crashes = crashes_.find(request);
         if (crashes != crashes_.end() && crashes->second.size() >= 3 && now_ > crashes->second[2] + ContactTime)
             ++lateSends_[request];
+        entries_[entry].onSent(requestNumber(request), now_);
         up[draw(up.size())]->runs.push_back({.request = request,
                                              .entry = entry,
                                              .sentAt = now_,
@@ -472,7 +473,17 @@
     expectSeveralAreFound(2);
 }
 
-/// Four requests crash three servers at the same time.
+/// Four requests crash three servers at the same time. Guards against one that is sent on as its crashes are put down to the others.
+TEST(RequestQuarantineReplayTest, FourCrashingRequestsReachFewServersAfterTheirThirdCrash)
+{
+    for (std::size_t seed = 1; seed <= 30; ++seed) {
+        CrashSimulation fleet({.seed = seed, .crashingRequests = 4});
+        fleet.run(60s);
+        EXPECT_LE(fleet.lateSends(), 3U) << seed;
+    }
+}
+
+/// Four requests crash three servers at the same time. Guards against sound ones that are refused as they are lost with them.
 TEST(RequestQuarantineReplayTest, FourCrashingRequestsAreFound)
 {
     expectSeveralAreFound(4);
--- a/Tests/NodeProcesses/TestCrashingRequests.cpp
+++ b/Tests/NodeProcesses/TestCrashingRequests.cpp
@@ -462,6 +462,20 @@
     expectFewArrivalsAndSoundRequestsServed(crashing, entries_);
 }
 
+/// The servers run such a request for a while before they crash, so that others that began later are lost with it sooner. Guards against
+/// taking only these for the cause.
+TEST_F(WholeRequestTest, EntriesStopSendingSixRequestsThatCrashServersAfterAWhile)
+{
+    fleet_.setPromptTime(120ms);
+    startFleet(4);
+    Requests crashing;
+    constexpr int Distinct = 6;
+    for (int number = 0; number < Distinct; ++number)
+        crashing.push_back(plain("/q/crash-" + std::to_string(number), "crash"));
+    crashServers(crashing, entries_);
+    expectFewArrivalsAndSoundRequestsServed(crashing, entries_);
+}
+
 /// Guards against a crashing request that is not found, or sound ones that are blamed, because servers crash for another reason meanwhile.
 TEST_F(WholeRequestTest, EntriesStopSendingARequestThatCrashesServersBesideOtherCrashes)
 {
