Give items on routes of other kinds the queue time of their job

An item whose path matches a route that is not for jobs, nested in the job's own, never ended while it was held back: such a route has no queue time, and since each item follows its own path, nothing else ended it. Attempts and times come from the first item on a batch route, the service from the item's own route.

--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -235,22 +235,30 @@
     auto const *record = jobs_.find(job);
     if (!record || !context_.routes || std::exchange(policyRoutes_[job], context_.routes) == context_.routes)
         return;
-    std::map<Serving::Route const *, std::shared_ptr<Jobs::ItemPolicy const>> policies;
+    auto const routeOf = [&](Jobs::JobItem const &item) {
+        std::string_view const target = item.target;
+        return context_.routes->find(record->host, target.substr(0, target.find('?')));
+    };
+    auto const isBatch = [](Serving::Route const *route) { return route && route->kind == Serving::RouteKind::Batch; };
+    auto const batchItem = std::ranges::find_if(record->items, [&](Jobs::JobItem const &item) { return isBatch(routeOf(item)); });
+    auto const *batchRoute = batchItem == record->items.end() ? nullptr : routeOf(*batchItem);
     auto const makePolicy = [&](Serving::Route const *route) {
         if (!route)
             return Jobs::ItemPolicy{.isRouted = false};
+        // A route of another kind has no queue time, so that an item with such a path would never end.
+        auto const &limits = !isBatch(route) && batchRoute ? *batchRoute : *route;
         return Jobs::ItemPolicy{
             .pool = Serving::poolFor(*route, RequestId(job.value())),
-            .maxAttempts = route->maxServers,
-            .completionTarget = route->completionTarget,
-            .giveUpAfter = route->giveUpAfter,
+            .maxAttempts = limits.maxServers,
+            .completionTarget = limits.completionTarget,
+            .giveUpAfter = limits.giveUpAfter,
         };
     };
+    std::map<Serving::Route const *, std::shared_ptr<Jobs::ItemPolicy const>> policies;
     jobs_.setPolicies(
         job,
         [&](Jobs::JobItem const &item) {
-            std::string_view const target = item.target;
-            auto const *route = context_.routes->find(record->host, target.substr(0, target.find('?')));
+            auto const *route = routeOf(item);
             auto &policy = policies[route];
             if (!policy)
                 policy = std::make_shared<Jobs::ItemPolicy const>(makePolicy(route));
