--- a/Tests/LibServing/TestPromptQuarantine.cpp
+++ b/Tests/LibServing/TestPromptQuarantine.cpp
@@ -268,6 +268,8 @@
         CrashReplay replay(seed);
         std::size_t crashing = 0;
         std::size_t late = 0;
+        std::size_t early = 0;
+        std::optional<WallInstant> firstCrashAt;
         std::optional<WallInstant> fifthCrashAt;
         std::size_t sound = 0;
         std::size_t soundRefused = 0;
@@ -281,13 +283,16 @@
                 late += fifthCrashAt && now > *fifthCrashAt + ContactTime ? 1 : 0;
                 if (++crashing == CrashesBeforeBound)
                     fifthCrashAt = now;
+                firstCrashAt = firstCrashAt.value_or(now);
+                early += now < *firstCrashAt + PromptQuarantineOptions{}.quarantineTime ? 1 : 0;
                 continue;
             }
             ++sound;
             soundRefused += replay.send(false, now) ? 0 : 1;
         }
-        // Three servers, and what comes in the quarter of a second until all entries know; then a trial after ten seconds and one after a
-        // minute, with the same.
+        // Three servers, and what comes in the quarter of a second until all entries know.
+        EXPECT_LE(early, 5U) << seed;
+        // A trial after ten seconds and one after a minute, with the same.
         EXPECT_LE(crashing, 5U + 2 * 2) << seed;
         EXPECT_LE(late, 3U) << seed;
         EXPECT_EQ(soundRefused, 0U) << seed << " of " << sound;
