Reproduce sends without an answer that are repeated on real processes

Callers' requests that crash servers, and items that fail, reach servers more often than the platform allows when the outcome of a send is not seen: the sender ends it, the response is lost, or the sender has just started.

Stand-ins of servers can lose responses on the way, by a reset or silently, and crash some time after they began a request. The program under test can be set, and every second start can use another build.

--- a/Tests/NodeProcesses/ModelServer.cpp
+++ b/Tests/NodeProcesses/ModelServer.cpp
@@ -109,6 +109,7 @@
         running_.push_back(run);
         options_.onStarted(run->request);
         run->rejection = options_.rejection(run->request);
+        run->fate = options_.fate(run->request);
         if (options_.form == ResponseForm::EventStream && options_.headMoment == HeadMoment::RunBegins && !run->rejection)
             sendHead(run);
         schedule(run, readLocalClock() + options_.promptTime, [this](std::shared_ptr<Run> const &ready) {
@@ -119,7 +120,7 @@
 
 void ModelServer::sendHead(std::shared_ptr<Run> const &run)
 {
-    if (std::exchange(run->isHeadSent, true))
+    if (run->fate != ResponseFate::Arrives || std::exchange(run->isHeadSent, true))
         return;
     auto headers = headersFor(run->request);
     headers.append({"Content-Type", "text/event-stream"});
@@ -129,14 +130,26 @@
 void ModelServer::reject(std::shared_ptr<Run> const &run)
 {
     options_.onRejected(run->request);
+    if (run->fate != ResponseFate::Arrives)
+        return lose(run);
     run->writer->respond({.status = *run->rejection, .headers = headersFor(run->request)});
     end(run);
 }
 
+void ModelServer::lose(std::shared_ptr<Run> const &run)
+{
+    if (run->fate == ResponseFate::Reset)
+        return cut(run);
+    silent_.push_back(run->writer);
+    end(run);
+}
+
 void ModelServer::complete(std::shared_ptr<Run> const &run)
 {
     if (options_.form == ResponseForm::EventStream)
         return writeEvents(run);
+    if (run->fate != ResponseFate::Arrives)
+        return lose(run);
     run->writer->respond({.status = 200, .headers = headersFor(run->request), .body = "response to " + run->request.body});
     end(run);
 }
@@ -145,6 +158,8 @@
 {
     sendHead(run);
     auto const number = std::to_string(run->nextEvent++);
+    if (run->fate != ResponseFate::Arrives)
+        return;
     run->writer->write("id: " + number + "\ndata: " + options_.eventPrefix + "t" + number + "\n\n", nullptr);
 }
 
@@ -153,6 +168,8 @@
     if (run->nextEvent >= options_.events) {
         sendHead(run);
         options_.onFinished(run->request);
+        if (run->fate != ResponseFate::Arrives)
+            return lose(run);
         run->writer->finish();
         return end(run);
     }
@@ -177,6 +194,8 @@
             run->writer->abort();
         }
     }
+    for (auto const &writer : std::exchange(silent_, {}))
+        writer->abort();
     server_->closeIdle();
     server_.reset();
     options_.onCrashed();
--- a/Tests/NodeProcesses/ModelServer.h
+++ b/Tests/NodeProcesses/ModelServer.h
@@ -27,8 +27,18 @@
         FirstEvent,
     };
 
+    /// What becomes of a response on its way to the caller.
+    enum class ResponseFate {
+        Arrives,
+        /// The connection is closed instead, when the server has ended its run.
+        Reset,
+        /// Nothing arrives and the connection stays open.
+        Silence,
+    };
+
     struct Run {
         Http::HttpRequest request;
+        ResponseFate fate = ResponseFate::Arrives;
         bool isHeadSent = false;
         std::shared_ptr<Http::ResponseWriter> writer;
         std::uint64_t nextEvent = 0;
@@ -57,6 +67,7 @@
         /// Returns the status of a request that ends with an error response.
         std::function<std::optional<int>(Http::HttpRequest const &)> rejection = [](auto const &) { return std::nullopt; };
         std::function<void(Http::HttpRequest const &)> onRejected = [](auto const &) {};
+        std::function<ResponseFate(Http::HttpRequest const &)> fate = [](auto const &) { return ResponseFate::Arrives; };
         /// Called when a run begins.
         std::function<void(Http::HttpRequest const &)> onStarted = [](auto const &) {};
         /// Called when the server has generated the whole response to a request.
@@ -102,6 +113,8 @@
     void startWaiting();
     void sendHead(std::shared_ptr<Run> const &run);
     void reject(std::shared_ptr<Run> const &run);
+    /// Ends a run whose response does not arrive.
+    void lose(std::shared_ptr<Run> const &run);
     void end(std::shared_ptr<Run> const &run);
     [[nodiscard]] Http::Headers headersFor(Http::HttpRequest const &request) const;
 
@@ -111,6 +124,8 @@
     std::unique_ptr<Http::HttpServer> server_;
     std::list<std::shared_ptr<Run>> waiting_;
     std::list<std::shared_ptr<Run>> running_;
+    /// Connections on which nothing arrives.
+    std::list<std::shared_ptr<Http::ResponseWriter>> silent_;
     Instant silentUntil_ = Instant::min();
     /// Requests that arrived during a silence.
     std::list<std::unique_ptr<Http::Timer>> deferred_;
--- a/Tests/NodeProcesses/NodeProcess.cpp
+++ b/Tests/NodeProcesses/NodeProcess.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <array>
+#include <atomic>
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
@@ -61,11 +62,23 @@
     kill();
 }
 
+/// The program under test. ANVILYARD_TEST_NODE names another one; ANVILYARD_TEST_OTHER_NODE one that every second start uses, such as an
+/// earlier build beside this one.
+std::string NodeProcess::nextProgram()
+{
+    static std::atomic<unsigned> starts = 0;
+    auto const number = ++starts;
+    if (auto const *other = std::getenv("ANVILYARD_TEST_OTHER_NODE"); other && number % 2 == 0)
+        return other;
+    auto const *program = std::getenv("ANVILYARD_TEST_NODE");
+    return program ? program : ANVILYARD_NODE_PROGRAM;
+}
+
 void NodeProcess::start()
 {
     auto const settings = settingsFile().string();
     auto const log = logFile().string();
-    std::string program = ANVILYARD_NODE_PROGRAM;
+    auto program = nextProgram();
     std::string option = "--config";
     auto file = settings;
     std::array<char *, 4> const arguments{program.data(), option.data(), file.data(), nullptr};
--- a/Tests/NodeProcesses/NodeProcess.h
+++ b/Tests/NodeProcesses/NodeProcess.h
@@ -45,6 +45,7 @@
     [[nodiscard]] Address const &readiness() const;
 
 private:
+    [[nodiscard]] static std::string nextProgram();
     [[nodiscard]] std::filesystem::path settingsFile() const;
     [[nodiscard]] std::filesystem::path logFile() const;
 
--- a/Tests/NodeProcesses/ServingFleet.cpp
+++ b/Tests/NodeProcesses/ServingFleet.cpp
@@ -53,6 +53,7 @@
 
 constexpr std::string_view FailingPath = "/b/fails/";
 constexpr std::string_view ImpossiblePath = "/b/impossible/";
+constexpr std::string_view CrashingPath = "/b/crashes/";
 
 std::string_view pathOf(ServingFleet::ItemEnd end)
 {
@@ -63,6 +64,8 @@
         return FailingPath;
     case ServingFleet::ItemEnd::IsImpossible:
         return ImpossiblePath;
+    case ServingFleet::ItemEnd::Crashes:
+        return CrashingPath;
     }
     return "/b/";
 }
@@ -83,7 +86,7 @@
     {"name":"s","host":"h.example","pathPrefix":"/s/","kind":"streaming","timeoutMs":5000,"sloMs":300,"priority":0,"service":"p",
      "attempts":2,"resumable":true,"gapAimMs":600,"sessionAffinity":true},
     {"name":"b","host":"h.example","pathPrefix":"/b/","kind":"batch","timeoutMs":15000,"sloMs":400,"priority":2,"service":"p",
-     "attempts":3,"completionTargetMs":2000,"queueTtlS":$queueTime,"cap":100000},
+     "attempts":3,"completionTargetMs":$completionTarget,"queueTtlS":$queueTime,"cap":100000},
     {"name":"o","host":"h.example","pathPrefix":"/b/online/","kind":"streaming","timeoutMs":5000,"sloMs":300,"priority":0,"service":"p",
      "attempts":2,"resumable":true,"gapAimMs":600},
     {"name":"q","host":"h.example","pathPrefix":"/q/","kind":"idempotent","timeoutMs":5000,"sloMs":300,"priority":0,"service":"q",
@@ -93,11 +96,15 @@
     "services":[{"name":"p","healthPath":"/healthz","maxConns":100},{"name":"q","healthPath":"/healthz","maxConns":100}],
     "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 
-std::string desiredState(std::chrono::seconds queueTime)
+std::string desiredState(ServingFleet::Options const &options)
 {
-    constexpr std::string_view Placeholder = "$queueTime";
     std::string text(DesiredState);
-    return text.replace(text.find(Placeholder), Placeholder.size(), std::to_string(queueTime.count()));
+    auto const set = [&](std::string_view placeholder, std::int64_t value) {
+        text.replace(text.find(placeholder), placeholder.size(), std::to_string(value));
+    };
+    set("$completionTarget", options.completionTarget.count());
+    set("$queueTime", options.queueTime.count());
+    return text;
 }
 
 } // namespace
@@ -115,7 +122,7 @@
     folder_ = folder;
     thread_.call([&] {
         store_ = std::make_unique<FleetStoreServer>(thread_.loop());
-        store_->put("config", "main", desiredState(options.queueTime));
+        store_->put("config", "main", desiredState(options));
         client_ = Http::HttpClient::create(thread_.loop(), {});
     });
 }
@@ -195,6 +202,16 @@
     promptTime_ = time;
 }
 
+void ServingFleet::setTimeToCrash(Duration time)
+{
+    thread_.call([&] { timeToCrash_ = time; });
+}
+
+void ServingFleet::setResponseFate(std::function<ModelServer::ResponseFate(Http::HttpRequest const &)> fate)
+{
+    thread_.call([&] { responseFate_ = std::move(fate); });
+}
+
 void ServingFleet::setIdAfterCrash(IdAfterCrash id)
 {
     thread_.call([&] { idAfterCrash_ = id; });
@@ -275,6 +292,10 @@
             .behaviour = [this](ModelServer &started, std::shared_ptr<ModelServer::Run> const &run) { onRun(started, run); },
             .rejection = rejectionOf,
             .onRejected = [this](Http::HttpRequest const &request) { rejections_[attemptIdOf(request)].push_back(readLocalClock()); },
+            .fate =
+                [this](Http::HttpRequest const &request) {
+                    return responseFate_ ? responseFate_(request) : ModelServer::ResponseFate::Arrives;
+                },
             .onStarted = [this, position = servers_.size()](
                              Http::HttpRequest const &request) { runServers_[attemptIdOf(request)].insert(position); },
             .onFinished = [this](Http::HttpRequest const &request) { finished_.insert(attemptIdOf(request)); },
@@ -324,17 +345,30 @@
 {
     for (auto const &part : sharedParts(run->request)) {
         if (crashingParts_.contains(part)) {
-            crashes_[part].push_back(readLocalClock());
-            return server.crash();
+            auto const crash = [this, &server, part] {
+                crashes_[part].push_back(readLocalClock());
+                server.crash();
+            };
+            if (timeToCrash_ == Duration::zero())
+                return crash();
+            run->timer = thread_.loop().at(readLocalClock() + timeToCrash_, crash);
+            return;
         }
     }
-    if (auto const identity = identityOf(run->request); crashingRequests_.contains(identity)) {
+    auto const identity = identityOf(run->request);
+    bool const isCrashingItem = run->request.target.starts_with(CrashingPath);
+    if (isCrashingItem || crashingRequests_.contains(identity)) {
         auto const crash = [this, &server, identity] {
             crashes_[identity].push_back(readLocalClock());
             server.crash();
         };
-        if (crashingRequests_.at(identity) == CrashMoment::BeforeResponse)
-            return crash();
+        if (isCrashingItem || crashingRequests_.at(identity) == CrashMoment::BeforeResponse) {
+            if (timeToCrash_ == Duration::zero())
+                return crash();
+            // A run whose caller leaves before then ends and crashes nothing.
+            run->timer = thread_.loop().at(readLocalClock() + timeToCrash_, crash);
+            return;
+        }
         server.writeEvent(run);
         run->timer = thread_.loop().at(readLocalClock() + TimeToCrash, crash);
         return;
@@ -675,6 +709,11 @@
     return crashes(identityOf(request));
 }
 
+std::vector<Instant> ServingFleet::crashesOfItem(std::string const &item)
+{
+    return crashes(plainRequest(std::string(CrashingPath) + item, item));
+}
+
 std::vector<Instant> ServingFleet::crashes()
 {
     return thread_.call([&] { return allCrashes_; });
--- a/Tests/NodeProcesses/ServingFleet.h
+++ b/Tests/NodeProcesses/ServingFleet.h
@@ -27,7 +27,7 @@
     using Parts = std::vector<std::string>;
 
     enum class CrashMoment {
-        /// Before the head of a whole response, or between the head and the first event of a stream.
+        /// Before the head of a whole response, or between the head and the first event of a stream; after setTimeToCrash().
         BeforeResponse,
         AfterFirstEvent,
     };
@@ -38,6 +38,8 @@
         Fails,
         /// Servers answer with 422 each time.
         IsImpossible,
+        /// Servers crash each time.
+        Crashes,
     };
     struct SubmittedJob {
         JobId id;
@@ -52,6 +54,8 @@
     struct Options {
         /// Time after which items that are not done are given up.
         std::chrono::seconds queueTime = 2s;
+        /// Time after which the items of a job are due.
+        std::chrono::milliseconds completionTarget = 2s;
     };
 
     ServingFleet();
@@ -73,6 +77,10 @@
     void setHeadMoment(ModelServer::HeadMoment moment);
     /// Sets how long servers that are started later run a request before its first event or whole response.
     void setPromptTime(Duration time);
+    /// Sets how long servers run a request that crashes them before its response begins.
+    void setTimeToCrash(Duration time);
+    /// Sets what becomes of responses to requests that are started later. Called on the event loop.
+    void setResponseFate(std::function<ModelServer::ResponseFate(Http::HttpRequest const &)> fate);
     /// Sets under which id servers that crash later are started again.
     void setIdAfterCrash(IdAfterCrash id);
     /// Sets the software version at which servers that crash later are started again.
@@ -174,6 +182,8 @@
     [[nodiscard]] std::vector<Instant> arrivals(Http::HttpRequest const &request);
     /// When servers crashed on requests that are equal to this one.
     [[nodiscard]] std::vector<Instant> crashes(Http::HttpRequest const &request);
+    /// When servers crashed on an item.
+    [[nodiscard]] std::vector<Instant> crashesOfItem(std::string const &item);
     /// When servers crashed, for any reason.
     [[nodiscard]] std::vector<Instant> crashes();
 
@@ -215,6 +225,8 @@
     std::uint64_t events_ = 10;
     Duration eventGap_ = 10ms;
     Duration promptTime_ = 30ms;
+    Duration timeToCrash_{0};
+    std::function<ModelServer::ResponseFate(Http::HttpRequest const &)> responseFate_;
     ModelServer::HeadMoment headMoment_ = ModelServer::HeadMoment::RunBegins;
     /// By server.
     std::map<std::string, std::string> versions_;
