Count sends of items that may have failed unseen

Servers saw items that they answer with 500 or 422 again every 1.7 s without end while the responses were lost on the way: 33 runs of each of eight items in 60 s on, where nine and three are allowed. A run without a response counted for nothing as long as the server process lived.

A send that reached a server and got no response may have been answered with an error. An item gets three, or with its failures three times the attempts of its route once an error response has shown that it is none that ends it; then it waits until its queue time. After the first, each further send is recorded before it starts, so that an owner that ends in the middle leaves no send uncounted. The counts are read when a job is loaded, and what is not recorded is written when it is handed over.

Sound items still end in time: the sends are spread over the time that is left, a server must have responded to a check since the last one, a part of the output clears the item for good, and sends to servers that have crashed since do not count, as those answered nothing. A run that may be the last one is not ended for room and waits longer for its head.

--- a/Libraries/LibJobs/JobTracker.cpp
+++ b/Libraries/LibJobs/JobTracker.cpp
@@ -156,7 +156,8 @@
                   .index = static_cast<std::size_t>(waitingItem - job.items.begin()),
                   .lastEventId = canGoOnAt(*waitingItem, versions.current) ? waitingItem->lastEventId : std::nullopt,
                   .isLate = now + timeLeft(*waitingItem, runTime) > due,
-                  .version = versions.current},
+                  .version = versions.current,
+                  .unansweredAt = mayHaveFailedUnseen(*waitingItem) ? std::optional(waitingItem->unansweredAt) : std::nullopt},
     };
 }
 
@@ -246,6 +247,20 @@
     pause(item, now);
 }
 
+void JobTracker::onPathUnknown(ItemStart const &start, Instant now)
+{
+    auto *job = find(start.job, start.index);
+    if (job && job->items[start.index].state == Item::State::Waiting)
+        job->items[start.index].notBefore = now + options_.retryPause;
+}
+
+void JobTracker::onServerCrashed(JobId const &id, std::size_t index)
+{
+    auto *job = find(id, index);
+    if (job && job->items[index].unanswered > 0)
+        --job->items[index].unanswered;
+}
+
 std::vector<JobWait> JobTracker::waits(Instant now) const
 {
     std::vector<JobWait> waits;
@@ -283,6 +298,7 @@
     item.output += data;
     item.lastEventId = eventId;
     item.pauses = 0;
+    item.hasResponded = true;
     return true;
 }
 
@@ -307,6 +323,8 @@
             meanEvents_ > 0 ? (static_cast<double>(item.events) - meanEvents_) * MeanEventsWeight : static_cast<double>(item.events);
         return decide(*job, index, OutcomeState::Completed, now);
     case SendEnd::Impossible:
+        // A new owner that does not find the outcome would send it again.
+        ++item.unanswered;
         return giveUpFailed(*job, index, now);
     case SendEnd::Failed:
         ++item.failures;
@@ -315,7 +333,11 @@
         return pause(item, now);
     case SendEnd::Unserved:
         return pause(item, now);
+    case SendEnd::Unanswered:
+        return onUnanswered(*job, item, now);
     case SendEnd::Preempted:
+        if (mayHaveFailedUnseen(item))
+            return onUnanswered(*job, item, now);
         break;
     }
     // Without an event id the servers cannot resume the item, so it restarts from the beginning.
@@ -323,6 +345,19 @@
         restart(item);
 }
 
+void JobTracker::onUnanswered(Job const &job, Item &item, Instant now) const
+{
+    if (item.hasResponded)
+        return pause(item, now);
+    ++item.unanswered;
+    item.unansweredAt = now;
+    restart(item);
+    auto const sends = unansweredSendsOf(item);
+    auto const timeLeft = job.acceptedAt + item.policy->completionTarget - now;
+    auto const share = std::chrono::duration_cast<Duration>(timeLeft * (options_.unansweredShareOfTimeLeft * sends));
+    item.notBefore = now + std::max(options_.unansweredPause * static_cast<Duration::rep>(sends), std::min(share, timeLeft / 2));
+}
+
 void JobTracker::pause(Item &item, Instant now) const
 {
     item.notBefore = now + pauseAfter(item.pauses++);
@@ -336,9 +371,31 @@
     return std::min(options_.maxRetryPause, options_.retryPause * (1U << std::min(earlierPauses, MaxDoublings)));
 }
 
-bool JobTracker::isPaused(Item const &item, Instant now)
+bool JobTracker::isPaused(Item const &item, Instant now) const
+{
+    if (now < item.notBefore || item.recordedFailures < item.failures)
+        return true;
+    // The next send is recorded before it starts.
+    return mayHaveFailedUnseen(item) && (!mayBeSentAgain(item) || item.recordedUnanswered <= item.unanswered);
+}
+
+std::uint32_t JobTracker::unansweredSendsOf(Item const &item)
+{
+    return item.unanswered + item.otherUnanswered;
+}
+
+bool JobTracker::mayHaveFailedUnseen(Item const &item)
 {
-    return now < item.notBefore || item.recordedFailures < item.failures;
+    return !item.hasResponded && unansweredSendsOf(item) > 0;
+}
+
+bool JobTracker::mayBeSentAgain(Item const &item) const
+{
+    auto const sends = unansweredSendsOf(item);
+    // Whether its servers would answer with 422 is not known before one has answered.
+    if (failuresOf(item) == 0)
+        return sends < options_.maxUnansweredSends;
+    return failuresOf(item) + sends < options_.maxFailureMultiple * item.policy->maxAttempts;
 }
 
 std::uint32_t JobTracker::failuresOf(Item const &item)
@@ -346,6 +403,11 @@
     return item.failures + item.otherFailures;
 }
 
+bool JobTracker::isExhausted(Item const &item)
+{
+    return item.policy->isRouted && failuresOf(item) >= item.policy->maxAttempts;
+}
+
 void JobTracker::giveUpFailed(Job &job, std::size_t index, Instant now)
 {
     job.hasFailedItem = true;
@@ -374,8 +436,12 @@
             auto const giveUpAfter = item.policy->giveUpAfter;
             bool const isTooOld = giveUpAfter > Duration::zero() && now - job.acceptedAt > giveUpAfter + options_.maxClockSkew;
             bool const isUnrouted = item.unroutedSince && now - *item.unroutedSince > options_.unroutedTimeout;
-            if (item.state == Item::State::Waiting && (isTooOld || isUnrouted))
+            if (item.state != Item::State::Waiting)
+                continue;
+            if (isTooOld || isUnrouted)
                 decide(job, index, OutcomeState::GivenUp, now);
+            else if (item.otherFailures > 0 && !job.pools.empty() && isExhausted(item))
+                giveUpFailed(job, index, now);
         }
     }
 }
@@ -497,24 +563,112 @@
 {
     std::vector<FailureCommit> commits;
     for (auto &[id, job] : jobs_) {
-        if (job.isEnded || job.isRecording || now < job.recordNotBefore)
+        if (job.isEnded || now < job.recordNotBefore)
             continue;
-        FailureCommit commit{.job = id, .tenure = job.tenure};
-        bool isDue = false;
-        for (std::size_t index = 0; index < job.items.size(); ++index) {
-            auto const &item = job.items[index];
-            isDue = isDue || (item.state == Item::State::Waiting && item.recordedFailures < item.failures);
-            if (item.failures > 0)
-                commit.counts.emplace(index, item.failures);
-        }
-        if (!isDue)
+        if (auto commit = takeFailures(id, job))
+            commits.push_back(std::move(*commit));
+        if (auto commit = takeUnanswered(id, job, now))
+            commits.push_back(std::move(*commit));
+    }
+    return commits;
+}
+
+std::optional<FailureCommit> JobTracker::takeFailures(JobId const &id, Job &job) const
+{
+    FailureCommit commit{.job = id, .tenure = job.tenure};
+    bool isDue = false;
+    for (std::size_t index = 0; index < job.items.size(); ++index) {
+        auto const &item = job.items[index];
+        isDue = isDue || (item.state == Item::State::Waiting && item.recordedFailures < item.failures);
+        if (item.failures > 0)
+            commit.counts.emplace(index, item.failures);
+    }
+    if (!isDue || std::exchange(job.isRecording, true))
+        return std::nullopt;
+    return commit;
+}
+
+std::optional<FailureCommit> JobTracker::takeUnanswered(JobId const &id, Job &job, Instant now) const
+{
+    FailureCommit commit{.job = id, .tenure = job.tenure, .subject = FailureCommit::Subject::UnansweredSends};
+    bool isDue = false;
+    bool isRecountDue = false;
+    for (std::size_t index = 0; index < job.items.size(); ++index) {
+        auto const &item = job.items[index];
+        isRecountDue = isRecountDue || (now >= job.nextRecountAt && isHeldByOthers(item));
+        auto const count = unansweredToRecord(item, now);
+        if (!count)
+            continue;
+        commit.counts.emplace(index, *count);
+        bool const isOpen = item.state == Item::State::Waiting || item.state == Item::State::Running;
+        isDue = isDue || (isOpen && (item.hasResponded ? !item.isResponseRecorded : item.recordedUnanswered < *count));
+    }
+    if ((!isDue && !isRecountDue) || job.isRecordingUnanswered)
+        return std::nullopt;
+    job.isRecordingUnanswered = true;
+    job.nextRecountAt = now + options_.recountInterval;
+    return commit;
+}
+
+std::optional<std::uint32_t> JobTracker::unansweredToRecord(Item const &item, Instant now) const
+{
+    if (item.hasResponded)
+        return unansweredSendsOf(item) + item.recordedUnanswered > 0 ? std::optional(0U) : std::nullopt;
+    bool const isNext = item.state == Item::State::Waiting && now >= item.notBefore && mayHaveFailedUnseen(item) && mayBeSentAgain(item);
+    bool const isRecorded = item.recordedUnanswered > item.unanswered;
+    auto const count = item.unanswered + (isNext || isRecorded ? 1 : 0);
+    return count > 0 ? std::optional(count) : std::nullopt;
+}
+
+bool JobTracker::isHeldByOthers(Item const &item) const
+{
+    return item.state == Item::State::Waiting && item.otherUnanswered > 0 && mayHaveFailedUnseen(item) && !mayBeSentAgain(item);
+}
+
+std::vector<FailureCommit> JobTracker::takeLastFailures(JobId const &id) const
+{
+    auto const found = jobs_.find(id);
+    if (found == jobs_.end())
+        return {};
+    auto const &job = found->second;
+    FailureCommit failures{.job = id, .tenure = job.tenure};
+    FailureCommit unanswered{.job = id, .tenure = job.tenure, .subject = FailureCommit::Subject::UnansweredSends};
+    bool hasFailures = false;
+    bool hasUnanswered = false;
+    for (std::size_t index = 0; index < job.items.size(); ++index) {
+        auto const &item = job.items[index];
+        hasFailures = hasFailures || item.recordedFailures < item.failures;
+        if (item.failures > 0)
+            failures.counts.emplace(index, item.failures);
+        if (item.state == Item::State::Listed)
             continue;
-        job.isRecording = true;
-        commits.push_back(std::move(commit));
+        bool const isCleared = item.hasResponded && unansweredSendsOf(item) + item.recordedUnanswered > 0;
+        hasUnanswered = hasUnanswered || (isCleared ? !item.isResponseRecorded : item.recordedUnanswered != item.unanswered);
+        if (isCleared || item.unanswered > 0)
+            unanswered.counts.emplace(index, isCleared ? 0 : item.unanswered);
     }
+    std::vector<FailureCommit> commits;
+    if (hasFailures)
+        commits.push_back(std::move(failures));
+    if (hasUnanswered)
+        commits.push_back(std::move(unanswered));
     return commits;
 }
 
+void JobTracker::setOtherUnanswered(Job &job, FailureCounts const &counts)
+{
+    for (auto const &[index, count] : counts) {
+        if (index >= job.items.size())
+            continue;
+        auto &item = job.items[index];
+        item.otherUnanswered = count;
+        if (count > 0)
+            continue;
+        item.hasResponded = true;
+        item.isResponseRecorded = true;
+    }
+}
+
 JobTracker::Job *JobTracker::find(FailureCommit const &commit)
 {
     auto const found = jobs_.find(commit.job);
@@ -526,6 +680,14 @@
     auto *job = find(commit);
     if (!job)
         return;
+    if (commit.subject == FailureCommit::Subject::UnansweredSends) {
+        job->isRecordingUnanswered = false;
+        for (auto const &[index, count] : commit.counts) {
+            job->items[index].recordedUnanswered = count;
+            job->items[index].isResponseRecorded = job->items[index].isResponseRecorded || count == 0;
+        }
+        return setOtherUnanswered(*job, others);
+    }
     job->isRecording = false;
     for (auto const &[index, count] : commit.counts)
         job->items[index].recordedFailures = count;
@@ -534,18 +696,30 @@
             continue;
         auto &item = job->items[index];
         item.otherFailures = count;
-        bool const isExhausted = item.policy->isRouted && failuresOf(item) >= item.policy->maxAttempts;
-        if (item.state == Item::State::Waiting && isExhausted)
+        if (item.state == Item::State::Waiting && isExhausted(item))
             giveUpFailed(*job, index, now);
     }
 }
 
+void JobTracker::setRecordedCounts(JobId const &id, RecordedCounts const &counts)
+{
+    auto const found = jobs_.find(id);
+    if (found == jobs_.end())
+        return;
+    auto &items = found->second.items;
+    for (auto const &[index, count] : counts.failures) {
+        if (index < items.size())
+            items[index].otherFailures = count;
+    }
+    setOtherUnanswered(found->second, counts.unanswered);
+}
+
 void JobTracker::onFailuresNotRecorded(FailureCommit const &commit, Instant now)
 {
     auto *job = find(commit);
     if (!job)
         return;
-    job->isRecording = false;
+    (commit.subject == FailureCommit::Subject::Failures ? job->isRecording : job->isRecordingUnanswered) = false;
     job->recordNotBefore = now + options_.retryPause;
 }
 
--- a/Libraries/LibJobs/JobTracker.h
+++ b/Libraries/LibJobs/JobTracker.h
@@ -48,6 +48,20 @@
     /// Of this many starts one is of an item that cannot be on time if there is any. Otherwise a late job would wait for the end of an
     /// overload.
     std::uint32_t startsPerLateStart = 8;
+    /// Number of sends without a response after which an item is not sent again, unless a response has shown that it does not fail each
+    /// time. Servers may have answered each of them with an error.
+    std::uint32_t maxUnansweredSends = 3;
+    /// Number of failures and unanswered sends, in multiples of the failures after which the item is given up, after which it is not sent
+    /// again.
+    std::uint32_t maxFailureMultiple = 3;
+    /// Minimum pause after an unanswered send, for each that there was. Within it a crash of the server is found out.
+    Duration unansweredPause = 1s;
+    /// Share of the time left until the item is due for which it waits after an unanswered send, for each that there was. The few sends are
+    /// spread over this time, so that a fault of the network that lasts for some seconds does not use them up.
+    double unansweredShareOfTimeLeft = 0.25;
+    /// Interval at which the counts of other tenures are read again for an item that is not sent because of them. Another owner may have
+    /// recorded a send that it did not make.
+    Duration recountInterval = 5s;
     /// Time for which an item that ran partially waits for a server of the software version that began it. Then it starts anew.
     Duration versionPatience = 1500ms;
 };
@@ -70,6 +84,8 @@
     bool isLate = false;
     /// Software version of the server to which it is sent.
     Serving::SoftwareVersion version = {};
+    /// When the last send ended that was not answered, if the item has to be sent with care: each further send may be the last one.
+    std::optional<Instant> unansweredAt = {};
 };
 
 /// How one send of an item ended.
@@ -82,16 +98,23 @@
     Impossible,
     /// The exchange broke, or the server did not accept the item. This does not count as a failure of the item.
     Unserved,
+    /// The item reached the server and no response came. The server may have answered with an error that was lost on the way.
+    Unanswered,
     /// The runner cancelled the item to free a slot for online requests.
     Preempted,
 };
 
-/// Failures of a job's items to be recorded now.
+/// Failures or unanswered sends of a job's items to be recorded now.
 struct FailureCommit {
     JobId job;
     TenureId tenure;
     /// All failures of this tenure, including those that are recorded.
     FailureCounts counts;
+    enum class Subject {
+        Failures,
+        /// They include the next send of each item that may be sent now, as its sender may end before it has recorded the outcome.
+        UnansweredSends,
+    } subject = Subject::Failures;
 };
 
 /// What the items of a job wait for.
@@ -164,6 +187,10 @@
     void onStarted(ItemStart const &start);
     /// Called instead of onStarted() if the item must not be sent yet. It waits for a pause.
     void onHeldBack(ItemStart const &start, Instant now);
+    /// Called instead of onStarted() if it is not known whether responses of the server arrive. The item waits for a moment.
+    void onPathUnknown(ItemStart const &start, Instant now);
+    /// Called when the server of an unanswered send has crashed, so that it has not answered with an error.
+    void onServerCrashed(JobId const &job, std::size_t index);
     /// Records one event of the item's stream. Returns whether the item's output is within its limit. If it is not, the item starts anew,
     /// because some of its events cannot be its own, and the run must be ended.
     bool onEvent(JobId const &job, std::size_t index, std::optional<std::uint64_t> eventId, std::string_view data);
@@ -185,8 +212,12 @@
 
     /// Returns the failures to be recorded now. A job has at most one record being written at a time.
     [[nodiscard]] std::vector<FailureCommit> takeFailures(Instant now);
+    /// Returns what is not recorded yet of a job that this runner hands over. The next owner counts it.
+    [[nodiscard]] std::vector<FailureCommit> takeLastFailures(JobId const &job) const;
     /// Called when the counts of the commit are in the store, with those of other tenures. Items that failed often enough are given up.
     void onFailuresRecorded(FailureCommit const &commit, FailureCounts const &others, Instant now);
+    /// Sets what earlier tenures recorded. Call before the first item is sent.
+    void setRecordedCounts(JobId const &job, RecordedCounts const &counts);
     /// Called when the store did not accept the counts or did not respond. takeFailures() returns them again after a pause.
     void onFailuresNotRecorded(FailureCommit const &commit, Instant now);
 
@@ -225,6 +256,16 @@
         std::uint32_t recordedFailures = 0;
         /// Failures in other tenures, as of the last record.
         std::uint32_t otherFailures = 0;
+        /// Sends in this tenure that reached a server and were not answered.
+        std::uint32_t unanswered = 0;
+        /// How many sends are recorded that may be unanswered: those above, and perhaps the next one.
+        std::uint32_t recordedUnanswered = 0;
+        /// The same of other tenures.
+        std::uint32_t otherUnanswered = 0;
+        Instant unansweredAt = Instant::min();
+        /// A server has sent a part of its output, so that it does not fail each time.
+        bool hasResponded = false;
+        bool isResponseRecorded = false;
         std::uint32_t pauses = 0;
         /// How often the store refused its outcome.
         std::uint32_t storeRefusals = 0;
@@ -256,7 +297,9 @@
         std::size_t maxStored = std::numeric_limits<std::size_t>::max();
         TenureId tenure;
         bool isRecording = false;
+        bool isRecordingUnanswered = false;
         Instant recordNotBefore = Instant::min();
+        Instant nextRecountAt = Instant::min();
         /// An item was given up because of a response. Its outcome is stored at once, as the next owner would run it again.
         bool hasFailedItem = false;
     };
@@ -280,8 +323,23 @@
     void pause(Item &item, Instant now) const;
     [[nodiscard]] Duration pauseAfter(std::uint32_t earlierPauses) const;
     /// Whether the item may not be sent yet.
-    [[nodiscard]] static bool isPaused(Item const &item, Instant now);
+    [[nodiscard]] bool isPaused(Item const &item, Instant now) const;
     [[nodiscard]] static std::uint32_t failuresOf(Item const &item);
+    /// Whether the item has failed as often as its policy allows.
+    [[nodiscard]] static bool isExhausted(Item const &item);
+    [[nodiscard]] static std::uint32_t unansweredSendsOf(Item const &item);
+    /// Whether servers may have answered sends of the item with errors that were lost on the way.
+    [[nodiscard]] static bool mayHaveFailedUnseen(Item const &item);
+    /// Whether one more send keeps within the number of answers with an error that an item may get.
+    [[nodiscard]] bool mayBeSentAgain(Item const &item) const;
+    void onUnanswered(Job const &job, Item &item, Instant now) const;
+    /// Number of sends to be recorded for the item; `std::nullopt` if there is nothing to record.
+    [[nodiscard]] std::optional<std::uint32_t> unansweredToRecord(Item const &item, Instant now) const;
+    static void setOtherUnanswered(Job &job, FailureCounts const &counts);
+    [[nodiscard]] std::optional<FailureCommit> takeFailures(JobId const &id, Job &job) const;
+    [[nodiscard]] std::optional<FailureCommit> takeUnanswered(JobId const &id, Job &job, Instant now) const;
+    /// Whether the item is not sent because of what other tenures recorded.
+    [[nodiscard]] bool isHeldByOthers(Item const &item) const;
     void giveUpFailed(Job &job, std::size_t index, Instant now);
     /// The job if it is still in the tenure of the commit.
     [[nodiscard]] Job *find(FailureCommit const &commit);
--- a/Libraries/LibServing/PromptQuarantine.cpp
+++ b/Libraries/LibServing/PromptQuarantine.cpp
@@ -423,6 +423,11 @@
     return found;
 }
 
+bool PromptQuarantine::hasEnded(ServerProcess const &server) const
+{
+    return std::any_of(lost_.begin(), lost_.end(), [&](LostResponse const &response) { return response.server == server; });
+}
+
 bool PromptQuarantine::isSuspected(RequestSuspects const &suspects) const
 {
     return std::any_of(lost_.begin(), lost_.end(), [&](LostResponse const &response) {
--- a/Libraries/LibServing/PromptQuarantine.h
+++ b/Libraries/LibServing/PromptQuarantine.h
@@ -79,6 +79,8 @@
     [[nodiscard]] std::set<ServerProcess> unexplainedServers(Suspect const &suspect) const;
     /// Whether servers were lost with one of the suspects that has not been answered since, so that each further send may cost one.
     [[nodiscard]] bool isSuspected(RequestSuspects const &suspects) const;
+    /// Whether a response was lost with the end of the server process.
+    [[nodiscard]] bool hasEnded(ServerProcess const &server) const;
     /// Whether an answer shows that the suspect is not to blame for a loss at this time.
     [[nodiscard]] bool isExcluded(Suspect const &suspect, WallInstant lostAt) const;
     /// What other instances need to know, first what holds the quarantines; empty if there is nothing.
--- a/Services/Node/HealthProber.cpp
+++ b/Services/Node/HealthProber.cpp
@@ -113,20 +113,37 @@
     auto const now = readLocalClock();
     auto const server = context_.directory.find(id, now);
     auto const report = [this, id](Routing::ProbeOutcome outcome) { perform(context_.health.onProbe(id, outcome, readLocalClock())); };
-    if (!server || !context_.routes)
+    if (!server)
+        return report(Routing::ProbeOutcome::Failed);
+    probe(server->record, report);
+}
+
+void HealthProber::checkResponds(Serving::ServerRecord const &server, std::function<void()> onAnswered)
+{
+    if (!responseChecks_.insert(server.id).second)
+        return;
+    probe(server, [this, id = server.id, onAnswered = std::move(onAnswered)](Routing::ProbeOutcome outcome) {
+        responseChecks_.erase(id);
+        if (outcome == Routing::ProbeOutcome::Answered)
+            onAnswered();
+    });
+}
+
+void HealthProber::probe(Serving::ServerRecord const &server, std::function<void(Routing::ProbeOutcome)> const &report)
+{
+    if (!context_.routes)
         return report(Routing::ProbeOutcome::Failed);
     auto const &pools = context_.routes->state().pools;
     auto const pool =
-        std::find_if(pools.begin(), pools.end(), [&](Serving::PoolDescription const &known) { return known.name == server->record.pool; });
+        std::find_if(pools.begin(), pools.end(), [&](Serving::PoolDescription const &known) { return known.name == server.pool; });
     if (pool == pools.end())
         return report(Routing::ProbeOutcome::Failed);
-    permits_.request(
-        server->record, Serving::Urgency::Highest, [this, server = server->record, path = pool->healthPath, report](bool isGranted) {
-            // Other instances use up what the server takes, so it gets no probe for now.
-            if (!isGranted)
-                return report(Routing::ProbeOutcome::Failed);
-            sendProbe(server, path, report);
-        });
+    permits_.request(server, Serving::Urgency::Highest, [this, server, path = pool->healthPath, report](bool isGranted) {
+        // Other instances use up what the server takes, so it gets no probe for now.
+        if (!isGranted)
+            return report(Routing::ProbeOutcome::Failed);
+        sendProbe(server, path, report);
+    });
 }
 
 void HealthProber::sendProbe(Serving::ServerRecord const &server,
--- a/Services/Node/HealthProber.h
+++ b/Services/Node/HealthProber.h
@@ -16,12 +16,15 @@
     /// Records that a new connection to the server failed. If others failed as well, it is checked whether the servers are out of reach.
     void onConnectFailed(ServerId const &server);
     void onTick(Instant now);
+    /// Finds out whether responses of the server arrive here. `onAnswered` is called if one does.
+    void checkResponds(Serving::ServerRecord const &server, std::function<void()> onAnswered);
     /// Finds out whether the servers at which responses were lost have crashed.
     void probeLostServers(Instant now);
 
 private:
     void perform(std::vector<Routing::HealthAction> const &actions);
     void probe(ServerId const &server);
+    void probe(Serving::ServerRecord const &server, std::function<void(Routing::ProbeOutcome)> const &report);
     void checkReach(Instant now);
     void onReachChanged(PoolName const &pool);
     void sendProbe(Serving::ServerRecord const &server, std::string const &path, std::function<void(Routing::ProbeOutcome)> const &report);
@@ -31,6 +34,8 @@
     std::function<void()> onEjectionsChanged_;
     std::map<ServerId, std::unique_ptr<Http::ListenProbe>> listenProbes_;
     std::map<ServerId, std::unique_ptr<Http::ListenProbe>> reachProbes_;
+    /// Servers for which it is being found out whether their responses arrive.
+    std::set<ServerId> responseChecks_;
 };
 
 } // namespace Anvilyard::Node
--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -16,6 +16,8 @@
 constexpr Duration ConnectTimeout = 250ms;
 /// An item may wait for a slot behind online requests. After this time, another server is likely to start it sooner.
 constexpr Duration HeadTimeout = 2s;
+/// The same for an item that may be sent only few times again.
+constexpr Duration CarefulHeadTimeout = 8s;
 /// Events arrive some tens of milliseconds apart, a few hundred on a slow server.
 constexpr Duration ProgressTimeout = 1s;
 /// Upper limit for every run, about ten times the longest one.
@@ -51,7 +53,7 @@
         .request = context_.protocol.makeServerRequest(item, host, {.server = server_.id, .lastEventId = item_.lastEventId}),
         .deadline = startedAt_ + RunTimeout,
         .connectTimeout = ConnectTimeout,
-        .headTimeout = HeadTimeout,
+        .headTimeout = isSentWithCare() ? CarefulHeadTimeout : HeadTimeout,
         .progressTimeout = ProgressTimeout,
         .framing = Http::ClientRequest::Framing::CloseMayEnd,
         .matchesRequest =
@@ -149,7 +151,8 @@
     if (failure.isRefused)
         context_.prompts.onRefused(server_);
     recordLoss(failure);
-    fail(failure.error);
+    bool const isUnanswered = status_ == 0 && failure.reached != Http::Reached::NothingSent;
+    fail(failure.error, isUnanswered ? SendEnd::Unanswered : SendEnd::Unserved);
 }
 
 void ItemRun::recordLoss(Http::ExchangeFailure const &failure)
@@ -163,7 +166,7 @@
     health_.probeLostServers(readLocalClock());
 }
 
-void ItemRun::fail(Error const &error)
+void ItemRun::fail(Error const &error, SendEnd end)
 {
     Observe::log(Observe::Events::NodeItemAttemptFailed,
                  {{"job", item_.job.value()},
@@ -174,10 +177,11 @@
                   {"events", std::to_string(sequence_.count())},
                   {"unfinished_bytes", std::to_string(events_.unfinishedBytes())},
                   {"status", status_ == 0 ? "none" : std::to_string(status_)},
+                  {"unanswered", end == SendEnd::Unanswered ? "true" : "false"},
                   {"prompt_parts", Serving::toString(suspects_.parts)},
                   {"fingerprint", suspects_.request ? Serving::toString(*suspects_.request) : "none"},
                   {"server_started_at", std::to_string(server_.startedAt)}});
-    finish(SendEnd::Unserved);
+    finish(end);
 }
 
 void ItemRun::finish(SendEnd end)
@@ -214,4 +218,14 @@
     return startedAt_;
 }
 
+bool ItemRun::hasResponse() const
+{
+    return status_ != 0;
+}
+
+bool ItemRun::isSentWithCare() const
+{
+    return item_.unansweredAt.has_value();
+}
+
 } // namespace Anvilyard::Node
--- a/Services/Node/ItemRun.h
+++ b/Services/Node/ItemRun.h
@@ -30,6 +30,10 @@
     [[nodiscard]] Serving::ServerRecord const &server() const;
     [[nodiscard]] Jobs::ItemStart const &item() const;
     [[nodiscard]] Instant startedAt() const;
+    /// Whether the head of a response has arrived.
+    [[nodiscard]] bool hasResponse() const;
+    /// Whether the item is one of few sends that it may get, so that the run should not be ended without an answer.
+    [[nodiscard]] bool isSentWithCare() const;
 
 private:
     void onHead(Http::ResponseHead const &head);
@@ -39,7 +43,7 @@
     /// Records a response that ended with its connection before the server had answered the item, as when it crashes.
     void recordLoss(Http::ExchangeFailure const &failure);
     /// Ends a run whose response is not complete or not valid.
-    void fail(Error const &error);
+    void fail(Error const &error, Jobs::SendEnd end = Jobs::SendEnd::Unserved);
     void logRejection() const;
     void finish(Jobs::SendEnd end);
 
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -18,6 +18,8 @@
 constexpr Duration InitialMeanRunTime = 4s;
 constexpr double MeanRunTimeWeight = 0.1;
 constexpr Duration LoadRetryDelay = 200ms;
+/// Number of times that the counts of a job are written that was handed over.
+constexpr int LastRecordAttempts = 10;
 /// Reading a job takes some calls of the store, each of which ends after a second or two at the latest.
 constexpr Duration LoadOverdueAfter = 5s;
 /// Counting the items of all jobs in each tick would cost more than the line is worth.
@@ -33,12 +35,21 @@
 /// After this time without reaching the platform's store, in which several attempts failed, a runner leaves its jobs to other
 /// runners.
 constexpr Duration StoreOutageTolerance = 700ms;
+/// Registrations of crashed servers are removed within this time.
+constexpr Duration CrashNoticeTime = 15s;
+/// Bounds the memory for servers that responded to a check.
+constexpr Duration ResponseRetention = 60s;
 
 Jobs::TenureId makeTenure(RandomSource &random)
 {
     return Jobs::TenureId(std::to_string(random()));
 }
 
+Platform::Kind const &kindOf(Jobs::FailureCommit const &commit)
+{
+    return commit.subject == Jobs::FailureCommit::Subject::Failures ? Jobs::failureKind : Jobs::unansweredKind;
+}
+
 Duration ageOf(WallInstant acceptedAt)
 {
     // After a backward step of the clock the difference would be negative.
@@ -194,42 +205,65 @@
     known.isLoading = true;
     known.loadingSince = readLocalClock();
     known.isOverdueLogged = false;
-    Jobs::loadJob(context_.store, job, Jobs::LoadExtent::Full, [this, job](Result<Jobs::LoadedJob> loaded) {
-        auto const now = readLocalClock();
-        auto const found = knownJobs_.find(job);
-        if (found == knownJobs_.end())
-            return;
-        found->second.isLoading = false;
-        if (!loaded) {
-            Observe::log(Observe::Events::NodeJobReadFailed, {{"job", job.value()}, {"error", loaded.error().toString()}});
-            // The job may have been stored since it was looked for.
-            if (loaded.error().code == Jobs::JobsError::JobNotFound && !found->second.isConfirmed)
-                knownJobs_.erase(found);
-            else
-                found->second.loadNotBefore = now + LoadRetryDelay;
-            return;
-        }
-        if (!owns(job))
-            return;
-        std::size_t listed = 0;
-        for (auto const &segment : loaded->segments)
-            listed += segment.outcomes.size();
-        Observe::log(Observe::Events::NodeJobTaken,
-                     {{"job", job.value()},
-                      {"items", std::to_string(loaded->record.items.size())},
-                      {"listed", std::to_string(listed)},
-                      {"runners", std::to_string(context_.peers.runners().size())}});
-        auto const age = ageOf(loaded->record.acceptedAt);
-        found->second.isEnded = found->second.isEnded || loaded->isEnded;
-        jobs_.add(std::move(loaded->record), std::move(loaded->segments), age, now, makeTenure(context_.random));
-        if (found->second.isEnded)
-            jobs_.onEnded(job);
-        policyRoutes_.erase(job);
-        refreshPolicies(job, now);
-        servePendingReads(now);
+    // Both are read at once.
+    struct Parts {
+        std::optional<Result<Jobs::LoadedJob>> job;
+        std::optional<Result<Jobs::RecordedCounts>> counts;
+    };
+    auto const parts = std::make_shared<Parts>();
+    auto const onPart = [this, job, parts] {
+        if (parts->job && parts->counts)
+            onJobLoaded(job, std::move(*parts->job), *parts->counts);
+    };
+    Jobs::loadJob(context_.store, job, Jobs::LoadExtent::Full, [parts, onPart](Result<Jobs::LoadedJob> loaded) {
+        parts->job = std::move(loaded);
+        onPart();
+    });
+    Jobs::loadCounts(context_.store, job, [parts, onPart](Result<Jobs::RecordedCounts> counts) {
+        parts->counts = std::move(counts);
+        onPart();
     });
 }
 
+void JobRunner::onJobLoaded(JobId const &job, Result<Jobs::LoadedJob> loaded, Result<Jobs::RecordedCounts> const &counts)
+{
+    auto const now = readLocalClock();
+    auto const found = knownJobs_.find(job);
+    if (found == knownJobs_.end())
+        return;
+    found->second.isLoading = false;
+    if (loaded && !counts)
+        loaded = tl::unexpected(counts.error());
+    if (!loaded) {
+        Observe::log(Observe::Events::NodeJobReadFailed, {{"job", job.value()}, {"error", loaded.error().toString()}});
+        // The job may have been stored since it was looked for.
+        if (loaded.error().code == Jobs::JobsError::JobNotFound && !found->second.isConfirmed)
+            knownJobs_.erase(found);
+        else
+            found->second.loadNotBefore = now + LoadRetryDelay;
+        return;
+    }
+    if (!owns(job))
+        return;
+    std::size_t listed = 0;
+    for (auto const &segment : loaded->segments)
+        listed += segment.outcomes.size();
+    Observe::log(Observe::Events::NodeJobTaken,
+                 {{"job", job.value()},
+                  {"items", std::to_string(loaded->record.items.size())},
+                  {"listed", std::to_string(listed)},
+                  {"runners", std::to_string(context_.peers.runners().size())}});
+    auto const age = ageOf(loaded->record.acceptedAt);
+    found->second.isEnded = found->second.isEnded || loaded->isEnded;
+    jobs_.add(std::move(loaded->record), std::move(loaded->segments), age, now, makeTenure(context_.random));
+    jobs_.setRecordedCounts(job, *counts);
+    if (found->second.isEnded)
+        jobs_.onEnded(job);
+    policyRoutes_.erase(job);
+    refreshPolicies(job, now);
+    servePendingReads(now);
+}
+
 void JobRunner::refreshPolicies(JobId const &job, Instant now)
 {
     auto const *record = jobs_.find(job);
@@ -279,6 +313,8 @@
                 Observe::Events::NodeJobHandedOver,
                 {{"job", job.value()}, {"owner", owner ? owner->value() : "none"}, {"observer", observer ? observer->value() : ""}});
             cancelRuns(job);
+            for (auto const &commit : jobs_.takeLastFailures(job))
+                recordLast(commit, LastRecordAttempts);
             jobs_.remove(job);
             policyRoutes_.erase(job);
             pendingStores_.erase(job);
@@ -342,6 +378,7 @@
 void JobRunner::onTick(Instant now)
 {
     reconcile(now);
+    settleUnanswered(now);
     jobs_.onTick(now);
     if (!isLeaving_) {
         checkOwners(now);
@@ -557,6 +594,10 @@
             jobs_.onHeldBack(*next, now);
             continue;
         }
+        if (next->unansweredAt && !isPathKnown(server, *next->unansweredAt)) {
+            jobs_.onPathUnknown(*next, now);
+            continue;
+        }
         ++started;
         jobs_.onStarted(*next);
         metrics_.itemStarts.add();
@@ -571,37 +612,65 @@
             ItemRun::Hooks{
                 .onEvent = [this, item = *next](std::optional<std::uint64_t> eventId,
                                                 std::string_view data) { return jobs_.onEvent(item.job, item.index, eventId, data); },
-                .onEnd =
-                    [this, item = *next, isFullRun = !next->lastEventId](SendEnd end) {
-                        auto const ended = readLocalClock();
-                        auto const found = std::find_if(runs_.begin(), runs_.end(), [&](auto const &known) {
-                            return known->item().job == item.job && known->item().index == item.index;
-                        });
-                        if (found != runs_.end()) {
-                            if (end == SendEnd::Complete && isFullRun)
-                                meanRunTime_ += std::chrono::duration_cast<Duration>((ended - (*found)->startedAt() - meanRunTime_)
-                                                                                     * MeanRunTimeWeight);
-                            runs_.erase(found);
-                        }
-                        jobs_.onSendEnded(item.job, item.index, end, ended);
-                        // A new owner that does not find them in the store would run the item again.
-                        if (end == SendEnd::Failed || end == SendEnd::Impossible) {
-                            storeOutcomes(ended);
-                            recordFailures(ended);
-                        }
-                    },
+                .onEnd = [this, item = *next, server](SendEnd end) { onRunEnded(item, server, end); },
             });
         runs_.push_back(run);
         run->start(record->items[next->index], record->host);
     }
 }
 
+void JobRunner::onRunEnded(Jobs::ItemStart const &item, Serving::ServerRecord const &server, SendEnd end)
+{
+    auto const now = readLocalClock();
+    auto const found = std::find_if(
+        runs_.begin(), runs_.end(), [&](auto const &known) { return known->item().job == item.job && known->item().index == item.index; });
+    if (found != runs_.end()) {
+        if (end == SendEnd::Complete && !item.lastEventId)
+            meanRunTime_ += std::chrono::duration_cast<Duration>((now - (*found)->startedAt() - meanRunTime_) * MeanRunTimeWeight);
+        runs_.erase(found);
+    }
+    jobs_.onSendEnded(item.job, item.index, end, now);
+    if (end == SendEnd::Unanswered) {
+        metrics_.unansweredItems.add();
+        unanswered_.push_back({.job = item.job, .index = item.index, .server = server, .endedAt = now});
+    }
+    // A new owner that does not find them in the store would run the item again.
+    if (end == SendEnd::Failed || end == SendEnd::Impossible || end == SendEnd::Unanswered) {
+        storeOutcomes(now);
+        recordFailures(now);
+    }
+}
+
+bool JobRunner::isPathKnown(Serving::ServerRecord const &server, Instant unansweredAt)
+{
+    auto const now = readLocalClock();
+    if (auto const found = respondedAt_.find(server.id); found != respondedAt_.end() && found->second >= unansweredAt)
+        return true;
+    std::erase_if(respondedAt_, [&](auto const &entry) { return now - entry.second >= ResponseRetention; });
+    health_.checkResponds(server, [this, id = server.id, now] { respondedAt_[id] = now; });
+    return false;
+}
+
+void JobRunner::settleUnanswered(Instant now)
+{
+    std::erase_if(unanswered_, [&](UnansweredSend const &send) {
+        if (now - send.endedAt >= CrashNoticeTime)
+            return true;
+        auto const known = context_.directory.find(send.server.id, now);
+        bool const hasEnded = !known || known->record.startedAt != send.server.startedAt
+            || context_.prompts.hasEnded({.id = send.server.id, .startedAt = send.server.startedAt});
+        if (hasEnded)
+            jobs_.onServerCrashed(send.job, send.index);
+        return hasEnded;
+    });
+}
+
 /// Cancels the runs that started last because they have the most work left.
 void JobRunner::preempt(ServerId const &server, std::uint32_t count, Instant now)
 {
     for (auto run = runs_.rbegin(); run != runs_.rend() && count > 0;) {
         auto const current = *run;
-        if (current->server().id != server) {
+        if (current->server().id != server || current->isSentWithCare()) {
             ++run;
             continue;
         }
@@ -620,7 +689,8 @@
         if (run->item().job != job)
             return false;
         run->cancel();
-        jobs_.onSendEnded(job, run->item().index, SendEnd::Preempted, now);
+        // The server may have answered, and a new owner sends the item again.
+        jobs_.onSendEnded(job, run->item().index, run->hasResponse() ? SendEnd::Preempted : SendEnd::Unanswered, now);
         return true;
     });
 }
@@ -635,27 +705,55 @@
 {
     for (auto &commit : jobs_.takeFailures(now)) {
         ++pendingStoreCalls_;
-        Jobs::recordFailures(
-            context_.store, commit.job, commit.tenure, commit.counts, [this, commit](Result<Jobs::FailureCounts> const &others) {
-                --pendingStoreCalls_;
-                auto const recorded = readLocalClock();
-                if (!others) {
-                    Observe::log(Observe::Events::NodeFailuresNotRecorded,
-                                 {{"job", commit.job.value()}, {"error", others.error().toString()}});
-                    return jobs_.onFailuresNotRecorded(commit, recorded);
-                }
-                std::uint32_t otherFailures = 0;
-                for (auto const &[index, count] : *others)
-                    otherFailures += count;
-                if (otherFailures > 0)
-                    Observe::log(Observe::Events::NodeFailuresOfOthersFound,
-                                 {{"job", commit.job.value()}, {"failures", std::to_string(otherFailures)}});
-                jobs_.onFailuresRecorded(commit, *others, recorded);
-                storeOutcomes(recorded);
-            });
+        Jobs::recordFailures(context_.store,
+                             kindOf(commit),
+                             commit.job,
+                             commit.tenure,
+                             commit.counts,
+                             [this, commit](Result<Jobs::FailureCounts> const &others) {
+                                 --pendingStoreCalls_;
+                                 auto const recorded = readLocalClock();
+                                 if (!others) {
+                                     Observe::log(Observe::Events::NodeFailuresNotRecorded,
+                                                  {{"job", commit.job.value()}, {"error", others.error().toString()}});
+                                     return jobs_.onFailuresNotRecorded(commit, recorded);
+                                 }
+                                 std::uint32_t otherFailures = 0;
+                                 for (auto const &[index, count] : *others)
+                                     otherFailures += count;
+                                 if (otherFailures > 0)
+                                     Observe::log(Observe::Events::NodeFailuresOfOthersFound,
+                                                  {{"job", commit.job.value()}, {"failures", std::to_string(otherFailures)}});
+                                 jobs_.onFailuresRecorded(commit, *others, recorded);
+                                 storeOutcomes(recorded);
+                             });
     }
 }
 
+void JobRunner::recordLast(Jobs::FailureCommit const &commit, int attempts)
+{
+    ++pendingStoreCalls_;
+    Jobs::recordFailures(
+        context_.store,
+        kindOf(commit),
+        commit.job,
+        commit.tenure,
+        commit.counts,
+        [this, commit, attempts](Result<Jobs::FailureCounts> const &others) {
+            --pendingStoreCalls_;
+            if (others)
+                return;
+            Observe::log(Observe::Events::NodeFailuresNotRecorded, {{"job", commit.job.value()}, {"error", others.error().toString()}});
+            if (attempts <= 1)
+                return;
+            auto const number = ++lastRetry_;
+            retryTimers_[number] = context_.loop.at(readLocalClock() + LoadRetryDelay, [this, commit, attempts, number] {
+                auto const timer = retryTimers_.extract(number);
+                recordLast(commit, attempts - 1);
+            });
+        });
+}
+
 void JobRunner::store(JobId const &job, Jobs::ResultSegment segment)
 {
     ++pendingStoreCalls_;
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -82,6 +82,12 @@
     /// Starts items, or requests a permit for one first if the server has a limit.
     void startItems(ServerId const &server, std::uint32_t count, Instant now);
     void startItemsAt(Serving::ServerRecord const &server, std::uint32_t count, Instant now);
+    /// Whether responses of the server have arrived since a send to any server was not answered. If that is not known, it is found out.
+    [[nodiscard]] bool isPathKnown(Serving::ServerRecord const &server, Instant unansweredAt);
+    /// Finds out which sends were not answered because the server crashed.
+    void settleUnanswered(Instant now);
+    void onRunEnded(Jobs::ItemStart const &item, Serving::ServerRecord const &server, Jobs::SendEnd end);
+    void onJobLoaded(JobId const &job, Result<Jobs::LoadedJob> loaded, Result<Jobs::RecordedCounts> const &counts);
     void startItemWithPermit(Serving::ServerRecord const &server);
     [[nodiscard]] bool hasFreeSlot(Serving::ServerRecord const &server) const;
     /// The servers, of which those without permits accept no new items.
@@ -92,6 +98,8 @@
     void store(JobId const &job, Jobs::ResultSegment segment);
     /// Records failures of items, so that the next owner of their jobs counts them.
     void recordFailures(Instant now);
+    /// Records what is left of a job that was handed over.
+    void recordLast(Jobs::FailureCommit const &commit, int attempts);
     void onSegmentStored(JobId const &job, Jobs::ResultSegment segment);
     /// The store refused the segment for what it holds.
     void onStoreRefused(JobId const &job, Jobs::ResultSegment const &segment, Instant now);
@@ -146,6 +154,16 @@
     /// Last change of the runners, until the watch has been checked after it.
     std::optional<Instant> uncheckedChangeAt_;
     std::list<std::shared_ptr<ItemRun>> runs_;
+    /// A send that was not answered, until it is known whether its server crashed.
+    struct UnansweredSend {
+        JobId job;
+        std::size_t index = 0;
+        Serving::ServerRecord server;
+        Instant endedAt;
+    };
+    std::vector<UnansweredSend> unanswered_;
+    /// When a check began to which the server responded.
+    std::map<ServerId, Instant> respondedAt_;
     /// Servers for which a permit is requested.
     std::set<ServerId> pendingPermits_;
     std::list<PendingRead> pendingReads_;
@@ -172,6 +190,8 @@
     Instant nextWaitCheckAt_ = Instant::min();
     Jobs::OwnerCheck ownerCheck_;
     std::size_t pendingStoreCalls_ = 0;
+    std::map<std::uint64_t, std::unique_ptr<Http::Timer>> retryTimers_;
+    std::uint64_t lastRetry_ = 0;
     bool isLeaving_ = false;
 };
 
--- a/Services/Node/NodeMetrics.cpp
+++ b/Services/Node/NodeMetrics.cpp
@@ -57,6 +57,8 @@
     , callersGone(registry.counter("anvilyard_node_callers_gone_total", "Requests cancelled because their caller had closed"))
     , itemStarts(registry.counter("anvilyard_node_item_starts_total", "Sends of batch items to servers"))
     , itemPreemptions(registry.counter("anvilyard_node_item_preemptions_total", "Items ended to make room for online requests"))
+    , unansweredItems(
+          registry.counter("anvilyard_node_unanswered_items_total", "Sends of batch items that reached a server and were not answered"))
     , segmentsStored(registry.counter("anvilyard_node_segments_stored_total", "Writes of batch results that were stored"))
     , segmentsRefused(
           registry.counter("anvilyard_node_segments_refused_total", "Writes of batch results that the store refused for what they hold"))
--- a/Services/Node/NodeMetrics.h
+++ b/Services/Node/NodeMetrics.h
@@ -69,6 +69,7 @@
     Observe::Counter &callersGone;
     Observe::Counter &itemStarts;
     Observe::Counter &itemPreemptions;
+    Observe::Counter &unansweredItems;
     Observe::Counter &segmentsStored;
     Observe::Counter &segmentsRefused;
     Observe::Counter &jobsAccepted;
--- a/Services/Node/PromptGuard.cpp
+++ b/Services/Node/PromptGuard.cpp
@@ -124,6 +124,11 @@
         logChanges(now);
 }
 
+bool PromptGuard::hasEnded(Serving::ServerProcess const &server) const
+{
+    return quarantine_.hasEnded(server);
+}
+
 bool PromptGuard::isSuspected(Serving::RequestSuspects const &suspects) const
 {
     return quarantine_.isSuspected(suspects);
--- a/Services/Node/PromptGuard.h
+++ b/Services/Node/PromptGuard.h
@@ -28,6 +28,8 @@
     /// Records that the server took a connection or responded to what was sent at this time.
     void onReached(Serving::ServerRecord const &server, Instant sentAt);
     void merge(Serving::PromptEvidence const &evidence);
+    /// Whether the server process is known to have ended while it ran a request.
+    [[nodiscard]] bool hasEnded(Serving::ServerProcess const &server) const;
     /// Whether servers were lost with one of the suspects, so that each further send may cost one.
     [[nodiscard]] bool isSuspected(Serving::RequestSuspects const &suspects) const;
     /// Compares the servers at which responses were lost with their registrations.
--- a/Tests/LibJobs/TestJobTracker.cpp
+++ b/Tests/LibJobs/TestJobTracker.cpp
@@ -60,6 +60,15 @@
         return item.index;
     }
 
+    /// Starts the next item, to which no response comes.
+    void leaveUnanswered(Instant now)
+    {
+        auto const next = tracker_.next(batchPool, RunTime, now);
+        ASSERT_TRUE(next);
+        tracker_.onStarted(*next);
+        tracker_.onSendEnded(next->job, next->index, SendEnd::Unanswered, now);
+    }
+
     JobTracker tracker_{JobTrackerOptions{}};
 };
 
@@ -460,6 +469,150 @@
     EXPECT_EQ(tracker_.listedCount(JobId("j")), 2U);
 }
 
+/// Guards against an item that is sent without end, as each of its servers answers with an error and no answer arrives.
+TEST_F(JobTrackerTest, AnItemThatWasNotAnsweredIsSentThreeTimes)
+{
+    add("j", 1);
+    auto now = Start;
+    for (int send = 0; send < 3; ++send) {
+        leaveUnanswered(now);
+        recordFailures(tracker_, now);
+        EXPECT_FALSE(tracker_.next(batchPool, RunTime, now + 900ms)) << "a crash of the server is found out within this time";
+        now += 7s;
+        recordFailures(tracker_, now);
+    }
+    EXPECT_FALSE(tracker_.next(batchPool, RunTime, Start + 50s));
+    EXPECT_TRUE(tracker_.takeCommits(Start + 50s).empty()) << "it may be sound";
+    tracker_.onTick(Start + 71s);
+    ASSERT_EQ(tracker_.takeCommits(Start + 71s).size(), 1U) << "its queue time is over";
+}
+
+/// An error response shows that it is none that ends the item, so more sends may be unanswered.
+TEST_F(JobTrackerTest, AnItemWithAFailureIsSentThreeTimesAsOftenAsItMayFail)
+{
+    add("j", 1);
+    auto now = Start;
+    auto const failed = *tracker_.next(batchPool, RunTime, now);
+    tracker_.onStarted(failed);
+    tracker_.onSendEnded(failed.job, failed.index, SendEnd::Failed, now);
+    recordFailures(tracker_, now);
+    std::size_t sends = 1;
+    for (now += 10s; now < Start + 300s; now += 10s) {
+        recordFailures(tracker_, now);
+        if (!tracker_.next(batchPool, RunTime, now))
+            continue;
+        leaveUnanswered(now);
+        ++sends;
+    }
+    EXPECT_EQ(sends, 9U);
+}
+
+/// Guards against holding a sound item whose streams break off.
+TEST_F(JobTrackerTest, AnItemThatHasRespondedIsSentAgainAndAgain)
+{
+    add("j", 1);
+    leaveUnanswered(Start);
+    auto now = Start + 10s;
+    recordFailures(tracker_, now);
+    auto const item = run(now);
+    auto const commits = tracker_.takeFailures(now);
+    ASSERT_EQ(commits.size(), 1U);
+    EXPECT_EQ(commits[0].counts, (FailureCounts{{0, 0}})) << "the next owner has to know";
+    tracker_.onFailuresRecorded(commits[0], {}, now);
+    EXPECT_TRUE(tracker_.takeFailures(now).empty());
+    tracker_.onSendEnded(item.job, item.index, SendEnd::Unserved, now);
+    for (int send = 0; send < 6; ++send) {
+        now += 10s;
+        leaveUnanswered(now);
+    }
+    EXPECT_TRUE(tracker_.next(batchPool, RunTime, now + 10s));
+}
+
+/// An owner that ends between a send and its outcome leaves a send that the next owner does not count.
+TEST_F(JobTrackerTest, ASendAfterAnUnansweredOneIsRecordedBeforeItStarts)
+{
+    add("j", 1);
+    leaveUnanswered(Start);
+    auto const first = tracker_.takeFailures(Start);
+    ASSERT_EQ(first.size(), 1U);
+    EXPECT_EQ(first[0].subject, FailureCommit::Subject::UnansweredSends);
+    EXPECT_EQ(first[0].counts, (FailureCounts{{0, 1}}));
+    tracker_.onFailuresRecorded(first[0], {}, Start);
+    auto const later = Start + 10s;
+    EXPECT_FALSE(tracker_.next(batchPool, RunTime, later));
+    auto const second = tracker_.takeFailures(later);
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_EQ(second[0].counts, (FailureCounts{{0, 2}}));
+    tracker_.onFailuresNotRecorded(second[0], later);
+    EXPECT_FALSE(tracker_.next(batchPool, RunTime, later));
+    recordFailures(tracker_, later + 1s);
+    auto const next = tracker_.next(batchPool, RunTime, later + 1s);
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->unansweredAt, Start);
+}
+
+/// Guards against holding a sound item because of servers that crashed under it.
+TEST_F(JobTrackerTest, SendsToServersThatCrashedAreNotCounted)
+{
+    add("j", 1);
+    auto now = Start;
+    for (int send = 0; send < 6; ++send) {
+        leaveUnanswered(now);
+        recordFailures(tracker_, now);
+        tracker_.onServerCrashed(JobId("j"), 0);
+        now += 10s;
+        recordFailures(tracker_, now);
+    }
+    EXPECT_TRUE(tracker_.next(batchPool, RunTime, now));
+}
+
+/// Guards against items that each new owner of their job sends as often as one owner may.
+TEST_F(JobTrackerTest, UnansweredSendsOfEarlierOwnersCount)
+{
+    add("j", 3);
+    tracker_.setRecordedCounts(JobId("j"), {.failures = {}, .unanswered = {{0, 3}, {1, 2}, {2, 0}}});
+    recordFailures(tracker_, Start, {{0, 3}, {1, 2}, {2, 0}});
+    std::vector<std::size_t> sent;
+    auto now = Start;
+    for (int send = 0; send < 4; ++send, now += 10s) {
+        recordFailures(tracker_, now, {{0, 3}, {1, 2}, {2, 0}});
+        if (auto const next = tracker_.next(batchPool, RunTime, now)) {
+            sent.push_back(next->index);
+            leaveUnanswered(now);
+        }
+    }
+    EXPECT_EQ(std::ranges::count(sent, 0U), 0);
+    EXPECT_EQ(std::ranges::count(sent, 1U), 1);
+    EXPECT_EQ(std::ranges::count(sent, 2U), 3) << "it has responded to an earlier owner";
+}
+
+/// Another owner recorded a send that it did not make, and corrected that. Guards against an item that stays held.
+TEST_F(JobTrackerTest, AnItemIsHeldNoLongerThanOthersCountItsSends)
+{
+    add("j", 1);
+    leaveUnanswered(Start);
+    recordFailures(tracker_, Start, {{0, 2}});
+    EXPECT_TRUE(tracker_.takeFailures(Start + 4s).empty());
+    recordFailures(tracker_, Start + 10s, {{0, 1}});
+    recordFailures(tracker_, Start + 11s, {{0, 1}});
+    EXPECT_TRUE(tracker_.next(batchPool, RunTime, Start + 11s));
+}
+
+/// Guards against counts that a job's owner drops as it hands the job over.
+TEST_F(JobTrackerTest, WhatIsNotRecordedIsLeftForTheNextOwner)
+{
+    add("j", 3);
+    leaveUnanswered(Start);
+    fail(Start);
+    auto const impossible = run();
+    tracker_.onSendEnded(impossible.job, impossible.index, SendEnd::Impossible, Start);
+    auto const commits = tracker_.takeLastFailures(JobId("j"));
+    ASSERT_EQ(commits.size(), 2U);
+    EXPECT_EQ(commits[0].counts, (FailureCounts{{1, 1}}));
+    EXPECT_EQ(commits[1].counts.at(0), 1U);
+    EXPECT_TRUE(tracker_.takeLastFailures(JobId("other")).empty());
+}
+
 /// If broken exchanges counted as failures of the item, a runner that is cut off from its servers would give up all items of its jobs.
 TEST_F(JobTrackerTest, BrokenExchangesDoNotCountAsAttempts)
 {
