Do not send before what the others know has arrived

Items that crash servers reached servers 0.1 s after the start of each runner: each one that starts takes itself for the only runner, takes the jobs of the others, sends their items and hands the jobs over 50 ms later, and it does not know yet what is in quarantine. If all instances end at once, the evidence is gone.

An instance reads it before it sends the first request, for at most a second if the store does not respond; callers' requests are held meanwhile like those before the first lists. A runner sends items when it has had time to hear the runners that are registered: 0.4 s, or at once if there is none.

--- a/Libraries/LibServing/PeerExchange.cpp
+++ b/Libraries/LibServing/PeerExchange.cpp
@@ -12,6 +12,7 @@
     , peers_(peers)
     , schedule_({.self = options_.self, .ownRole = options_.role, .ownDataCentre = options_.dataCentre})
     , relaysExpectedUntil_(now + options_.relayReportTimeout)
+    , runnersExpectedUntil_(now + options_.runnerReportTimeout)
 {
 }
 
@@ -272,6 +273,15 @@
     return changeSource_;
 }
 
+bool PeerExchange::areRunnersKnown(Instant now) const
+{
+    if (now >= runnersExpectedUntil_)
+        return true;
+    return hasListed_ && std::none_of(roles_.begin(), roles_.end(), [&](auto const &entry) {
+               return entry.first != options_.self && entry.second == InstanceRole::Runner;
+           });
+}
+
 Duration PeerExchange::nearLoadAge() const
 {
     return schedule_.nearLoadAge();
--- a/Libraries/LibServing/PeerExchange.h
+++ b/Libraries/LibServing/PeerExchange.h
@@ -34,6 +34,8 @@
     Duration summarySourcesHold = 3s;
     /// Within this time of its start, an instance of a large fleet has received reports of its relays.
     Duration relayReportTimeout = 1s;
+    /// Within this time of its start, an instance has received reports of the runners that are registered.
+    Duration runnerReportTimeout = 400ms;
     /// Time without a relay that reaches the store after which an instance watches it itself. Within this time it learns whether any runner
     /// reaches the store.
     Duration relayLossDelay = 1500ms;
@@ -124,6 +126,8 @@
     [[nodiscard]] Outgoing takeDue(OwnState const &own, Instant now);
     /// Whether this instance watches the platform's store itself. In a large fleet the relays of a data centre do so for the others.
     [[nodiscard]] ChangeSource changeSource(Instant now);
+    /// Whether the runners are known. An instance that has just started takes itself for the only one.
+    [[nodiscard]] bool areRunnersKnown(Instant now) const;
     /// Average age of the known load.
     [[nodiscard]] Duration nearLoadAge() const;
     [[nodiscard]] Duration farLoadAge() const;
@@ -157,6 +161,7 @@
     std::optional<Instant> lastSummarySilenceAt_;
     bool hasListed_ = false;
     Instant relaysExpectedUntil_;
+    Instant runnersExpectedUntil_;
     /// Since when no relay has reached the store.
     std::optional<Instant> unrelayedSince_;
     /// Since when relays have watched the store for this instance.
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -432,6 +432,8 @@
 
 void JobRunner::dispatch(Instant now)
 {
+    if (!context_.maySendItems)
+        return;
     refreshAssignments(now);
     auto const tokens = jobs_.waitingTokens();
     for (auto const &[pool, servers] : poolServers_) {
--- a/Services/Node/NodeContext.h
+++ b/Services/Node/NodeContext.h
@@ -71,6 +71,8 @@
     std::size_t relayedCalls = 0;
     /// Refuses requests that crash servers.
     PromptGuard prompts{{.expirySpread = QuarantineExpirySpread, .instanceHash = std::hash<InstanceId>{}(settings.instance)}};
+    /// Whether it is known which requests crash servers and which runners own which jobs, so that items may be sent.
+    bool maySendItems = false;
     /// Limits of servers that take only so many requests a second.
     ServerLimits limits = {};
     /// Limits the requests and streams that are moved away from a slow or silent server, as it may only be busy.
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -105,6 +105,7 @@
     , fleet_(context_, [this] { onStateChanged(); })
     , peerReports_(context_, fleet_, [this] { onLoadChanged(); })
     , versions_(context_)
+    , quarantines_(context_)
     , origins_(context_, versions_, [this](Address const &to, std::string const &content) { peerReports_.send(to, content); })
     , jobApi_(context_, metrics_)
     , runner_(context_, metrics_, health_, permits_, peerReports_, options.ownerCheck)
@@ -155,6 +156,7 @@
     peerReports_.setStage(Serving::InstanceStage::Serving);
     fleet_.start();
     versions_.start();
+    quarantines_.start();
     if (context_.settings.role == InstanceRole::Runner) {
         runner_.start();
         retirements_.start();
@@ -232,7 +234,7 @@
 {
     if (stoppingSince_)
         return "stopping";
-    if (!fleet_.isComplete())
+    if (!fleet_.isComplete() || !quarantines_.isReady(readLocalClock()))
         return "not-ready";
     if (context_.routes->state().version < terms.stateVersion)
         return "older-state";
@@ -347,7 +349,7 @@
     auto const now = readLocalClock();
     if (fleet_.isComplete() && !versions_.isComplete())
         versions_.recordNow(now);
-    bool const isComplete = fleet_.isComplete() && versions_.isComplete();
+    bool const isComplete = canSend(now);
     if (!isComplete && now < heldRequests_.front().until) {
         heldRequestsTimer_ = context_.loop.at(now + HoldCheckInterval, [this] { releaseHeldRequests(); });
         return;
@@ -380,11 +382,10 @@
             return refuse(Refusals::badRequest(call->error().detail));
         return jobApi_.handle(**call, std::move(writer));
     }
-    bool const isComplete = fleet_.isComplete();
-    if (!isComplete || !versions_.isComplete()) {
-        if (auto const now = readLocalClock(); now < holdsUntil_ && !stoppingSince_)
+    if (auto const now = readLocalClock(); !canSend(now)) {
+        if (now < holdsUntil_ && !stoppingSince_)
             return holdUntilReady(std::move(request), std::move(writer), now);
-        if (!isComplete)
+        if (!fleet_.isComplete())
             return refuse(Refusals::notReady());
     }
     auto const *route = context_.routes->find(request.headers.find("Host").value_or(""), request.path());
@@ -395,6 +396,11 @@
     startOnlineCall(*route, std::move(request), std::move(writer), std::nullopt);
 }
 
+bool NodeProgram::canSend(Instant now) const
+{
+    return fleet_.isComplete() && versions_.isComplete() && quarantines_.isReady(now);
+}
+
 void NodeProgram::startOnlineCall(Serving::Route const &route, Http::HttpRequest request, Writer writer, std::optional<RelayTerms> relay)
 {
     auto head = context_.protocol.readOnlineRequest(request);
@@ -439,6 +445,8 @@
     health_.onTick(now);
     fleet_.onTick(now);
     versions_.onTick(now);
+    quarantines_.onTick(now);
+    context_.maySendItems = quarantines_.isReady(now) && peerReports_.areRunnersKnown(now);
     if (context_.settings.role == InstanceRole::Runner) {
         runner_.onTick(now);
         retirements_.onTick(now);
--- a/Services/Node/NodeProgram.h
+++ b/Services/Node/NodeProgram.h
@@ -6,6 +6,7 @@
 #include "Services/Node/JobApiHandler.h"
 #include "Services/Node/JobRunner.h"
 #include "Services/Node/PeerRelay.h"
+#include "Services/Node/QuarantineRegister.h"
 #include "Services/Node/RetirementHandler.h"
 #include "Services/Node/Signals.h"
 #include "Services/Node/StreamOriginClient.h"
@@ -68,6 +69,8 @@
     void handleRelayed(Http::HttpRequest request, RelayTerms terms, Writer const &writer);
     /// Why such a request cannot be taken; `std::nullopt` if it can.
     [[nodiscard]] std::optional<std::string> relayObstacle(RelayTerms const &terms) const;
+    /// Whether requests can be sent with all that has to be known for it.
+    [[nodiscard]] bool canSend(Instant now) const;
     void startOnlineCall(Serving::Route const &route, Http::HttpRequest request, Writer writer, std::optional<RelayTerms> relay);
     void refreshGauges();
     void handleMetrics(Http::HttpRequest const &request, Writer const &writer);
@@ -92,6 +95,7 @@
     FleetFollower fleet_;
     PeerReportExchange peerReports_;
     VersionRegister versions_;
+    QuarantineRegister quarantines_;
     StreamOriginClient origins_;
     JobApiHandler jobApi_;
     JobRunner runner_;
--- a/Services/Node/PeerReportExchange.cpp
+++ b/Services/Node/PeerReportExchange.cpp
@@ -238,6 +238,11 @@
     socket_->send(to, content);
 }
 
+bool PeerReportExchange::areRunnersKnown(Instant now) const
+{
+    return exchange_.areRunnersKnown(now);
+}
+
 void PeerReportExchange::setStage(Serving::InstanceStage stage)
 {
     stage_ = stage;
--- a/Services/Node/PeerReportExchange.h
+++ b/Services/Node/PeerReportExchange.h
@@ -19,6 +19,8 @@
     void onTick(Instant now);
     /// Sends a datagram to another instance.
     void send(Address const &to, std::string const &content);
+    /// Whether the runners are known. An instance that has just started takes itself for the only one.
+    [[nodiscard]] bool areRunnersKnown(Instant now) const;
     void setStage(Serving::InstanceStage stage);
     /// Sets whether this instance reaches the platform's store.
     void setStoreReachability(Serving::StoreReachability reachability);
--- a/Services/Node/PromptGuard.cpp
+++ b/Services/Node/PromptGuard.cpp
@@ -48,20 +48,25 @@
 void PromptGuard::onSent(Serving::RequestSuspects const &suspects)
 {
     auto const now = readClocks().wall;
+    auto const version = quarantine_.version();
     auto const suspect = quarantine_.onSent(suspects, now);
     if (!suspect)
         return;
     Observe::log(Observe::Events::NodeQuarantineTrial, {{"suspect", toText(*suspect)}});
     logChanges(now);
+    countChange(version);
 }
 
 void PromptGuard::onAnswered(Serving::RequestSuspects const &suspects)
 {
     auto const now = readClocks().wall;
     confirmation_.onRequestAnswered(suspects);
+    auto const version = quarantine_.version();
     quarantine_.onAnswered(suspects, now);
-    if (!logged_.empty())
-        logChanges(now);
+    if (logged_.empty())
+        return;
+    countChange(version);
+    logChanges(now);
 }
 
 void PromptGuard::onLost(Serving::ServerRecord const &server, Serving::RequestSuspects suspects, Instant sentAt)
@@ -100,6 +105,7 @@
     auto const clocks = readClocks();
     auto const local = readLocalClock();
     bool hasNews = false;
+    auto const version = quarantine_.version();
     for (auto const &[server, suspects, sentAt, endedAt] : confirmed) {
         auto const at = clocks.wall - std::chrono::duration_cast<milliseconds>(local - endedAt);
         auto const runTime = std::chrono::duration_cast<milliseconds>(endedAt - sentAt);
@@ -113,8 +119,21 @@
                       {"ran_ms", std::to_string(runTime.count())},
                       {"ago_ms", toText(local - endedAt)}});
     }
-    if (hasNews)
-        logChanges(clocks.wall);
+    if (!hasNews)
+        return;
+    logChanges(clocks.wall);
+    countChange(version);
+}
+
+void PromptGuard::countChange(std::uint64_t version)
+{
+    if (quarantine_.version() != version && !logged_.empty())
+        ++ownChanges_;
+}
+
+std::uint64_t PromptGuard::ownChanges() const
+{
+    return ownChanges_;
 }
 
 void PromptGuard::merge(Serving::PromptEvidence const &evidence)
--- a/Services/Node/PromptGuard.h
+++ b/Services/Node/PromptGuard.h
@@ -42,8 +42,12 @@
     [[nodiscard]] std::size_t quarantinedParts() const;
     [[nodiscard]] std::size_t quarantinedRequests() const;
     [[nodiscard]] Serving::PromptQuarantine const &quarantine() const;
+    /// Increases with each change of the evidence that began here while something was in quarantine.
+    [[nodiscard]] std::uint64_t ownChanges() const;
 
 private:
+    /// Counts a change that began here. `version`: of the evidence before it.
+    void countChange(std::uint64_t version);
     /// Whether the confirmation of a server's crash is awaited that would put the suspect in quarantine.
     [[nodiscard]] bool awaitsConfirmation(Serving::Suspect const &suspect, WallInstant now) const;
     void record(std::vector<Serving::UnconfirmedLoss> const &confirmed);
@@ -53,6 +57,7 @@
     Serving::PromptQuarantine quarantine_;
     Serving::LossConfirmation confirmation_;
     std::map<Serving::Suspect, WallInstant> logged_;
+    std::uint64_t ownChanges_ = 0;
 };
 
 } // namespace Anvilyard::Node
--- /dev/null
+++ b/Services/Node/QuarantineRegister.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "Services/Node/NodeContext.h"
+
+namespace Anvilyard::Node {
+
+/// Keeps the evidence against requests that crash servers in the platform's store, in one object. An instance has it before it sends its
+/// first request, also if all others have ended. It is written only when something is in quarantine, by the instance that saw the change.
+class QuarantineRegister
+{
+public:
+    explicit QuarantineRegister(NodeContext &context);
+
+    /// Reads the evidence. Call once.
+    void start();
+    /// Writes what this instance has found out since.
+    void onTick(Instant now);
+    /// Whether the evidence was read, or is no longer waited for as the store does not respond.
+    [[nodiscard]] bool isReady(Instant now) const;
+
+private:
+    void read();
+    void update();
+    void write(Result<Platform::Object> stored);
+    void onWritten(std::uint64_t changes, Result<Platform::Object> const &written);
+    /// Merges the stored evidence. Returns whether it could be read.
+    bool merge(Result<Platform::Object> const &stored);
+    void retry(Error const &error);
+
+    NodeContext &context_;
+    Instant waitsUntil_ = Instant::min();
+    bool isRead_ = false;
+    std::unique_ptr<Http::Timer> readTimer_;
+    /// Of PromptGuard::ownChanges().
+    std::uint64_t writtenChanges_ = 0;
+    Instant notBefore_ = Instant::min();
+    bool isInFlight_ = false;
+};
+
+} // namespace Anvilyard::Node
--- a/Tests/NodeProcesses/TestUnansweredSends.cpp
+++ b/Tests/NodeProcesses/TestUnansweredSends.cpp
@@ -293,3 +293,37 @@
 {
     expectFewTrials(1500ms, 2, Cause::Part);
 }
+
+/// Guards against evidence that ends with the instances that hold it: all entries are killed at once, several times, and get the request as
+/// soon as they run.
+TEST_F(UnansweredSendTest, ARequestThatCrashesServersIsNotRepeatedByInstancesThatAllStartAnew)
+{
+    fleet_.startServers(12, ModelServer::ResponseForm::Whole);
+    std::vector<NodeProcess *> entries;
+    for (auto const *name : {"entry-1", "entry-2", "entry-3"})
+        entries.push_back(&fleet_.startNode(name));
+    for (auto const *entry : entries)
+        fleet_.waitUntilReady(*entry);
+    auto const crashing = ServingFleet::plainRequest("/q/crash", "crash");
+    fleet_.addCrashingRequest(crashing);
+    auto const sendToAll = [&](Instant until) {
+        std::vector<std::future<ServingFleet::Answer>> answers;
+        for (; readLocalClock() < until; fleet_.waitUntil(readLocalClock() + 20ms)) {
+            for (auto const *entry : entries)
+                answers.push_back(fleet_.sendAgain(*entry, crashing));
+        }
+        for (auto &answer : answers)
+            answer.wait();
+    };
+    for (int lifetime = 0; lifetime < 3; ++lifetime) {
+        sendToAll(readLocalClock() + ContactTime + 500ms);
+        for (auto *entry : entries)
+            entry->kill();
+        for (auto *entry : entries)
+            entry->start();
+    }
+    sendToAll(readLocalClock() + ContactTime);
+    auto const late = lateArrivals(fleet_.crashes(crashing), fleet_.arrivals(crashing), CrashesBeforeBound);
+    std::cout << fleet_.crashes(crashing).size() << " crashes, " << late << " late\n";
+    EXPECT_LE(late, MaxArrivalsAfterBound);
+}
