Count item runs whose error response breaks off

An item whose 500 or 422 breaks off behind its head was sent again every 1.2 s: the status was known, the run counted neither as failed nor as unanswered. It counts as a send that may have failed unseen.

What a caller knows of a job moves to a file of its own.

--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -151,7 +151,9 @@
     if (failure.isRefused)
         context_.prompts.onRefused(server_);
     recordLoss(failure);
-    bool const isUnanswered = status_ == 0 && failure.reached != Http::Reached::NothingSent;
+    // The rest of an error response may have been lost, as the whole of one may.
+    bool const mayHaveFailed = status_ == 0 || status_ == InternalServerError || status_ == UnprocessableContent;
+    bool const isUnanswered = mayHaveFailed && failure.reached != Http::Reached::NothingSent;
     fail(failure.error, isUnanswered ? SendEnd::Unanswered : SendEnd::Unserved);
 }
 
--- a/Tests/NodeProcesses/ModelServer.cpp
+++ b/Tests/NodeProcesses/ModelServer.cpp
@@ -138,7 +138,11 @@
 
 void ModelServer::lose(std::shared_ptr<Run> const &run)
 {
-    if (run->fate == ResponseFate::Reset)
+    if (run->fate == ResponseFate::BreakOff && run->rejection) {
+        run->writer->start({.status = *run->rejection, .headers = headersFor(run->request)});
+        run->writer->write("{", nullptr);
+    }
+    if (run->fate != ResponseFate::Silence)
         return cut(run);
     silent_.push_back(run->writer);
     end(run);
--- a/Tests/NodeProcesses/ModelServer.h
+++ b/Tests/NodeProcesses/ModelServer.h
@@ -32,6 +32,8 @@
         Arrives,
         /// The connection is closed instead, when the server has ended its run.
         Reset,
+        /// The same after the head of an error response.
+        BreakOff,
         /// Nothing arrives and the connection stays open.
         Silence,
     };
--- a/Tests/NodeProcesses/ServingFleet.cpp
+++ b/Tests/NodeProcesses/ServingFleet.cpp
@@ -82,7 +82,7 @@
     return form == ModelServer::ResponseForm::EventStream ? "p" : "q";
 }
 
-constexpr std::string_view DesiredState = R"({"version":1,"routes":[
+constexpr std::string_view DesiredState = R"({"version":$version,"routes":[$idleRoutes
     {"name":"s","host":"h.example","pathPrefix":"/s/","kind":"streaming","timeoutMs":5000,"sloMs":300,"priority":0,"service":"p",
      "attempts":2,"resumable":true,"gapAimMs":600,"sessionAffinity":true},
     {"name":"b","host":"h.example","pathPrefix":"/b/","kind":"batch","timeoutMs":15000,"sloMs":400,"priority":2,"service":"p",
@@ -96,14 +96,22 @@
     "services":[{"name":"p","healthPath":"/healthz","maxConns":100},{"name":"q","healthPath":"/healthz","maxConns":100}],
     "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 
-std::string desiredState(ServingFleet::Options const &options)
+std::string desiredState(ServingFleet::Options const &options, std::uint64_t version, std::size_t idleRoutes)
 {
     std::string text(DesiredState);
-    auto const set = [&](std::string_view placeholder, std::int64_t value) {
-        text.replace(text.find(placeholder), placeholder.size(), std::to_string(value));
+    auto const set = [&](std::string_view placeholder, std::string const &value) {
+        text.replace(text.find(placeholder), placeholder.size(), value);
     };
-    set("$completionTarget", options.completionTarget.count());
-    set("$queueTime", options.queueTime.count());
+    set("$completionTarget", std::to_string(options.completionTarget.count()));
+    set("$queueTime", std::to_string(options.queueTime.count()));
+    set("$version", std::to_string(version));
+    std::string routes;
+    for (std::size_t number = 0; number < idleRoutes; ++number) {
+        auto const name = "idle-" + std::to_string(number);
+        routes += R"({"name":")" + name + R"(","host":"h.example","pathPrefix":"/)" + name
+            + R"(/","kind":"idempotent","timeoutMs":5000,"sloMs":300,"priority":0,"service":"q","attempts":2},)";
+    }
+    set("$idleRoutes", routes);
     return text;
 }
 
@@ -115,6 +123,7 @@
 }
 
 ServingFleet::ServingFleet(Options options)
+    : options_(options)
 {
     auto folder = (std::filesystem::temp_directory_path() / "anvilyard-test-XXXXXX").string();
     if (!::mkdtemp(folder.data()))
@@ -122,7 +131,7 @@
     folder_ = folder;
     thread_.call([&] {
         store_ = std::make_unique<FleetStoreServer>(thread_.loop());
-        store_->put("config", "main", desiredState(options));
+        store_->put("config", "main", desiredState(options_, stateVersion_, 0));
         client_ = Http::HttpClient::create(thread_.loop(), {});
     });
 }
@@ -222,6 +231,23 @@
     thread_.call([&] { versionAfterCrash_ = std::move(version); });
 }
 
+void ServingFleet::changeDesiredState(std::size_t idleRoutes)
+{
+    thread_.call([&] { store_->put("config", "main", desiredState(options_, ++stateVersion_, idleRoutes)); });
+}
+
+NodeProcess &ServingFleet::startNodeBehindPathToStore(std::string const &name, Serving::InstanceRole role)
+{
+    if (!storePath_)
+        storePath_ = std::make_unique<CuttablePath>(thread_.call([this] { return store_->address(); }));
+    return startNode(name, role, storePath_->address());
+}
+
+void ServingFleet::setStoreCut(Cut cut)
+{
+    storePath_->setCut(cut);
+}
+
 void ServingFleet::setStoreOutage(OutageMode outage)
 {
     setStoreFaults({.outage = outage});
--- a/Tests/NodeProcesses/ServingFleet.h
+++ b/Tests/NodeProcesses/ServingFleet.h
@@ -85,6 +85,11 @@
     void setIdAfterCrash(IdAfterCrash id);
     /// Sets the software version at which servers that crash later are started again.
     void setVersionAfterCrash(std::string version);
+    /// Replaces the desired state by one of a newer version, with so many further routes that get no requests.
+    void changeDesiredState(std::size_t idleRoutes);
+    /// Starts a node whose path to the store setStoreCut() cuts.
+    NodeProcess &startNodeBehindPathToStore(std::string const &name, Serving::InstanceRole role);
+    void setStoreCut(Cut cut);
     /// Makes the store refuse all calls, or serve them again.
     void setStoreOutage(OutageMode outage);
     void setStoreFaults(PlatformFaults faults);
@@ -213,6 +218,9 @@
     void onRun(ModelServer &server, std::shared_ptr<ModelServer::Run> const &run);
     void onCrashed(std::string const &id, std::size_t position);
 
+    Options options_;
+    std::uint64_t stateVersion_ = 1;
+    std::unique_ptr<CuttablePath> storePath_;
     std::filesystem::path folder_;
     LoopThread thread_;
     std::unique_ptr<FleetStoreServer> store_;
--- a/Tests/NodeProcesses/TestSignalSeries.cpp
+++ b/Tests/NodeProcesses/TestSignalSeries.cpp
@@ -1,11 +1,10 @@
-#include "Tests/NodeProcesses/ServingFleet.h"
+#include "Tests/NodeProcesses/KnownJob.h"
 #include "Tests/NodeProcesses/SignalSeries.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
 #include <cstdlib>
 #include <gtest/gtest.h>
-#include <set>
 #include <thread>
 
 using namespace Anvilyard;
@@ -231,32 +230,6 @@
 /// Time from the acceptance of a job in which entries may not find it.
 constexpr Duration SettleTime = 2s;
 
-/// What a caller knows of a job that was accepted.
-struct KnownJob {
-    ServingFleet::SubmittedJob job;
-    Instant acceptedAt;
-    /// Results by position, as text.
-    std::vector<std::string> results;
-    std::set<std::string> listed;
-};
-
-/// Adds the results of a page that begins at a position. Expects that known ones are the same.
-void addPage(KnownJob &known, std::size_t from, std::string const &body)
-{
-    auto const page = json::parse(body);
-    std::size_t position = from;
-    for (auto const &result : page.at("results").as_array()) {
-        auto const text = json::serialize(result);
-        if (position < known.results.size()) {
-            EXPECT_EQ(text, known.results[position]) << known.job.id.value() << " at " << position;
-        } else {
-            EXPECT_TRUE(known.listed.insert(std::string(result.at("id").as_string())).second) << text << " is listed twice";
-            known.results.push_back(text);
-        }
-        ++position;
-    }
-}
-
 // Accepted jobs are read, and run to their end, while entries and runners are killed, stopped, paused and restarted, the store fails for
 // moments or loses responses, and servers crash. A job or a result is lost if it is only in the memory of a process that ends.
 TEST_F(SignalSeriesTest, AcceptedJobsAreKeptOverRestartsAndOutagesOfTheStore)
@@ -335,13 +308,7 @@
     series.restoreAll();
     auto const finishAt = readLocalClock() + FinishTime;
     for (auto &known : jobs) {
-        while (known.results.size() < ends.size() && readLocalClock() < finishAt) {
-            auto const from = known.results.size();
-            if (auto const page = fleet_.readResults(*entries.front(), known.job.id, from).get(); page && page->status == 200)
-                addPage(known, from, page->body);
-            else
-                std::this_thread::sleep_for(PollInterval);
-        }
+        readToTheEnd(fleet_, *entries.front(), known, finishAt);
         EXPECT_EQ(known.results.size(), ends.size()) << known.job.id.value();
         expectBoundedRuns(known.job, ends);
         for (auto const &text : known.results) {
--- a/Tests/NodeProcesses/TestUnansweredSends.cpp
+++ b/Tests/NodeProcesses/TestUnansweredSends.cpp
@@ -243,6 +243,12 @@
     runJobWithLostErrors([] { return Fate::Silence; }, false);
 }
 
+/// The same if the head of each response arrives.
+TEST_F(UnansweredSendTest, FailingItemsWhoseResponsesBreakOffAreNotRepeated)
+{
+    runJobWithLostErrors([] { return Fate::BreakOff; }, false);
+}
+
 /// The same while every fifth response arrives and the owners of the job are killed in turn.
 TEST_F(UnansweredSendTest, FailingItemsWhoseResponsesAreResetAreNotRepeatedOverKills)
 {
