Refuse items whose text would smuggle a request into a connection

Ids, paths and headers of items come from JSON text and were written into the head as they are.

A job with such an item is refused with 400, and the HTTP client sends no request whose target or headers are not of their syntax, so that jobs of earlier builds are safe, too. Headers of a single connection are left out of items. ItemsThatCannotBeSentAsRequestsAreRefused, HeadersOfAConnectionAreNotPartOfAnItem and ARequestThatWouldEndItsHeadEarlyIsNotSent fail without the change by what they check: nothing was refused or left out before.

--- a/Libraries/LibHttp/ClientExchange.cpp
+++ b/Libraries/LibHttp/ClientExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "LibHttp/AddressParser.h"
 #include "LibHttp/ChunkStart.h"
+#include "LibHttp/MessageSyntax.h"
 #include "LibHttp/TransferCoding.h"
 
 #include <algorithm>
@@ -64,6 +65,11 @@
 {
     shared_->sweep->add(shared_from_this());
     auto &source = request_.request;
+    if (auto fault = findSyntaxFault(source.target, source.headers)) {
+        setStage(Stage::Sending, request_.deadline);
+        asio::post(shared_->io, [self = shared_from_this(), fault = std::move(*fault)] { self->fail(HttpError::Malformed, fault); });
+        return;
+    }
     message_.version(11);
     message_.method_string(source.method);
     message_.target(source.target);
--- a/Tests/FleetAdapter/TestFleetProtocol.cpp
+++ b/Tests/FleetAdapter/TestFleetProtocol.cpp
@@ -313,6 +313,48 @@
     EXPECT_FALSE(protocol.readSubmission(requestOf("POST", "/b/1", {}, R"({"items":[)" + item + "]}")));
 }
 
+/// Line ends in what an item names would end the head of its request early. Guards against headers and requests that are smuggled so.
+TEST(FleetProtocolTest, ItemsThatCannotBeSentAsRequestsAreRefused)
+{
+    auto const read = [](std::string const &id, std::string const &path, std::string const &name, std::string const &value) {
+        return protocol.readSubmission(requestOf("POST",
+                                                 "/b/1",
+                                                 {{"Anvilyard-Attempt-Id", "j"}},
+                                                 R"({"items":[{"id":")" + id + R"(","path":")" + path + R"(","headers":{")" + name
+                                                     + R"(":")" + value + R"("},"body":"","tokens":1}]})"));
+    };
+    EXPECT_TRUE(read("i", "/b/1?a=%20b", "X-Note", "a, b;\\tc \\u00e4"));
+    for (auto const *text : {"\\r\\n\\r\\nPOST /x HTTP/1.1", "a\\nb", "a\\rb", "a\\u0000b"}) {
+        for (auto const &submission :
+             {read(text, "/b/1", "X", ""), read("i", text, "X", ""), read("i", "/b/1", text, ""), read("i", "/b/1", "X", text)}) {
+            ASSERT_FALSE(submission) << text;
+            EXPECT_EQ(submission.error().code, ServingError::BadRequest);
+            EXPECT_EQ(submission.error().detail.find_first_of("\r\n"), std::string::npos) << submission.error().detail;
+        }
+    }
+    for (auto const *path : {"", "/b/1 HTTP/1.1"})
+        EXPECT_FALSE(read("i", path, "X", "")) << path;
+    for (auto const *name : {"", "X Y", "X:"})
+        EXPECT_FALSE(read("i", "/b/1", name, "")) << name;
+}
+
+/// Guards against items whose headers change the framing of their requests.
+TEST(FleetProtocolTest, HeadersOfAConnectionAreNotPartOfAnItem)
+{
+    Jobs::JobItem const item{.id = Jobs::ItemId("i"),
+                             .target = "/b/1",
+                             .headers = {{"Transfer-Encoding", "chunked"},
+                                         {"Content-Length", "1000"},
+                                         {"Connection", "close, X-Hop"},
+                                         {"X-Hop", "1"},
+                                         {"Expect", "100-continue"},
+                                         {"X-Kept", "1"}}};
+    auto const sent = protocol.makeServerRequest(item, "a.example", {.server = ServerId("s")});
+    for (auto const *name : {"Transfer-Encoding", "Content-Length", "Connection", "X-Hop", "Expect"})
+        EXPECT_FALSE(sent.headers.contains(name)) << name;
+    EXPECT_TRUE(sent.headers.contains("X-Kept"));
+}
+
 TEST(FleetProtocolTest, ResultsAreWritten)
 {
     auto const response = protocol.writeResults(
--- a/Tests/LibHttp/TestHttpExchange.cpp
+++ b/Tests/LibHttp/TestHttpExchange.cpp
@@ -2,6 +2,7 @@
 #include "LibHttp/HttpServer.h"
 #include "Tests/LibHttp/LoopThread.h"
 
+#include <atomic>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
@@ -64,6 +65,27 @@
     }
 }
 
+/// Guards against headers, and whole requests, that are smuggled into a connection by line ends in a target or a header.
+TEST_F(HttpExchangeTest, ARequestThatWouldEndItsHeadEarlyIsNotSent)
+{
+    std::atomic<int> requests = 0;
+    serve([&](HttpRequest, auto writer) {
+        ++requests;
+        writer->respond({.status = 200});
+    });
+    std::string const smuggled = "x\r\n\r\nPOST /other HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+    for (auto const &request : {HttpRequest{.method = "GET", .target = "/" + smuggled},
+                                HttpRequest{.method = "GET", .target = "/", .headers = {{"X-Note", smuggled}}},
+                                HttpRequest{.method = "GET", .target = "/", .headers = {{smuggled, "x"}}}}) {
+        auto const response = fetch(request);
+        ASSERT_FALSE(response);
+        EXPECT_EQ(response.error().error.code, HttpError::Malformed);
+        EXPECT_EQ(response.error().reached, Reached::NothingSent);
+    }
+    EXPECT_TRUE(fetch({.method = "GET", .target = "/", .headers = {{"X-Note", "a\tb"}}}));
+    EXPECT_EQ(requests, 1);
+}
+
 TEST_F(HttpExchangeTest, StreamsPiecesInOrder)
 {
     serve([](HttpRequest, auto writer) {
