Do not count a trial that reached no server

A trial counts from the moment its connection is made and its request is sent (ExchangeHandlers::onSending). Until then others of this instance wait for it, for 0.5 s at most. ATrialThatReachesNoServerIsRepeatedSoon guards against it.

--- a/Libraries/LibHttp/ClientExchange.cpp
+++ b/Libraries/LibHttp/ClientExchange.cpp
@@ -141,6 +141,8 @@
         return;
     // Bytes may be sent from now on even if the write fails.
     reached_ = Reached::Sent;
+    if (handlers_.onSending)
+        handlers_.onSending();
     wire::async_write(connection_->socket, message_, [self = shared_from_this()](boost::system::error_code error, std::size_t) {
         if (self->stage_ != Stage::Sending)
             return;
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -44,6 +44,8 @@
     /// The response is complete according to its framing.
     std::function<void()> onEnd;
     std::function<void(ExchangeFailure)> onFailure;
+    /// The connection is made and the request is about to be sent. Until then, it is certain that no server has any of it.
+    std::function<void()> onSending = {};
 };
 
 struct ClientRequest {
--- a/Libraries/LibServing/PromptQuarantine.cpp
+++ b/Libraries/LibServing/PromptQuarantine.cpp
@@ -381,6 +381,21 @@
     return trials;
 }
 
+WallInstant PromptQuarantine::refusedUntil(Verdict const &verdict) const
+{
+    auto const placed = placedUntil_.find(verdict.suspect);
+    return placed == placedUntil_.end() ? endOf(verdict) : std::max(endOf(verdict), placed->second);
+}
+
+void PromptQuarantine::onPlaced(RequestSuspects const &suspects, WallInstant now)
+{
+    std::erase_if(placedUntil_, [&](auto const &entry) { return entry.second <= now; });
+    for (auto const &verdict : verdicts_) {
+        if (contains(suspects, verdict.suspect) && now >= endOf(verdict))
+            placedUntil_[verdict.suspect] = now + std::chrono::duration_cast<milliseconds>(options_.trialSendTime);
+    }
+}
+
 std::optional<Suspect> PromptQuarantine::onSent(RequestSuspects const &suspects, WallInstant now)
 {
     std::optional<Suspect> tried;
@@ -407,7 +422,7 @@
 std::optional<PromptQuarantine::Match> PromptQuarantine::find(RequestSuspects const &suspects, WallInstant now) const
 {
     for (auto const &verdict : verdicts_) {
-        if (auto const until = endOf(verdict); contains(suspects, verdict.suspect) && now < until)
+        if (auto const until = refusedUntil(verdict); contains(suspects, verdict.suspect) && now < until)
             return Match{.suspect = verdict.suspect, .until = until};
     }
     return std::nullopt;
--- a/Libraries/LibServing/PromptQuarantine.h
+++ b/Libraries/LibServing/PromptQuarantine.h
@@ -22,6 +22,8 @@
     /// The same for a part while fewer than serversToQuarantine of its losses are independent, as servers that fail together, such as those
     /// of one rack, look like servers that were crashed by what they ran; and for suspects whose losses another one explains as well.
     Duration suspicionTime = 3s;
+    /// Time in which a trial that is about to be sent reaches its server, or a connection to the server fails.
+    Duration trialSendTime = 500ms;
     /// Factor by which the time grows with each trial that is not answered, as each may cost a server.
     std::int64_t quarantineGrowth = 6;
     Duration maxQuarantineTime = 1h;
@@ -64,6 +66,9 @@
     /// Records that a server process ended before it had answered a request. Returns whether this is new evidence.
     bool onLost(ServerProcess const &server, RequestSuspects const &suspects, std::chrono::milliseconds runTime, WallInstant now);
     bool onLost(ServerProcess const &server, std::span<PromptPartId const> parts, WallInstant now);
+    /// Records that a request is about to be sent to a server, if a connection can be made. Others with the suspect wait for it if it is a
+    /// trial after the end of a quarantine.
+    void onPlaced(RequestSuspects const &suspects, WallInstant now);
     /// Records that a request is sent to a server. Returns the suspect if it is a trial after the end of a quarantine. A trial counts for
     /// all instances from when it is sent, as its outcome may never be seen: its sender may end it, or end itself.
     std::optional<Suspect> onSent(RequestSuspects const &suspects, WallInstant now);
@@ -155,6 +160,8 @@
     void limitLostResponsesOf(ServerProcess const &server);
     void limitAnsweredParts(WallInstant now);
     [[nodiscard]] WallInstant endOf(Verdict const &verdict) const;
+    /// Time until which requests with the suspect are refused, because of the quarantine or of a trial that is about to be sent.
+    [[nodiscard]] WallInstant refusedUntil(Verdict const &verdict) const;
     /// Returns whether the trial was not known.
     bool noteTrial(Suspect const &suspect, WallInstant at);
     /// Trials of the suspect that no answer followed.
@@ -168,6 +175,8 @@
     std::map<RequestFingerprint, WallInstant> answeredRequests_;
     /// Conclusions from the evidence, the strongest first.
     std::vector<Verdict> verdicts_;
+    /// Suspects of which this instance is about to send a trial, with the time until which others wait for it.
+    std::map<Suspect, WallInstant> placedUntil_;
     /// When requests with a suspect were sent as a trial, by any instance.
     std::map<Suspect, std::set<WallInstant>> trials_;
     std::uint64_t version_ = 0;
--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -47,7 +47,7 @@
     itemId_ = item.id;
     suspects_ = suspectsOf(context_, item, host);
     context_.load.onStarted(server_.id, Serving::WorkClass::Batch);
-    context_.prompts.onSent(suspects_);
+    context_.prompts.onPlaced(suspects_);
     Http::ClientRequest request{
         .server = server_.address,
         .request = context_.protocol.makeServerRequest(item, host, {.server = server_.id, .lastEventId = item_.lastEventId}),
@@ -69,6 +69,7 @@
                                                 .onPiece = [self](std::string_view piece) { self->onPiece(piece); },
                                                 .onEnd = [self] { self->onResponseEnd(); },
                                                 .onFailure = [self](Http::ExchangeFailure const &failure) { self->onFailure(failure); },
+                                                .onSending = [self] { self->context_.prompts.onSent(self->suspects_); },
                                             });
 }
 
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -364,7 +364,7 @@
         parts_.metrics.limitedSends.add();
     plan_.onSent(server.id);
     if (!isAnswered_)
-        context.prompts.onSent(suspects());
+        context.prompts.onPlaced(suspects());
     attempt_ = std::make_shared<Attempt>(
         Attempt{.server = server, .sentAt = now, .events = Serving::EventReader(events_), .earlierEvents = events_.count()});
     context.load.onStarted(server.id, Serving::WorkClass::Online);
@@ -461,9 +461,17 @@
             .onPiece = [guarded](std::string_view piece) { guarded([&](OnlineCall &call) { call.onPiece(piece); }); },
             .onEnd = [guarded] { guarded([](OnlineCall &call) { call.onEnd(); }); },
             .onFailure = [guarded](Http::ExchangeFailure const &failure) { guarded([&](OnlineCall &call) { call.onFailure(failure); }); },
+            .onSending = [guarded] { guarded([](OnlineCall &call) { call.onSending(); }); },
         });
 }
 
+void OnlineCall::onSending()
+{
+    // The other instance records what it sends to a server.
+    if (!isAnswered_ && !attempt_->helper)
+        parts_.context.prompts.onSent(suspects());
+}
+
 void OnlineCall::onHead(Http::ResponseHead head)
 {
     attempt_->head = std::move(head);
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -99,6 +99,7 @@
     /// Handles an error response that came through another instance.
     void endRelayed();
     void logNoPlacement(Serving::Placement const &placement, Duration latencyTarget) const;
+    void onSending();
     void onHead(Http::ResponseHead head);
     void onPiece(std::string_view piece);
     void onEnd();
--- a/Services/Node/PromptGuard.cpp
+++ b/Services/Node/PromptGuard.cpp
@@ -45,6 +45,11 @@
 {
 }
 
+void PromptGuard::onPlaced(Serving::RequestSuspects const &suspects)
+{
+    quarantine_.onPlaced(suspects, readClocks().wall);
+}
+
 void PromptGuard::onSent(Serving::RequestSuspects const &suspects)
 {
     auto const now = readClocks().wall;
--- a/Services/Node/PromptGuard.h
+++ b/Services/Node/PromptGuard.h
@@ -17,6 +17,8 @@
 
     explicit PromptGuard(Serving::PromptQuarantineOptions options);
 
+    /// Records that such a request is about to be sent to a server, if a connection can be made.
+    void onPlaced(Serving::RequestSuspects const &suspects);
     /// Records that such a request is sent to a server.
     void onSent(Serving::RequestSuspects const &suspects);
     /// Records that a server generates an answer to such a request.
--- a/Tests/LibServing/TestPromptQuarantine.cpp
+++ b/Tests/LibServing/TestPromptQuarantine.cpp
@@ -164,6 +164,21 @@
     EXPECT_FALSE(isRefused({crashingPart}, second + 4s));
 }
 
+/// No connection to the server of a trial could be made, so nothing was tried. Guards against holding the part for long because of it.
+TEST_F(PromptQuarantineTest, ATrialThatReachesNoServerIsRepeatedSoon)
+{
+    for (std::size_t server = 0; server < 3; ++server)
+        quarantine_.onLost(serverNumber(server), std::array{crashingPart}, testStart);
+    RequestSuspects const suspects{.parts = {crashingPart}};
+    auto const end = testStart + 10s;
+    quarantine_.onPlaced(suspects, end);
+    EXPECT_TRUE(isRefused({crashingPart}, end)) << "it may still be sent";
+    EXPECT_FALSE(isRefused({crashingPart}, end + 500ms));
+    quarantine_.onPlaced(suspects, end + 500ms);
+    EXPECT_EQ(quarantine_.onSent(suspects, end + 510ms), Suspect(crashingPart));
+    EXPECT_TRUE(isRefused({crashingPart}, end + 60s));
+}
+
 /// Guards against a trial by each instance, as those that did not send one know nothing of it.
 TEST_F(PromptQuarantineTest, ATrialHoldsThePartAtAllInstances)
 {
