Refuse requests that come too late in the stop of an entry

An operator of a like system saw requests whose end came late in a planned stop taken, passed on and cut without an answer at the exit. Here a request on a connection that had begun before the stop was passed on as well, whatever was left of the stop. It is refused with 503 (stopping, not run) when less than half of its time limit is left before the exit, and gets an answer before the exit otherwise. AStoppingNodeAnswersRequestsThatComeLate fails without it: the server gets the late request.

Two more reports of theirs have tests now, which passed at once: an error response to a resume, and a head that breaks off.

--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -35,6 +35,10 @@
 constexpr std::size_t MaxRelayedCalls = 64;
 /// Part of the stop timeout that is reserved for the exit of the process.
 constexpr Duration ExitReserve = 500ms;
+/// A stopping entry refuses requests that come later than this before its exit. Calls about jobs take some calls of the store.
+constexpr Duration MinTimeBeforeExit = 1s;
+/// Share of a request's time limit that has to be left before the exit. Few requests take longer.
+constexpr double MinShareOfTimeBeforeExit = 0.5;
 
 /// Time after its start in which a node may hold requests.
 constexpr Duration HoldPeriod = 1s;
@@ -374,9 +378,18 @@
     writer->respond(Refusals::write(refusal, context_.protocol));
 }
 
+std::optional<Duration> NodeProgram::timeToExit(Instant now) const
+{
+    if (!stoppingSince_)
+        return std::nullopt;
+    return *stoppingSince_ + context_.settings.stopTimeout - ExitReserve - now;
+}
+
 void NodeProgram::handleCaller(Http::HttpRequest request, Writer writer)
 {
     auto const refuse = [&](Http::Refusal const &refusal) { this->refuse(request, writer, refusal); };
+    if (auto const left = timeToExit(readLocalClock()); left && *left < MinTimeBeforeExit)
+        return refuse(Refusals::stopping());
     if (auto call = context_.protocol.readJobCall(request)) {
         if (!*call)
             return refuse(Refusals::badRequest(call->error().detail));
@@ -406,6 +419,13 @@
     auto head = context_.protocol.readOnlineRequest(request);
     if (!head)
         return refuse(request, writer, Refusals::badRequest(head.error().detail));
+    if (auto const left = timeToExit(readLocalClock())) {
+        auto const limit = std::min(route.timeout, head->timeLeft.value_or(route.timeout));
+        if (!relay && *left < limit * MinShareOfTimeBeforeExit)
+            return refuse(request, writer, Refusals::stopping());
+        // Its caller gets an answer before the exit.
+        head->timeLeft = std::min(limit, *left);
+    }
     std::make_shared<OnlineCall>(OnlineCall::Parts{
                                      .context = context_,
                                      .metrics = metrics_,
--- a/Services/Node/NodeProgram.h
+++ b/Services/Node/NodeProgram.h
@@ -59,6 +59,8 @@
 
 private:
     void handleCaller(Http::HttpRequest request, Writer writer);
+    /// Time until this instance exits; `std::nullopt` if it is not stopping.
+    [[nodiscard]] std::optional<Duration> timeToExit(Instant now) const;
     /// Keeps a request that arrived before the first lists of the store until these arrive or a short time has passed.
     void holdUntilReady(Http::HttpRequest request, Writer writer, Instant now);
     void releaseHeldRequests();
--- a/Services/Node/NodeRefusals.cpp
+++ b/Services/Node/NodeRefusals.cpp
@@ -51,6 +51,11 @@
     return unavailable("not_ready", "this instance does not know the desired state yet", StartingRetryAfter);
 }
 
+Refusal stopping()
+{
+    return unavailable("stopping", "this instance stops before the request could end", StartingRetryAfter);
+}
+
 Refusal overloaded(Duration retryAfter)
 {
     return unavailable("overloaded", "the servers of this route could not answer in time now", retryAfter);
--- a/Services/Node/NodeRefusals.h
+++ b/Services/Node/NodeRefusals.h
@@ -12,6 +12,8 @@
 Http::Refusal badRequest(std::string const &reason);
 Http::Refusal noRoute();
 Http::Refusal notReady();
+/// This instance exits before the request could end.
+Http::Refusal stopping();
 Http::Refusal overloaded(Duration retryAfter);
 /// All servers of the service have limits, and these are reached.
 Http::Refusal limitsReached(Duration retryAfter);
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -660,6 +660,86 @@
     waitUntil([&] { return stopped("entry-1"); });
 }
 
+/// Guards against requests whose end comes late in the stop of an entry, which passes them on and cuts them as it exits.
+TEST_F(OnlineTest, AStoppingNodeAnswersRequestsThatComeLate)
+{
+    auto &node = serve({[](int, Http::HttpRequest const &, FleetServer::Writer const &writer) {
+        // Never responds.
+        static std::vector<FleetServer::Writer> held;
+        held.push_back(writer);
+    }});
+    auto const address = thread_.call([&] { return node.callerAddress(); });
+    std::string const head = " HTTP/1.1\r\nHost: h.example\r\nAnvilyard-Attempt-Id: a\r\nContent-Length: 5\r\n\r\nhel";
+    RawConnection soon(address);
+    RawConnection late(address);
+    soon.send("POST /u/1" + head);
+    late.send("POST /u/2" + head);
+    thread_.call([&] {
+        auto settings = Node::NodeSettings();
+        settings.stopTimeout = 4s;
+        node.applySettings(settings);
+        node.stop();
+    });
+    soon.send("lo");
+    // The node considers its exit from the moment at which it accepts no connections any more.
+    for (int count = 0; ask(node, requestOf("/nowhere/1", std::to_string(count))); ++count)
+        continue;
+    late.send("lo");
+    EXPECT_THAT(late.readAll(), ::testing::StartsWith("HTTP/1.1 503"));
+    EXPECT_THAT(soon.readAll(), ::testing::StartsWith("HTTP/1.1 50")) << "its server may have run it";
+    EXPECT_EQ(requestCount(), 1U) << "a 503 says that the request did not run";
+    waitUntil([&] { return stopped("entry-1"); });
+}
+
+/// A stream had begun and broke off; the next server answers with an error. Guards against the error's text, or a complete end, in the
+/// stream.
+TEST_F(OnlineTest, AnErrorResponseToAResumeIsNotPartOfTheStream)
+{
+    FleetServer::Script const script = [](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        if (request.headers.contains("Last-Event-Id"))
+            return writer->respond(
+                {.status = 500, .headers = signedHeaders(request, "text/event-stream"), .body = "id: 4\ndata: fault\n\n"});
+        writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+        writer->write(eventTexts(0, 4), [writer](auto) { writer->abort(); });
+    };
+    auto &node = serve({script, script});
+    RawConnection caller(thread_.call([&] { return node.callerAddress(); }));
+    caller.send("POST /s/1 HTTP/1.1\r\nHost: h.example\r\nAnvilyard-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n");
+    auto const text = caller.readAll();
+    EXPECT_THAT(text, ::testing::HasSubstr("t3"));
+    EXPECT_THAT(text, ::testing::Not(::testing::HasSubstr("fault")));
+    EXPECT_THAT(text, ::testing::Not(::testing::HasSubstr("HTTP/1.1 500")));
+    EXPECT_THAT(text, ::testing::Not(::testing::EndsWith("0\r\n\r\n"))) << "the stream is not complete";
+}
+
+/// A server ends within the head of its response. Guards against a success with an empty or short body.
+TEST_F(OnlineTest, AHeadThatBreaksOffIsNoResponse)
+{
+    std::string head;
+    auto server = thread_.call([&] {
+        return ScriptedServer::create(thread_.loop(), [&head](ScriptedServer::Connection &connection, std::size_t) {
+            connection.send(head);
+            connection.close();
+        });
+    });
+    putState(1);
+    putServer("s1", server->address());
+    auto &node = startNode("entry-1");
+    waitUntilReady(node);
+    for (std::string const text : {"HTTP/1.1 200 OK\r\n",
+                                   "HTTP/1.1 200 OK\r\nAnvilyard-Response-Signature: sig\r\nAnvilyard-Att",
+                                   "HTTP/1.1 200 OK\r\nAnvilyard-Response-Signature: sig\r\nContent-Length: 5\r\n",
+                                   "HTTP/1.1 200 OK\r\nAnvilyard-Response-Signature: sig\r\nContent-Type: text/event-stream\r\n"}) {
+        thread_.call([&] { head = text; });
+        for (auto const *path : {"/u/1", "/i/1", "/s/1", "/o/1"}) {
+            auto const answer = ask(node, requestOf(path, "a"));
+            ASSERT_TRUE(answer) << path << " " << text;
+            EXPECT_GE(answer->status, 500) << path << " " << text;
+        }
+    }
+    thread_.call([&] { server.reset(); });
+}
+
 /// Both servers are slow to start requests but seem to have free slots, as at a load peak for which batch items have not been
 /// preempted yet. Guards against requests that lose their place at one server to queue again at the other, or that are refused
 /// although their server still works on them.
