Take no error of an instance that cannot help for an answer

While its servers are out of reach, an entry passes requests on to other entries. One of a build that does not know the call answers 404, and callers got that 404.

AnErrorOfAnInstanceThatCannotHelpIsNoAnswer: 404 to callers before, 503 to all 40 now.

--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -54,6 +54,14 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/// Whether the status says that the request is at fault.
+bool isRequestError(int status)
+{
+    constexpr int FirstRequestError = 400;
+    constexpr int FirstServerError = 500;
+    return status >= FirstRequestError && status < FirstServerError;
+}
+
 bool isEventStream(Http::Headers const &headers)
 {
     return headers.find("Content-Type").value_or("").starts_with("text/event-stream");
@@ -518,9 +526,14 @@
     auto const server = attempt_->server.id;
     auto const status = attempt_->head.status;
     finishAttempt();
+    auto reason = readRelayRefusal(attempt_->head.headers);
+    // Earlier builds answer so, as they do not know the call. It is not an answer of a server, which would be signed.
+    if (!reason && isRequestError(status) && !guaranteesNotRun(status) && !attempt_->traits.isSigned)
+        reason = "unknown-call";
     // To its callers, an instance guarantees by such a status that the request did not run.
-    auto const evidence = guaranteesNotRun(status) ? Routing::NotRunEvidence::Stated : Routing::NotRunEvidence::Withheld;
-    if (auto const reason = readRelayRefusal(attempt_->head.headers)) {
+    bool const isNotRun = reason || guaranteesNotRun(status);
+    auto const evidence = isNotRun ? Routing::NotRunEvidence::Stated : Routing::NotRunEvidence::Withheld;
+    if (reason) {
         ++relayRefusals_;
         parts_.metrics.relayRefusals.add();
         parts_.context.helpers.onUnable(*attempt_->helper, pool_, now);
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -691,6 +691,26 @@
     waitUntil([&] { return stopped("entry-1"); });
 }
 
+/// Servers are out of reach, and the other entry is of a build that does not know requests which are passed on. Guards against its 404 as
+/// an answer to the caller.
+TEST_F(OnlineTest, AnErrorOfAnInstanceThatCannotHelpIsNoAnswer)
+{
+    FleetServer other(thread_, [](int, auto const &, FleetServer::Writer const &writer) { writer->respond({.status = 404}); });
+    thread_.call(
+        [&] { store_->put("instances", "entry-2", R"({"address":")" + other.address().value() + R"(","role":"entry","dc":"dc"})"); });
+    putState(1);
+    for (auto const *server : {"s1", "s2", "s3", "s4"})
+        putServer(server, deadAddress());
+    auto &node = startNode("entry-1");
+    waitUntilReady(node);
+    std::map<int, std::size_t> statuses;
+    for (int number = 0; number < 40; ++number)
+        ++statuses[ask(node, requestOf(number % 2 == 0 ? "/i/1" : "/s/1", std::to_string(number)))->status];
+    EXPECT_EQ(statuses[404], 0U);
+    EXPECT_EQ(statuses[503], 40U);
+    EXPECT_FALSE(other.requests().empty()) << "it was asked";
+}
+
 /// A stream had begun and broke off; the next server answers with an error. Guards against the error's text, or a complete end, in the
 /// stream.
 TEST_F(OnlineTest, AnErrorResponseToAResumeIsNotPartOfTheStream)
