--- a/Tests/LibHttp/TestHttpMessage.cpp
+++ b/Tests/LibHttp/TestHttpMessage.cpp
@@ -1,5 +1,6 @@
 #include "LibHttp/AddressParser.h"
 #include "LibHttp/HttpMessage.h"
+#include "LibHttp/MessageSyntax.h"
 #include "LibHttp/Refusal.h"
 
 #include <boost/url/encode.hpp>
@@ -39,6 +40,33 @@
     RC_ASSERT(headers.find("b") == "3");
 }
 
+/// Guards against text that ends a line of a message's head early.
+RC_GTEST_PROP(MessageSyntax, AcceptedTextHasNoLineEnds, ())
+{
+    auto const text = rc::gen::container<std::string>(
+        rc::gen::oneOf(rc::gen::element('\r', '\n', '\0', ' ', ':', '\t', 'a'), rc::gen::arbitrary<char>()));
+    auto const target = *text;
+    auto const name = *text;
+    auto const value = *text;
+    if (findSyntaxFault(target, {{name, value}}))
+        return;
+    for (auto const *accepted : {&target, &name, &value}) {
+        for (auto const forbidden : {'\r', '\n', '\0'})
+            RC_ASSERT(accepted->find(forbidden) == std::string::npos);
+    }
+    RC_ASSERT(target.find(' ') == std::string::npos);
+    RC_ASSERT(name.find_first_of(" :\t") == std::string::npos);
+}
+
+TEST(MessageSyntax, FaultsAreShownWithoutControlCharacters)
+{
+    EXPECT_EQ(findSyntaxFault("/a?b=%0d", {{"X-A", "b\tc"}}), std::nullopt);
+    EXPECT_EQ(findSyntaxFault("/a\r\nb", {}), "\"/a\\x0d\\x0ab\" is not a request target");
+    EXPECT_EQ(findSyntaxFault("", {}), "\"\" is not a request target");
+    EXPECT_EQ(findSyntaxFault("/", {{"X Y", ""}}), "\"X Y\" is not a header name");
+    EXPECT_EQ(findSyntaxFault("/", {{"X", "a\n"}}), "\"a\\x0a\" is not a value of the header X");
+}
+
 RC_GTEST_PROP(AddressParser, AnyTextRoundTripsOrIsRejected, ())
 {
     auto const piece = rc::gen::element<std::string>("127.0.0.1", "::1", "[", "]", ":", "80", "0", "65536", "-1", "x", " ", ".");
