Wait for the server of a request that may crash servers

A request that servers were lost with was still withdrawn when no head came within the patience of its sender, and on a kept connection even sent to the same server once more, on a new one. Such a request now waits until its deadline.

--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -378,7 +378,7 @@
     context.load.onStarted(server.id, Serving::WorkClass::Online);
     context.placement.onStarted(server, &parts_.head.prefix);
     // If the server has no free slot or no other server is allowed, the request can only wait.
-    auto const responseTimeout = plan_.responseTimeout(false, now);
+    auto const responseTimeout = this->responseTimeout(now);
     if (auto const slowStartTimeout = plan_.responseTimeout(true, now); hasFreeSlot && slowStartTimeout < responseTimeout)
         scheduleSlowStartCheck(now + slowStartTimeout);
     bool const mayRunOnlyOnce = repeatabilityOf(parts_.route) == Repeatability::Unsafe;
@@ -444,7 +444,7 @@
         .request = std::move(request),
         .deadline = deadline_,
         .connectTimeout = ConnectTimeout,
-        .headTimeout = plan_.responseTimeout(false, now),
+        .headTimeout = responseTimeout(now),
         .progressTimeout = std::max(Duration::zero(), deadline_ - now),
         .connection = Http::ClientRequest::Connection::FreshOnly,
     };
@@ -743,6 +743,11 @@
     return !isAnswered_ && parts_.context.prompts.isSuspected(suspects());
 }
 
+Duration OnlineCall::responseTimeout(Instant now) const
+{
+    return mayCrashServers() ? std::max(Duration::zero(), deadline_ - now) : plan_.responseTimeout(false, now);
+}
+
 Serving::RequestSuspects OnlineCall::suspects() const
 {
     return {.parts = parts_.head.promptParts, .request = parts_.head.fingerprint};
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -110,6 +110,8 @@
     void recordLoss(Http::ExchangeFailure const &failure);
     [[nodiscard]] Serving::RequestSuspects suspects() const;
     [[nodiscard]] bool mayCrashServers() const;
+    /// Time in which the response has to start, or the request is sent again.
+    [[nodiscard]] Duration responseTimeout(Instant now) const;
     [[nodiscard]] std::size_t attemptEvents() const;
     void onCallerGone();
     void relayEvents(std::string_view piece);
--- a/Tests/NodeProcesses/TestUnansweredSends.cpp
+++ b/Tests/NodeProcesses/TestUnansweredSends.cpp
@@ -333,3 +333,8 @@
     std::cout << fleet_.crashes(crashing).size() << " crashes, " << late << " late\n";
     EXPECT_LE(late, MaxArrivalsAfterBound);
 }
+
+TEST_F(UnansweredSendTest, EightRequestsThatCrashServersAfterTheirSendersPatienceAreNotRepeated)
+{
+    expectFewTrials(400ms, 8, Cause::Request);
+}
