Run a job although the record of its failures cannot be read

The counts of a job's items are read as the job is loaded. AJobWhoseFailureRecordCannotBeReadIsRun guards against it.

--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -232,7 +232,11 @@
     if (found == knownJobs_.end())
         return;
     found->second.isLoading = false;
-    if (loaded && !counts)
+    // A record that cannot be read must not keep the job from being run.
+    bool const areCountsUnreadable = !counts && counts.error().code == Jobs::JobsError::BadObject;
+    if (areCountsUnreadable)
+        Observe::log(Observe::Events::NodeRecordRejected, {{"record", job.value()}, {"error", counts.error().toString()}});
+    else if (loaded && !counts)
         loaded = tl::unexpected(counts.error());
     if (!loaded) {
         Observe::log(Observe::Events::NodeJobReadFailed, {{"job", job.value()}, {"error", loaded.error().toString()}});
@@ -256,7 +260,7 @@
     auto const age = ageOf(loaded->record.acceptedAt);
     found->second.isEnded = found->second.isEnded || loaded->isEnded;
     jobs_.add(std::move(loaded->record), std::move(loaded->segments), age, now, makeTenure(context_.random));
-    jobs_.setRecordedCounts(job, *counts);
+    jobs_.setRecordedCounts(job, counts ? *counts : Jobs::RecordedCounts());
     if (found->second.isEnded)
         jobs_.onEnded(job);
     policyRoutes_.erase(job);
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -804,6 +804,19 @@
     thread_.call([&] { held.clear(); });
 }
 
+/// Guards against a job that is never run because the record of its failures cannot be read.
+TEST_F(JobsTest, AJobWhoseFailureRecordCannotBeReadIsRun)
+{
+    addServer("s1", complete);
+    for (auto const &kind : {Jobs::failureKind, Jobs::unansweredKind})
+        thread_.call([&] { store_->put(kind.value(), "j", R"({"tenures":[]})"); });
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    ASSERT_EQ(ask(entry, submissionOf("j", 2))->status, 202);
+    EXPECT_EQ(readResults(entry, "j", 2).size(), 2U);
+}
+
 /// The store applies a segment and its responses are lost. Guards against an owner that answers "nothing yet" while others read the segment
 /// from the store.
 TEST_F(JobsTest, ASegmentWhoseStoringHasAnUnknownOutcomeIsNotHidden)
