Tests: let instances that cannot be cut off start while the others are paused

Cause: in the fixture, entries that can be cut off read other addresses of the same servers. An instance that starts asks a peer for the servers if it hears of one before it has the store's list (FleetFollower), as it should. So the entry that was not to be cut off got the addresses of the cut paths, or the other way round. Real instances read the same addresses from all.

Instances of the two kinds now start one kind after the other, while the first is paused. No check is changed.

--- a/Tests/NodeProcesses/TestCutOffInstances.cpp
+++ b/Tests/NodeProcesses/TestCutOffInstances.cpp
@@ -27,11 +27,21 @@
     {
         fleet_.startServers(ServersOfForm, ResponseForm::Whole);
         fleet_.startServers(ServersOfForm);
-        fleet_.startNode("runner-1", Serving::InstanceRole::Runner);
         for (std::size_t number = 1; number <= cuttable; ++number)
             cuttable_.push_back(&fleet_.startCuttableNode("cut-" + std::to_string(number)));
+        for (auto const *entry : cuttable_)
+            fleet_.waitUntilReady(*entry);
+        // An instance that starts asks a peer for the servers if it hears of one before it has the store's list. Here, peers that can be
+        // cut off would name other addresses.
+        for (auto *entry : cuttable_)
+            entry->pause();
+        fleet_.startNode("runner-1", Serving::InstanceRole::Runner);
         for (std::size_t number = 1; number <= others; ++number)
             others_.push_back(&fleet_.startNode("entry-" + std::to_string(number)));
+        for (auto const *entry : others_)
+            fleet_.waitUntilReady(*entry);
+        for (auto *entry : cuttable_)
+            entry->resume();
         for (auto const *entry : cuttable_)
             fleet_.waitUntilReady(*entry);
         for (auto const *entry : others_) {
