Let another trial follow one that the server did not run

Callers saw a sound request refused for 18 to 36 s: three servers were lost with it beside six requests that crash servers, and its trial went to an address that belonged to another server by then, which answered 421 without running it.

Evidence of a trial says now whether the server stated that it did not run it, at all instances and in the stored record, so that the next request is the trial, usually the retry of the same call. The server was reached all the same, so only the first such trial of a quarantine is free: a request that crashes servers gains one send at most.

The unit test guards against both sides and needs the new call.

--- a/Libraries/LibServing/PromptEvidence.cpp
+++ b/Libraries/LibServing/PromptEvidence.cpp
@@ -2,6 +2,7 @@
 
 #include "LibServing/ServingError.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace Anvilyard::Serving {
@@ -13,6 +14,9 @@
 constexpr std::string_view FirstKey = R"({"lost":)";
 /// Number of fields of a lost response whose request is not suspected.
 constexpr std::size_t FieldsWithoutRequest = 4;
+/// Third field of a trial that the server did not run.
+constexpr std::string_view NotRunMark = "not-run";
+constexpr std::size_t FieldsOfTrialWithOutcome = 3;
 constexpr char const *PartTrialsKey = "partTrials";
 constexpr char const *RequestTrialsKey = "requestTrials";
 
@@ -30,8 +34,12 @@
         auto const *id = std::get_if<Id>(&suspect);
         if (!id)
             continue;
-        for (auto const &at : times)
-            trials.push_back(json::array{id->value(), at.time_since_epoch().count()});
+        for (auto const &[at, outcome] : times) {
+            json::array fields{id->value(), at.time_since_epoch().count()};
+            if (outcome == TrialOutcome::NotRun)
+                fields.emplace_back(NotRunMark);
+            trials.push_back(std::move(fields));
+        }
     }
     return trials;
 }
@@ -41,7 +49,10 @@
 {
     for (auto const &trial : trials) {
         auto const &fields = trial.as_array();
-        evidence.trials[Id(fields.at(0).to_number<std::uint64_t>())].insert(toWallInstant(fields.at(1)));
+        bool const isNotRun =
+            fields.size() >= FieldsOfTrialWithOutcome && fields.at(FieldsOfTrialWithOutcome - 1).as_string() == NotRunMark;
+        auto &outcome = evidence.trials[Id(fields.at(0).to_number<std::uint64_t>())][toWallInstant(fields.at(1))];
+        outcome = std::max(outcome, isNotRun ? TrialOutcome::NotRun : TrialOutcome::Unknown);
     }
 }
 
--- a/Libraries/LibServing/PromptEvidence.h
+++ b/Libraries/LibServing/PromptEvidence.h
@@ -8,7 +8,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,6 +26,16 @@
     std::chrono::milliseconds runTime{0};
 };
 
+enum class TrialOutcome {
+    /// The server may have run the request. What became of it is among the lost responses and the answers, if anyone has seen it.
+    Unknown,
+    /// The server stated that it did not run the request.
+    NotRun,
+};
+
+/// Trials of a suspect, by the time at which they were sent.
+using Trials = std::map<WallInstant, TrialOutcome>;
+
 /// Evidence about requests and prompts that may crash servers, as instances exchange it. Merging it repeatedly or in any order has the same
 /// result.
 struct PromptEvidence {
@@ -35,8 +44,8 @@
     std::map<PromptPartId, WallInstant> answered;
     /// When a request in `lost` was last answered.
     std::map<RequestFingerprint, WallInstant> answeredRequests;
-    /// When requests with a suspect were sent as a trial after the end of its quarantine.
-    std::map<Suspect, std::set<WallInstant>> trials;
+    /// Requests with a suspect that were sent as a trial after the end of its quarantine.
+    std::map<Suspect, Trials> trials;
 };
 
 /// Encodes evidence as a JSON text.
--- a/Libraries/LibServing/PromptQuarantine.cpp
+++ b/Libraries/LibServing/PromptQuarantine.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <tuple>
+#include <utility>
 
 namespace Anvilyard::Serving {
 
@@ -113,9 +114,9 @@
         bool const isNew = noteAnsweredRequest(request, at);
         hasNews = hasNews || (isNew && isLost(request));
     }
-    for (auto const &[suspect, times] : evidence.trials) {
-        for (auto const &at : times)
-            hasNews = noteTrial(suspect, at) || hasNews;
+    for (auto const &[suspect, trials] : evidence.trials) {
+        for (auto const &[at, outcome] : trials)
+            hasNews = noteTrial(suspect, at, outcome) || hasNews;
     }
     std::vector<LostResponse> inserted;
     for (auto const &response : evidence.lost) {
@@ -318,7 +319,7 @@
     std::sort(losses.begin(), losses.end(), [](Loss const &left, Loss const &right) { return left.lostAt < right.lostAt; });
     std::size_t independent = 0;
     auto lastIndependentAt = WallInstant::min();
-    auto const trials = unansweredTrials(suspect);
+    auto const trials = countedTrials(suspect);
     auto trial = trials.begin();
     auto const extend = [&](WallInstant at) {
         if (at >= verdict.until)
@@ -360,25 +361,32 @@
     return verdict.until + milliseconds(mix(options_.instanceHash ^ mix(value)) % static_cast<std::uint64_t>(spread));
 }
 
-bool PromptQuarantine::noteTrial(Suspect const &suspect, WallInstant at)
+bool PromptQuarantine::noteTrial(Suspect const &suspect, WallInstant at, TrialOutcome outcome)
 {
     auto &trials = trials_[suspect];
-    bool const isNew = trials.insert(at).second;
+    auto const [trial, isInserted] = trials.try_emplace(at, outcome);
+    bool const isNews = isInserted || trial->second < outcome;
+    trial->second = std::max(trial->second, outcome);
     if (trials.size() <= options_.maxTrials)
-        return isNew;
-    bool const isDropped = *trials.begin() == at;
+        return isNews;
+    bool const isDropped = trials.begin()->first == at;
     trials.erase(trials.begin());
-    return isNew && !isDropped;
+    return isNews && !isDropped;
 }
 
-std::set<WallInstant> PromptQuarantine::unansweredTrials(Suspect const &suspect) const
+std::set<WallInstant> PromptQuarantine::countedTrials(Suspect const &suspect) const
 {
     auto const found = trials_.find(suspect);
     if (found == trials_.end())
         return {};
-    auto trials = found->second;
-    std::erase_if(trials, [&](WallInstant at) { return isExcluded(suspect, at); });
-    return trials;
+    std::set<WallInstant> counted;
+    bool isFirstNotRun = true;
+    for (auto const &[at, outcome] : found->second) {
+        bool const isSpared = outcome == TrialOutcome::NotRun && std::exchange(isFirstNotRun, false);
+        if (!isSpared && !isExcluded(suspect, at))
+            counted.insert(at);
+    }
+    return counted;
 }
 
 WallInstant PromptQuarantine::refusedUntil(Verdict const &verdict) const
@@ -402,7 +410,7 @@
     for (auto const &verdict : verdicts_) {
         if (!contains(suspects, verdict.suspect) || now < endOf(verdict))
             continue;
-        noteTrial(verdict.suspect, now);
+        noteTrial(verdict.suspect, now, TrialOutcome::Unknown);
         tried = verdict.suspect;
     }
     if (tried) {
@@ -412,6 +420,22 @@
     return tried;
 }
 
+void PromptQuarantine::onTrialNotRun(RequestSuspects const &suspects, WallInstant sentAt)
+{
+    bool hasNews = false;
+    for (auto &[suspect, trials] : trials_) {
+        if (!contains(suspects, suspect) || !trials.contains(sentAt))
+            continue;
+        hasNews = noteTrial(suspect, sentAt, TrialOutcome::NotRun) || hasNews;
+        // The next request with the suspect is the trial now.
+        placedUntil_.erase(suspect);
+    }
+    if (hasNews) {
+        ++version_;
+        refreshVerdicts();
+    }
+}
+
 std::optional<PromptQuarantine::Match> PromptQuarantine::find(std::span<PromptPartId const> parts, WallInstant now) const
 {
     if (verdicts_.empty())
--- a/Libraries/LibServing/PromptQuarantine.h
+++ b/Libraries/LibServing/PromptQuarantine.h
@@ -72,6 +72,9 @@
     /// Records that a request is sent to a server. Returns the suspect if it is a trial after the end of a quarantine. A trial counts for
     /// all instances from when it is sent, as its outcome may never be seen: its sender may end it, or end itself.
     std::optional<Suspect> onSent(RequestSuspects const &suspects, WallInstant now);
+    /// Records that the server did not run the trial that was sent at this time, so that another one may follow at once. It has reached
+    /// a server all the same, so only the first such trial of a quarantine does not count.
+    void onTrialNotRun(RequestSuspects const &suspects, WallInstant sentAt);
     /// Merges the evidence of another instance. Returns whether any of it is new.
     bool merge(PromptEvidence const &evidence, WallInstant now);
 
@@ -162,10 +165,10 @@
     [[nodiscard]] WallInstant endOf(Verdict const &verdict) const;
     /// Time until which requests with the suspect are refused, because of the quarantine or of a trial that is about to be sent.
     [[nodiscard]] WallInstant refusedUntil(Verdict const &verdict) const;
-    /// Returns whether the trial was not known.
-    bool noteTrial(Suspect const &suspect, WallInstant at);
-    /// Trials of the suspect that no answer followed.
-    [[nodiscard]] std::set<WallInstant> unansweredTrials(Suspect const &suspect) const;
+    /// Returns whether this was not known of the trial.
+    bool noteTrial(Suspect const &suspect, WallInstant at, TrialOutcome outcome);
+    /// Trials of the suspect that no answer followed, without the first one that was not run.
+    [[nodiscard]] std::set<WallInstant> countedTrials(Suspect const &suspect) const;
 
     PromptQuarantineOptions options_;
     /// Ordered by their times.
@@ -177,8 +180,8 @@
     std::vector<Verdict> verdicts_;
     /// Suspects of which this instance is about to send a trial, with the time until which others wait for it.
     std::map<Suspect, WallInstant> placedUntil_;
-    /// When requests with a suspect were sent as a trial, by any instance.
-    std::map<Suspect, std::set<WallInstant>> trials_;
+    /// Sent by any instance.
+    std::map<Suspect, Trials> trials_;
     std::uint64_t version_ = 0;
 };
 
--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -63,14 +63,15 @@
             },
     };
     auto const self = shared_from_this();
-    exchange_ = context_.serverClient->send(std::move(request),
-                                            {
-                                                .onHead = [self](Http::ResponseHead const &head) { self->onHead(head); },
-                                                .onPiece = [self](std::string_view piece) { self->onPiece(piece); },
-                                                .onEnd = [self] { self->onResponseEnd(); },
-                                                .onFailure = [self](Http::ExchangeFailure const &failure) { self->onFailure(failure); },
-                                                .onSending = [self] { self->context_.prompts.onSent(self->suspects_); },
-                                            });
+    exchange_ =
+        context_.serverClient->send(std::move(request),
+                                    {
+                                        .onHead = [self](Http::ResponseHead const &head) { self->onHead(head); },
+                                        .onPiece = [self](std::string_view piece) { self->onPiece(piece); },
+                                        .onEnd = [self] { self->onResponseEnd(); },
+                                        .onFailure = [self](Http::ExchangeFailure const &failure) { self->onFailure(failure); },
+                                        .onSending = [self] { self->trialSentAt_ = self->context_.prompts.onSent(self->suspects_); },
+                                    });
 }
 
 void ItemRun::onHead(Http::ResponseHead const &head)
@@ -79,6 +80,8 @@
     status_ = head.status;
     recordResponse(context_, server_, traits, startedAt_);
     reportIfLeaving(context_, server_, traits);
+    if (trialSentAt_ && traits.isNotRun)
+        context_.prompts.onTrialNotRun(suspects_, *trialSentAt_);
     health_.onEvidence(server_.id, Routing::ServerEvidence::Answered);
     bool const isInvalid = status_ == Ok && (!traits.isSigned || traits.isEncoded);
     if (isInvalid)
--- a/Services/Node/ItemRun.h
+++ b/Services/Node/ItemRun.h
@@ -58,6 +58,8 @@
     Serving::EventReader events_;
     std::shared_ptr<Http::Exchange> exchange_;
     Instant startedAt_;
+    /// Set if this is the trial of a suspect after the end of its quarantine.
+    std::optional<WallInstant> trialSentAt_;
     int status_ = 0;
     bool isEnded_ = false;
 };
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -477,7 +477,7 @@
 {
     // The other instance records what it sends to a server.
     if (!isAnswered_ && !attempt_->helper)
-        parts_.context.prompts.onSent(suspects());
+        attempt_->trialSentAt = parts_.context.prompts.onSent(suspects());
 }
 
 void OnlineCall::onHead(Http::ResponseHead head)
@@ -632,6 +632,8 @@
     }
     if (attempt_->helper)
         return endRelayed();
+    if (attempt_->trialSentAt && attempt_->traits.isNotRun)
+        parts_.context.prompts.onTrialNotRun(suspects(), *attempt_->trialSentAt);
     auto const server = attempt_->server.id;
     auto const now = readLocalClock();
     auto const others = parts_.context.peers.othersAt(server);
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -50,6 +50,8 @@
         /// Unset version in `server` for a send to another instance, until its response names a known server.
         bool isVersionKnown = true;
         Instant sentAt;
+        /// Set if this is the trial of a suspect after the end of its quarantine.
+        std::optional<WallInstant> trialSentAt = {};
         Serving::EventReader events;
         /// Events of the stream before this attempt.
         std::size_t earlierEvents = 0;
--- a/Services/Node/PromptGuard.cpp
+++ b/Services/Node/PromptGuard.cpp
@@ -50,16 +50,30 @@
     quarantine_.onPlaced(suspects, readClocks().wall);
 }
 
-void PromptGuard::onSent(Serving::RequestSuspects const &suspects)
+std::optional<WallInstant> PromptGuard::onSent(Serving::RequestSuspects const &suspects)
 {
     auto const now = readClocks().wall;
     auto const version = quarantine_.version();
     auto const suspect = quarantine_.onSent(suspects, now);
     if (!suspect)
-        return;
+        return std::nullopt;
     Observe::log(Observe::Events::NodeQuarantineTrial, {{"suspect", toText(*suspect)}});
     logChanges(now);
     countChange(version);
+    return now;
+}
+
+void PromptGuard::onTrialNotRun(Serving::RequestSuspects const &suspects, WallInstant sentAt)
+{
+    auto const version = quarantine_.version();
+    quarantine_.onTrialNotRun(suspects, sentAt);
+    if (quarantine_.version() == version)
+        return;
+    Observe::log(Observe::Events::NodeQuarantineTrialNotRun,
+                 {{"fingerprint", suspects.request ? Serving::toString(*suspects.request) : "none"},
+                  {"prompt_parts", Serving::toString(suspects.parts)}});
+    ++ownChanges_;
+    logChanges(readClocks().wall);
 }
 
 void PromptGuard::onAnswered(Serving::RequestSuspects const &suspects)
--- a/Services/Node/PromptGuard.h
+++ b/Services/Node/PromptGuard.h
@@ -19,8 +19,10 @@
 
     /// Records that such a request is about to be sent to a server, if a connection can be made.
     void onPlaced(Serving::RequestSuspects const &suspects);
-    /// Records that such a request is sent to a server.
-    void onSent(Serving::RequestSuspects const &suspects);
+    /// Records that such a request is sent to a server. Returns the time of the trial if it is one after the end of a quarantine.
+    std::optional<WallInstant> onSent(Serving::RequestSuspects const &suspects);
+    /// Records that the server did not run the trial that was sent at this time.
+    void onTrialNotRun(Serving::RequestSuspects const &suspects, WallInstant sentAt);
     /// Records that a server generates an answer to such a request.
     void onAnswered(Serving::RequestSuspects const &suspects);
     /// Records that the connection to a server ended after the request was sent and before it was answered.
--- a/Tests/LibServing/TestPromptQuarantine.cpp
+++ b/Tests/LibServing/TestPromptQuarantine.cpp
@@ -179,6 +179,42 @@
     EXPECT_TRUE(isRefused({crashingPart}, end + 60s));
 }
 
+/// The address of a trial's server may belong to another server by now, which states that it did not run the request. Guards against
+/// refusing sound requests for long because of it, and against sending crashing ones to servers again and again.
+TEST_F(PromptQuarantineTest, OneTrialThatWasNotRunIsRepeatedAtOnceByAnyInstance)
+{
+    PromptQuarantine other{PromptQuarantineOptions{}};
+    for (std::size_t server = 0; server < 3; ++server)
+        quarantine_.onLost(serverNumber(server), std::array{crashingPart}, testStart);
+    RequestSuspects const suspects{.parts = {firstPart, crashingPart}};
+    auto const passOn = [&](WallInstant now) {
+        for (auto const &message : splitPromptEvidence(quarantine_.evidence(), 1)) {
+            auto const evidence = decodePromptEvidence(encodePromptEvidence(message));
+            ASSERT_TRUE(evidence);
+            other.merge(*evidence, now);
+        }
+    };
+    auto const first = testStart + 10s;
+    EXPECT_EQ(quarantine_.onSent(suspects, first), Suspect(crashingPart));
+    passOn(first);
+    EXPECT_TRUE(other.find(suspects, first + 5ms));
+    auto const version = quarantine_.version();
+    quarantine_.onTrialNotRun(suspects, first);
+    EXPECT_GT(quarantine_.version(), version) << "other instances have to receive it";
+    EXPECT_FALSE(isRefused({crashingPart}, first + 5ms));
+    passOn(first + 5ms);
+    EXPECT_FALSE(other.find(suspects, first + 10ms));
+    quarantine_.merge(other.evidence(), first + 10ms);
+    EXPECT_FALSE(quarantine_.merge(other.evidence(), first + 10ms)) << "it is no news";
+
+    auto const second = first + 20ms;
+    EXPECT_EQ(quarantine_.onSent(suspects, second), Suspect(crashingPart));
+    quarantine_.onTrialNotRun(suspects, second);
+    EXPECT_TRUE(isRefused({crashingPart}, second + 59s)) << "both have reached servers";
+    quarantine_.onAnswered(suspects, second + 60s);
+    EXPECT_FALSE(isRefused({crashingPart}, second + 60s));
+}
+
 /// Guards against a trial by each instance, as those that did not send one know nothing of it.
 TEST_F(PromptQuarantineTest, ATrialHoldsThePartAtAllInstances)
 {
