Reserve the trial of a quarantined request in the store before it is sent

Servers got a request that crashes them from several entries within milliseconds: its quarantine had ended at each entry, the request came at all of them at once, and no entry had heard of the others' trials. Each cost a server.

An instance now writes the trial into the record of quarantines, with the version that it has read, before it sends the request. Whoever comes second reads the trial and refuses. The evidence also says that a reserved trial was not sent, as its call ended or no server could be connected to; such a trial never counts. Trials use a connection of their own, as a stale one would use the trial up. Without an answer of the store within 300 ms the trial is sent as before, since sound requests need it, and others learn of it from their peers.

--- a/Libraries/LibServing/PromptEvidence.cpp
+++ b/Libraries/LibServing/PromptEvidence.cpp
@@ -14,9 +14,10 @@
 constexpr std::string_view FirstKey = R"({"lost":)";
 /// Number of fields of a lost response whose request is not suspected.
 constexpr std::size_t FieldsWithoutRequest = 4;
-/// Third field of a trial that the server did not run.
+/// Position of the outcome of a trial, if it is known.
+constexpr std::size_t TrialOutcomeField = 2;
 constexpr std::string_view NotRunMark = "not-run";
-constexpr std::size_t FieldsOfTrialWithOutcome = 3;
+constexpr std::string_view NotSentMark = "not-sent";
 constexpr char const *PartTrialsKey = "partTrials";
 constexpr char const *RequestTrialsKey = "requestTrials";
 
@@ -25,6 +26,16 @@
     return WallInstant(std::chrono::milliseconds(value.to_number<std::int64_t>()));
 }
 
+TrialOutcome readOutcome(json::array const &trial)
+{
+    if (trial.size() <= TrialOutcomeField)
+        return TrialOutcome::Unknown;
+    auto const &mark = trial.at(TrialOutcomeField).as_string();
+    if (mark == NotSentMark)
+        return TrialOutcome::NotSent;
+    return mark == NotRunMark ? TrialOutcome::NotRun : TrialOutcome::Unknown;
+}
+
 /// The trials of suspects of one kind.
 template<typename Id>
 json::array encodeTrials(PromptEvidence const &evidence)
@@ -36,8 +47,8 @@
             continue;
         for (auto const &[at, outcome] : times) {
             json::array fields{id->value(), at.time_since_epoch().count()};
-            if (outcome == TrialOutcome::NotRun)
-                fields.emplace_back(NotRunMark);
+            if (outcome != TrialOutcome::Unknown)
+                fields.emplace_back(outcome == TrialOutcome::NotRun ? NotRunMark : NotSentMark);
             trials.push_back(std::move(fields));
         }
     }
@@ -49,10 +60,8 @@
 {
     for (auto const &trial : trials) {
         auto const &fields = trial.as_array();
-        bool const isNotRun =
-            fields.size() >= FieldsOfTrialWithOutcome && fields.at(FieldsOfTrialWithOutcome - 1).as_string() == NotRunMark;
         auto &outcome = evidence.trials[Id(fields.at(0).to_number<std::uint64_t>())][toWallInstant(fields.at(1))];
-        outcome = std::max(outcome, isNotRun ? TrialOutcome::NotRun : TrialOutcome::Unknown);
+        outcome = std::max(outcome, readOutcome(fields));
     }
 }
 
--- a/Libraries/LibServing/PromptEvidence.h
+++ b/Libraries/LibServing/PromptEvidence.h
@@ -31,9 +31,11 @@
     Unknown,
     /// The server stated that it did not run the request.
     NotRun,
+    /// The request was not sent, as no connection to a server could be made, for example.
+    NotSent,
 };
 
-/// Trials of a suspect, by the time at which they were sent.
+/// Trials of a suspect, by the time from which they count.
 using Trials = std::map<WallInstant, TrialOutcome>;
 
 /// Evidence about requests and prompts that may crash servers, as instances exchange it. Merging it repeatedly or in any order has the same
--- a/Libraries/LibServing/PromptQuarantine.cpp
+++ b/Libraries/LibServing/PromptQuarantine.cpp
@@ -383,7 +383,7 @@
     bool isFirstNotRun = true;
     for (auto const &[at, outcome] : found->second) {
         bool const isSpared = outcome == TrialOutcome::NotRun && std::exchange(isFirstNotRun, false);
-        if (!isSpared && !isExcluded(suspect, at))
+        if (!isSpared && outcome != TrialOutcome::NotSent && !isExcluded(suspect, at))
             counted.insert(at);
     }
     return counted;
@@ -420,13 +420,13 @@
     return tried;
 }
 
-void PromptQuarantine::onTrialNotRun(RequestSuspects const &suspects, WallInstant sentAt)
+void PromptQuarantine::onTrialEnded(RequestSuspects const &suspects, WallInstant trialAt, TrialOutcome outcome)
 {
     bool hasNews = false;
     for (auto &[suspect, trials] : trials_) {
-        if (!contains(suspects, suspect) || !trials.contains(sentAt))
+        if (!contains(suspects, suspect) || !trials.contains(trialAt))
             continue;
-        hasNews = noteTrial(suspect, sentAt, TrialOutcome::NotRun) || hasNews;
+        hasNews = noteTrial(suspect, trialAt, outcome) || hasNews;
         // The next request with the suspect is the trial now.
         placedUntil_.erase(suspect);
     }
@@ -452,6 +452,13 @@
     return std::nullopt;
 }
 
+bool PromptQuarantine::isTrial(RequestSuspects const &suspects, WallInstant now) const
+{
+    bool const isHeld =
+        std::ranges::any_of(verdicts_, [&](Verdict const &verdict) { return contains(suspects, verdict.suspect) && now < endOf(verdict); });
+    return !isHeld && std::ranges::any_of(verdicts_, [&](Verdict const &verdict) { return contains(suspects, verdict.suspect); });
+}
+
 std::map<Suspect, WallInstant> PromptQuarantine::quarantined(WallInstant now) const
 {
     std::map<Suspect, WallInstant> found;
@@ -507,6 +514,16 @@
     return evidence;
 }
 
+PromptEvidence PromptQuarantine::evidenceWithTrial(RequestSuspects const &suspects, WallInstant now) const
+{
+    auto evidence = this->evidence();
+    for (auto const &verdict : verdicts_) {
+        if (contains(suspects, verdict.suspect) && now >= endOf(verdict))
+            evidence.trials[verdict.suspect].try_emplace(now, TrialOutcome::Unknown);
+    }
+    return evidence;
+}
+
 std::uint64_t PromptQuarantine::version() const
 {
     return version_;
--- a/Libraries/LibServing/PromptQuarantine.h
+++ b/Libraries/LibServing/PromptQuarantine.h
@@ -72,15 +72,17 @@
     /// Records that a request is sent to a server. Returns the suspect if it is a trial after the end of a quarantine. A trial counts for
     /// all instances from when it is sent, as its outcome may never be seen: its sender may end it, or end itself.
     std::optional<Suspect> onSent(RequestSuspects const &suspects, WallInstant now);
-    /// Records that the server did not run the trial that was sent at this time, so that another one may follow at once. It has reached
-    /// a server all the same, so only the first such trial of a quarantine does not count.
-    void onTrialNotRun(RequestSuspects const &suspects, WallInstant sentAt);
+    /// Records what became of the trial that counts from this time. After one that was not sent, or not run, another one may follow at
+    /// once. One that was not run has reached a server all the same, so only the first such trial of a quarantine does not count.
+    void onTrialEnded(RequestSuspects const &suspects, WallInstant trialAt, TrialOutcome outcome);
     /// Merges the evidence of another instance. Returns whether any of it is new.
     bool merge(PromptEvidence const &evidence, WallInstant now);
 
     /// Returns the suspect for which a request has to be refused, if there is one.
     [[nodiscard]] std::optional<Match> find(RequestSuspects const &suspects, WallInstant now) const;
     [[nodiscard]] std::optional<Match> find(std::span<PromptPartId const> parts, WallInstant now) const;
+    /// Whether a request that is sent now is a trial after the end of a quarantine.
+    [[nodiscard]] bool isTrial(RequestSuspects const &suspects, WallInstant now) const;
     /// All suspects in quarantine, with the time of its end.
     [[nodiscard]] std::map<Suspect, WallInstant> quarantined(WallInstant now) const;
     /// Server processes that were lost with the suspect and for which no other suspect is in quarantine.
@@ -93,6 +95,8 @@
     [[nodiscard]] bool isExcluded(Suspect const &suspect, WallInstant lostAt) const;
     /// What other instances need to know, first what holds the quarantines; empty if there is nothing.
     [[nodiscard]] PromptEvidence evidence() const;
+    /// The same with such a request as a trial from now on.
+    [[nodiscard]] PromptEvidence evidenceWithTrial(RequestSuspects const &suspects, WallInstant now) const;
     /// Increases with each change of evidence() that other instances should receive at once.
     [[nodiscard]] std::uint64_t version() const;
 
@@ -167,7 +171,7 @@
     [[nodiscard]] WallInstant refusedUntil(Verdict const &verdict) const;
     /// Returns whether this was not known of the trial.
     bool noteTrial(Suspect const &suspect, WallInstant at, TrialOutcome outcome);
-    /// Trials of the suspect that no answer followed, without the first one that was not run.
+    /// Trials of the suspect that may have reached a server and that no answer followed, without the first one that was not run.
     [[nodiscard]] std::set<WallInstant> countedTrials(Suspect const &suspect) const;
 
     PromptQuarantineOptions options_;
--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -47,6 +47,20 @@
     itemId_ = item.id;
     suspects_ = suspectsOf(context_, item, host);
     context_.load.onStarted(server_.id, Serving::WorkClass::Batch);
+    if (!context_.prompts.isTrial(suspects_))
+        return send(item, host);
+    context_.reserveTrial(suspects_, [self = shared_from_this(), item, host](std::optional<WallInstant> trialAt) {
+        self->trialAt_ = trialAt;
+        if (self->isEnded_)
+            return self->returnTrial();
+        if (!trialAt)
+            return self->finish(SendEnd::Unserved);
+        self->send(item, host);
+    });
+}
+
+void ItemRun::send(Jobs::JobItem const &item, std::string const &host)
+{
     context_.prompts.onPlaced(suspects_);
     Http::ClientRequest request{
         .server = server_.address,
@@ -63,15 +77,27 @@
             },
     };
     auto const self = shared_from_this();
-    exchange_ =
-        context_.serverClient->send(std::move(request),
-                                    {
-                                        .onHead = [self](Http::ResponseHead const &head) { self->onHead(head); },
-                                        .onPiece = [self](std::string_view piece) { self->onPiece(piece); },
-                                        .onEnd = [self] { self->onResponseEnd(); },
-                                        .onFailure = [self](Http::ExchangeFailure const &failure) { self->onFailure(failure); },
-                                        .onSending = [self] { self->trialSentAt_ = self->context_.prompts.onSent(self->suspects_); },
-                                    });
+    exchange_ = context_.serverClient->send(std::move(request),
+                                            {
+                                                .onHead = [self](Http::ResponseHead const &head) { self->onHead(head); },
+                                                .onPiece = [self](std::string_view piece) { self->onPiece(piece); },
+                                                .onEnd = [self] { self->onResponseEnd(); },
+                                                .onFailure = [self](Http::ExchangeFailure const &failure) { self->onFailure(failure); },
+                                                .onSending = [self] { self->onSending(); },
+                                            });
+}
+
+void ItemRun::onSending()
+{
+    isSent_ = true;
+    if (!trialAt_)
+        trialAt_ = context_.prompts.onSent(suspects_);
+}
+
+void ItemRun::returnTrial()
+{
+    if (trialAt_ && !isSent_)
+        context_.prompts.onTrialEnded(suspects_, *trialAt_, Serving::TrialOutcome::NotSent);
 }
 
 void ItemRun::onHead(Http::ResponseHead const &head)
@@ -80,8 +106,8 @@
     status_ = head.status;
     recordResponse(context_, server_, traits, startedAt_);
     reportIfLeaving(context_, server_, traits);
-    if (trialSentAt_ && traits.isNotRun)
-        context_.prompts.onTrialNotRun(suspects_, *trialSentAt_);
+    if (trialAt_ && traits.isNotRun)
+        context_.prompts.onTrialEnded(suspects_, *trialAt_, Serving::TrialOutcome::NotRun);
     health_.onEvidence(server_.id, Routing::ServerEvidence::Answered);
     bool const isInvalid = status_ == Ok && (!traits.isSigned || traits.isEncoded);
     if (isInvalid)
@@ -206,6 +232,7 @@
     if (auto const exchange = std::exchange(exchange_, nullptr))
         exchange->cancel();
     context_.load.onFinished(server_.id, Serving::WorkClass::Batch);
+    returnTrial();
     hooks_ = {};
 }
 
--- a/Services/Node/ItemRun.h
+++ b/Services/Node/ItemRun.h
@@ -36,6 +36,10 @@
     [[nodiscard]] bool isSentWithCare() const;
 
 private:
+    void send(Jobs::JobItem const &item, std::string const &host);
+    void onSending();
+    /// Gives a trial back that was not sent.
+    void returnTrial();
     void onHead(Http::ResponseHead const &head);
     void onPiece(std::string_view piece);
     void onResponseEnd();
@@ -58,8 +62,10 @@
     Serving::EventReader events_;
     std::shared_ptr<Http::Exchange> exchange_;
     Instant startedAt_;
-    /// Set if this is the trial of a suspect after the end of its quarantine.
-    std::optional<WallInstant> trialSentAt_;
+    /// Time from which this run counts as the trial of a suspect after the end of its quarantine; unset for other runs.
+    std::optional<WallInstant> trialAt_;
+    /// Whether the item may have reached the server.
+    bool isSent_ = false;
     int status_ = 0;
     bool isEnded_ = false;
 };
--- a/Services/Node/NodeContext.h
+++ b/Services/Node/NodeContext.h
@@ -71,6 +71,9 @@
     std::size_t relayedCalls = 0;
     /// Refuses requests that crash servers.
     PromptGuard prompts{{.expirySpread = QuarantineExpirySpread, .instanceHash = std::hash<InstanceId>{}(settings.instance)}};
+    /// Called before a trial of a request that may crash servers is sent. Calls back with the time from which it counts; without one if
+    /// another instance sends a trial.
+    std::function<void(Serving::RequestSuspects, std::function<void(std::optional<WallInstant>)>)> reserveTrial = {};
     /// Whether it is known which requests crash servers and which runners own which jobs, so that items may be sent.
     bool maySendItems = false;
     /// Limits of servers that take only so many requests a second.
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -156,6 +156,9 @@
     if (auto exchangeStarted = peerReports_.start(); !exchangeStarted)
         return exchangeStarted;
     context_.load.onChange([this] { onLoadChanged(); });
+    context_.reserveTrial = [this](Serving::RequestSuspects suspects, std::function<void(std::optional<WallInstant>)> onDecided) {
+        quarantines_.reserveTrial(std::move(suspects), std::move(onDecided));
+    };
     context_.onServerLeaving = [this](Serving::ServerRecord const &server) { fleet_.onServerLeaving(server); };
     peerReports_.setStage(Serving::InstanceStage::Serving);
     fleet_.start();
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -237,10 +237,12 @@
 
 void OnlineCall::placeAndSend()
 {
-    if (refuseIfQuarantined())
+    if (!reservedTrial_ && refuseIfQuarantined())
         return;
     if (auto const helper = chooseHelper())
         return sendToHelper(*helper);
+    if (!reservedTrial_ && !isAnswered_ && parts_.context.prompts.isTrial(suspects()))
+        return reserveTrial();
     // A stream that may run at no further server is resumed at the server where it ran.
     if (auto const only = plan_.onlyServer()) {
         auto const server = parts_.context.directory.find(*only, readLocalClock());
@@ -258,7 +260,8 @@
         parts_.metrics.expectedWaitSeconds.record(toSeconds(placement.shortestWait));
     switch (placement.outcome) {
     case Serving::Placement::Outcome::Chosen:
-        return sendWithPermit(placement.server, placement.hasFreeSlot, Connection::Any);
+        // A kept connection may be stale, and a trial is not repeated.
+        return sendWithPermit(placement.server, placement.hasFreeSlot, reservedTrial_ ? Connection::Fresh : Connection::Any);
     case Serving::Placement::Outcome::Full:
         logNoPlacement(placement, latencyTarget);
         return refuse(Refusals::overloaded(returnDelay(placement)));
@@ -275,6 +278,26 @@
     }
 }
 
+void OnlineCall::reserveTrial()
+{
+    parts_.context.reserveTrial(suspects(), [self = shared_from_this()](std::optional<WallInstant> trialAt) {
+        self->reservedTrial_ = trialAt;
+        if (self->isFinished_)
+            return self->returnTrial();
+        // Another instance sends a trial. Its outcome is known to all within seconds.
+        if (!trialAt && !self->refuseIfQuarantined())
+            return self->refuseAfterAttempts();
+        if (trialAt)
+            self->placeAndSend();
+    });
+}
+
+void OnlineCall::returnTrial()
+{
+    if (auto const trialAt = std::exchange(reservedTrial_, std::nullopt))
+        parts_.context.prompts.onTrialEnded(suspects(), *trialAt, Serving::TrialOutcome::NotSent);
+}
+
 void OnlineCall::sendWithPermit(Serving::ServerRecord const &server, bool hasFreeSlot, Connection connection)
 {
     if (!parts_.context.limits.isLimited(server))
@@ -427,6 +450,8 @@
     auto &context = parts_.context;
     ++attempts_;
     parts_.metrics.relayedSends.add();
+    // The other instance reserves a trial of its own.
+    returnTrial();
     // Each send counts as one server, as the other instance sends the request to one.
     Serving::ServerRecord server{
         .id = ServerId(helper.id.value() + "/" + std::to_string(attempts_)), .pool = pool_, .address = helper.address};
@@ -477,7 +502,7 @@
 {
     // The other instance records what it sends to a server.
     if (!isAnswered_ && !attempt_->helper)
-        attempt_->trialSentAt = parts_.context.prompts.onSent(suspects());
+        attempt_->trialAt = reservedTrial_ ? std::exchange(reservedTrial_, std::nullopt) : parts_.context.prompts.onSent(suspects());
 }
 
 void OnlineCall::onHead(Http::ResponseHead head)
@@ -632,8 +657,8 @@
     }
     if (attempt_->helper)
         return endRelayed();
-    if (attempt_->trialSentAt && attempt_->traits.isNotRun)
-        parts_.context.prompts.onTrialNotRun(suspects(), *attempt_->trialSentAt);
+    if (attempt_->trialAt && attempt_->traits.isNotRun)
+        parts_.context.prompts.onTrialEnded(suspects(), *attempt_->trialAt, Serving::TrialOutcome::NotRun);
     auto const server = attempt_->server.id;
     auto const now = readLocalClock();
     auto const others = parts_.context.peers.othersAt(server);
@@ -981,6 +1006,7 @@
 {
     if (std::exchange(isFinished_, true))
         return;
+    returnTrial();
     if (parts_.relay)
         --parts_.context.relayedCalls;
     auto const now = readLocalClock();
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -50,8 +50,8 @@
         /// Unset version in `server` for a send to another instance, until its response names a known server.
         bool isVersionKnown = true;
         Instant sentAt;
-        /// Set if this is the trial of a suspect after the end of its quarantine.
-        std::optional<WallInstant> trialSentAt = {};
+        /// Time from which this send counts as the trial of a suspect after the end of its quarantine; unset for other sends.
+        std::optional<WallInstant> trialAt = {};
         Serving::EventReader events;
         /// Events of the stream before this attempt.
         std::size_t earlierEvents = 0;
@@ -80,6 +80,10 @@
     /// Records where a new stream begins.
     void onStreamBegins();
     void placeAndSend();
+    /// Asks whether this request may be the trial of a suspect, and then places it or refuses it.
+    void reserveTrial();
+    /// Gives a trial back that was not sent.
+    void returnTrial();
     /// Sends the request if the server has no limit or a permit is granted. Otherwise it is placed again, without that server.
     void sendWithPermit(Serving::ServerRecord const &server, bool hasFreeSlot, Connection connection);
     void onPermitDenied();
@@ -171,6 +175,8 @@
     std::set<Serving::SoftwareVersion> softwareVersions_;
     /// A server has generated more than the events that a crashing one may send.
     bool isAnswered_ = false;
+    /// Time from which the next send counts as the trial of a suspect.
+    std::optional<WallInstant> reservedTrial_;
     bool isFinished_ = false;
 };
 
--- a/Services/Node/PromptGuard.cpp
+++ b/Services/Node/PromptGuard.cpp
@@ -52,25 +52,30 @@
 
 std::optional<WallInstant> PromptGuard::onSent(Serving::RequestSuspects const &suspects)
 {
-    auto const now = readClocks().wall;
+    return onSent(suspects, readClocks().wall);
+}
+
+std::optional<WallInstant> PromptGuard::onSent(Serving::RequestSuspects const &suspects, WallInstant at)
+{
     auto const version = quarantine_.version();
-    auto const suspect = quarantine_.onSent(suspects, now);
+    auto const suspect = quarantine_.onSent(suspects, at);
     if (!suspect)
         return std::nullopt;
     Observe::log(Observe::Events::NodeQuarantineTrial, {{"suspect", toText(*suspect)}});
-    logChanges(now);
+    logChanges(at);
     countChange(version);
-    return now;
+    return at;
 }
 
-void PromptGuard::onTrialNotRun(Serving::RequestSuspects const &suspects, WallInstant sentAt)
+void PromptGuard::onTrialEnded(Serving::RequestSuspects const &suspects, WallInstant trialAt, Serving::TrialOutcome outcome)
 {
     auto const version = quarantine_.version();
-    quarantine_.onTrialNotRun(suspects, sentAt);
+    quarantine_.onTrialEnded(suspects, trialAt, outcome);
     if (quarantine_.version() == version)
         return;
     Observe::log(Observe::Events::NodeQuarantineTrialNotRun,
-                 {{"fingerprint", suspects.request ? Serving::toString(*suspects.request) : "none"},
+                 {{"was", outcome == Serving::TrialOutcome::NotRun ? "not-run" : "not-sent"},
+                  {"fingerprint", suspects.request ? Serving::toString(*suspects.request) : "none"},
                   {"prompt_parts", Serving::toString(suspects.parts)}});
     ++ownChanges_;
     logChanges(readClocks().wall);
@@ -162,6 +167,11 @@
         logChanges(now);
 }
 
+bool PromptGuard::isTrial(Serving::RequestSuspects const &suspects) const
+{
+    return quarantine_.isTrial(suspects, readClocks().wall);
+}
+
 bool PromptGuard::hasEnded(Serving::ServerProcess const &server) const
 {
     return quarantine_.hasEnded(server);
--- a/Services/Node/PromptGuard.h
+++ b/Services/Node/PromptGuard.h
@@ -21,8 +21,12 @@
     void onPlaced(Serving::RequestSuspects const &suspects);
     /// Records that such a request is sent to a server. Returns the time of the trial if it is one after the end of a quarantine.
     std::optional<WallInstant> onSent(Serving::RequestSuspects const &suspects);
-    /// Records that the server did not run the trial that was sent at this time.
-    void onTrialNotRun(Serving::RequestSuspects const &suspects, WallInstant sentAt);
+    /// The same for a request that counts as a trial from an earlier time.
+    std::optional<WallInstant> onSent(Serving::RequestSuspects const &suspects, WallInstant at);
+    /// Records what became of the trial that counts from this time.
+    void onTrialEnded(Serving::RequestSuspects const &suspects, WallInstant trialAt, Serving::TrialOutcome outcome);
+    /// Whether a request that is sent now is a trial after the end of a quarantine.
+    [[nodiscard]] bool isTrial(Serving::RequestSuspects const &suspects) const;
     /// Records that a server generates an answer to such a request.
     void onAnswered(Serving::RequestSuspects const &suspects);
     /// Records that the connection to a server ended after the request was sent and before it was answered.
--- a/Services/Node/QuarantineRegister.cpp
+++ b/Services/Node/QuarantineRegister.cpp
@@ -3,6 +3,7 @@
 #include "LibObserve/Events.h"
 
 #include <random>
+#include <utility>
 
 namespace Anvilyard::Node {
 
@@ -19,6 +20,8 @@
 constexpr Duration RetryDelay = 200ms;
 /// Interval of the writes of one instance, as each crash of a series changes the evidence.
 constexpr Duration WriteInterval = 100ms;
+/// Time for which a trial waits for the store.
+constexpr Duration MaxReservationWait = 300ms;
 
 } // namespace
 
@@ -64,6 +67,62 @@
     return isRead_ || now >= waitsUntil_;
 }
 
+void QuarantineRegister::reserveTrial(Serving::RequestSuspects suspects, std::function<void(std::optional<WallInstant>)> onDecided)
+{
+    // Others at this instance wait for the trial.
+    context_.prompts.onPlaced(suspects);
+    auto const reservation = std::make_shared<Reservation>(Reservation{.suspects = std::move(suspects), .onDecided = std::move(onDecided)});
+    reservation->timeout = context_.loop.at(readLocalClock() + MaxReservationWait, [this, weak = std::weak_ptr(reservation)] {
+        if (auto const waiting = weak.lock())
+            decide(*waiting, waiting->writtenAt.value_or(readClocks().wall));
+    });
+    tryToReserve(reservation);
+}
+
+void QuarantineRegister::tryToReserve(std::shared_ptr<Reservation> const &reservation)
+{
+    context_.store.get(CallClass::Commit, quarantineKind, evidenceName, [this, reservation](Result<Object> stored) {
+        writeTrial(reservation, std::move(stored));
+    });
+}
+
+void QuarantineRegister::writeTrial(std::shared_ptr<Reservation> const &reservation, Result<Object> stored)
+{
+    if (!reservation->onDecided)
+        return;
+    auto const now = readClocks().wall;
+    bool const isNew = !stored && stored.error().code == PlatformError::NotFound;
+    if (!merge(stored))
+        return decide(*reservation, now);
+    if (!context_.prompts.isTrial(reservation->suspects))
+        return decide(*reservation, std::nullopt);
+    reservation->writtenAt = now;
+    auto spec = Serving::encodePromptEvidence(context_.prompts.quarantine().evidenceWithTrial(reservation->suspects, now));
+    auto const onReply = [this, reservation, now](Result<Object> const &written) {
+        if (!reservation->onDecided)
+            return;
+        bool const isOvertaken =
+            !written && (written.error().code == PlatformError::Conflict || written.error().code == PlatformError::AlreadyExists);
+        if (isOvertaken)
+            return tryToReserve(reservation);
+        if (!written)
+            Observe::log(Observe::Events::NodeQuarantineRecordFailed, {{"error", written.error().toString()}});
+        decide(*reservation, now);
+    };
+    if (isNew)
+        return context_.store.create(CallClass::Commit, quarantineKind, evidenceName, std::move(spec), onReply);
+    stored->spec = std::move(spec);
+    context_.store.update(CallClass::Commit, quarantineKind, std::move(*stored), onReply);
+}
+
+void QuarantineRegister::decide(Reservation &reservation, std::optional<WallInstant> at)
+{
+    auto const onDecided = std::exchange(reservation.onDecided, nullptr);
+    reservation.timeout.reset();
+    // Evidence that has come meanwhile may hold the request.
+    onDecided(at && context_.prompts.isTrial(reservation.suspects) ? context_.prompts.onSent(reservation.suspects, *at) : std::nullopt);
+}
+
 void QuarantineRegister::onTick(Instant now)
 {
     if (!isInFlight_ && now >= notBefore_ && context_.prompts.ownChanges() != writtenChanges_)
--- a/Services/Node/QuarantineRegister.h
+++ b/Services/Node/QuarantineRegister.h
@@ -15,10 +15,27 @@
     void start();
     /// Writes what this instance has found out since.
     void onTick(Instant now);
+    /// Records in the store that a request is sent as a trial after the end of a quarantine, before it is sent, so that of several
+    /// instances one sends it. Calls back soon, with the time from which the trial counts; without one if another instance sends a trial.
+    /// While the store does not respond, the trial is sent, as others learn of it from their peers.
+    void reserveTrial(Serving::RequestSuspects suspects, std::function<void(std::optional<WallInstant>)> onDecided);
     /// Whether the evidence was read, or is no longer waited for as the store does not respond.
     [[nodiscard]] bool isReady(Instant now) const;
 
 private:
+    struct Reservation {
+        Serving::RequestSuspects suspects;
+        /// Time at which the trial was last written, whether or not the store has it.
+        std::optional<WallInstant> writtenAt = {};
+        /// Null once it is decided.
+        std::function<void(std::optional<WallInstant>)> onDecided;
+        std::unique_ptr<Http::Timer> timeout;
+    };
+
+    void tryToReserve(std::shared_ptr<Reservation> const &reservation);
+    void writeTrial(std::shared_ptr<Reservation> const &reservation, Result<Platform::Object> stored);
+    /// `at`: the time from which the trial counts; unset if it is not granted.
+    void decide(Reservation &reservation, std::optional<WallInstant> at);
     void read();
     void update();
     void write(Result<Platform::Object> stored);
--- a/Tests/LibServing/TestPromptQuarantine.cpp
+++ b/Tests/LibServing/TestPromptQuarantine.cpp
@@ -199,7 +199,7 @@
     passOn(first);
     EXPECT_TRUE(other.find(suspects, first + 5ms));
     auto const version = quarantine_.version();
-    quarantine_.onTrialNotRun(suspects, first);
+    quarantine_.onTrialEnded(suspects, first, TrialOutcome::NotRun);
     EXPECT_GT(quarantine_.version(), version) << "other instances have to receive it";
     EXPECT_FALSE(isRefused({crashingPart}, first + 5ms));
     passOn(first + 5ms);
@@ -209,12 +209,35 @@
 
     auto const second = first + 20ms;
     EXPECT_EQ(quarantine_.onSent(suspects, second), Suspect(crashingPart));
-    quarantine_.onTrialNotRun(suspects, second);
+    quarantine_.onTrialEnded(suspects, second, TrialOutcome::NotRun);
     EXPECT_TRUE(isRefused({crashingPart}, second + 59s)) << "both have reached servers";
     quarantine_.onAnswered(suspects, second + 60s);
     EXPECT_FALSE(isRefused({crashingPart}, second + 60s));
 }
 
+/// A trial is reserved for the whole fleet before it is sent. Guards against holding the suspect for one that was not sent after all.
+TEST_F(PromptQuarantineTest, TrialsThatWereNotSentDoNotCount)
+{
+    PromptQuarantine other{PromptQuarantineOptions{}};
+    for (std::size_t server = 0; server < 3; ++server)
+        quarantine_.onLost(serverNumber(server), std::array{crashingPart}, testStart);
+    RequestSuspects const suspects{.parts = {crashingPart}};
+    for (auto at = testStart + 10s; at < testStart + 11s; at += 300ms) {
+        ASSERT_TRUE(quarantine_.isTrial(suspects, at));
+        auto const reserved = decodePromptEvidence(encodePromptEvidence(quarantine_.evidenceWithTrial(suspects, at)));
+        ASSERT_TRUE(reserved);
+        other.merge(*reserved, at);
+        EXPECT_FALSE(other.isTrial(suspects, at + 1ms));
+        EXPECT_EQ(quarantine_.onSent(suspects, at), Suspect(crashingPart));
+        EXPECT_FALSE(quarantine_.isTrial(suspects, at + 1ms));
+        quarantine_.onTrialEnded(suspects, at, TrialOutcome::NotSent);
+        auto const returned = decodePromptEvidence(encodePromptEvidence(quarantine_.evidence()));
+        ASSERT_TRUE(returned);
+        other.merge(*returned, at + 2ms);
+        EXPECT_TRUE(other.isTrial(suspects, at + 2ms));
+    }
+}
+
 /// Guards against a trial by each instance, as those that did not send one know nothing of it.
 TEST_F(PromptQuarantineTest, ATrialHoldsThePartAtAllInstances)
 {
--- a/Tests/NodeProcesses/TestCrashingRequests.cpp
+++ b/Tests/NodeProcesses/TestCrashingRequests.cpp
@@ -403,6 +403,21 @@
     expectFewArrivalsAndSoundRequestsServed({crashing_}, entries_);
 }
 
+/// The quarantine ends at each entry, and then the request comes at all of them at once. Guards against a trial by each of them, which
+/// cannot have heard of the others'.
+TEST_F(WholeRequestTest, EntriesSendOneTrialOfARequestThatComesAtAllOfThem)
+{
+    constexpr Duration QuarantineTime = 10s;
+    /// Over which the entries spread the end.
+    constexpr Duration ExpirySpread = QuarantineTime;
+    startFleet(6);
+    crashServers({crashing_}, {entries_[0]});
+    fleet_.waitUntil(fleet_.crashes().back() + QuarantineTime + ExpirySpread + ContactTime);
+    auto const arrivals = fleet_.arrivals(crashing_).size();
+    sendRound(entries_, {crashing_});
+    EXPECT_LE(fleet_.arrivals(crashing_).size(), arrivals + 1);
+}
+
 /// Guards against a crashing request with a prompt that is not found because all shared parts of its prompt are answered in other requests.
 TEST_F(StreamTest, EntriesStopSendingAStreamWhosePartsAreAllAnswered)
 {
