Let the trial of one suspect wait for the outcome of another's

The trial of a suspect now begins only when the last trial of each other one was answered or lost, or was sent 500 ms ago. Instances know of the others' trials from the stored record, which they read before they send one.

The unit test fails without the change, as both are trials at once.

--- a/Libraries/LibServing/PromptQuarantine.cpp
+++ b/Libraries/LibServing/PromptQuarantine.cpp
@@ -446,7 +446,12 @@
 std::optional<PromptQuarantine::Match> PromptQuarantine::find(RequestSuspects const &suspects, WallInstant now) const
 {
     for (auto const &verdict : verdicts_) {
-        if (auto const until = refusedUntil(verdict); contains(suspects, verdict.suspect) && now < until)
+        if (!contains(suspects, verdict.suspect))
+            continue;
+        auto until = refusedUntil(verdict);
+        if (now >= until)
+            until = otherTrialsUntil(suspects);
+        if (now < until)
             return Match{.suspect = verdict.suspect, .until = until};
     }
     return std::nullopt;
@@ -456,7 +461,24 @@
 {
     bool const isHeld =
         std::ranges::any_of(verdicts_, [&](Verdict const &verdict) { return contains(suspects, verdict.suspect) && now < endOf(verdict); });
-    return !isHeld && std::ranges::any_of(verdicts_, [&](Verdict const &verdict) { return contains(suspects, verdict.suspect); });
+    bool const isSuspected = std::ranges::any_of(verdicts_, [&](Verdict const &verdict) { return contains(suspects, verdict.suspect); });
+    return isSuspected && !isHeld && now >= otherTrialsUntil(suspects);
+}
+
+WallInstant PromptQuarantine::otherTrialsUntil(RequestSuspects const &suspects) const
+{
+    auto until = WallInstant::min();
+    for (auto const &[suspect, trials] : trials_) {
+        if (contains(suspects, suspect) || trials.empty())
+            continue;
+        auto const &[at, outcome] = *trials.rbegin();
+        bool const isLost = std::ranges::any_of(lost_, [&, &trialAt = at, &tried = suspect](LostResponse const &response) {
+            return response.at >= trialAt && contains(response, tried);
+        });
+        if (outcome == TrialOutcome::Unknown && !isLost && !isExcluded(suspect, at))
+            until = std::max(until, at + std::chrono::duration_cast<milliseconds>(options_.trialSeparation));
+    }
+    return until;
 }
 
 std::map<Suspect, WallInstant> PromptQuarantine::quarantined(WallInstant now) const
--- a/Libraries/LibServing/PromptQuarantine.h
+++ b/Libraries/LibServing/PromptQuarantine.h
@@ -24,6 +24,8 @@
     Duration suspicionTime = 3s;
     /// Time in which a trial that is about to be sent reaches its server, or a connection to the server fails.
     Duration trialSendTime = 500ms;
+    /// Time for which the trial of one suspect waits for the outcome of another's, as a server that is lost with both shows nothing.
+    Duration trialSeparation = 500ms;
     /// Factor by which the time grows with each trial that is not answered, as each may cost a server.
     std::int64_t quarantineGrowth = 6;
     Duration maxQuarantineTime = 1h;
@@ -169,6 +171,8 @@
     [[nodiscard]] WallInstant endOf(Verdict const &verdict) const;
     /// Time until which requests with the suspect are refused, because of the quarantine or of a trial that is about to be sent.
     [[nodiscard]] WallInstant refusedUntil(Verdict const &verdict) const;
+    /// Time until which the outcome of trials of other suspects than these is awaited.
+    [[nodiscard]] WallInstant otherTrialsUntil(RequestSuspects const &suspects) const;
     /// Returns whether this was not known of the trial.
     bool noteTrial(Suspect const &suspect, WallInstant at, TrialOutcome outcome);
     /// Trials of the suspect that may have reached a server and that no answer followed, without the first one that was not run.
--- a/Tests/LibServing/TestPromptQuarantine.cpp
+++ b/Tests/LibServing/TestPromptQuarantine.cpp
@@ -215,6 +215,27 @@
     EXPECT_FALSE(isRefused({crashingPart}, second + 60s));
 }
 
+/// Guards against a trial of a sound request at the server that the trial of another one crashes.
+TEST_F(PromptQuarantineTest, TrialsOfTwoSuspectsDoNotOverlap)
+{
+    RequestSuspects const sound{.parts = {}, .request = RequestFingerprint(5)};
+    RequestSuspects const crashing{.parts = {}, .request = RequestFingerprint(6)};
+    for (std::size_t server = 0; server < 3; ++server) {
+        quarantine_.onLost(serverNumber(2 * server), sound, 40ms, testStart);
+        quarantine_.onLost(serverNumber(2 * server + 1), crashing, 40ms, testStart);
+    }
+    auto const end = testStart + 10s;
+    ASSERT_TRUE(quarantine_.isTrial(sound, end));
+    ASSERT_TRUE(quarantine_.isTrial(crashing, end));
+    EXPECT_EQ(quarantine_.onSent(crashing, end), Suspect(RequestFingerprint(6)));
+    EXPECT_FALSE(quarantine_.isTrial(sound, end + 10ms));
+    EXPECT_TRUE(quarantine_.find(sound, end + 10ms));
+    EXPECT_TRUE(quarantine_.isTrial(sound, end + 500ms)) << "the outcome may never be seen";
+    quarantine_.onLost(serverNumber(7), crashing, 40ms, end + 40ms);
+    EXPECT_TRUE(quarantine_.isTrial(sound, end + 50ms));
+    EXPECT_FALSE(quarantine_.find(sound, end + 50ms));
+}
+
 /// A trial is reserved for the whole fleet before it is sent. Guards against holding the suspect for one that was not sent after all.
 TEST_F(PromptQuarantineTest, TrialsThatWereNotSentDoNotCount)
 {
