Tests: kill runners in turn while items share a part that crashes servers

Two runners, one killed each 1.2 s and started again, a job of eight items with the part and eight sound ones after each kill.

submit() is split, since jobs for which there is no room are refused meanwhile; half of them must be accepted.

--- a/Tests/NodeProcesses/TestCrashingParts.cpp
+++ b/Tests/NodeProcesses/TestCrashingParts.cpp
@@ -43,7 +43,7 @@
     Entries startFleet(std::vector<std::string> const &entryNames)
     {
         Entries entries;
-        fleet_.startNode("runner-1", Serving::InstanceRole::Runner);
+        runners_.push_back(&fleet_.startNode("runner-1", Serving::InstanceRole::Runner));
         for (auto const &name : entryNames)
             entries.push_back(&fleet_.startNode(name));
         for (auto const *entry : entries)
@@ -178,6 +178,7 @@
         expectSoundRequestsAreServed(entries);
     }
 
+    std::vector<NodeProcess *> runners_;
     ServingFleet fleet_;
     std::size_t prompts_ = 0;
     std::vector<SoundRequest> sound_;
@@ -243,7 +244,8 @@
         ServingFleet::Parts parts;
     };
 
-    void submit(NodeProcess const &entry, std::string const &job, std::string const &part)
+    /// Returns a job's items with the part, and as many sound ones.
+    std::vector<Item> itemsWith(std::string const &job, std::string const &part)
     {
         std::vector<Item> items;
         for (std::size_t index = 0; index < Items; ++index) {
@@ -251,10 +253,16 @@
             items.push_back({.id = (isCrashing ? "crashing-" : "sound-") + job + "-" + std::to_string(index),
                              .parts = isCrashing ? promptWith(part) : soundParts});
         }
-        submit(entry, job, items);
+        return items;
     }
 
     void submit(NodeProcess const &entry, std::string const &job, std::vector<Item> const &jobItems)
+    {
+        ASSERT_EQ(trySubmit(entry, job, jobItems), 202);
+    }
+
+    /// Returns the status of the answer; zero if there is none.
+    int trySubmit(NodeProcess const &entry, std::string const &job, std::vector<Item> const &jobItems)
     {
         json::array items;
         for (std::size_t index = 0; index < jobItems.size(); ++index) {
@@ -275,8 +283,7 @@
                                        .headers = {{"Host", "h.example"}, {"Anvilyard-Attempt-Id", job}},
                                        .body = json::serialize(json::object{{"items", std::move(items)}})})
                                 .get();
-        ASSERT_TRUE(answer);
-        ASSERT_EQ(answer->status, 202);
+        return answer ? answer->status : 0;
     }
 
     json::array readResults(NodeProcess const &entry, std::string const &job)
@@ -401,11 +408,11 @@
     auto const entries = startFleet({"entry-1", "entry-2", "entry-3"});
     auto const &entry = *entries[0];
     fleet_.addCrashingPart("d1");
-    submit(entry, "first", "d1");
+    submit(entry, "first", itemsWith("first", "d1"));
     waitForResults(entry, "first", SoundItems);
     ASSERT_FALSE(fleet_.crashes("d1").empty());
     fleet_.waitUntil(boundingCrash("d1") + ContactTime);
-    submit(entry, "second", "d1");
+    submit(entry, "second", itemsWith("second", "d1"));
     constexpr int Rounds = 5;
     for (int round = 0; round < Rounds; ++round)
         sendRound(entries, {"d1"});
@@ -415,6 +422,31 @@
     expectFewArrivals("d1");
 }
 
+/// Guards against runners that start, take jobs over, and send items with a part of which the others knew that it crashes servers.
+TEST_F(JobWithCrashingPartTest, ItemsWithThePartAreNotRepeatedByRunnersThatStart)
+{
+    constexpr int Kills = 10;
+    int accepted = 0;
+    constexpr Duration KillInterval = 1200ms;
+    constexpr Duration DownTime = 300ms;
+    auto const entries = startFleet({"entry-1", "entry-2"});
+    runners_.push_back(&fleet_.startNode("runner-2", Serving::InstanceRole::Runner));
+    fleet_.addCrashingPart("d1");
+    for (int kill = 0; kill < Kills; ++kill) {
+        auto const job = "job-" + std::to_string(kill);
+        // Jobs for which there is no room in time are refused.
+        accepted += trySubmit(*entries[0], job, itemsWith(job, "d1")) == 202 ? 1 : 0;
+        fleet_.waitUntil(readLocalClock() + KillInterval - DownTime);
+        auto &runner = *runners_[static_cast<std::size_t>(kill) % runners_.size()];
+        runner.kill();
+        fleet_.waitUntil(readLocalClock() + DownTime);
+        runner.start();
+    }
+    EXPECT_GE(2 * accepted, Kills);
+    ASSERT_FALSE(fleet_.crashes("d1").empty());
+    expectFewArrivals("d1");
+}
+
 /// Servers fail together while they read the first prompts with a part. Guards against items that are kept from all other servers until
 /// they are given up because the part is taken for the cause.
 TEST_F(JobWithCrashingPartTest, ItemsCompleteAfterServersFailedTogetherWithTheirPart)
