--- a/Tests/NodeProcesses/TestUnansweredSends.cpp
+++ b/Tests/NodeProcesses/TestUnansweredSends.cpp
@@ -1,6 +1,7 @@
 #include "Tests/NodeProcesses/ServingFleet.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <gtest/gtest.h>
 #include <thread>
@@ -28,6 +29,8 @@
 constexpr Duration PollInterval = 100ms;
 constexpr Duration KillInterval = 1500ms;
 constexpr Duration DownTime = 300ms;
+constexpr Duration MaxFaultTime = 1200ms;
+constexpr std::size_t TrialServers = 12;
 
 /// Seed of a run by hand; otherwise that of CI.
 std::uint64_t seed()
@@ -43,6 +46,9 @@
     return std::chrono::seconds(text ? std::stoll(text) : 14);
 }
 
+/// From the moment at which a server begins a request. Some are longer than an entry waits before it sends a request elsewhere.
+constexpr std::array<Duration, 5> timesToCrash = {20ms, 300ms, 600ms, 1500ms, 2500ms};
+
 bool isErrorResponse(Http::HttpRequest const &request)
 {
     return request.target.starts_with("/b/fails/") || request.target.starts_with("/b/impossible/");
@@ -162,12 +168,70 @@
         Part,
     };
 
+    /// What happens to entries, servers and the store meanwhile.
+    enum class Faults {
+        None,
+        /// Entries are killed, paused and terminated in turn, servers crash, and the store is out of reach for a while, in random order.
+        Series,
+    };
+
+    struct TrialSeries {
+        Duration timeToCrash;
+        std::size_t crashing;
+        Cause cause;
+        Faults faults = Faults::None;
+    };
+
+    /// Ends the fault that lasts if its time is over, and begins the next one.
+    void continueFaults(std::vector<NodeProcess *> const &entries, std::function<std::size_t(std::size_t)> const &draw)
+    {
+        if (readLocalClock() < nextFaultAt_ || (endFault_ && !endFault_()))
+            return;
+        endFault_ = nullptr;
+        nextFaultAt_ = readLocalClock() + DownTime + 1ms * draw(MaxFaultTime / 1ms);
+        auto &entry = *entries[draw(entries.size())];
+        auto const restart = [this, &entry] {
+            // It may answer its last requests.
+            if (entry.isRunning())
+                return false;
+            entry.start();
+            return true;
+        };
+        switch (draw(5)) {
+        case 0:
+            entry.kill();
+            endFault_ = restart;
+            return;
+        case 1:
+            entry.pause();
+            endFault_ = [&entry] {
+                entry.resume();
+                return true;
+            };
+            return;
+        case 2:
+            entry.terminate();
+            endFault_ = restart;
+            return;
+        case 3:
+            fleet_.setStoreOutage(OutageMode::Refuse);
+            endFault_ = [this] {
+                fleet_.setStoreOutage(OutageMode::None);
+                return true;
+            };
+            return;
+        default:
+            fleet_.crashServer(draw(TrialServers));
+        }
+    }
+
     /// Sends sound requests all the time and requests that crash servers after a while now and then, and expects that few of these reach
     /// servers once they have crashed three.
-    void expectFewTrials(Duration timeToCrash, std::size_t crashing, Cause cause)
+    void expectFewTrials(TrialSeries const &series)
     {
+        auto const [timeToCrash, crashing, cause, faults] = series;
         fleet_.setHeadMoment(ModelServer::HeadMoment::FirstEvent);
-        fleet_.startServers(12, cause == Cause::Part ? ModelServer::ResponseForm::EventStream : ModelServer::ResponseForm::Whole);
+        fleet_.startServers(TrialServers, cause == Cause::Part ? ModelServer::ResponseForm::EventStream : ModelServer::ResponseForm::Whole);
         std::vector<NodeProcess *> entries;
         for (auto const *name : {"entry-1", "entry-2", "entry-3", "entry-4", "entry-5"})
             entries.push_back(&fleet_.startNode(name));
@@ -189,6 +253,8 @@
         std::vector<Instant> nextAt(crashing, readLocalClock());
         auto const end = readLocalClock() + 2 * seriesTime();
         for (int number = 0; readLocalClock() < end; ++number) {
+            if (faults == Faults::Series)
+                continueFaults(entries, draw);
             auto &entry = *entries[draw(entries.size())];
             auto const id = std::to_string(number);
             soundAnswers.push_back(fleet_.sendAgain(
@@ -203,6 +269,8 @@
             }
             fleet_.waitUntil(readLocalClock() + 50ms);
         }
+        while (endFault_ && !endFault_())
+            std::this_thread::sleep_for(PollInterval);
         std::size_t served = 0;
         for (auto &answer : soundAnswers) {
             auto const result = answer.get();
@@ -226,6 +294,9 @@
 
     ServingFleet fleet_{{.queueTime = 120s, .completionTarget = CompletionTarget}};
     std::vector<NodeProcess *> runners_;
+    Instant nextFaultAt_ = Instant::min();
+    /// Ends the fault that lasts. Returns whether it has ended.
+    std::function<bool()> endFault_;
     NodeProcess *entry_ = nullptr;
 };
 
@@ -287,17 +358,17 @@
 /// Guards against a crashing request that is tried again and again, as its sender ends each trial before the server crashes.
 TEST_F(UnansweredSendTest, ARequestThatCrashesServersAfterItsSendersPatienceIsNotRepeated)
 {
-    expectFewTrials(600ms, 1, Cause::Request);
+    expectFewTrials({.timeToCrash = 600ms, .crashing = 1, .cause = Cause::Request});
 }
 
 TEST_F(UnansweredSendTest, FourRequestsThatCrashServersAfterTheirSendersPatienceAreNotRepeated)
 {
-    expectFewTrials(1500ms, 4, Cause::Request);
+    expectFewTrials({.timeToCrash = 1500ms, .crashing = 4, .cause = Cause::Request});
 }
 
 TEST_F(UnansweredSendTest, PartsThatCrashServersAfterTheirSendersPatienceAreNotRepeated)
 {
-    expectFewTrials(1500ms, 2, Cause::Part);
+    expectFewTrials({.timeToCrash = 1500ms, .crashing = 2, .cause = Cause::Part});
 }
 
 /// Guards against evidence that ends with the instances that hold it: all entries are killed at once, several times, and get the request as
@@ -336,5 +407,18 @@
 
 TEST_F(UnansweredSendTest, EightRequestsThatCrashServersAfterTheirSendersPatienceAreNotRepeated)
 {
-    expectFewTrials(400ms, 8, Cause::Request);
+    expectFewTrials({.timeToCrash = 400ms, .crashing = 8, .cause = Cause::Request});
+}
+
+/// Guards against repeats by entries that start, were paused or cannot reach the store, and so may not know what others have counted.
+TEST_F(UnansweredSendTest, RequestsThatCrashServersAreNotRepeatedOverOtherFaults)
+{
+    expectFewTrials(
+        {.timeToCrash = timesToCrash[seed() % timesToCrash.size()], .crashing = 3, .cause = Cause::Request, .faults = Faults::Series});
+}
+
+TEST_F(UnansweredSendTest, PartsThatCrashServersAreNotRepeatedOverOtherFaults)
+{
+    expectFewTrials(
+        {.timeToCrash = timesToCrash[seed() % timesToCrash.size()], .crashing = 2, .cause = Cause::Part, .faults = Faults::Series});
 }
