Tests: replace nodes one after the other while the store fails

Entries and runners are terminated and started in turn, others get SIGHUP, while the store fails and the desired state changes.

--- a/Tests/NodeProcesses/NodeProcess.cpp
+++ b/Tests/NodeProcesses/NodeProcess.cpp
@@ -114,6 +114,11 @@
     ::kill(process_, SIGTERM);
 }
 
+void NodeProcess::reload()
+{
+    ::kill(process_, SIGHUP);
+}
+
 bool NodeProcess::isRunning()
 {
     if (process_ > 0 && ::waitpid(process_, nullptr, WNOHANG) == process_)
--- a/Tests/NodeProcesses/NodeProcess.h
+++ b/Tests/NodeProcesses/NodeProcess.h
@@ -34,6 +34,8 @@
     void kill();
     /// Asks the process by SIGTERM to end.
     void terminate();
+    /// Sends SIGHUP, which operators send after they have moved the log.
+    void reload();
     /// Whether the process is there, also while it is paused or ends.
     [[nodiscard]] bool isRunning();
     /// Stops the process by SIGSTOP and waits until it has stopped.
--- a/Tests/NodeProcesses/TestLostWork.cpp
+++ b/Tests/NodeProcesses/TestLostWork.cpp
@@ -4,8 +4,10 @@
 #include <algorithm>
 #include <boost/json.hpp>
 #include <cstdlib>
+#include <future>
 #include <gtest/gtest.h>
 #include <sstream>
+#include <utility>
 
 using namespace Anvilyard;
 using namespace Anvilyard::Tests;
@@ -228,6 +230,56 @@
     expectNothingLost();
 }
 
+/// Guards against work that is lost as nodes are replaced one after the other while the store fails and the desired state changes. Callers
+/// send nothing new to an entry that was told to end.
+TEST_F(LostWorkTest, RequestsAndJobsOutliveReplacementsBesideOtherFaults)
+{
+    startServers();
+    for (auto const *name : {"entry-1", "entry-2", "entry-3"})
+        entries_.push_back(&fleet_.startNode(name));
+    for (auto const *name : {"runner-1", "runner-2", "runner-3"})
+        runners_.push_back(&fleet_.startNode(name, Serving::InstanceRole::Runner));
+    waitUntilReady();
+    auto nodes = entries_;
+    nodes.insert(nodes.end(), runners_.begin(), runners_.end());
+    NodeProcess *ending = nullptr;
+    /// Done when a replaced entry is ready, so that it gets requests again.
+    std::future<void> ready;
+    std::size_t next = draw(nodes.size());
+    auto nextEndAt = Instant::min();
+    auto nextChangeAt = Instant::min();
+    serveCallers([&](Instant now) {
+        disturbStore(now);
+        if (now >= nextChangeAt) {
+            nextChangeAt = now + drawTime(50ms, 600ms);
+            fleet_.changeDesiredState(draw(30));
+            if (auto &reloaded = *nodes[draw(nodes.size())]; reloaded.isRunning())
+                reloaded.reload();
+        }
+        if (ready.valid() && ready.wait_for(0s) == std::future_status::ready) {
+            ready.get();
+            entries_.push_back(std::exchange(ending, nullptr));
+            nextEndAt = now + drawTime(100ms, 600ms);
+        } else if (ending && !ready.valid() && !ending->isRunning()) {
+            ending->start();
+            bool const isRunner = std::ranges::find(runners_, ending) != runners_.end();
+            if (isRunner)
+                ending = nullptr;
+            else
+                ready = std::async(std::launch::async, [this, entry = ending] { fleet_.waitUntilReady(*entry); });
+            nextEndAt = now + drawTime(100ms, 600ms);
+        } else if (!ending && now >= nextEndAt) {
+            ending = nodes[next++ % nodes.size()];
+            std::erase(entries_, ending);
+            ending->terminate();
+        }
+    });
+    fleet_.setStoreFaults({});
+    if (ready.valid())
+        ready.get();
+    expectNothingLost();
+}
+
 /// Guards against work that is lost because some nodes reach the store and others do not.
 TEST_F(LostWorkTest, RequestsAndJobsOutliveCutPathsToTheStore)
 {
