Keep the trials that count when their number is bounded

Found by reading: while no server can be connected to, reserved trials that were not sent fill these within seconds and push out the ones that count, and the quarantine begins anew with its first time.

Trials that were not sent go first. The unit test fails without the change: the next trial held for 60 s instead of 360.

--- a/Libraries/LibServing/PromptQuarantine.cpp
+++ b/Libraries/LibServing/PromptQuarantine.cpp
@@ -369,8 +369,11 @@
     trial->second = std::max(trial->second, outcome);
     if (trials.size() <= options_.maxTrials)
         return isNews;
-    bool const isDropped = trials.begin()->first == at;
-    trials.erase(trials.begin());
+    auto dropped = std::ranges::find_if(trials, [](auto const &entry) { return entry.second == TrialOutcome::NotSent; });
+    if (dropped == trials.end())
+        dropped = trials.begin();
+    bool const isDropped = dropped->first == at;
+    trials.erase(dropped);
     return isNews && !isDropped;
 }
 
--- a/Tests/LibServing/TestPromptQuarantine.cpp
+++ b/Tests/LibServing/TestPromptQuarantine.cpp
@@ -215,6 +215,23 @@
     EXPECT_FALSE(isRefused({crashingPart}, second + 60s));
 }
 
+/// Guards against forgetting the trials that count because of many for which there was no server.
+TEST_F(PromptQuarantineTest, TrialsThatCountAreKeptBesideManyThatWereNotSent)
+{
+    for (std::size_t server = 0; server < 3; ++server)
+        quarantine_.onLost(serverNumber(server), std::array{crashingPart}, testStart);
+    RequestSuspects const suspects{.parts = {crashingPart}};
+    auto const first = testStart + 10s;
+    auto const second = first + 60s;
+    EXPECT_EQ(quarantine_.onSent(suspects, first), Suspect(crashingPart));
+    for (auto at = second; at < second + 20s; at += 1s) {
+        EXPECT_EQ(quarantine_.onSent(suspects, at), Suspect(crashingPart));
+        quarantine_.onTrialEnded(suspects, at, TrialOutcome::NotSent);
+    }
+    EXPECT_EQ(quarantine_.onSent(suspects, second + 20s), Suspect(crashingPart));
+    EXPECT_TRUE(isRefused({crashingPart}, second + 20s + 359s));
+}
+
 /// Guards against a trial of a sound request at the server that the trial of another one crashes.
 TEST_F(PromptQuarantineTest, TrialsOfTwoSuspectsDoNotOverlap)
 {
