Send a request whose suspect was answered while its trial was being reserved

Found by reading: a request that was not granted the trial, as another instance's had been answered meanwhile, was refused although nothing was suspected any more. It is placed like any other now, and refused only while the quarantine holds. No test hits the moment.

--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -284,11 +284,8 @@
         self->reservedTrial_ = trialAt;
         if (self->isFinished_)
             return self->returnTrial();
-        // Another instance sends a trial. Its outcome is known to all within seconds.
-        if (!trialAt && !self->refuseIfQuarantined())
-            return self->refuseAfterAttempts();
-        if (trialAt)
-            self->placeAndSend();
+        // Without the trial it is refused, unless the suspect was answered meanwhile.
+        self->placeAndSend();
     });
 }
 
