--- a/Tests/NodeProcesses/TestUnansweredSends.cpp
+++ b/Tests/NodeProcesses/TestUnansweredSends.cpp
@@ -49,6 +49,8 @@
 /// From the moment at which a server begins a request. Some are longer than an entry waits before it sends a request elsewhere.
 constexpr std::array<Duration, 5> timesToCrash = {20ms, 300ms, 600ms, 1500ms, 2500ms};
 
+constexpr std::array<OutageMode, 3> outageModes = {OutageMode::Refuse, OutageMode::Cut, OutageMode::Silent};
+
 bool isErrorResponse(Http::HttpRequest const &request)
 {
     return request.target.starts_with("/b/fails/") || request.target.starts_with("/b/impossible/");
@@ -214,7 +216,7 @@
             endFault_ = restart;
             return;
         case 3:
-            fleet_.setStoreOutage(OutageMode::Refuse);
+            fleet_.setStoreOutage(outageModes[draw(outageModes.size())]);
             endFault_ = [this] {
                 fleet_.setStoreOutage(OutageMode::None);
                 return true;
