--- a/Meta/anvilyard.sh
+++ b/Meta/anvilyard.sh
@@ -22,7 +22,7 @@
 
   setup       install the Debian packages required for building
   build       build everything (warnings are errors)
-  lint        build, check the formatting and run the linter
+  lint        check the deployment file, build, check the formatting and run the linter
   test        build, then run all tests
   run         set up, build, and demonstrate a complete fleet on this machine
   up          build, start a fleet on loopback and print its addresses (up --help)
@@ -60,6 +60,18 @@
     ! grep -q -E '(error|warning):' "$BUILD_FOLDER/lint.log"
 }
 
+# The build that runs beside this one while machines are replaced is built from the history.
+check_production() {
+    local commit
+    commit=$(sed -n 's/^production = "\(.*\)"$/\1/p' deploy/system.toml)
+    if [ "$(git rev-parse --is-shallow-repository)" = true ]; then
+        echo "production in deploy/system.toml is not checked: the clone has no history"
+    elif ! git merge-base --is-ancestor "${commit:-none}" HEAD 2>/dev/null; then
+        echo "deploy/system.toml: production names '$commit', which is not an ancestor of this commit" >&2
+        return 1
+    fi
+}
+
 # Tests that fail for a known fault: the second word of each entry in KNOWN-RED.txt is the test's full name.
 known_red_tests() {
     [ ! -f KNOWN-RED.txt ] || awk 'NF && !/^#/ { sub(/;$/, "", $2); print $2 }' KNOWN-RED.txt
@@ -80,7 +92,7 @@
 case "${1:-help}" in
 setup) setup ;;
 build) build ;;
-lint) build && lint ;;
+lint) check_production && build && lint ;;
 test) shift && run_tests "$@" ;;
 run)
     echo "Installing missing packages" && setup
