--- a/Tests/NodeProcesses/TestUnansweredSends.cpp
+++ b/Tests/NodeProcesses/TestUnansweredSends.cpp
@@ -47,9 +47,9 @@
 }
 
 /// From the moment at which a server begins a request. Some are longer than an entry waits before it sends a request elsewhere.
-constexpr std::array<Duration, 5> timesToCrash = {20ms, 300ms, 600ms, 1500ms, 2500ms};
+constexpr std::array<Duration, 5> TimesToCrash = {20ms, 300ms, 600ms, 1500ms, 2500ms};
 
-constexpr std::array<OutageMode, 3> outageModes = {OutageMode::Refuse, OutageMode::Cut, OutageMode::Silent};
+constexpr std::array<OutageMode, 3> OutageModes = {OutageMode::Refuse, OutageMode::Cut, OutageMode::Silent};
 
 bool isErrorResponse(Http::HttpRequest const &request)
 {
@@ -192,7 +192,7 @@
         endFault_ = nullptr;
         nextFaultAt_ = readLocalClock() + DownTime + 1ms * draw(MaxFaultTime / 1ms);
         auto &entry = *entries[draw(entries.size())];
-        auto const restart = [this, &entry] {
+        auto const restart = [&entry] {
             // It may answer its last requests.
             if (entry.isRunning())
                 return false;
@@ -216,7 +216,7 @@
             endFault_ = restart;
             return;
         case 3:
-            fleet_.setStoreOutage(outageModes[draw(outageModes.size())]);
+            fleet_.setStoreOutage(OutageModes[draw(OutageModes.size())]);
             endFault_ = [this] {
                 fleet_.setStoreOutage(OutageMode::None);
                 return true;
@@ -416,11 +416,11 @@
 TEST_F(UnansweredSendTest, RequestsThatCrashServersAreNotRepeatedOverOtherFaults)
 {
     expectFewTrials(
-        {.timeToCrash = timesToCrash[seed() % timesToCrash.size()], .crashing = 3, .cause = Cause::Request, .faults = Faults::Series});
+        {.timeToCrash = TimesToCrash[seed() % TimesToCrash.size()], .crashing = 3, .cause = Cause::Request, .faults = Faults::Series});
 }
 
 TEST_F(UnansweredSendTest, PartsThatCrashServersAreNotRepeatedOverOtherFaults)
 {
     expectFewTrials(
-        {.timeToCrash = timesToCrash[seed() % timesToCrash.size()], .crashing = 2, .cause = Cause::Part, .faults = Faults::Series});
+        {.timeToCrash = TimesToCrash[seed() % TimesToCrash.size()], .crashing = 2, .cause = Cause::Part, .faults = Faults::Series});
 }
