Tests: say in usual terms how the fixtures start and stop nodes

Two comments were hard to read for a newcomer. Cause: they told what instances know instead of what the function does.

--- a/Tests/NodeProcesses/TestCutOffInstances.cpp
+++ b/Tests/NodeProcesses/TestCutOffInstances.cpp
@@ -64,8 +64,8 @@
         }
     }
 
-    /// Starts instances that cannot be cut off while the others, which have been started, are paused. An instance that starts asks a peer
-    /// for the servers if it hears of one before it has the store's list. Peers that can be cut off would name other addresses.
+    /// Starts the instances that cannot be cut off while the running ones are paused. A starting instance may fetch the list of servers
+    /// from a peer, and the lists of the two kinds contain different addresses.
     void startApart(std::function<void()> const &startOthers)
     {
         for (auto const *entry : cuttable_)
--- a/Tests/NodeProcesses/TestLostWork.cpp
+++ b/Tests/NodeProcesses/TestLostWork.cpp
@@ -230,8 +230,8 @@
     expectNothingLost();
 }
 
-/// Guards against work that is lost as nodes are replaced one after the other while the store fails and the desired state changes. Callers
-/// send nothing new to an entry that was told to end.
+/// Guards against work that is lost as nodes are replaced one after the other while the store fails and the desired state changes. No new
+/// requests are sent to an entry that has received SIGTERM.
 TEST_F(LostWorkTest, RequestsAndJobsOutliveReplacementsBesideOtherFaults)
 {
     startServers();
