Let each runner that starts wait for those that start with it

Cause: a runner waits for the reports of registered runners before it sends items, but not if it lists no other one. Of two that start at the same moment, the one that lists first finds itself alone, takes the job and sends all items within 50 ms. Then it hears the other one and hands the job over. The sends that it ends without a response count as unanswered, as they may have failed unseen, so that the new owner has two sends left instead of three.

In each of the four failures the log shows this: one object of kind instances, node-job-taken with runners 1, node-job-handed-over 50 ms later. The wait now holds for each start, 400 ms, also where no other runner is registered. Besides, a peer that is heard for the first time takes its jobs before the next item is sent, not with the next tick.

--- a/Libraries/LibServing/PeerExchange.cpp
+++ b/Libraries/LibServing/PeerExchange.cpp
@@ -275,11 +275,8 @@
 
 bool PeerExchange::areRunnersKnown(Instant now) const
 {
-    if (now >= runnersExpectedUntil_)
-        return true;
-    return hasListed_ && std::none_of(roles_.begin(), roles_.end(), [&](auto const &entry) {
-               return entry.first != options_.self && entry.second == InstanceRole::Runner;
-           });
+    // Runners that start at the same moment may register after this one has listed them.
+    return now >= runnersExpectedUntil_;
 }
 
 Duration PeerExchange::nearLoadAge() const
--- a/Libraries/LibServing/PeerExchange.h
+++ b/Libraries/LibServing/PeerExchange.h
@@ -34,7 +34,7 @@
     Duration summarySourcesHold = 3s;
     /// Within this time of its start, an instance of a large fleet has received reports of its relays.
     Duration relayReportTimeout = 1s;
-    /// Within this time of its start, an instance has received reports of the runners that are registered.
+    /// Within this time of its start, an instance has received reports of the runners that are registered, and of those that start with it.
     Duration runnerReportTimeout = 400ms;
     /// Time without a relay that reaches the store after which an instance watches it itself. Within this time it learns whether any runner
     /// reaches the store.
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -402,6 +402,9 @@
 
 void JobRunner::onLoadChanged(Instant now)
 {
+    // A peer that was heard for the first time may own some of the jobs.
+    if (ownershipHash_ != context_.peers.runnersHash())
+        reconcile(now);
     if (!isLeaving_)
         dispatch(now);
 }
--- a/Tests/LibServing/TestPeerExchange.cpp
+++ b/Tests/LibServing/TestPeerExchange.cpp
@@ -227,6 +227,27 @@
     }
 }
 
+/// Guards against runners that start at the same moment and all run the same jobs, as each takes itself for the only one.
+TEST(PeerExchangeTest, RunnersThatStartTogetherAgreeBeforeTheySendItems)
+{
+    constexpr std::uint64_t Seeds = 40;
+    constexpr int Ticks = 20;
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        ExchangeSimulation fleet({.instances = 6, .dataCentres = 1, .instancesPerRunner = 2, .seed = seed});
+        std::map<InstanceId, std::vector<InstanceId>> runnersAtFirstSend;
+        for (int tick = 0; tick < Ticks; ++tick) {
+            fleet.run(50ms, 0);
+            for (auto const &instance : fleet.instances()) {
+                if (instance.role == InstanceRole::Runner && instance.exchange && instance.exchange->areRunnersKnown(fleet.now()))
+                    runnersAtFirstSend.try_emplace(instance.id, instance.peers->runners());
+            }
+        }
+        for (auto const &[runner, runners] : runnersAtFirstSend)
+            EXPECT_EQ(runners.size(), 3U) << runner.value() << ", seed " << seed;
+        EXPECT_EQ(runnersAtFirstSend.size(), 3U) << "seed " << seed;
+    }
+}
+
 /// Only relays and instances without a relay watch the store, since each watcher costs calls. On coldline-kr-large trouble-3
 /// (platform_down) all 295 instances tried to watch a store that was away for all, and listed it when it returned.
 TEST(PeerExchangeTest, FewInstancesOfALargeFleetWatchTheStore)
