Tests: send crashing requests beside requests that wait at servers

A way over BUDGET that was not tried: the outcome of a request that waits at a busy server is not known for longer.

--- a/Tests/NodeProcesses/TestUnansweredSends.cpp
+++ b/Tests/NodeProcesses/TestUnansweredSends.cpp
@@ -182,6 +182,8 @@
         std::size_t crashing;
         Cause cause;
         Faults faults = Faults::None;
+        /// Time for which servers run each request. A long one makes requests wait at the servers.
+        Duration runTime = 30ms;
     };
 
     /// Ends the fault that lasts if its time is over, and begins the next one.
@@ -231,8 +233,9 @@
     /// servers once they have crashed three.
     void expectFewTrials(TrialSeries const &series)
     {
-        auto const [timeToCrash, crashing, cause, faults] = series;
+        auto const [timeToCrash, crashing, cause, faults, runTime] = series;
         fleet_.setHeadMoment(ModelServer::HeadMoment::FirstEvent);
+        fleet_.setPromptTime(runTime);
         fleet_.startServers(TrialServers, cause == Cause::Part ? ModelServer::ResponseForm::EventStream : ModelServer::ResponseForm::Whole);
         std::vector<NodeProcess *> entries;
         for (auto const *name : {"entry-1", "entry-2", "entry-3", "entry-4", "entry-5"})
@@ -424,3 +427,9 @@
     expectFewTrials(
         {.timeToCrash = TimesToCrash[seed() % TimesToCrash.size()], .crashing = 2, .cause = Cause::Part, .faults = Faults::Series});
 }
+
+/// The same for requests that wait at busy servers before they run, as their outcome is not known for longer.
+TEST_F(UnansweredSendTest, CrashingRequestsAreNotRepeatedBesideRequestsThatWaitAtServers)
+{
+    expectFewTrials({.timeToCrash = 300ms, .crashing = 3, .cause = Cause::Request, .runTime = 2200ms});
+}
