Take refused connections for a crash only if another server takes one

Callers: after three cuts of three entries from all servers, entries that were not cut refused a sound prompt as quarantined.

Cause: a connection that ends before the answer, and a refused one after it, proved that the server had crashed. An instance that is cut off from all servers finds this everywhere, and tells all others. What one machine sees of its path was taken for the state of the servers.

A refused connection counts now if another server takes one 30 ms later or more, and the first one refuses again after that. A cut that spreads over the servers within a millisecond does not look sound so. Without another server that takes connections the losses wait for the registrations, as they did for servers that do not respond. Where there is one server only, its refusal is enough.

--- a/Services/Node/PromptGuard.cpp
+++ b/Services/Node/PromptGuard.cpp
@@ -103,17 +103,32 @@
     record(confirmation_.onRefused(server, readLocalClock()));
 }
 
-void PromptGuard::onReached(Serving::ServerRecord const &server, Instant sentAt)
+void PromptGuard::onReached(Serving::ServerRecord const &server, Instant begunAt)
 {
-    confirmation_.onReached(server, sentAt);
+    confirmation_.onReached(server, begunAt);
 }
 
-void PromptGuard::onTick(Serving::ServerDirectory const &directory, Instant now)
+void PromptGuard::onPathUncheckable(Instant now)
+{
+    confirmation_.onPathUncheckable(now);
+}
+
+bool PromptGuard::takePathCheck(Instant now)
+{
+    return confirmation_.takePathCheck(now);
+}
+
+std::set<ServerId> PromptGuard::unconfirmedServers() const
 {
     std::set<ServerId> ids;
     for (auto const &loss : confirmation_.pending())
         ids.insert(loss.server.id);
-    for (auto const &id : ids) {
+    return ids;
+}
+
+void PromptGuard::onTick(Serving::ServerDirectory const &directory, Instant now)
+{
+    for (auto const &id : unconfirmedServers()) {
         auto const server = directory.find(id, now);
         record(confirmation_.onRegistration(id, server ? std::optional(server->record.startedAt) : std::nullopt));
     }
