Let a reserved trial be sent although its evidence came back first

Callers: a sound request was refused as quarantined for 18 s and more.

Cause: a trial is written to the store before it is sent. Another instance that reads it there sends it on with its evidence, and this can arrive before the store's response. The trial then counts at its own sender, which no longer takes the request for one, and refuses it. It counts at all instances although nothing was sent, and the quarantine becomes six times longer.

The sender now ignores its own reservation when it decides, and gives it back as not sent if other evidence holds the request meanwhile. The reservation is forgotten if the write was overtaken.

AReservedTrialIsSentAlthoughOthersKnowOfIt and AReservedTrialThatIsNotSentIsGivenBack cover both.

--- a/Libraries/LibServing/PromptQuarantine.cpp
+++ b/Libraries/LibServing/PromptQuarantine.cpp
@@ -423,6 +423,27 @@
     return tried;
 }
 
+std::optional<Suspect> PromptQuarantine::onReserved(RequestSuspects const &suspects, WallInstant reservedAt, WallInstant now)
+{
+    // The trial may have come back with the evidence of others. It must not hold the request itself.
+    bool isKnown = false;
+    for (auto &[suspect, trials] : trials_)
+        isKnown = (contains(suspects, suspect) && trials.erase(reservedAt) > 0) || isKnown;
+    if (isKnown)
+        refreshVerdicts();
+    if (isTrial(suspects, now))
+        return onSent(suspects, reservedAt);
+    for (auto const &verdict : verdicts_) {
+        if (!contains(suspects, verdict.suspect))
+            continue;
+        noteTrial(verdict.suspect, reservedAt, TrialOutcome::NotSent);
+        placedUntil_.erase(verdict.suspect);
+    }
+    ++version_;
+    refreshVerdicts();
+    return std::nullopt;
+}
+
 void PromptQuarantine::onTrialEnded(RequestSuspects const &suspects, WallInstant trialAt, TrialOutcome outcome)
 {
     bool hasNews = false;
--- a/Libraries/LibServing/PromptQuarantine.h
+++ b/Libraries/LibServing/PromptQuarantine.h
@@ -74,6 +74,9 @@
     /// Records that a request is sent to a server. Returns the suspect if it is a trial after the end of a quarantine. A trial counts for
     /// all instances from when it is sent, as its outcome may never be seen: its sender may end it, or end itself.
     std::optional<Suspect> onSent(RequestSuspects const &suspects, WallInstant now);
+    /// Records that a request is sent whose trial was reserved in the store at this time, where others have read it. Returns the suspect.
+    /// If other evidence holds the request meanwhile, the trial is given back, and `std::nullopt` is returned.
+    std::optional<Suspect> onReserved(RequestSuspects const &suspects, WallInstant reservedAt, WallInstant now);
     /// Records what became of the trial that counts from this time. After one that was not sent, or not run, another one may follow at
     /// once. One that was not run has reached a server all the same, so only the first such trial of a quarantine does not count.
     void onTrialEnded(RequestSuspects const &suspects, WallInstant trialAt, TrialOutcome outcome);
--- a/Services/Node/PromptGuard.cpp
+++ b/Services/Node/PromptGuard.cpp
@@ -52,19 +52,29 @@
 
 std::optional<WallInstant> PromptGuard::onSent(Serving::RequestSuspects const &suspects)
 {
-    return onSent(suspects, readClocks().wall);
+    auto const now = readClocks().wall;
+    auto const version = quarantine_.version();
+    return recordTrial(quarantine_.onSent(suspects, now), version, now);
 }
 
-std::optional<WallInstant> PromptGuard::onSent(Serving::RequestSuspects const &suspects, WallInstant at)
+std::optional<WallInstant> PromptGuard::onReserved(Serving::RequestSuspects const &suspects, WallInstant reservedAt)
 {
     auto const version = quarantine_.version();
-    auto const suspect = quarantine_.onSent(suspects, at);
-    if (!suspect)
+    auto const tried = quarantine_.onReserved(suspects, reservedAt, readClocks().wall);
+    if (!tried)
+        logTrialNotRun(suspects, Serving::TrialOutcome::NotSent);
+    return recordTrial(tried, version, reservedAt);
+}
+
+std::optional<WallInstant> PromptGuard::recordTrial(std::optional<Serving::Suspect> const &tried, std::uint64_t version, WallInstant at)
+{
+    if (tried)
+        Observe::log(Observe::Events::NodeQuarantineTrial, {{"suspect", toText(*tried)}});
+    if (quarantine_.version() == version)
         return std::nullopt;
-    Observe::log(Observe::Events::NodeQuarantineTrial, {{"suspect", toText(*suspect)}});
-    logChanges(at);
+    logChanges(readClocks().wall);
     countChange(version);
-    return at;
+    return tried ? std::optional(at) : std::nullopt;
 }
 
 void PromptGuard::onTrialEnded(Serving::RequestSuspects const &suspects, WallInstant trialAt, Serving::TrialOutcome outcome)
@@ -73,12 +83,17 @@
     quarantine_.onTrialEnded(suspects, trialAt, outcome);
     if (quarantine_.version() == version)
         return;
+    logTrialNotRun(suspects, outcome);
+    ++ownChanges_;
+    logChanges(readClocks().wall);
+}
+
+void PromptGuard::logTrialNotRun(Serving::RequestSuspects const &suspects, Serving::TrialOutcome outcome)
+{
     Observe::log(Observe::Events::NodeQuarantineTrialNotRun,
                  {{"was", outcome == Serving::TrialOutcome::NotRun ? "not-run" : "not-sent"},
                   {"fingerprint", suspects.request ? Serving::toString(*suspects.request) : "none"},
                   {"prompt_parts", Serving::toString(suspects.parts)}});
-    ++ownChanges_;
-    logChanges(readClocks().wall);
 }
 
 void PromptGuard::onAnswered(Serving::RequestSuspects const &suspects)
--- a/Services/Node/PromptGuard.h
+++ b/Services/Node/PromptGuard.h
@@ -21,8 +21,8 @@
     void onPlaced(Serving::RequestSuspects const &suspects);
     /// Records that such a request is sent to a server. Returns the time of the trial if it is one after the end of a quarantine.
     std::optional<WallInstant> onSent(Serving::RequestSuspects const &suspects);
-    /// The same for a request that counts as a trial from an earlier time.
-    std::optional<WallInstant> onSent(Serving::RequestSuspects const &suspects, WallInstant at);
+    /// The same for a request whose trial was reserved in the store at this time. Returns `std::nullopt` if it must not be sent any more.
+    std::optional<WallInstant> onReserved(Serving::RequestSuspects const &suspects, WallInstant reservedAt);
     /// Records what became of the trial that counts from this time.
     void onTrialEnded(Serving::RequestSuspects const &suspects, WallInstant trialAt, Serving::TrialOutcome outcome);
     /// Whether a request that is sent now is a trial after the end of a quarantine.
@@ -60,11 +60,14 @@
     [[nodiscard]] std::uint64_t ownChanges() const;
 
 private:
+    [[nodiscard]] std::optional<WallInstant>
+    recordTrial(std::optional<Serving::Suspect> const &tried, std::uint64_t version, WallInstant at);
     /// Counts a change that began here. `version`: of the evidence before it.
     void countChange(std::uint64_t version);
     /// Whether the confirmation of a server's crash is awaited that would put the suspect in quarantine.
     [[nodiscard]] bool awaitsConfirmation(Serving::Suspect const &suspect, WallInstant now) const;
     void record(std::vector<Serving::UnconfirmedLoss> const &confirmed);
+    static void logTrialNotRun(Serving::RequestSuspects const &suspects, Serving::TrialOutcome outcome);
     void logChanges(WallInstant now);
 
     Serving::PromptQuarantineOptions options_;
--- a/Services/Node/QuarantineRegister.cpp
+++ b/Services/Node/QuarantineRegister.cpp
@@ -74,7 +74,7 @@
     auto const reservation = std::make_shared<Reservation>(Reservation{.suspects = std::move(suspects), .onDecided = std::move(onDecided)});
     reservation->timeout = context_.loop.at(readLocalClock() + MaxReservationWait, [this, weak = std::weak_ptr(reservation)] {
         if (auto const waiting = weak.lock())
-            decide(*waiting, waiting->writtenAt.value_or(readClocks().wall));
+            grant(*waiting, waiting->writtenAt.value_or(readClocks().wall));
     });
     tryToReserve(reservation);
 }
@@ -93,9 +93,9 @@
     auto const now = readClocks().wall;
     bool const isNew = !stored && stored.error().code == PlatformError::NotFound;
     if (!merge(stored))
-        return decide(*reservation, now);
+        return grant(*reservation, now);
     if (!context_.prompts.isTrial(reservation->suspects))
-        return decide(*reservation, std::nullopt);
+        return refuse(*reservation);
     reservation->writtenAt = now;
     auto spec = Serving::encodePromptEvidence(context_.prompts.quarantine().evidenceWithTrial(reservation->suspects, now));
     auto const onReply = [this, reservation, now](Result<Object> const &written) {
@@ -103,11 +103,13 @@
             return;
         bool const isOvertaken =
             !written && (written.error().code == PlatformError::Conflict || written.error().code == PlatformError::AlreadyExists);
-        if (isOvertaken)
+        if (isOvertaken) {
+            reservation->writtenAt.reset();
             return tryToReserve(reservation);
+        }
         if (!written)
             Observe::log(Observe::Events::NodeQuarantineRecordFailed, {{"error", written.error().toString()}});
-        decide(*reservation, now);
+        grant(*reservation, now);
     };
     if (isNew)
         return context_.store.create(CallClass::Commit, quarantineKind, evidenceName, std::move(spec), onReply);
@@ -115,12 +117,23 @@
     context_.store.update(CallClass::Commit, quarantineKind, std::move(*stored), onReply);
 }
 
-void QuarantineRegister::decide(Reservation &reservation, std::optional<WallInstant> at)
+void QuarantineRegister::grant(Reservation &reservation, WallInstant at)
+{
+    // Evidence that has come meanwhile may hold the request.
+    bool const mayBeSent = reservation.writtenAt || context_.prompts.isTrial(reservation.suspects);
+    decide(reservation, mayBeSent ? context_.prompts.onReserved(reservation.suspects, at) : std::nullopt);
+}
+
+void QuarantineRegister::refuse(Reservation &reservation)
+{
+    decide(reservation, std::nullopt);
+}
+
+void QuarantineRegister::decide(Reservation &reservation, std::optional<WallInstant> trialAt)
 {
     auto const onDecided = std::exchange(reservation.onDecided, nullptr);
     reservation.timeout.reset();
-    // Evidence that has come meanwhile may hold the request.
-    onDecided(at && context_.prompts.isTrial(reservation.suspects) ? context_.prompts.onSent(reservation.suspects, *at) : std::nullopt);
+    onDecided(trialAt);
 }
 
 void QuarantineRegister::onTick(Instant now)
--- a/Services/Node/QuarantineRegister.h
+++ b/Services/Node/QuarantineRegister.h
@@ -25,7 +25,7 @@
 private:
     struct Reservation {
         Serving::RequestSuspects suspects;
-        /// Time at which the trial was last written, whether or not the store has it.
+        /// Time at which the trial was written, if the store may have it.
         std::optional<WallInstant> writtenAt = {};
         /// Null once it is decided.
         std::function<void(std::optional<WallInstant>)> onDecided;
@@ -34,8 +34,10 @@
 
     void tryToReserve(std::shared_ptr<Reservation> const &reservation);
     void writeTrial(std::shared_ptr<Reservation> const &reservation, Result<Platform::Object> stored);
-    /// `at`: the time from which the trial counts; unset if it is not granted.
-    void decide(Reservation &reservation, std::optional<WallInstant> at);
+    /// Sends the request as the trial that counts from this time, if no other evidence holds it.
+    void grant(Reservation &reservation, WallInstant at);
+    static void refuse(Reservation &reservation);
+    static void decide(Reservation &reservation, std::optional<WallInstant> trialAt);
     void read();
     void update();
     void write(Result<Platform::Object> stored);
--- a/Tests/LibServing/TestPromptQuarantine.cpp
+++ b/Tests/LibServing/TestPromptQuarantine.cpp
@@ -276,6 +276,45 @@
     }
 }
 
+/// Another instance reads a reserved trial in the store, and its evidence arrives before the store's response. Guards against a trial that
+/// holds its own request, so that it counts although nothing was sent.
+TEST_F(PromptQuarantineTest, AReservedTrialIsSentAlthoughOthersKnowOfIt)
+{
+    PromptQuarantine other{PromptQuarantineOptions{}};
+    RequestSuspects const suspects{.request = RequestFingerprint(5)};
+    for (std::size_t server = 0; server < 3; ++server)
+        quarantine_.onLost(serverNumber(server), suspects, 40ms, testStart);
+    auto const end = testStart + 10s;
+    other.merge(quarantine_.evidenceWithTrial(suspects, end), end);
+    quarantine_.merge(other.evidence(), end + 1ms);
+    ASSERT_FALSE(quarantine_.isTrial(suspects, end + 1ms)) << "others at this instance wait for it";
+    EXPECT_EQ(quarantine_.onReserved(suspects, end, end + 1ms), Suspect(RequestFingerprint(5)));
+    EXPECT_TRUE(quarantine_.find(suspects, end + 59s));
+    quarantine_.onAnswered(suspects, end + 40ms);
+    EXPECT_FALSE(quarantine_.find(suspects, end + 41ms));
+}
+
+/// The trial of another instance, which does not reserve it, becomes known meanwhile. Guards against a reserved trial that is not sent and
+/// counts all the same.
+TEST_F(PromptQuarantineTest, AReservedTrialThatIsNotSentIsGivenBack)
+{
+    PromptQuarantine other{PromptQuarantineOptions{}};
+    RequestSuspects const suspects{.request = RequestFingerprint(5)};
+    for (std::size_t server = 0; server < 3; ++server)
+        quarantine_.onLost(serverNumber(server), suspects, 40ms, testStart);
+    other.merge(quarantine_.evidence(), testStart);
+    auto const end = testStart + 10s;
+    auto const reserved = quarantine_.evidenceWithTrial(suspects, end);
+    ASSERT_TRUE(other.onSent(suspects, end + 1ms));
+    quarantine_.merge(other.evidence(), end + 2ms);
+    EXPECT_FALSE(quarantine_.onReserved(suspects, end, end + 2ms));
+    PromptQuarantine third{PromptQuarantineOptions{}};
+    third.merge(reserved, end);
+    third.merge(quarantine_.evidence(), end + 3ms);
+    EXPECT_EQ(third.evidence().trials,
+              (std::map<Suspect, Trials>{{RequestFingerprint(5), {{end, TrialOutcome::NotSent}, {end + 1ms, TrialOutcome::Unknown}}}}));
+}
+
 /// Guards against a trial by each instance, as those that did not send one know nothing of it.
 TEST_F(PromptQuarantineTest, ATrialHoldsThePartAtAllInstances)
 {
