--- a/Libraries/LibServing/LossConfirmation.cpp
+++ b/Libraries/LibServing/LossConfirmation.cpp
@@ -45,9 +45,7 @@
 std::vector<UnconfirmedLoss> LossConfirmation::onRefused(ServerRecord const &server, Instant now)
 {
     // The registration does not yet name the process that ran the request. Its start tells it from the earlier one.
-    auto const isLostThere = [&](UnconfirmedLoss const &loss) {
-        return isSameProcess(loss.server, server) && !isOfSuccessor(loss) && !loss.awaitsRegistration;
-    };
+    auto const isLostThere = [&](UnconfirmedLoss const &loss) { return isSameProcess(loss.server, server) && !isOfSuccessor(loss); };
     if (std::ranges::none_of(pending_, isLostThere))
         return {};
     auto &refusal = refusals_.try_emplace(server.id, Refusal{.startedAt = server.startedAt, .at = now}).first->second;
@@ -77,18 +75,14 @@
 void LossConfirmation::onResponded(ServerRecord const &server, Instant sentAt)
 {
     std::erase_if(pending_, [&](UnconfirmedLoss const &loss) {
-        return isSameProcess(loss.server, server) && !loss.awaitsRegistration && sentAt >= loss.endedAt
-            && sentAt < loss.endedAt + options_.minRestartTime;
+        return isSameProcess(loss.server, server) && sentAt >= loss.endedAt && sentAt < loss.endedAt + options_.minRestartTime;
     });
 }
 
 void LossConfirmation::onConnected(ServerRecord const &server, Instant begunAt)
 {
-    bool const wasRefused = refusals_.erase(server.id) > 0;
-    if (!wasRefused)
-        onResponded(server, begunAt);
-    for (auto &loss : pending_)
-        loss.awaitsRegistration = loss.awaitsRegistration || (wasRefused && isSameProcess(loss.server, server));
+    onResponded(server, begunAt);
+    refusals_.erase(server.id);
     for (auto &[id, refusal] : refusals_) {
         if (begunAt >= refusal.at + options_.pathCheckDelay)
             setPathSound(refusal, id, begunAt);
--- a/Libraries/LibServing/LossConfirmation.h
+++ b/Libraries/LibServing/LossConfirmation.h
@@ -31,8 +31,6 @@
     RequestSuspects suspects;
     Instant sentAt;
     Instant endedAt;
-    /// The server refused connections and took them again before the path was checked. Its registration shows whether another process did.
-    bool awaitsRegistration = false;
 };
 
 /// Finds out for which lost responses the server process has ended, as opposed to a broken connection or a response that was not sent. The
--- a/Services/Node/PromptGuard.cpp
+++ b/Services/Node/PromptGuard.cpp
@@ -175,11 +175,9 @@
     auto const local = readLocalClock();
     bool hasNews = false;
     auto const version = quarantine_.version();
-    for (auto const &loss : confirmed) {
-        auto const &server = loss.server;
-        auto const &suspects = loss.suspects;
-        auto const at = clocks.wall - std::chrono::duration_cast<milliseconds>(local - loss.endedAt);
-        auto const runTime = std::chrono::duration_cast<milliseconds>(loss.endedAt - loss.sentAt);
+    for (auto const &[server, suspects, sentAt, endedAt] : confirmed) {
+        auto const at = clocks.wall - std::chrono::duration_cast<milliseconds>(local - endedAt);
+        auto const runTime = std::chrono::duration_cast<milliseconds>(endedAt - sentAt);
         bool const isNew = quarantine_.onLost({.id = server.id, .startedAt = server.startedAt}, suspects, runTime, at);
         hasNews = hasNews || isNew;
         Observe::log(Observe::Events::NodeServerCrashed,
@@ -188,7 +186,7 @@
                       {"fingerprint", suspects.request ? Serving::toString(*suspects.request) : "none"},
                       {"prompt_parts", Serving::toString(suspects.parts)},
                       {"ran_ms", std::to_string(runTime.count())},
-                      {"ago_ms", toText(local - loss.endedAt)}});
+                      {"ago_ms", toText(local - endedAt)}});
     }
     if (!hasNews)
         return;
