--- a/Libraries/LibServing/LossConfirmation.cpp
+++ b/Libraries/LibServing/LossConfirmation.cpp
@@ -44,7 +44,6 @@
 
 std::vector<UnconfirmedLoss> LossConfirmation::onRefused(ServerRecord const &server, Instant now)
 {
-    // The registration does not yet name the process that ran the request. Its start tells it from the earlier one.
     auto const isLostThere = [&](UnconfirmedLoss const &loss) { return isSameProcess(loss.server, server) && !isOfSuccessor(loss); };
     if (std::ranges::none_of(pending_, isLostThere))
         return {};
@@ -52,19 +51,11 @@
     bool const isOutdated = refusal.pathSoundAt && now - *refusal.pathSoundAt > options_.pathRetention;
     if (refusal.startedAt != server.startedAt || isOutdated)
         refusal = {.startedAt = server.startedAt, .at = now};
-    return refusal.pathSoundAt ? takeConfirmed(server, now) : std::vector<UnconfirmedLoss>();
-}
-
-std::vector<UnconfirmedLoss> LossConfirmation::onReplaced(ServerRecord const &server, Instant now)
-{
-    return takeConfirmed(server, now);
-}
-
-std::vector<UnconfirmedLoss> LossConfirmation::takeConfirmed(ServerRecord const &server, Instant now)
-{
+    if (!refusal.pathSoundAt)
+        return {};
     refusals_.erase(server.id);
-    auto confirmed =
-        takeIf(pending_, [&](UnconfirmedLoss const &loss) { return isSameProcess(loss.server, server) && !isOfSuccessor(loss); });
+    // The registration does not yet name the process that ran the request. Its start tells it from the earlier one.
+    auto confirmed = takeIf(pending_, isLostThere);
     for (auto const &loss : confirmed) {
         auto &ended = ended_[loss.server.id];
         ended = {.startedAt = loss.server.startedAt, .endedAt = now};
@@ -72,16 +63,11 @@
     return confirmed;
 }
 
-void LossConfirmation::onResponded(ServerRecord const &server, Instant sentAt)
+void LossConfirmation::onReached(ServerRecord const &server, Instant begunAt)
 {
     std::erase_if(pending_, [&](UnconfirmedLoss const &loss) {
-        return isSameProcess(loss.server, server) && sentAt >= loss.endedAt && sentAt < loss.endedAt + options_.minRestartTime;
+        return isSameProcess(loss.server, server) && begunAt >= loss.endedAt && begunAt < loss.endedAt + options_.minRestartTime;
     });
-}
-
-void LossConfirmation::onConnected(ServerRecord const &server, Instant begunAt)
-{
-    onResponded(server, begunAt);
     refusals_.erase(server.id);
     for (auto &[id, refusal] : refusals_) {
         if (begunAt >= refusal.at + options_.pathCheckDelay)
@@ -104,23 +90,14 @@
 
 bool LossConfirmation::takePathCheck(Instant now)
 {
-    auto const next = nextPathCheckAt();
-    if (!next || now < *next)
+    bool const isDue = std::ranges::any_of(
+        refusals_, [&](auto const &entry) { return !entry.second.pathSoundAt && now >= entry.second.at + options_.pathCheckDelay; });
+    if (!isDue || now < nextPathCheckAt_)
         return false;
-    pathCheckNotBefore_ = now + options_.pathCheckInterval;
+    nextPathCheckAt_ = now + options_.pathCheckDelay;
     return true;
 }
 
-std::optional<Instant> LossConfirmation::nextPathCheckAt() const
-{
-    std::optional<Instant> next;
-    for (auto const &[id, refusal] : refusals_) {
-        if (!refusal.pathSoundAt)
-            next = std::min(next.value_or(Instant::max()), refusal.at + options_.pathCheckDelay);
-    }
-    return next ? std::optional(std::max(*next, pathCheckNotBefore_)) : std::nullopt;
-}
-
 std::vector<UnconfirmedLoss> LossConfirmation::onRegistration(ServerId const &id, std::optional<std::int64_t> startedAt)
 {
     for (auto &loss : pending_) {
--- a/Libraries/LibServing/LossConfirmation.h
+++ b/Libraries/LibServing/LossConfirmation.h
@@ -14,9 +14,7 @@
     /// Interval of the probes of a server that neither takes nor refuses connections.
     Duration probeInterval = 500ms;
     /// Time from a refused connection until the path to the servers is checked. A path does not break for all servers at the same instant.
-    Duration pathCheckDelay = 10ms;
-    /// Minimum time between two checks.
-    Duration pathCheckInterval = 50ms;
+    Duration pathCheckDelay = 30ms;
     /// Time for which a path that was found sound is taken to be so.
     Duration pathRetention = 500ms;
     /// After this time without a sign of the process's end the loss is put down to the connection. Registrations of crashed servers are
@@ -45,12 +43,8 @@
     /// The host of a server refused a connection. Returns the losses that are confirmed by this: another server has taken a connection
     /// since an earlier refusal.
     [[nodiscard]] std::vector<UnconfirmedLoss> onRefused(ServerRecord const &server, Instant now);
-    /// Another server responds at the address of a server, whose process has ended. Returns the losses that are confirmed by this.
-    [[nodiscard]] std::vector<UnconfirmedLoss> onReplaced(ServerRecord const &server, Instant now);
-    /// A server responded to what was sent at this time. Its connection may be an old one, which shows nothing about the path.
-    void onResponded(ServerRecord const &server, Instant sentAt);
     /// A server took a connection that was begun at this time.
-    void onConnected(ServerRecord const &server, Instant begunAt);
+    void onReached(ServerRecord const &server, Instant begunAt);
     /// There is no other server that could show whether the path to the servers is sound.
     void onPathUncheckable(Instant now);
     /// Called with a server's current registration, if there is one. Returns the losses that are confirmed by this.
@@ -61,8 +55,6 @@
     [[nodiscard]] std::vector<ServerRecord> takeProbes(Instant now);
     /// Whether a connection to another server has to be tried now, to tell the end of a process from a broken path.
     [[nodiscard]] bool takePathCheck(Instant now);
-    /// When takePathCheck() has to be called next; `std::nullopt` if no path is in doubt.
-    [[nodiscard]] std::optional<Instant> nextPathCheckAt() const;
     /// Server processes whose end is not confirmed, with the requests that were lost there.
     [[nodiscard]] std::vector<UnconfirmedLoss> const &pending() const;
 
@@ -85,7 +77,6 @@
         std::optional<Instant> pathSoundAt;
     };
 
-    std::vector<UnconfirmedLoss> takeConfirmed(ServerRecord const &server, Instant now);
     void setPathSound(Refusal &refusal, ServerId const &server, Instant at);
     /// Whether the request was sent after the end of the process in its registration, so that a newer process ran it.
     [[nodiscard]] bool isOfSuccessor(UnconfirmedLoss const &loss) const;
@@ -94,7 +85,7 @@
     std::vector<UnconfirmedLoss> pending_;
     std::map<ServerId, Probe> probes_;
     std::map<ServerId, Refusal> refusals_;
-    Instant pathCheckNotBefore_ = Instant::min();
+    Instant nextPathCheckAt_ = Instant::min();
     /// The last process of a server that is known to have ended.
     std::map<ServerId, EndedProcess> ended_;
 };
--- a/Services/Node/HealthProber.cpp
+++ b/Services/Node/HealthProber.cpp
@@ -79,20 +79,12 @@
     perform(context_.health.onTick(now));
     context_.prompts.onTick(context_.directory, now);
     probeLostServers(now);
-    checkPath(now);
-}
-
-void HealthProber::onProbeRefused(Serving::ServerRecord const &server)
-{
-    context_.prompts.onRefused(server);
-    if (auto const next = context_.prompts.nextPathCheckAt())
-        pathTimer_ = context_.loop.at(*next, [this] { checkPath(readLocalClock()); });
+    if (context_.prompts.takePathCheck(now))
+        checkPath(now);
 }
 
 void HealthProber::checkPath(Instant now)
 {
-    if (!context_.prompts.takePathCheck(now))
-        return;
     auto servers = context_.directory.usable(now);
     if (servers.size() <= 1) {
         context_.prompts.onPathUncheckable(now);
@@ -107,7 +99,7 @@
             auto const probe = pathProbes_.extract(server.id);
             if (outcome != Http::ListenProbe::Outcome::Listening)
                 return;
-            context_.prompts.onConnected(server, now);
+            context_.prompts.onReached(server, now);
             probeLostServers(readLocalClock());
         };
         pathProbes_[record.id] = std::make_unique<Http::ListenProbe>(context_.loop, record.address, now + ProbeConnectTimeout, onDone);
@@ -120,9 +112,9 @@
         auto const onDone = [this, server, now](Http::ListenProbe::Outcome outcome) {
             auto const probe = listenProbes_.extract(server.id);
             if (outcome == Http::ListenProbe::Outcome::Refused)
-                onProbeRefused(server);
+                context_.prompts.onRefused(server);
             else if (outcome == Http::ListenProbe::Outcome::Listening)
-                context_.prompts.onConnected(server, now);
+                context_.prompts.onReached(server, now);
         };
         listenProbes_[server.id] = std::make_unique<Http::ListenProbe>(context_.loop, server.address, now + ProbeConnectTimeout, onDone);
     }
--- a/Services/Node/HealthProber.h
+++ b/Services/Node/HealthProber.h
@@ -26,9 +26,8 @@
     void probe(ServerId const &server);
     void probe(Serving::ServerRecord const &server, std::function<void(Routing::ProbeOutcome)> const &report);
     void checkReach(Instant now);
-    /// Connects to some servers at which nothing was lost, if the path to the servers is in doubt.
+    /// Connects to some servers at which nothing was lost.
     void checkPath(Instant now);
-    void onProbeRefused(Serving::ServerRecord const &server);
     void onReachChanged(PoolName const &pool);
     void sendProbe(Serving::ServerRecord const &server, std::string const &path, std::function<void(Routing::ProbeOutcome)> const &report);
 
@@ -38,7 +37,6 @@
     std::map<ServerId, std::unique_ptr<Http::ListenProbe>> listenProbes_;
     std::map<ServerId, std::unique_ptr<Http::ListenProbe>> reachProbes_;
     std::map<ServerId, std::unique_ptr<Http::ListenProbe>> pathProbes_;
-    std::unique_ptr<Http::Timer> pathTimer_;
     /// Servers for which it is being found out whether their responses arrive.
     std::set<ServerId> responseChecks_;
 };
--- a/Services/Node/NodeContext.h
+++ b/Services/Node/NodeContext.h
@@ -102,8 +102,8 @@
     bool const isFromServer = !response.server || *response.server == server.id;
     // The address belongs to another server now.
     if (!isFromServer)
-        return context.prompts.onReplaced(server);
-    context.prompts.onResponded(server, sentAt);
+        return context.prompts.onRefused(server);
+    context.prompts.onReached(server, sentAt);
     context.limits.onResponse(server, response.limit, sentAt);
 }
 
--- a/Services/Node/PromptGuard.cpp
+++ b/Services/Node/PromptGuard.cpp
@@ -118,19 +118,9 @@
     record(confirmation_.onRefused(server, readLocalClock()));
 }
 
-void PromptGuard::onReplaced(Serving::ServerRecord const &server)
+void PromptGuard::onReached(Serving::ServerRecord const &server, Instant begunAt)
 {
-    record(confirmation_.onReplaced(server, readLocalClock()));
-}
-
-void PromptGuard::onResponded(Serving::ServerRecord const &server, Instant sentAt)
-{
-    confirmation_.onResponded(server, sentAt);
-}
-
-void PromptGuard::onConnected(Serving::ServerRecord const &server, Instant begunAt)
-{
-    confirmation_.onConnected(server, begunAt);
+    confirmation_.onReached(server, begunAt);
 }
 
 void PromptGuard::onPathUncheckable(Instant now)
@@ -143,11 +133,6 @@
     return confirmation_.takePathCheck(now);
 }
 
-std::optional<Instant> PromptGuard::nextPathCheckAt() const
-{
-    return confirmation_.nextPathCheckAt();
-}
-
 std::set<ServerId> PromptGuard::unconfirmedServers() const
 {
     std::set<ServerId> ids;
--- a/Services/Node/PromptGuard.h
+++ b/Services/Node/PromptGuard.h
@@ -33,12 +33,8 @@
     void onLost(Serving::ServerRecord const &server, Serving::RequestSuspects suspects, Instant sentAt);
     /// Records that the server's host refused a connection.
     void onRefused(Serving::ServerRecord const &server);
-    /// Records that another server responds at the server's address.
-    void onReplaced(Serving::ServerRecord const &server);
-    /// Records that the server responded to what was sent at this time, on any connection.
-    void onResponded(Serving::ServerRecord const &server, Instant sentAt);
     /// Records that the server took a connection that was begun at this time.
-    void onConnected(Serving::ServerRecord const &server, Instant begunAt);
+    void onReached(Serving::ServerRecord const &server, Instant begunAt);
     /// Records that there is no other server that could show whether the path to the servers is sound.
     void onPathUncheckable(Instant now);
     void merge(Serving::PromptEvidence const &evidence);
@@ -52,8 +48,6 @@
     [[nodiscard]] std::vector<Serving::ServerRecord> takeProbes(Instant now);
     /// Whether connections to other servers have to be tried now, to tell crashed servers from a broken path.
     [[nodiscard]] bool takePathCheck(Instant now);
-    /// When takePathCheck() has to be called next; `std::nullopt` if no path is in doubt.
-    [[nodiscard]] std::optional<Instant> nextPathCheckAt() const;
     /// Servers at which responses were lost, of which it is not known yet whether they have crashed.
     [[nodiscard]] std::set<ServerId> unconfirmedServers() const;
 
--- a/Tests/LibServing/TestLossConfirmation.cpp
+++ b/Tests/LibServing/TestLossConfirmation.cpp
@@ -29,7 +29,7 @@
         EXPECT_TRUE(confirmation_.onRefused(server, at).empty());
         EXPECT_FALSE(confirmation_.takePathCheck(at));
         EXPECT_TRUE(confirmation_.takePathCheck(at + PathCheckDelay));
-        confirmation_.onConnected(other_, at + PathCheckDelay);
+        confirmation_.onReached(other_, at + PathCheckDelay);
         return confirmation_.onRefused(server, at + PathCheckDelay + 2ms);
     }
 
@@ -69,38 +69,21 @@
         pathChecks += confirmation_.takePathCheck(start + elapsed) ? 1 : 0;
     }
     EXPECT_GT(pathChecks, 0U);
-    confirmation_.onConnected(other_, start + CutTime);
+    confirmation_.onReached(other_, start + CutTime);
     for (auto const &server : servers)
-        confirmation_.onConnected(server, start + CutTime + 1ms);
+        confirmation_.onReached(server, start + CutTime + 1ms);
     for (auto const &server : servers)
         EXPECT_TRUE(confirmation_.onRefused(server, start + CutTime + 2ms).empty()) << "this server crashes later";
 }
 
-/// Connections that exist live on during a cut, while new ones are refused. Guards against responses on them that are taken for a sound
-/// path.
-TEST_F(LossConfirmationTest, ResponsesOnKeptConnectionsDoNotShowThatThePathIsSound)
-{
-    lose(server_, 7, start, start + 40ms);
-    EXPECT_TRUE(confirmation_.onRefused(server_, start + 42ms).empty());
-    confirmation_.onResponded(other_, start + 100ms);
-    EXPECT_TRUE(confirmation_.onRefused(server_, start + 102ms).empty());
-}
-
-/// The address of a crashed server belongs to another one. Guards against waiting for its registration.
-TEST_F(LossConfirmationTest, AnotherServerAtTheAddressConfirmsTheLoss)
-{
-    lose(server_, 7, start, start + 40ms);
-    EXPECT_EQ(confirmation_.onReplaced(server_, start + 42ms).size(), 1U);
-}
-
 /// Guards against a path that was sound once and counts as sound for good.
 TEST_F(LossConfirmationTest, APathThatWasSoundIsCheckedAgain)
 {
     lose(server_, 7, start, start + 40ms);
     EXPECT_TRUE(confirmation_.onRefused(server_, start + 42ms).empty());
-    confirmation_.onConnected(other_, start + 100ms);
+    confirmation_.onReached(other_, start + 100ms);
     EXPECT_TRUE(confirmation_.onRefused(server_, start + 2s).empty());
-    confirmation_.onConnected(other_, start + 2100ms);
+    confirmation_.onReached(other_, start + 2100ms);
     EXPECT_EQ(confirmation_.onRefused(server_, start + 2102ms).size(), 1U);
 }
 
@@ -118,9 +101,9 @@
 TEST_F(LossConfirmationTest, AProcessThatGoesOnHasNotCrashed)
 {
     lose(server_, 7, start, start + 40ms);
-    confirmation_.onResponded(server_, start + 20ms);
+    confirmation_.onReached(server_, start + 20ms);
     EXPECT_EQ(confirmation_.pending().size(), 1U) << "this was sent before the loss";
-    confirmation_.onResponded(server_, start + 50ms);
+    confirmation_.onReached(server_, start + 50ms);
     EXPECT_TRUE(confirmation_.pending().empty());
     EXPECT_TRUE(confirmation_.onRefused(server_, start + 5s).empty()) << "the server crashes later for another reason";
     EXPECT_FALSE(confirmation_.takePathCheck(start + 6s));
@@ -131,7 +114,7 @@
 TEST_F(LossConfirmationTest, AProcessThatStartedLaterConfirmsTheLoss)
 {
     lose(server_, 7, start, start + 40ms);
-    confirmation_.onConnected(server_, start + 4s);
+    confirmation_.onReached(server_, start + 4s);
     EXPECT_TRUE(confirmation_.onRegistration(server_.id, 1).empty());
     EXPECT_EQ(confirmation_.onRegistration(server_.id, 2).size(), 1U);
 }
