Take the check of the path out again

The check cannot tell an instance that is cut off from one before whose eyes all servers crash, and waits for the registrations in both cases.

What would do: take the loss for evidence at once, as now, and let each instance that learns of it connect to the server itself. One that takes the connection within the time in which no crashed server is back goes on, and the instance drops the loss. One that is cut off cannot drop anything, and needs no message to the others.

--- a/Libraries/LibServing/LossConfirmation.cpp
+++ b/Libraries/LibServing/LossConfirmation.cpp
@@ -44,18 +44,9 @@
 
 std::vector<UnconfirmedLoss> LossConfirmation::onRefused(ServerRecord const &server, Instant now)
 {
-    auto const isLostThere = [&](UnconfirmedLoss const &loss) { return isSameProcess(loss.server, server) && !isOfSuccessor(loss); };
-    if (std::ranges::none_of(pending_, isLostThere))
-        return {};
-    auto &refusal = refusals_.try_emplace(server.id, Refusal{.startedAt = server.startedAt, .at = now}).first->second;
-    bool const isOutdated = refusal.pathSoundAt && now - *refusal.pathSoundAt > options_.pathRetention;
-    if (refusal.startedAt != server.startedAt || isOutdated)
-        refusal = {.startedAt = server.startedAt, .at = now};
-    if (!refusal.pathSoundAt)
-        return {};
-    refusals_.erase(server.id);
     // The registration does not yet name the process that ran the request. Its start tells it from the earlier one.
-    auto confirmed = takeIf(pending_, isLostThere);
+    auto confirmed =
+        takeIf(pending_, [&](UnconfirmedLoss const &loss) { return isSameProcess(loss.server, server) && !isOfSuccessor(loss); });
     for (auto const &loss : confirmed) {
         auto &ended = ended_[loss.server.id];
         ended = {.startedAt = loss.server.startedAt, .endedAt = now};
@@ -63,39 +54,11 @@
     return confirmed;
 }
 
-void LossConfirmation::onReached(ServerRecord const &server, Instant begunAt)
+void LossConfirmation::onReached(ServerRecord const &server, Instant sentAt)
 {
     std::erase_if(pending_, [&](UnconfirmedLoss const &loss) {
-        return isSameProcess(loss.server, server) && begunAt >= loss.endedAt && begunAt < loss.endedAt + options_.minRestartTime;
+        return isSameProcess(loss.server, server) && sentAt >= loss.endedAt && sentAt < loss.endedAt + options_.minRestartTime;
     });
-    refusals_.erase(server.id);
-    for (auto &[id, refusal] : refusals_) {
-        if (begunAt >= refusal.at + options_.pathCheckDelay)
-            setPathSound(refusal, id, begunAt);
-    }
-}
-
-void LossConfirmation::onPathUncheckable(Instant now)
-{
-    for (auto &[id, refusal] : refusals_)
-        setPathSound(refusal, id, now);
-}
-
-void LossConfirmation::setPathSound(Refusal &refusal, ServerId const &server, Instant at)
-{
-    refusal.pathSoundAt = at;
-    if (auto const probe = probes_.find(server); probe != probes_.end())
-        probe->second.dueAt = at;
-}
-
-bool LossConfirmation::takePathCheck(Instant now)
-{
-    bool const isDue = std::ranges::any_of(
-        refusals_, [&](auto const &entry) { return !entry.second.pathSoundAt && now >= entry.second.at + options_.pathCheckDelay; });
-    if (!isDue || now < nextPathCheckAt_)
-        return false;
-    nextPathCheckAt_ = now + options_.pathCheckDelay;
-    return true;
 }
 
 std::vector<UnconfirmedLoss> LossConfirmation::onRegistration(ServerId const &id, std::optional<std::int64_t> startedAt)
@@ -124,11 +87,9 @@
 {
     std::erase_if(pending_, [&](UnconfirmedLoss const &loss) { return now >= loss.endedAt + options_.retention; });
     std::erase_if(ended_, [&](auto const &entry) { return now >= entry.second.endedAt + options_.retention; });
-    auto const isSettled = [&](auto const &entry) {
+    std::erase_if(probes_, [&](auto const &entry) {
         return std::none_of(pending_.begin(), pending_.end(), [&](UnconfirmedLoss const &loss) { return loss.server.id == entry.first; });
-    };
-    std::erase_if(probes_, isSettled);
-    std::erase_if(refusals_, isSettled);
+    });
     std::vector<ServerRecord> due;
     for (auto &[id, probe] : probes_) {
         if (now < probe.dueAt)
--- a/Services/Node/HealthProber.cpp
+++ b/Services/Node/HealthProber.cpp
@@ -13,8 +13,6 @@
 constexpr Duration ProbeConnectTimeout = 300ms;
 /// A connection within a region is established in a few milliseconds.
 constexpr Duration ReachProbeTimeout = 250ms;
-/// Number of servers to which connections are tried to find out whether the path to the servers is sound. Some may have crashed, too.
-constexpr std::size_t ServersOfPathCheck = 3;
 /// Only the head of a response counts.
 constexpr std::size_t MaxProbeResponseBytes = 64 * 1024;
 
@@ -79,31 +77,6 @@
     perform(context_.health.onTick(now));
     context_.prompts.onTick(context_.directory, now);
     probeLostServers(now);
-    if (context_.prompts.takePathCheck(now))
-        checkPath(now);
-}
-
-void HealthProber::checkPath(Instant now)
-{
-    auto servers = context_.directory.usable(now);
-    if (servers.size() <= 1) {
-        context_.prompts.onPathUncheckable(now);
-        return probeLostServers(now);
-    }
-    auto const unconfirmed = context_.prompts.unconfirmedServers();
-    std::erase_if(servers, [&](Serving::UsableServer const &server) { return unconfirmed.contains(server.record.id); });
-    std::shuffle(servers.begin(), servers.end(), context_.random);
-    servers.resize(std::min(servers.size(), ServersOfPathCheck));
-    for (auto const &[record, use] : servers) {
-        auto const onDone = [this, server = record, now](Http::ListenProbe::Outcome outcome) {
-            auto const probe = pathProbes_.extract(server.id);
-            if (outcome != Http::ListenProbe::Outcome::Listening)
-                return;
-            context_.prompts.onReached(server, now);
-            probeLostServers(readLocalClock());
-        };
-        pathProbes_[record.id] = std::make_unique<Http::ListenProbe>(context_.loop, record.address, now + ProbeConnectTimeout, onDone);
-    }
 }
 
 void HealthProber::probeLostServers(Instant now)
--- a/Services/Node/HealthProber.h
+++ b/Services/Node/HealthProber.h
@@ -26,8 +26,6 @@
     void probe(ServerId const &server);
     void probe(Serving::ServerRecord const &server, std::function<void(Routing::ProbeOutcome)> const &report);
     void checkReach(Instant now);
-    /// Connects to some servers at which nothing was lost.
-    void checkPath(Instant now);
     void onReachChanged(PoolName const &pool);
     void sendProbe(Serving::ServerRecord const &server, std::string const &path, std::function<void(Routing::ProbeOutcome)> const &report);
 
@@ -36,7 +34,6 @@
     std::function<void()> onEjectionsChanged_;
     std::map<ServerId, std::unique_ptr<Http::ListenProbe>> listenProbes_;
     std::map<ServerId, std::unique_ptr<Http::ListenProbe>> reachProbes_;
-    std::map<ServerId, std::unique_ptr<Http::ListenProbe>> pathProbes_;
     /// Servers for which it is being found out whether their responses arrive.
     std::set<ServerId> responseChecks_;
 };
--- a/Services/Node/PromptGuard.cpp
+++ b/Services/Node/PromptGuard.cpp
@@ -118,32 +118,17 @@
     record(confirmation_.onRefused(server, readLocalClock()));
 }
 
-void PromptGuard::onReached(Serving::ServerRecord const &server, Instant begunAt)
+void PromptGuard::onReached(Serving::ServerRecord const &server, Instant sentAt)
 {
-    confirmation_.onReached(server, begunAt);
+    confirmation_.onReached(server, sentAt);
 }
 
-void PromptGuard::onPathUncheckable(Instant now)
-{
-    confirmation_.onPathUncheckable(now);
-}
-
-bool PromptGuard::takePathCheck(Instant now)
-{
-    return confirmation_.takePathCheck(now);
-}
-
-std::set<ServerId> PromptGuard::unconfirmedServers() const
+void PromptGuard::onTick(Serving::ServerDirectory const &directory, Instant now)
 {
     std::set<ServerId> ids;
     for (auto const &loss : confirmation_.pending())
         ids.insert(loss.server.id);
-    return ids;
-}
-
-void PromptGuard::onTick(Serving::ServerDirectory const &directory, Instant now)
-{
-    for (auto const &id : unconfirmedServers()) {
+    for (auto const &id : ids) {
         auto const server = directory.find(id, now);
         record(confirmation_.onRegistration(id, server ? std::optional(server->record.startedAt) : std::nullopt));
     }
--- a/Services/Node/PromptGuard.h
+++ b/Services/Node/PromptGuard.h
@@ -33,10 +33,8 @@
     void onLost(Serving::ServerRecord const &server, Serving::RequestSuspects suspects, Instant sentAt);
     /// Records that the server's host refused a connection.
     void onRefused(Serving::ServerRecord const &server);
-    /// Records that the server took a connection that was begun at this time.
-    void onReached(Serving::ServerRecord const &server, Instant begunAt);
-    /// Records that there is no other server that could show whether the path to the servers is sound.
-    void onPathUncheckable(Instant now);
+    /// Records that the server took a connection or responded to what was sent at this time.
+    void onReached(Serving::ServerRecord const &server, Instant sentAt);
     void merge(Serving::PromptEvidence const &evidence);
     /// Whether the server process is known to have ended while it ran a request.
     [[nodiscard]] bool hasEnded(Serving::ServerProcess const &server) const;
@@ -46,10 +44,6 @@
     void onTick(Serving::ServerDirectory const &directory, Instant now);
     /// Returns the servers for which it has to be found out whether their processes have ended.
     [[nodiscard]] std::vector<Serving::ServerRecord> takeProbes(Instant now);
-    /// Whether connections to other servers have to be tried now, to tell crashed servers from a broken path.
-    [[nodiscard]] bool takePathCheck(Instant now);
-    /// Servers at which responses were lost, of which it is not known yet whether they have crashed.
-    [[nodiscard]] std::set<ServerId> unconfirmedServers() const;
 
     /// Returns why such requests are refused; `std::nullopt` if they may be sent.
     [[nodiscard]] std::optional<RefusalReason> refusalReason(Serving::RequestSuspects const &suspects) const;
