Tests: stop entries while requests wait at busy servers

A way to LOST that was not tried: servers have about as many requests as slots, each runs for 250 ms, entries get SIGTERM one after the other, SIGHUP and new desired states come meanwhile, and callers use their connections until the process is gone.

--- a/Tests/NodeProcesses/TestLostWork.cpp
+++ b/Tests/NodeProcesses/TestLostWork.cpp
@@ -280,6 +280,65 @@
     expectNothingLost();
 }
 
+/// Guards against requests that are cut when their entry ends, as they wait at busy servers, and callers keep their connections to it until
+/// its process is gone.
+TEST_F(LostWorkTest, RequestsThatWaitAtBusyServersOutliveTheStopOfTheirEntry)
+{
+    /// Servers have about as many requests as slots.
+    constexpr Duration RunTime = 250ms;
+    /// Time from the last byte of a request after which its connection may not be closed without a response.
+    constexpr Duration LossSlack = 200ms;
+    fleet_.setPromptTime(RunTime);
+    startServers();
+    for (auto const *name : {"entry-1", "entry-2", "entry-3", "entry-4"})
+        entries_.push_back(&fleet_.startNode(name));
+    runners_.push_back(&fleet_.startNode("runner-1", Serving::InstanceRole::Runner));
+    waitUntilReady();
+    NodeProcess *ending = nullptr;
+    std::future<void> ready;
+    std::size_t next = draw(entries_.size());
+    auto nextEndAt = Instant::min();
+    auto nextChangeAt = Instant::min();
+    serveCallers([&](Instant now) {
+        if (now >= nextChangeAt) {
+            nextChangeAt = now + drawTime(100ms, 800ms);
+            fleet_.changeDesiredState(draw(30));
+            if (auto &reloaded = *entries_[draw(entries_.size())]; reloaded.isRunning())
+                reloaded.reload();
+        }
+        if (ready.valid() && ready.wait_for(0s) == std::future_status::ready) {
+            ready.get();
+            ending = nullptr;
+            nextEndAt = now + drawTime(100ms, 600ms);
+        } else if (ending && !ready.valid() && !ending->isRunning()) {
+            ending->start();
+            ready = std::async(std::launch::async, [this, entry = ending] { fleet_.waitUntilReady(*entry); });
+        } else if (!ending && now >= nextEndAt) {
+            ending = entries_[next++ % entries_.size()];
+            ending->terminate();
+        }
+    });
+    if (ready.valid())
+        ready.get();
+    std::size_t lost = 0;
+    std::map<int, std::size_t> byStatus;
+    for (auto &sent : sent_) {
+        auto const timed = sent.answer.get();
+        ++byStatus[timed.answer ? timed.answer->status : 0];
+        auto const servers = fleet_.serversOf(sent.id).size();
+        if (timed.answer || (servers == 0 && timed.time <= LossSlack))
+            continue;
+        ++lost;
+        std::cout << "lost: " << sent.id << ' ' << sent.target << ' ' << timed.answer.error().error.toString() << " after "
+                  << timed.time / 1ms << " ms; servers " << servers << '\n';
+    }
+    for (auto const &[status, count] : byStatus)
+        std::cout << status << ": " << count << ' ';
+    std::cout << "; lost " << lost << '\n';
+    EXPECT_EQ(lost, 0U);
+    EXPECT_GT(2 * byStatus[200], sent_.size());
+}
+
 /// Guards against work that is lost because some nodes reach the store and others do not.
 TEST_F(LostWorkTest, RequestsAndJobsOutliveCutPathsToTheStore)
 {
