Clear a request that may crash servers by an answer only

Callers: beside six requests that crash servers, one of them reached servers 7 times later than contact time after its third crash (three allowed), and a sound request was refused for 20 s.

Cause: the suspect with the most lost servers explains the losses of others, which are not refused then. Which one that is changes with each loss. When the trial of one suspect was lost, another one was released at all instances at once, with 1 to 2.5 s of its quarantine left (node-request-released), and all of them sent it. It crashed further servers, and the trial of a sound request that shared one of them was lost and counted.

A request with which three servers were lost is now cleared by an answer only. While others explain its losses it is not refused, but its next send is a trial, reserved in the store, so that one instance sends it. A trial that is lost beside the explanation shows nothing and is repeated; one that a server did not run is repeated after half a second. Requests only: sound requests share parts, and the trial of a popular part is lost with the crashing part beside it.

--- a/Libraries/LibServing/PromptQuarantine.cpp
+++ b/Libraries/LibServing/PromptQuarantine.cpp
@@ -248,17 +248,16 @@
         verdicts_.push_back(verdictOn(next->first, next->second, Certainty::Sole));
         explained.insert(verdicts_.back().servers.begin(), verdicts_.back().servers.end());
     }
-    if (!verdicts_.empty())
-        addSharedVerdicts(explained);
+    if (verdicts_.empty())
+        return;
+    addSharedVerdicts(explained);
+    addExplainedVerdicts();
 }
 
 /// Several suspects that crash servers are lost at some of the same servers, and the first verdicts explain these without the others, which
 /// would be sent again. What was lost as soon as the explaining suspect may be the cause as well.
 void PromptQuarantine::addSharedVerdicts(std::set<ServerProcess> const &explained)
 {
-    auto const isInQuarantine = [&](Suspect const &suspect) {
-        return std::any_of(verdicts_.begin(), verdicts_.end(), [&](Verdict const &verdict) { return verdict.suspect == suspect; });
-    };
     while (true) {
         auto const found = suspicions([&](LostResponse const &response, bool isSoon) {
             if (!explained.contains(response.server))
@@ -267,7 +266,7 @@
                        return contains(response, verdict.suspect);
                    });
         });
-        auto const next = strongest(found, [&](Suspect const &suspect) { return !isInQuarantine(suspect) && !isCovered(suspect); });
+        auto const next = strongest(found, [&](Suspect const &suspect) { return !hasVerdict(suspect) && !isCovered(suspect); });
         if (next == found.end())
             return;
         // Once it is suspected, each further loss counts, or it would be tried again at once after a trial that was lost beside others.
@@ -276,6 +275,22 @@
     }
 }
 
+/// Which suspect explains the losses of others changes with each loss, and instances would then all send at once what they have refused
+/// until then. So only an answer clears a request with which enough servers were lost. Parts are not held so, as sound requests share them.
+void PromptQuarantine::addExplainedVerdicts()
+{
+    for (auto const &[suspect, suspicion] : suspicions([](LostResponse const &, bool) { return true; })) {
+        bool const isRequest = std::holds_alternative<RequestFingerprint>(suspect);
+        if (isRequest && suspicion.servers.size() >= options_.serversToQuarantine && !hasVerdict(suspect))
+            verdicts_.push_back(explainedVerdictOn(suspect, suspicion));
+    }
+}
+
+bool PromptQuarantine::hasVerdict(Suspect const &suspect) const
+{
+    return std::ranges::any_of(verdicts_, [&](Verdict const &verdict) { return verdict.suspect == suspect; });
+}
+
 bool PromptQuarantine::isCovered(Suspect const &suspect) const
 {
     auto const servers = lostServers(suspect);
@@ -310,7 +325,7 @@
         certainty == Certainty::Shared ? suspicionTime : std::chrono::duration_cast<milliseconds>(options_.quarantineTime);
     auto const firstTime = isRequest ? quarantineTime : suspicionTime;
     auto const maxTime = std::chrono::duration_cast<milliseconds>(options_.maxQuarantineTime);
-    Verdict verdict{.suspect = suspect, .time = firstTime};
+    Verdict verdict{.suspect = suspect, .time = firstTime, .certainty = certainty};
     std::vector<Loss> losses;
     for (auto const &[server, loss] : suspicion.servers) {
         verdict.servers.insert(server);
@@ -352,6 +367,50 @@
     return verdict;
 }
 
+PromptQuarantine::Verdict PromptQuarantine::explainedVerdictOn(Suspect const &suspect, Suspicion const &suspicion) const
+{
+    Verdict verdict{.suspect = suspect, .certainty = Certainty::Explained};
+    std::vector<WallInstant> losses;
+    for (auto const &[server, loss] : suspicion.servers) {
+        verdict.servers.insert(server);
+        losses.push_back(loss.lostAt);
+    }
+    auto const decisive = losses.begin() + static_cast<std::ptrdiff_t>(options_.serversToQuarantine) - 1;
+    std::nth_element(losses.begin(), decisive, losses.end());
+    verdict.until = *decisive;
+    auto const trials = trials_.find(suspect);
+    if (trials == trials_.end())
+        return verdict;
+    for (auto const &[at, outcome] : trials->second) {
+        if (at < *decisive || outcome == TrialOutcome::NotSent || isExcluded(suspect, at) || wasLostBesideOthers(suspicion, at))
+            continue;
+        if (outcome == TrialOutcome::NotRun) {
+            verdict.until = std::max(verdict.until, at + std::chrono::duration_cast<milliseconds>(options_.trialSeparation));
+            continue;
+        }
+        bool const isFirst = verdict.time == milliseconds(0);
+        verdict.time = isFirst
+            ? std::chrono::duration_cast<milliseconds>(options_.quarantineTime)
+            : std::min(verdict.time * options_.quarantineGrowth, std::chrono::duration_cast<milliseconds>(options_.maxQuarantineTime));
+        verdict.until = at + verdict.time;
+    }
+    return verdict;
+}
+
+/// Such a trial shows nothing about its suspect.
+bool PromptQuarantine::wasLostBesideOthers(Suspicion const &suspicion, WallInstant trialAt) const
+{
+    auto outcome = suspicion.servers.end();
+    for (auto entry = suspicion.servers.begin(); entry != suspicion.servers.end(); ++entry) {
+        bool const isLater = entry->second.lostAt >= trialAt;
+        if (isLater && (outcome == suspicion.servers.end() || entry->second.lostAt < outcome->second.lostAt))
+            outcome = entry;
+    }
+    return outcome != suspicion.servers.end() && std::ranges::any_of(verdicts_, [&](Verdict const &verdict) {
+               return verdict.certainty != Certainty::Explained && verdict.servers.contains(outcome->first);
+           });
+}
+
 WallInstant PromptQuarantine::endOf(Verdict const &verdict) const
 {
     auto const spread = std::chrono::duration_cast<milliseconds>(verdict.time * options_.expirySpread).count();
@@ -414,7 +473,7 @@
         if (!contains(suspects, verdict.suspect) || now < endOf(verdict))
             continue;
         noteTrial(verdict.suspect, now, TrialOutcome::Unknown);
-        tried = verdict.suspect;
+        tried = tried.value_or(verdict.suspect);
     }
     if (tried) {
         ++version_;
@@ -473,7 +532,8 @@
         if (!contains(suspects, verdict.suspect))
             continue;
         auto until = refusedUntil(verdict);
-        if (now >= until)
+        // A trial of an explained suspect that is lost beside another one is repeated.
+        if (now >= until && verdict.certainty != Certainty::Explained)
             until = otherTrialsUntil(suspects);
         if (now < until)
             return Match{.suspect = verdict.suspect, .until = until};
@@ -483,10 +543,16 @@
 
 bool PromptQuarantine::isTrial(RequestSuspects const &suspects, WallInstant now) const
 {
-    bool const isHeld =
-        std::ranges::any_of(verdicts_, [&](Verdict const &verdict) { return contains(suspects, verdict.suspect) && now < endOf(verdict); });
-    bool const isSuspected = std::ranges::any_of(verdicts_, [&](Verdict const &verdict) { return contains(suspects, verdict.suspect); });
-    return isSuspected && !isHeld && now >= otherTrialsUntil(suspects);
+    bool isSuspected = false;
+    for (auto const &verdict : verdicts_) {
+        if (!contains(suspects, verdict.suspect))
+            continue;
+        bool const mayWait = verdict.certainty != Certainty::Explained;
+        if (now < endOf(verdict) || (mayWait && now < otherTrialsUntil(suspects)))
+            return false;
+        isSuspected = true;
+    }
+    return isSuspected;
 }
 
 WallInstant PromptQuarantine::otherTrialsUntil(RequestSuspects const &suspects) const
@@ -536,7 +602,7 @@
     std::set<ServerProcess> servers;
     for (auto const &response : lost_) {
         bool const isExplained = std::any_of(verdicts_.begin(), verdicts_.end(), [&](Verdict const &verdict) {
-            return verdict.suspect != suspect && verdict.servers.contains(response.server);
+            return verdict.suspect != suspect && verdict.certainty != Certainty::Explained && verdict.servers.contains(response.server);
         });
         if (contains(response, suspect) && !isExplained && !isExcluded(suspect, response.at))
             servers.insert(response.server);
--- a/Libraries/LibServing/PromptQuarantine.h
+++ b/Libraries/LibServing/PromptQuarantine.h
@@ -106,6 +106,16 @@
     [[nodiscard]] std::uint64_t version() const;
 
 private:
+    enum class Certainty {
+        /// No other suspect explains the losses.
+        Sole,
+        /// Another suspect explains the losses, too, but both may have crashed servers.
+        Shared,
+        /// Other suspects explain the losses alone. That does not show that this one is sound, so it is not refused, but tried once first.
+        /// Only of requests.
+        Explained,
+    };
+
     /// A suspect that explains why servers were lost.
     struct Verdict {
         Suspect suspect;
@@ -113,6 +123,7 @@
         WallInstant until;
         /// Time from the last loss to the end.
         std::chrono::milliseconds time{0};
+        Certainty certainty = Certainty::Sole;
     };
 
     struct Loss {
@@ -138,12 +149,6 @@
         New,
     };
 
-    enum class Certainty {
-        /// No other suspect explains the losses.
-        Sole,
-        /// Another suspect explains the losses, too, but both may have crashed servers.
-        Shared,
-    };
     /// Returns whether a lost response counts; `isSoon`: whether it was lost soon after it was sent, compared with others at the server.
     using Filter = std::function<bool(LostResponse const &response, bool isSoon)>;
 
@@ -155,6 +160,9 @@
     [[nodiscard]] Suspicions::const_iterator strongest(Suspicions const &found,
                                                        std::function<bool(Suspect const &)> const &mayBeChosen) const;
     [[nodiscard]] Verdict verdictOn(Suspect const &suspect, Suspicion const &suspicion, Certainty certainty) const;
+    [[nodiscard]] Verdict explainedVerdictOn(Suspect const &suspect, Suspicion const &suspicion) const;
+    /// Whether the server of a trial was lost with the suspect of a verdict, too.
+    [[nodiscard]] bool wasLostBesideOthers(Suspicion const &suspicion, WallInstant trialAt) const;
     /// Whether a verdict's suspect was lost at all servers at which this one was, so that it explains them alone.
     [[nodiscard]] bool isCovered(Suspect const &suspect) const;
     [[nodiscard]] std::set<ServerProcess> lostServers(Suspect const &suspect) const;
@@ -165,6 +173,8 @@
     void settle(WallInstant now);
     void refreshVerdicts();
     void addSharedVerdicts(std::set<ServerProcess> const &explained);
+    void addExplainedVerdicts();
+    [[nodiscard]] bool hasVerdict(Suspect const &suspect) const;
     /// Position of the verdict to which the response has led; the number of verdicts if there is none.
     [[nodiscard]] std::size_t verdictOf(LostResponse const &response) const;
     [[nodiscard]] bool holdsQuarantine(LostResponse const &response) const;
--- a/Tests/LibServing/TestPromptQuarantine.cpp
+++ b/Tests/LibServing/TestPromptQuarantine.cpp
@@ -315,6 +315,58 @@
               (std::map<Suspect, Trials>{{RequestFingerprint(5), {{end, TrialOutcome::NotSent}, {end + 1ms, TrialOutcome::Unknown}}}}));
 }
 
+/// Two requests crash servers and are lost together, and one of them crashes one more server, which explains all losses. Guards against
+/// sending the other one again from all instances at once, as if it were known to be sound.
+TEST_F(PromptQuarantineTest, ARequestWhoseLossesAnotherOneExplainsIsTriedOnceBeforeItIsSent)
+{
+    RequestSuspects const stronger{.request = RequestFingerprint(5)};
+    RequestSuspects const explained{.request = RequestFingerprint(6)};
+    for (std::size_t server = 0; server < 3; ++server) {
+        quarantine_.onLost(serverNumber(server), stronger, 40ms, testStart);
+        quarantine_.onLost(serverNumber(server), explained, 40ms, testStart);
+    }
+    quarantine_.onLost(serverNumber(3), stronger, 40ms, testStart);
+    ASSERT_TRUE(quarantine_.find(stronger, testStart + 1s));
+    EXPECT_FALSE(quarantine_.find(explained, testStart + 1s)) << "it may be sound";
+    ASSERT_TRUE(quarantine_.isTrial(explained, testStart + 1s));
+    EXPECT_EQ(quarantine_.onSent(explained, testStart + 1s), Suspect(RequestFingerprint(6)));
+    EXPECT_TRUE(quarantine_.find(explained, testStart + 10s));
+    EXPECT_TRUE(quarantine_.isTrial(explained, testStart + 11s));
+    quarantine_.onAnswered(explained, testStart + 12s);
+    EXPECT_FALSE(quarantine_.isTrial(explained, testStart + 12s));
+    EXPECT_FALSE(quarantine_.find(explained, testStart + 12s));
+}
+
+/// A sound request is lost once more with the crashing one that explains its losses, just as it may be tried. Guards against refusing it
+/// for long because of that.
+TEST_F(PromptQuarantineTest, ATrialThatIsLostBesideItsExplanationIsRepeated)
+{
+    RequestSuspects const crashing{.request = RequestFingerprint(5)};
+    RequestSuspects const sound{.request = RequestFingerprint(6)};
+    for (std::size_t server = 0; server < 3; ++server) {
+        quarantine_.onLost(serverNumber(server), crashing, 40ms, testStart);
+        quarantine_.onLost(serverNumber(server), sound, 40ms, testStart);
+    }
+    quarantine_.onLost(serverNumber(3), crashing, 40ms, testStart);
+    ASSERT_TRUE(quarantine_.onSent(sound, testStart + 1ms));
+    ASSERT_TRUE(quarantine_.find(sound, testStart + 30ms));
+    quarantine_.onLost(serverNumber(4), crashing, 40ms, testStart + 40ms);
+    quarantine_.onLost(serverNumber(4), sound, 40ms, testStart + 40ms);
+    EXPECT_FALSE(quarantine_.find(sound, testStart + 1s));
+    EXPECT_TRUE(quarantine_.isTrial(sound, testStart + 1s));
+    // Servers whose addresses belong to others now did not run it.
+    for (auto at = testStart + 100ms; at < testStart + 1s; at += 500ms) {
+        ASSERT_TRUE(quarantine_.onSent(sound, at));
+        quarantine_.onTrialEnded(sound, at, TrialOutcome::NotRun);
+        EXPECT_TRUE(quarantine_.find(sound, at + 100ms));
+        EXPECT_FALSE(quarantine_.find(sound, at + 500ms));
+    }
+    // Alone at its server, it is to blame.
+    ASSERT_TRUE(quarantine_.onSent(sound, testStart + 1200ms));
+    quarantine_.onLost(serverNumber(5), sound, 40ms, testStart + 1240ms);
+    EXPECT_TRUE(quarantine_.find(sound, testStart + 4s));
+}
+
 /// Guards against a trial by each instance, as those that did not send one know nothing of it.
 TEST_F(PromptQuarantineTest, ATrialHoldsThePartAtAllInstances)
 {
