Give a reserved trial back also if its quarantine ended after it was written

By reading the diff: evidence that arrives between the write and the decision can move the end of the quarantine to a time after the reservation, which is over when it is decided. The request was then not sent, and its trial counted.

--- a/Libraries/LibServing/PromptQuarantine.cpp
+++ b/Libraries/LibServing/PromptQuarantine.cpp
@@ -490,8 +490,10 @@
         isKnown = (contains(suspects, suspect) && trials.erase(reservedAt) > 0) || isKnown;
     if (isKnown)
         refreshVerdicts();
-    if (isTrial(suspects, now))
-        return onSent(suspects, reservedAt);
+    if (isTrial(suspects, now)) {
+        if (auto const tried = onSent(suspects, reservedAt))
+            return tried;
+    }
     for (auto const &verdict : verdicts_) {
         if (!contains(suspects, verdict.suspect))
             continue;
--- a/Services/Node/PromptGuard.h
+++ b/Services/Node/PromptGuard.h
@@ -54,6 +54,8 @@
     [[nodiscard]] std::uint64_t ownChanges() const;
 
 private:
+    /// Logs and counts what a send, or a trial that is given back, has changed. Returns the time of the trial if one is sent. `version`: of
+    /// the evidence before it.
     [[nodiscard]] std::optional<WallInstant>
     recordTrial(std::optional<Serving::Suspect> const &tried, std::uint64_t version, WallInstant at);
     /// Counts a change that began here. `version`: of the evidence before it.
