Read customers and their keys from the desired state

Cause: deployments may list customers with keys, a priority and a request limit. The programs ignored them, so that each request ran without a check of its key, and the key reached the backend server.

Change: Serving::Customer and CustomerTable, which finds a customer by a key in constant time; the adapter decodes customers and public routes and replaces the caller's key by the customer's name if an attempt states a customer. Nothing calls this yet. A desired state with customers that cannot be told apart is rejected; the error names customer and field, not the key.

--- a/Libraries/LibServing/DesiredState.h
+++ b/Libraries/LibServing/DesiredState.h
@@ -48,6 +48,8 @@
     std::optional<Duration> eventGapTarget;
     /// 0 is the highest priority.
     std::int64_t priority = 0;
+    /// Requests need no key, even if the desired state has customers.
+    bool isPublic = false;
     /// Maximum number of servers that may run one request.
     std::uint32_t maxServers = 1;
     /// Streams: another server may resume after the last relayed event.
@@ -67,12 +69,27 @@
     std::uint32_t maxConnections = 0;
 };
 
+/// A customer whose callers present one of its keys.
+struct Customer {
+    CustomerId id;
+    /// Secrets. They are never written to logs, metrics, errors or requests to servers.
+    std::vector<std::string> keys;
+    /// Takes precedence over the priority of the route; the route's priority applies if unset.
+    std::optional<std::int64_t> priority;
+    /// Requests per second that all instances together accept in the long run. 0 means no limit.
+    double requestsPerSecond = 0;
+    /// Requests that are accepted beyond the rate after a time with fewer requests.
+    double burst = 0;
+};
+
 /// The complete configuration requested by operators.
 struct DesiredState {
     StateVersion version{0};
     std::vector<Route> routes;
     std::vector<PoolDescription> pools;
     Http::CallerLimits limits;
+    /// Unset if requests need no key.
+    std::optional<std::vector<Customer>> customers;
 };
 
 } // namespace Anvilyard::Serving
--- a/Libraries/LibServing/RouteTable.cpp
+++ b/Libraries/LibServing/RouteTable.cpp
@@ -20,6 +20,8 @@
 RouteTable::RouteTable(DesiredState state)
     : state_(std::move(state))
 {
+    if (state_.customers)
+        customers_.emplace(*state_.customers);
     for (std::size_t index = 0; index < state_.routes.size(); ++index)
         byHost_[normalizedHost(state_.routes[index].host)].push_back(index);
     for (auto &[host, positions] : byHost_) {
@@ -46,6 +48,11 @@
     return state_;
 }
 
+CustomerTable const *RouteTable::customers() const
+{
+    return customers_ ? &*customers_ : nullptr;
+}
+
 PoolName const &poolFor(Route const &route, RequestId const &request)
 {
     double total = 0;
--- a/Libraries/LibServing/RouteTable.h
+++ b/Libraries/LibServing/RouteTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibServing/CustomerTable.h"
 #include "LibServing/DesiredState.h"
 
 #include <memory>
@@ -20,9 +21,12 @@
     /// in the host and the case of its letters are ignored.
     [[nodiscard]] Route const *find(std::string_view host, std::string_view path) const;
     [[nodiscard]] DesiredState const &state() const;
+    /// Returns the customers, or null if requests need no key.
+    [[nodiscard]] CustomerTable const *customers() const;
 
 private:
     DesiredState state_;
+    std::optional<CustomerTable> customers_;
     /// Indices into state_.routes by host, longest prefix first.
     std::unordered_map<std::string, std::vector<std::size_t>> byHost_;
 };
--- a/Services/Node/ServingProtocol.h
+++ b/Services/Node/ServingProtocol.h
@@ -41,6 +41,9 @@
     /// Time limit for the server; unlimited if unset.
     std::optional<Duration> timeLeft;
     std::optional<std::uint64_t> lastEventId;
+    /// Customer that the server is told. Empty for a caller without a key; unset if the desired state has no customers. If set, the server
+    /// is not sent the caller's key.
+    std::optional<CustomerId> customer = {};
 };
 
 /// Properties of a server's response, from its status and headers.
@@ -104,6 +107,10 @@
     virtual ~ServingProtocol() = default;
 
     [[nodiscard]] virtual bool isReadinessProbe(Http::HttpRequest const &request) const = 0;
+    /// Returns the key that the caller presents; `std::nullopt` if there is none.
+    [[nodiscard]] virtual std::optional<std::string_view> readKey(Http::HttpRequest const &request) const = 0;
+    /// Returns the customer that makeServerRequest() stated; `std::nullopt` if it stated none.
+    [[nodiscard]] virtual std::optional<CustomerId> readCustomer(Http::HttpRequest const &request) const = 0;
     [[nodiscard]] virtual Result<OnlineRequestHead> readOnlineRequest(Http::HttpRequest const &request) const = 0;
     /// Returns the parts of a prompt that other requests may share, in their order.
     [[nodiscard]] virtual std::vector<Serving::PromptPartId> readPromptParts(Http::Headers const &headers) const = 0;
--- a/Tests/FleetAdapter/TestFleetProtocol.cpp
+++ b/Tests/FleetAdapter/TestFleetProtocol.cpp
@@ -72,6 +72,73 @@
         EXPECT_EQ(protocol.readDesiredState(text).error().code, ServingError::BadRecord) << text;
 }
 
+/// Guards against customers that are read with another limit or priority than the operator set.
+TEST(FleetProtocolTest, CustomersAreDecoded)
+{
+    auto const withCustomers = [](std::string const &customers) {
+        auto text = stateText;
+        text.insert(text.rfind('}'), R"(,"tenants":)" + customers);
+        return protocol.readDesiredState(text);
+    };
+    auto const state = withCustomers(
+        R"([{"name":"north","apiKeys":["k1","k2"],"priority":1,"ratePerS":330,"burst":33.5},{"name":"south","apiKeys":["k3"]}])");
+    ASSERT_TRUE(state) << state.error().toString();
+    ASSERT_EQ(state->customers->size(), 2U);
+    auto const &north = state->customers->front();
+    EXPECT_EQ(north.id, CustomerId("north"));
+    EXPECT_EQ(north.keys, (std::vector<std::string>{"k1", "k2"}));
+    EXPECT_EQ(north.priority, 1);
+    EXPECT_EQ(north.requestsPerSecond, 330);
+    EXPECT_EQ(north.burst, 33.5);
+    EXPECT_EQ(state->customers->back().priority, std::nullopt);
+    EXPECT_EQ(state->customers->back().requestsPerSecond, 0);
+    EXPECT_EQ(protocol.readDesiredState(stateText)->customers, std::nullopt);
+    EXPECT_TRUE(withCustomers("[]")->customers.has_value());
+    for (auto const *const malformed : {R"([{"name":"north"}])",
+                                        R"([{"apiKeys":["secret"]}])",
+                                        R"([{"name":"north","apiKeys":"secret"}])",
+                                        R"([{"name":"north","apiKeys":["secret"],"ratePerS":"3"}])",
+                                        R"([{"name":"north","apiKeys":["secret"],"ratePerS":-1}])",
+                                        R"([{"name":"north","apiKeys":["secret"]},{"name":"south","apiKeys":["secret"]}])",
+                                        R"(["secret"])",
+                                        R"("secret")"}) {
+        auto const rejected = withCustomers(malformed);
+        ASSERT_FALSE(rejected) << malformed;
+        EXPECT_EQ(rejected.error().toString().find("secret"), std::string::npos) << rejected.error().toString();
+    }
+}
+
+/// Guards against a server that sees a key, and against a caller that names another customer.
+TEST(FleetProtocolTest, AServerIsSentTheCustomerInsteadOfTheKey)
+{
+    auto const request =
+        requestOf("POST",
+                  "/s/1",
+                  {{"Host", "a.example"}, {"Authorization", "Token k1"}, {"Anvilyard-Tenant", "other"}, {"anvilyard-tenant", "third"}});
+    EXPECT_EQ(protocol.readKey(request), "k1");
+    auto const forwarded = protocol.makeServerRequest(request, {.server = ServerId("s"), .customer = CustomerId("north")});
+    EXPECT_FALSE(forwarded.headers.contains("Authorization"));
+    EXPECT_EQ(protocol.readCustomer(forwarded), CustomerId("north"));
+    auto const anonymous = protocol.makeServerRequest(request, {.server = ServerId("s"), .customer = CustomerId()});
+    EXPECT_FALSE(anonymous.headers.contains("Authorization"));
+    EXPECT_FALSE(anonymous.headers.contains("Anvilyard-Tenant"));
+    // Without customers, the header belongs to the caller and the server.
+    EXPECT_TRUE(protocol.makeServerRequest(request, {.server = ServerId("s")}).headers.contains("Authorization"));
+    Jobs::JobItem const item{.id = Jobs::ItemId("i"), .target = "/s/1", .headers = request.headers};
+    auto const sentItem = protocol.makeServerRequest(item, "a.example", {.server = ServerId("s"), .customer = CustomerId("north")});
+    EXPECT_FALSE(sentItem.headers.contains("Authorization"));
+    EXPECT_EQ(protocol.readCustomer(sentItem), CustomerId("north"));
+}
+
+TEST(FleetProtocolTest, AKeyHasTheSchemeToken)
+{
+    auto const keyIn = [](std::string value) { return protocol.readKey(requestOf("GET", "/", {{"Authorization", std::move(value)}})); };
+    EXPECT_EQ(keyIn("token k1"), "k1");
+    EXPECT_EQ(keyIn("Token "), std::nullopt);
+    EXPECT_EQ(keyIn("Bearer k1"), std::nullopt);
+    EXPECT_EQ(protocol.readKey(requestOf("GET", "/")), std::nullopt);
+}
+
 TEST(FleetProtocolTest, AServerIsDecoded)
 {
     auto const server = protocol.readServer(ServerId("i-1"), serverText);
