Read less of the store for new jobs and for results that never change

Each runner that learns of a job reads the job, its first segment and both counts, also for a job that was created some milliseconds ago, of which nothing else can exist. Segments and parts of jobs never change once they exist, and yet were read at the price of the latest state.

Change: the notice of a new job says whether its sender has just created it. While the runners agree about the owners, such a job is read by one call; earlier builds ignore the parameter and do not send it. Segments and parts are read from a copy that may be stale, and only if that lacks them from the latest state. The job itself is still read from the latest state, since its end must be seen.

--- a/Libraries/LibJobs/ResultChain.cpp
+++ b/Libraries/LibJobs/ResultChain.cpp
@@ -10,6 +10,31 @@
 using Platform::CallClass;
 using Platform::PlatformError;
 
+/// Reads an object that never changes once it exists. It may be read from a stale copy, unless that copy lacks it.
+void readImmutable(Platform::ObjectStore &store,
+                   Platform::Kind const &kind,
+                   Platform::ObjectName const &name,
+                   Platform::Reply<Platform::Object> reply)
+{
+    store.getStale(CallClass::Read, kind, name, [&store, kind, name, reply = std::move(reply)](Result<Platform::Object> object) mutable {
+        if (object || object.error().code != PlatformError::NotFound)
+            return reply(std::move(object));
+        store.get(CallClass::Read, kind, name, std::move(reply));
+    });
+}
+
+Result<std::optional<ResultSegment>> toSegment(std::size_t first, Result<Platform::Object> const &object)
+{
+    if (!object && object.error().code == PlatformError::NotFound)
+        return std::optional<ResultSegment>();
+    if (!object)
+        return tl::unexpected(object.error());
+    auto segment = decodeSegment(first, object->spec);
+    if (!segment)
+        return tl::unexpected(segment.error());
+    return std::optional(std::move(*segment));
+}
+
 /// Loads one job: the job object, its parts and its segments.
 class JobLoad : public std::enable_shared_from_this<JobLoad>
 {
@@ -45,32 +70,33 @@
     {
         if (part == parts_)
             return extent_ == LoadExtent::Full ? loadNextSegment() : reply_(std::move(loaded_));
-        store_.get(
-            CallClass::Read, jobPartKind, partObject(job_, part), [self = shared_from_this(), part](Result<Platform::Object> object) {
-                if (!object)
-                    return self->reply_(tl::unexpected(object.error()));
-                auto items = decodePart(object->spec);
-                if (!items)
-                    return self->reply_(tl::unexpected(items.error()));
-                auto &all = self->loaded_.record.items;
-                all.insert(all.end(), std::make_move_iterator(items->begin()), std::make_move_iterator(items->end()));
-                self->loadPart(part + 1);
-            });
+        readImmutable(store_, jobPartKind, partObject(job_, part), [self = shared_from_this(), part](Result<Platform::Object> object) {
+            if (!object)
+                return self->reply_(tl::unexpected(object.error()));
+            auto items = decodePart(object->spec);
+            if (!items)
+                return self->reply_(tl::unexpected(items.error()));
+            auto &all = self->loaded_.record.items;
+            all.insert(all.end(), std::make_move_iterator(items->begin()), std::make_move_iterator(items->end()));
+            self->loadPart(part + 1);
+        });
     }
 
     void loadNextSegment()
     {
         if (listed_ >= loaded_.record.items.size())
             return reply_(std::move(loaded_));
-        loadSegment(store_, job_, listed_, [self = shared_from_this()](Result<std::optional<ResultSegment>> segment) {
-            if (!segment)
-                return self->reply_(tl::unexpected(segment.error()));
-            if (!*segment)
-                return self->reply_(std::move(self->loaded_));
-            self->listed_ += (*segment)->outcomes.size();
-            self->loaded_.segments.push_back(std::move(**segment));
-            self->loadNextSegment();
-        });
+        readImmutable(
+            store_, segmentKind, segmentObject(job_, listed_), [self = shared_from_this()](Result<Platform::Object> const &object) {
+                auto segment = toSegment(self->listed_, object);
+                if (!segment)
+                    return self->reply_(tl::unexpected(segment.error()));
+                if (!*segment)
+                    return self->reply_(std::move(self->loaded_));
+                self->listed_ += (*segment)->outcomes.size();
+                self->loaded_.segments.push_back(std::move(**segment));
+                self->loadNextSegment();
+            });
     }
 
     Platform::ObjectStore &store_;
@@ -94,16 +120,10 @@
                  std::size_t first,
                  std::function<void(Result<std::optional<ResultSegment>>)> reply)
 {
-    store.get(CallClass::Read, segmentKind, segmentObject(job, first), [first, reply = std::move(reply)](Result<Platform::Object> object) {
-        if (!object && object.error().code == PlatformError::NotFound)
-            return reply(std::optional<ResultSegment>());
-        if (!object)
-            return reply(tl::unexpected(object.error()));
-        auto segment = decodeSegment(first, object->spec);
-        if (!segment)
-            return reply(tl::unexpected(segment.error()));
-        reply(std::optional(std::move(*segment)));
-    });
+    store.get(CallClass::Read,
+              segmentKind,
+              segmentObject(job, first),
+              [first, reply = std::move(reply)](Result<Platform::Object> const &object) { reply(toSegment(first, object)); });
 }
 
 } // namespace Anvilyard::Jobs
--- a/Libraries/LibPlatform/MeteredStore.cpp
+++ b/Libraries/LibPlatform/MeteredStore.cpp
@@ -65,6 +65,12 @@
     store_.get(callClass, std::move(kind), std::move(name), std::move(counted));
 }
 
+void MeteredStore::getStale(CallClass callClass, Kind kind, ObjectName name, Reply<Object> reply)
+{
+    auto counted = countingReply(kind, "get_stale", std::move(reply));
+    store_.getStale(callClass, std::move(kind), std::move(name), std::move(counted));
+}
+
 void MeteredStore::update(CallClass callClass, Kind kind, Object object, Reply<Object> reply)
 {
     auto counted = countingReply(kind, "update", std::move(reply));
--- a/Libraries/LibPlatform/MeteredStore.h
+++ b/Libraries/LibPlatform/MeteredStore.h
@@ -17,6 +17,7 @@
 
     void create(CallClass callClass, Kind kind, ObjectName name, std::string spec, Reply<Object> reply) override;
     void get(CallClass callClass, Kind kind, ObjectName name, Reply<Object> reply) override;
+    void getStale(CallClass callClass, Kind kind, ObjectName name, Reply<Object> reply) override;
     void update(CallClass callClass, Kind kind, Object object, Reply<Object> reply) override;
     void remove(CallClass callClass, Kind kind, ObjectName name, ResourceVersion version, Reply<std::monostate> reply) override;
     void list(CallClass callClass, Kind kind, ListOptions options, Reply<ObjectList> reply) override;
--- a/Libraries/LibPlatform/ObjectStore.h
+++ b/Libraries/LibPlatform/ObjectStore.h
@@ -88,6 +88,12 @@
 
     virtual void create(CallClass callClass, Kind kind, ObjectName name, std::string spec, Reply<Object> reply) = 0;
     virtual void get(CallClass callClass, Kind kind, ObjectName name, Reply<Object> reply) = 0;
+    /// Like get(), but the object may be seconds old, and one that was created since is not found. Platforms charge less for it. Stores
+    /// without such a call read the latest object.
+    virtual void getStale(CallClass callClass, Kind kind, ObjectName name, Reply<Object> reply)
+    {
+        get(callClass, std::move(kind), std::move(name), std::move(reply));
+    }
     /// Replaces the object if it still has `object.version`.
     virtual void update(CallClass callClass, Kind kind, Object object, Reply<Object> reply) = 0;
     /// Removes the object if it still has this version. An empty version removes it unconditionally.
--- a/Services/Node/JobApiHandler.cpp
+++ b/Services/Node/JobApiHandler.cpp
@@ -39,6 +39,8 @@
     Instant deadline;
     /// The outcome of a store call is unknown, so a refusal must not state that the job did not run.
     bool isOutcomeUnknown = false;
+    /// This submission created the job.
+    bool isNew = false;
     std::unique_ptr<Http::Timer> timer;
 };
 
@@ -158,6 +160,7 @@
                           Jobs::jobObject(submission->id),
                           submission->stored.spec,
                           [this, submission](Result<Platform::Object> created) {
+                              submission->isNew = created.has_value();
                               // A repeated submission finds the job stored.
                               if (created || created.error().code == PlatformError::AlreadyExists)
                                   return acknowledge(submission);
@@ -188,7 +191,7 @@
     Observe::log(
         Observe::Events::NodeJobAccepted,
         {{"job", submission->id.value()}, {"items", std::to_string(submission->items)}, {"tokens", std::to_string(submission->tokens)}});
-    notifyOwner({.job = submission->id, .event = PeerJobNotice::Event::Accepted});
+    notifyOwner({.job = submission->id, .event = PeerJobNotice::Event::Accepted, .isNew = submission->isNew});
     submission->writer->respond({.status = 202, .headers = {{"Content-Type", "application/json"}}, .body = "{}"});
 }
 
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -22,6 +22,9 @@
 constexpr int LastRecordAttempts = 10;
 /// Reading a job takes some calls of the store, each of which ends after a second or two at the latest.
 constexpr Duration LoadOverdueAfter = 5s;
+/// Within this time of a job's creation no other runner has taken the job and stored something: their watches return later, and a runner
+/// counts as dead only after 1.5 s.
+constexpr Duration NewJobTime = 500ms;
 /// Counting the items of all jobs in each tick would cost more than the line is worth.
 constexpr Duration WaitCheckInterval = 1s;
 /// Within this time the owner of an admitted job has read it and counts its tokens.
@@ -132,6 +135,14 @@
     }
 }
 
+void JobRunner::onNotice(PeerJobNotice const &notice)
+{
+    bool const isUnseen = !knownJobs_.contains(notice.job);
+    onJobKnown(notice.job, notice.event == PeerJobNotice::Event::Ended);
+    if (notice.isNew && isUnseen)
+        knownJobs_[notice.job].isNewUntil = readLocalClock() + NewJobTime;
+}
+
 bool JobRunner::isFirstFor(JobId const &job) const
 {
     return context_.peers.ownerOf(job) == context_.settings.instance;
@@ -205,6 +216,8 @@
     known.isLoading = true;
     known.loadingSince = readLocalClock();
     known.isOverdueLogged = false;
+    // Another runner may run items of a new job only while the runners disagree about its owner.
+    bool const isNew = known.loadingSince < known.isNewUntil && !context_.peers.isUnsettled(known.loadingSince);
     // Both are read at once.
     struct Parts {
         std::optional<Result<Jobs::LoadedJob>> job;
@@ -215,10 +228,15 @@
         if (parts->job && parts->counts)
             onJobLoaded(job, std::move(*parts->job), *parts->counts);
     };
-    Jobs::loadJob(context_.store, job, Jobs::LoadExtent::Full, [parts, onPart](Result<Jobs::LoadedJob> loaded) {
-        parts->job = std::move(loaded);
-        onPart();
-    });
+    Jobs::loadJob(
+        context_.store, job, isNew ? Jobs::LoadExtent::JobOnly : Jobs::LoadExtent::Full, [parts, onPart](Result<Jobs::LoadedJob> loaded) {
+            parts->job = std::move(loaded);
+            onPart();
+        });
+    if (isNew) {
+        parts->counts = Jobs::RecordedCounts();
+        return;
+    }
     Jobs::loadCounts(context_.store, job, [parts, onPart](Result<Jobs::RecordedCounts> counts) {
         parts->counts = std::move(counts);
         onPart();
@@ -860,7 +878,7 @@
         return true;
     }
     if (auto const *notice = std::get_if<PeerJobNotice>(&*call)) {
-        onJobKnown(notice->job, notice->event == PeerJobNotice::Event::Ended);
+        onNotice(*notice);
         writer->respond({.status = 200});
         return true;
     }
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -51,6 +51,8 @@
         bool isTaken = false;
         bool isEnded = false;
         bool isLoading = false;
+        /// Until then nothing but the job itself can be stored of it, as no other runner has seen it.
+        Instant isNewUntil = Instant::min();
         Instant loadingSince = Instant::min();
         bool isOverdueLogged = false;
         Instant loadNotBefore = Instant::min();
@@ -65,6 +67,7 @@
 
     /// Records a job that exists in the store.
     void onJobKnown(JobId const &job, bool isEnded);
+    void onNotice(PeerJobNotice const &notice);
     /// Reads a job from the store that is asked for here and that this runner would own.
     void lookForUnheardJob(JobId const &job);
     void onJobChanged(Platform::WatchChange change, Platform::Object const &object);
--- a/Services/Node/PeerJobCalls.cpp
+++ b/Services/Node/PeerJobCalls.cpp
@@ -53,7 +53,7 @@
 std::string toTarget(PeerJobNotice const &call)
 {
     auto const event = call.event == PeerJobNotice::Event::Accepted ? AcceptedSegment : EndedSegment;
-    return "/jobs/" + percentEncode(call.job.value()) + "/" + std::string(event);
+    return "/jobs/" + percentEncode(call.job.value()) + "/" + std::string(event) + (call.isNew ? "?new=1" : "");
 }
 
 std::string toTarget(PeerOwnerCheck const &call)
@@ -84,7 +84,8 @@
         return PeerAdmission{
             .job = std::move(job), .tokens = readNumberParameter(request, "tokens"), .maxTokens = readNumberParameter(request, "most")};
     if (segments.size() == 3 && segments[2] == AcceptedSegment)
-        return PeerJobNotice{.job = std::move(job), .event = PeerJobNotice::Event::Accepted};
+        return PeerJobNotice{
+            .job = std::move(job), .event = PeerJobNotice::Event::Accepted, .isNew = readNumberParameter(request, "new") == 1};
     if (segments.size() == 3 && segments[2] == EndedSegment)
         return PeerJobNotice{.job = std::move(job), .event = PeerJobNotice::Event::Ended};
     if (segments.size() == 3 && segments[2] == OwnerSegment)
--- a/Services/Node/PeerJobCalls.h
+++ b/Services/Node/PeerJobCalls.h
@@ -41,6 +41,8 @@
         Accepted,
         Ended,
     } event = Event::Accepted;
+    /// Whether the sender has just created the job, so that nothing else about it is stored. Earlier builds do not state it.
+    bool isNew = false;
 };
 
 /// Question to the owner of a job whether it holds the job. It notifies the owner of the job as well.
--- a/Tests/FakeFleet/FleetStoreServer.cpp
+++ b/Tests/FakeFleet/FleetStoreServer.cpp
@@ -101,6 +101,11 @@
     return calls_;
 }
 
+void FleetStoreServer::setStaleCopyEmpty(bool isEmpty)
+{
+    isStaleCopyEmpty_ = isEmpty;
+}
+
 void FleetStoreServer::put(std::string const &kind, std::string const &name, std::string const &spec)
 {
     if (auto known = table_.get(Kind(kind), ObjectName(name))) {
@@ -192,7 +197,8 @@
     if (endIfFaulty(faults_.nextHandling(CallKind::Read), call.writer))
         return;
     if (!call.name.value().empty()) {
-        auto object = table_.get(call.kind, call.name);
+        bool const mayBeStale = call.request.query("allowStale") == "1";
+        Result<Object> object = mayBeStale && isStaleCopyEmpty_ ? failure(PlatformError::NotFound) : table_.get(call.kind, call.name);
         if (object)
             *object = rewritten(std::move(*object), call.kind, call.rewrite);
         return call.writer->respond(responseOf(object));
--- a/Tests/FakeFleet/FleetStoreServer.h
+++ b/Tests/FakeFleet/FleetStoreServer.h
@@ -30,6 +30,8 @@
     void setPageSize(std::size_t size);
     /// Number of calls received, by "METHOD kind".
     [[nodiscard]] std::map<std::string, std::size_t> const &calls() const;
+    /// Sets whether reads of single objects that may be stale find nothing, as if the copy they read were from before all changes.
+    void setStaleCopyEmpty(bool isEmpty);
 
     /// Writes an object directly, without faults, as the operator and the servers would.
     void put(std::string const &kind, std::string const &name, std::string const &spec);
@@ -78,6 +80,7 @@
     FaultPlan faults_;
     std::size_t pageSize_ = 500;
     bool areFurtherPagesSilent_ = false;
+    bool isStaleCopyEmpty_ = false;
     std::map<std::string, std::size_t> calls_;
     std::list<PendingWatch> watches_;
     std::list<Writer> unansweredWriters_;
--- a/Tests/Node/TestJobs.cpp
+++ b/Tests/Node/TestJobs.cpp
@@ -204,6 +204,46 @@
     EXPECT_EQ(countReads(), before + 1);
 }
 
+/// Guards against three further calls of the store for each accepted job, which were most of all calls on a day without trouble.
+TEST_F(JobsTest, AJobThatWasJustCreatedIsReadWithOneCall)
+{
+    addServer("s1", complete);
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    // While runners may disagree about the owners, which they may after their start, all that is stored of a job is read.
+    for (int number = 0;; ++number) {
+        auto const before = thread_.call([&] { return store_->calls(); });
+        auto const job = "job-" + std::to_string(number);
+        ASSERT_EQ(ask(entry, submissionOf(job, 1))->status, 202);
+        ASSERT_EQ(readResults(entry, job, 1).size(), 1U);
+        auto const countOf = [](std::map<std::string, std::size_t> const &calls, std::string const &call) {
+            auto const found = calls.find(call);
+            return found == calls.end() ? 0 : found->second;
+        };
+        auto const after = thread_.call([&] { return store_->calls(); });
+        auto const added = [&](std::string const &call) { return countOf(after, call) - countOf(before, call); };
+        if (added("GET batchfailures") == 0 && added("GET batchunanswered") == 0 && added("GET batchresults") == 0)
+            break;
+    }
+}
+
+/// Guards against results that are listed again or lost, because the copy of the store that may be stale lacks them.
+TEST_F(JobsTest, AStaleCopyOfTheStoreHidesNoResults)
+{
+    thread_.call([&] { store_->setStaleCopyEmpty(true); });
+    addServer("s1", complete);
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    ask(entry, submissionOf("j", 3));
+    auto const results = readResults(entry, "j", 3);
+    killNode("runner-1");
+    EXPECT_EQ(readResults(entry, "j", 3), results);
+    startNode("runner-2", InstanceRole::Runner);
+    EXPECT_EQ(readResults(entry, "j", 3), results);
+}
+
 /// Guards against storing empty segments, which happened when encoding and moving the segment were arguments of the same call.
 TEST_F(JobsTest, ResultsAreReadFromTheStoreWhenNoRunnerIsLeft)
 {
