--- a/Libraries/LibServing/Admission.cpp
+++ b/Libraries/LibServing/Admission.cpp
@@ -13,6 +13,19 @@
     return meanRun * (load.online + 1 - slots) / slots;
 }
 
+Duration allowedWait(Duration latencyTarget, AdmissionOptions const &options)
+{
+    return std::chrono::duration_cast<Duration>(latencyTarget * options.waitShareOfTarget);
+}
+
+AdmissionVerdict admitAfterWait(Duration shortestWait, Duration latencyTarget, AdmissionOptions const &options)
+{
+    auto const allowed = allowedWait(latencyTarget, options);
+    if (shortestWait <= allowed)
+        return {.shortestWait = shortestWait};
+    return {.isAdmitted = false, .retryAfter = std::max(options.minRetryAfter, shortestWait - allowed), .shortestWait = shortestWait};
+}
+
 AdmissionVerdict admit(std::span<ServerLoad const> servers, Duration meanRun, Duration latencyTarget, AdmissionOptions const &options)
 {
     if (servers.empty())
@@ -20,10 +33,7 @@
     auto shortest = Duration::max();
     for (auto const &server : servers)
         shortest = std::min(shortest, expectedWait(server, meanRun));
-    auto const allowed = std::chrono::duration_cast<Duration>(latencyTarget * options.waitShareOfTarget);
-    if (shortest <= allowed)
-        return {.shortestWait = shortest};
-    return {.isAdmitted = false, .retryAfter = std::max(options.minRetryAfter, shortest - allowed), .shortestWait = shortest};
+    return admitAfterWait(shortest, latencyTarget, options);
 }
 
 } // namespace Anvilyard::Serving
--- a/Libraries/LibServing/Admission.h
+++ b/Libraries/LibServing/Admission.h
@@ -33,6 +33,12 @@
 /// Returns the expected wait for a slot at a server. `meanRun` is the average time that a request occupies a slot.
 Duration expectedWait(ServerLoad const &load, Duration meanRun);
 
+/// Longest wait for a slot with which a request is admitted.
+Duration allowedWait(Duration latencyTarget, AdmissionOptions const &options);
+
+/// Decides by the shortest expected wait over all servers.
+AdmissionVerdict admitAfterWait(Duration shortestWait, Duration latencyTarget, AdmissionOptions const &options);
+
 /// Decides at a request's arrival whether it can be served in time. Designed for peaks of nearly twice the mean load while some
 /// servers are lost. Engines admit requests in order of arrival, so one excess request delays all later ones. If it is refused at
 /// once, its retry meets a shorter queue. Without servers the request is admitted; the caller handles that case.
