Ask FairAdmission before an online request of a customer is sent

CallAdmission asks once for each request, after its first placement, and counts the request as in flight until it ends. Refusals are counted by reason and urgency, and logged with the inputs of the decision. A customer over its share is refused with 503 over_share.

customerOf() names no customer until callers are authenticated, so that nothing changes yet.

--- a/Services/Node/NodeContext.h
+++ b/Services/Node/NodeContext.h
@@ -7,6 +7,7 @@
 #include "LibPlatform/ObjectStore.h"
 #include "LibRouting/RetryBudget.h"
 #include "LibRouting/ServerHealth.h"
+#include "LibServing/FairAdmission.h"
 #include "LibServing/LoadTracker.h"
 #include "LibServing/OnlinePlacement.h"
 #include "LibServing/PeerTable.h"
@@ -60,6 +61,8 @@
     Serving::OnlinePlacement placement;
     /// By pool, when callers may return that were refused because of the limits of servers.
     std::map<PoolName, Serving::ReturnSchedule> returns = {};
+    /// By pool, which requests are refused when capacity is short. Empty if the desired state has no customers.
+    std::map<PoolName, Serving::FairAdmission> fairness = {};
     Routing::ServerHealth health;
     /// Whether connections to the servers of a pool can be made from here.
     Serving::ServerReach reach{{}};
--- a/Services/Node/NodeMetrics.cpp
+++ b/Services/Node/NodeMetrics.cpp
@@ -76,6 +76,15 @@
     return routes_.try_emplace(name, registry_, name.value()).first->second;
 }
 
+void NodeMetrics::onAdmissionRefused(std::string_view reason, std::size_t urgency)
+{
+    registry_
+        .counter("anvilyard_node_admission_refusals_total",
+                 "Online requests of customers refused because capacity was short, by the reason and the urgency",
+                 {{"reason", std::string(reason)}, {"urgency", std::to_string(urgency)}})
+        .add();
+}
+
 void NodeMetrics::onBrokenStream(std::string_view reason)
 {
     auto found = brokenStreams_.find(reason);
--- a/Services/Node/NodeMetrics.h
+++ b/Services/Node/NodeMetrics.h
@@ -41,6 +41,8 @@
     [[nodiscard]] RouteMetrics &route(Serving::RouteName const &route);
     /// `reason` is the code of the refusal.
     void onRefused(std::string_view reason);
+    /// A request was refused by FairAdmission. `reason` is one of a small fixed set; `urgency` is 0 for the most urgent.
+    void onAdmissionRefused(std::string_view reason, std::size_t urgency);
     /// `reason` is one of a small fixed set, the same as in the log.
     void onBrokenStream(std::string_view reason);
     /// `outcome` is one of a small fixed set.
--- a/Services/Node/NodeRefusals.cpp
+++ b/Services/Node/NodeRefusals.cpp
@@ -61,6 +61,11 @@
     return unavailable("overloaded", "the servers of this route could not answer in time now", retryAfter);
 }
 
+Refusal overShare(Duration retryAfter)
+{
+    return unavailable("over_share", "capacity is short, and this customer has more than its share of the requests", retryAfter);
+}
+
 Refusal limitsReached(Duration retryAfter)
 {
     return unavailable("limits_reached", "the servers of this route take no more requests now", retryAfter);
--- a/Services/Node/NodeRefusals.h
+++ b/Services/Node/NodeRefusals.h
@@ -15,6 +15,8 @@
 /// This instance exits before the request could end.
 Http::Refusal stopping();
 Http::Refusal overloaded(Duration retryAfter);
+/// The customer has more than its share of the requests while capacity is short.
+Http::Refusal overShare(Duration retryAfter);
 /// All servers of the service have limits, and these are reached.
 Http::Refusal limitsReached(Duration retryAfter);
 Http::Refusal noServer();
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -48,6 +48,12 @@
     return Repeatability::Unsafe;
 }
 
+/// The customer that a request is charged to; unset if the desired state has no customers.
+std::optional<CustomerId> customerOf(OnlineCall::Parts const & /*parts*/)
+{
+    return std::nullopt;
+}
+
 /// Whether the status guarantees to the caller that the request did not run and never will.
 bool guaranteesNotRun(int status)
 {
@@ -133,6 +139,11 @@
     , routeMetrics_(parts_.metrics.route(parts_.route.name))
     , startedAt_(readLocalClock())
     , deadline_(startedAt_ + std::min(parts_.route.timeout, parts_.head.timeLeft.value_or(parts_.route.timeout)))
+    , admission_({.context = parts_.context,
+                  .metrics = parts_.metrics,
+                  .request = parts_.head.id,
+                  .urgency = Serving::urgencyOf(parts_.route.priority),
+                  .customer = customerOf(parts_)})
     , plan_({
           .repeatability = repeatabilityOf(parts_.route),
           // The instance that passed the request on counts it as one server.
@@ -258,6 +269,8 @@
     auto const placement = findPlacement(latencyTarget, permitRequests_ < MaxPermitRequests ? LimitedServers::Use : LimitedServers::Avoid);
     if (attempts_ == 0)
         parts_.metrics.expectedWaitSeconds.record(toSeconds(placement.shortestWait));
+    if (auto const refusal = admission_.refusalOf(pool_, placement, latencyTarget, readLocalClock()))
+        return refuse(*refusal);
     switch (placement.outcome) {
     case Serving::Placement::Outcome::Chosen:
         // A kept connection may be stale, and a trial is not repeated.
@@ -1004,6 +1017,7 @@
     if (std::exchange(isFinished_, true))
         return;
     returnTrial();
+    admission_.end();
     if (parts_.relay)
         --parts_.context.relayedCalls;
     auto const now = readLocalClock();
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -3,6 +3,7 @@
 #include "LibHttp/HttpServer.h"
 #include "LibServing/AttemptPlan.h"
 #include "LibServing/EventReader.h"
+#include "Services/Node/CallAdmission.h"
 #include "Services/Node/HealthProber.h"
 #include "Services/Node/NodeContext.h"
 #include "Services/Node/NodeMetrics.h"
@@ -153,6 +154,7 @@
     RouteMetrics &routeMetrics_;
     Instant startedAt_;
     Instant deadline_;
+    CallAdmission admission_;
     Serving::AttemptPlan plan_;
     Serving::EventSequence events_;
     /// The current or last attempt; null before the first.
