Replay overload with the old and the new admission side by side

The tests check that no customer and not the largest requests are served on time less than a quarter as often as all, and that urgent requests and the value of all responses are not below today's.

--- /dev/null
+++ b/Tests/LibServing/TestOverloadReplay.cpp
@@ -0,0 +1,104 @@
+#include "OverloadReplay.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <iostream>
+
+using namespace Anvilyard;
+using namespace Anvilyard::Serving;
+
+namespace {
+
+/// Customers with fewer callers are left out, as one of them is too large a share.
+constexpr std::size_t MinCallers = 50;
+
+double lowestShare(ReplayResult const &result)
+{
+    double lowest = 1;
+    for (auto const &customer : result.byCustomer) {
+        if (customer.callers >= MinCallers)
+            lowest = std::min(lowest, customer.shareOnTime());
+    }
+    return lowest;
+}
+
+ReplayCount othersThanFlooding(ReplayResult const &result)
+{
+    ReplayCount others;
+    for (std::size_t customer = 0; customer < result.byCustomer.size(); ++customer) {
+        if (customer != OverloadReplay::Flooding)
+            others += result.byCustomer[customer];
+    }
+    return others;
+}
+
+void print(std::string const &decision, ReplayResult const &result)
+{
+    std::cout << decision << ": on time " << result.all.shareOnTime() << " value " << result.all.value() << " late " << result.all.late
+              << " of " << result.all.callers << " by urgency";
+    for (auto const &urgency : result.byUrgency)
+        std::cout << ' ' << urgency.shareOnTime();
+    std::cout << " lowest customer " << lowestShare(result) << " others than one " << othersThanFlooding(result).shareOnTime() << " value "
+              << othersThanFlooding(result).value() << " that one " << result.byCustomer[OverloadReplay::Flooding].shareOnTime()
+              << " largest " << result.largest.shareOnTime() << " items " << result.itemsDone << " cut " << result.itemsCut << '\n';
+}
+
+struct Comparison {
+    ReplayResult old;
+    ReplayResult fair;
+};
+
+/// Replays the load with both decisions and checks the bounds that hold for every load.
+Comparison compare(ReplayLoad const &load)
+{
+    Comparison const results{.old = OverloadReplay(load, OverloadReplay::Decision::ByLoad).run(),
+                             .fair = OverloadReplay(load, OverloadReplay::Decision::Fair).run()};
+    std::cout << load.name << '\n';
+    print("  today", results.old);
+    print("  fair ", results.fair);
+    EXPECT_EQ(results.old.all.callers, results.fair.all.callers);
+    auto const all = results.fair.all.shareOnTime();
+    EXPECT_GE(lowestShare(results.fair), all / 4);
+    EXPECT_GE(results.fair.largest.shareOnTime(), all / 4);
+    EXPECT_GE(results.fair.byUrgency[0].shareOnTime(), results.old.byUrgency[0].shareOnTime());
+    EXPECT_GE(results.fair.all.value(), results.old.all.value());
+    return results;
+}
+
+bool isBetween(Duration at, Duration from, Duration until)
+{
+    return at >= from && at < until;
+}
+
+} // namespace
+
+TEST(OverloadReplayTest, OneCustomerSendsSevenAndAHalfTimesItsUsual)
+{
+    auto const [old, fair] = compare({.name = "one customer at 7.5 times its usual for 7 s", .mean = 0.85, .floodFactor = [](Duration at) {
+                                          return isBetween(at, 6s, 13s) ? 7.5 : 1;
+                                      }});
+    EXPECT_GE(othersThanFlooding(fair).shareOnTime(), othersThanFlooding(old).shareOnTime());
+}
+
+TEST(OverloadReplayTest, LoadInStepsUpToNearlyTwiceTheMean)
+{
+    compare({.name = "steps between 0.38 and 1.87 of the mean each 3.4 s", .mean = 0.7, .factor = [](Duration at) {
+                 return at % 6800ms < 3400ms ? 0.38 : 1.87;
+             }});
+}
+
+TEST(OverloadReplayTest, HalfOfTheServersAreLost)
+{
+    compare(
+        {.name = "half of the servers lost for 5 s", .mean = 0.65, .lost = [](Duration at) { return isBetween(at, 6s, 11s) ? 0.5 : 0; }});
+}
+
+/// Items must neither gain nor lose by the decision on online requests.
+TEST(OverloadReplayTest, ABurstOfBatchJobs)
+{
+    auto const [old, fair] = compare({.name = "4,000 items of batch jobs at once",
+                                      .mean = 0.7,
+                                      .factor = [](Duration at) { return at % 6800ms < 3400ms ? 0.6 : 1.4; },
+                                      .batchItems = 4'000});
+    EXPECT_GE(fair.itemsDone * 100, old.itemsDone * 99);
+}
