Divide rate limits of customers by an admission fraction

Shares of a limit leave a tenth of it unused and refuse 5 to 9% of the requests at 0.7 of it when demand moves between entries.

--- /dev/null
+++ b/Libraries/LibRouting/LimitCoordinator.cpp
@@ -0,0 +1,210 @@
+#include "LibRouting/LimitCoordinator.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace Anvilyard::Routing {
+
+namespace {
+
+constexpr Duration ForgetInterval = 1s;
+/// Counts of an entry that arrive closer together than this are averaged as if they had taken this long.
+constexpr Duration MinCountInterval = 20ms;
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+double weightOf(Duration elapsed, Duration timeConstant)
+{
+    return 1 - std::exp(-seconds(elapsed) / seconds(timeConstant));
+}
+
+} // namespace
+
+LimitCoordinator::LimitCoordinator(LimitCoordinatorOptions options, Instant now)
+    : options_(std::move(options))
+    , forgetAt_(now + ForgetInterval)
+{
+}
+
+void LimitCoordinator::setLimits(std::unordered_map<CustomerId, RequestLimit> const &limits, Instant now)
+{
+    std::erase_if(customers_, [&](auto const &entry) { return !limits.contains(entry.first); });
+    for (auto const &[id, limit] : limits) {
+        auto const [position, isNew] = customers_.try_emplace(id);
+        auto &customer = position->second;
+        if (isNew) {
+            customer.refilledAt = now;
+            customer.fractionAt = now;
+        }
+        if (customer.limit == limit)
+            continue;
+        refill(customer, now);
+        customer.limit = limit;
+        customer.level = std::min(customer.level, capacityOf(customer));
+    }
+}
+
+void LimitCoordinator::setKnownEntries(std::vector<InstanceId> const &entries, Instant now)
+{
+    for (auto const &id : entries)
+        entries_.try_emplace(id, Entry{.knownSince = now});
+}
+
+bool LimitCoordinator::isSilent(Entry const &entry, Instant now) const
+{
+    return !entry.heardAt || now - *entry.heardAt >= options_.silenceTimeout;
+}
+
+double LimitCoordinator::capacityOf(Customer const &customer) const
+{
+    return customer.limit.burst + options_.tolerance;
+}
+
+double LimitCoordinator::withheldRate(Customer const &customer, InstanceId const &id, Entry const &entry, Instant now) const
+{
+    if (!isSilent(entry, now) || now - entry.heardAt.value_or(entry.knownSince) >= options_.forgetTimeout)
+        return 0;
+    auto const equalShare = customer.limit.perSecond / static_cast<double>(entries_.size());
+    auto const found = customer.usage.find(id);
+    if (!entry.heardAt || now - *entry.heardAt >= options_.equalShareTimeout || found == customer.usage.end())
+        return equalShare;
+    return found->second.sharePerSecond;
+}
+
+void LimitCoordinator::refill(Customer &customer, Instant now)
+{
+    if (now <= customer.refilledAt)
+        return;
+    auto const elapsed = seconds(now - customer.refilledAt);
+    auto rate = customer.limit.perSecond;
+    for (auto const &[id, entry] : entries_) {
+        auto const withheld = std::min(rate, withheldRate(customer, id, entry, now));
+        if (withheld <= 0)
+            continue;
+        rate -= withheld;
+        if (auto const found = customer.usage.find(id); found != customer.usage.end())
+            found->second.withheld += withheld * elapsed;
+    }
+    customer.level = std::min(capacityOf(customer), customer.level + rate * elapsed);
+    customer.refilledAt = now;
+}
+
+/// The first counts of an entry may have been charged by another coordinator, so only later increases are charged. An entry that started
+/// again counts from zero.
+void LimitCoordinator::charge(Customer &customer, LimitReport const &report, CustomerUsage const &counts, Instant now)
+{
+    auto const [position, isNew] = customer.usage.try_emplace(report.entry);
+    auto &usage = position->second;
+    if (isNew) {
+        usage = {.startedAt = report.startedAt, .counts = counts, .countedAt = now};
+        return;
+    }
+    if (usage.startedAt != report.startedAt) {
+        usage.startedAt = report.startedAt;
+        usage.counts = {};
+    }
+    if (counts.admitted < usage.counts.admitted || counts.refused < usage.counts.refused)
+        return;
+    auto const admitted = static_cast<double>(counts.admitted - usage.counts.admitted);
+    auto const refused = static_cast<double>(counts.refused - usage.counts.refused);
+    customer.level += std::min(admitted, std::exchange(usage.withheld, 0)) - admitted;
+    customer.offeredSince += admitted + refused;
+    auto const elapsed = std::max(now - usage.countedAt, MinCountInterval);
+    auto const before = usage.admittedPerSecond;
+    usage.admittedPerSecond += (admitted / seconds(elapsed) - before) * weightOf(elapsed, options_.shareWindow);
+    customer.admittedPerSecond += usage.admittedPerSecond - before;
+    usage.counts = counts;
+    usage.countedAt = now;
+}
+
+void LimitCoordinator::updateFraction(Customer &customer, Instant now)
+{
+    auto const elapsed = now - customer.fractionAt;
+    if (elapsed < options_.fractionInterval)
+        return;
+    refill(customer, now);
+    auto &offered = customer.offeredPerSecond;
+    offered += (std::exchange(customer.offeredSince, 0) / seconds(elapsed) - offered) * weightOf(elapsed, options_.offeredWindow);
+    customer.fractionAt = now;
+    auto const available = customer.limit.perSecond + customer.level / seconds(options_.settlingTime);
+    customer.fraction = available >= offered ? 1 : std::max(0.0, available / offered);
+}
+
+void LimitCoordinator::updateShare(Customer const &customer, Usage &usage) const
+{
+    auto const limit = customer.limit.perSecond;
+    auto const spare = std::max(0.0, limit - customer.admittedPerSecond) / static_cast<double>(entries_.size());
+    auto const scale = customer.admittedPerSecond > limit ? limit / customer.admittedPerSecond : 1;
+    usage.sharePerSecond = usage.admittedPerSecond * scale + spare;
+}
+
+LimitReply LimitCoordinator::onReport(LimitReport const &report, Instant now)
+{
+    LimitReply reply{.coordinator = options_.self, .startedAt = report.startedAt, .reportSentAt = report.sentAt};
+    forgetSilent(now);
+    auto &entry = entries_.try_emplace(report.entry, Entry{.knownSince = now}).first->second;
+    bool const isNewest = std::tie(report.startedAt, report.sentAt) >= std::tie(entry.startedAt, entry.reportSentAt);
+    // Refilled first, as long as the entry counts as silent.
+    for (auto const &counts : report.usage) {
+        auto const found = customers_.find(counts.customer);
+        if (found == customers_.end())
+            continue;
+        auto &customer = found->second;
+        if (now - customer.refilledAt >= options_.fractionInterval)
+            refill(customer, now);
+        if (isNewest)
+            charge(customer, report, counts, now);
+    }
+    if (!isNewest)
+        return reply;
+    entry.startedAt = report.startedAt;
+    entry.reportSentAt = report.sentAt;
+    entry.heardAt = now;
+    for (auto const &counts : report.usage) {
+        auto const found = customers_.find(counts.customer);
+        if (found == customers_.end())
+            continue;
+        auto &customer = found->second;
+        updateFraction(customer, now);
+        auto &usage = customer.usage.at(report.entry);
+        updateShare(customer, usage);
+        reply.grants.push_back({.customer = counts.customer, .fraction = customer.fraction, .sharePerSecond = usage.sharePerSecond});
+    }
+    return reply;
+}
+
+void LimitCoordinator::forgetSilent(Instant now)
+{
+    if (now < forgetAt_)
+        return;
+    forgetAt_ = now + ForgetInterval;
+    for (auto const &[id, entry] : entries_) {
+        if (now - entry.heardAt.value_or(entry.knownSince) < options_.forgetTimeout)
+            continue;
+        for (auto &[customerId, customer] : customers_) {
+            if (auto const usage = customer.usage.find(id); usage != customer.usage.end()) {
+                customer.admittedPerSecond -= usage->second.admittedPerSecond;
+                customer.usage.erase(usage);
+            }
+        }
+    }
+}
+
+double LimitCoordinator::fractionOf(CustomerId const &customer) const
+{
+    auto const found = customers_.find(customer);
+    return found == customers_.end() ? 1 : found->second.fraction;
+}
+
+std::size_t LimitCoordinator::heardEntries(Instant now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(entries_.begin(), entries_.end(), [&](auto const &entry) { return !isSilent(entry.second, now); }));
+}
+
+} // namespace Anvilyard::Routing
--- /dev/null
+++ b/Libraries/LibRouting/LimitCoordinator.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "LibCore/Time.h"
+#include "LibRouting/LimitExchange.h"
+
+#include <map>
+#include <optional>
+#include <unordered_map>
+
+namespace Anvilyard::Routing {
+
+struct LimitCoordinatorOptions {
+    InstanceId self;
+    /// Time over which a surplus of tokens is spent and a deficit is made up. At least twice the age of the counts, 100 ms, or the
+    /// admission fraction oscillates.
+    Duration settlingTime = 250ms;
+    /// Time constant of the offered rate.
+    Duration offeredWindow = 200ms;
+    /// Time constant of the admitted rate of an entry, from which its share is computed.
+    Duration shareWindow = 1s;
+    /// Minimum time between two computations of an admission fraction.
+    Duration fractionInterval = 10ms;
+    /// An entry that has been silent for this long may be using its share without a reply. Entries report every 500 ms.
+    Duration silenceTimeout = 1s;
+    /// An entry that has been silent for this long may be using an equal share.
+    Duration equalShareTimeout = 2s;
+    /// An entry that has been silent for this long is no longer counted. Instances are cut off for 5 to 12 s.
+    Duration forgetTimeout = 60s;
+    /// Requests admitted beyond rate and burst. Random arrivals below the limit exceed it for short times; the agreed slack of 20
+    /// requests leaves as many for counts that are still on their way.
+    double tolerance = 8;
+};
+
+/// Does the accounting for the rate limits of customers over all entries, on the runner that coordinates them. Demand may be distributed
+/// unevenly over hundreds of entries, shift between them and jump to several times the limit: every entry gets the same admission
+/// fraction, which depends on the sum of demand only. Each customer has a token bucket whose level falls below zero when more was admitted
+/// than was available, since entries decide on requests before they are counted here. Performs no I/O.
+class LimitCoordinator
+{
+public:
+    LimitCoordinator(LimitCoordinatorOptions options, Instant now);
+
+    /// Replaces the limits of all customers. Customers keep their levels, up to the new burst.
+    void setLimits(std::unordered_map<CustomerId, RequestLimit> const &limits, Instant now);
+    /// Sets the entries that may be running. The equal shares of those that are not heard from are subtracted from the limits.
+    void setKnownEntries(std::vector<InstanceId> const &entries, Instant now);
+    /// Processes a report and returns the grants for the customers in it. Customers without a limit get none.
+    LimitReply onReport(LimitReport const &report, Instant now);
+
+    /// Admission fraction of a customer; 1 if it is unknown.
+    [[nodiscard]] double fractionOf(CustomerId const &customer) const;
+    /// Number of entries that reported recently.
+    [[nodiscard]] std::size_t heardEntries(Instant now) const;
+
+private:
+    struct Entry {
+        std::int64_t startedAt = 0;
+        std::int64_t reportSentAt = 0;
+        /// Unset if the entry is known but never reported here.
+        std::optional<Instant> heardAt;
+        Instant knownSince;
+    };
+
+    /// Usage of one customer at one entry.
+    struct Usage {
+        std::int64_t startedAt = 0;
+        CustomerUsage counts;
+        Instant countedAt;
+        double admittedPerSecond = 0;
+        double sharePerSecond = 0;
+        /// Tokens withheld since the entry fell silent. They are given back when its counts arrive.
+        double withheld = 0;
+    };
+
+    struct Customer {
+        RequestLimit limit;
+        double level = 0;
+        Instant refilledAt;
+        double offeredPerSecond = 0;
+        double offeredSince = 0;
+        Instant fractionAt;
+        double fraction = 1;
+        double admittedPerSecond = 0;
+        std::map<InstanceId, Usage> usage;
+    };
+
+    [[nodiscard]] bool isSilent(Entry const &entry, Instant now) const;
+    [[nodiscard]] double capacityOf(Customer const &customer) const;
+    /// Rate that a silent entry may be using.
+    [[nodiscard]] double withheldRate(Customer const &customer, InstanceId const &id, Entry const &entry, Instant now) const;
+    void refill(Customer &customer, Instant now);
+    void charge(Customer &customer, LimitReport const &report, CustomerUsage const &counts, Instant now);
+    void updateFraction(Customer &customer, Instant now);
+    void updateShare(Customer const &customer, Usage &usage) const;
+    void forgetSilent(Instant now);
+
+    LimitCoordinatorOptions options_;
+    std::map<InstanceId, Entry> entries_;
+    std::unordered_map<CustomerId, Customer> customers_;
+    Instant forgetAt_;
+};
+
+} // namespace Anvilyard::Routing
