Apply rate limits of customers over all instances

Cause: the limits of customers in the desired state had no effect.

Change: entries charge each online request whose key has a customer with a limit, before it is sent, and refuse those beyond it with 429 and Retry-After. Counts and grants travel in two new kinds of datagrams between entries and the runner that coordinates the customer's limit. A grant also bounds what an entry admits before its next reply: without it, 300 requests within 0.1 s at three entries brought 137 admissions at a limit of 5 a second, as a report leaves only every 50 ms. Requests that another entry relays and batch jobs are not charged. Without customers that have a limit no datagram is sent.

--- a/Libraries/LibRouting/FractionLimiter.cpp
+++ b/Libraries/LibRouting/FractionLimiter.cpp
@@ -78,11 +78,11 @@
     return customer.limit.perSecond / static_cast<double>(knownEntries_);
 }
 
-/// All entries together get `ungrantedRequests`. If these are fewer than entries, some entries get one and the others none.
+/// All entries together get `ungrantedRequests`. If these are fewer than entries, some get one each and the others none.
 double FractionLimiter::allowanceFor(CustomerId const &id) const
 {
-    auto const part = options_.ungrantedRequests / static_cast<double>(knownEntries_);
-    return std::floor(part + spreadOf(id.value(), options_.self.value()));
+    auto const part = std::min(1.0, options_.ungrantedRequests / static_cast<double>(knownEntries_));
+    return spreadOf(id.value(), options_.self.value()) < part ? 1 : 0;
 }
 
 bool FractionLimiter::decide(Customer &customer, Instant now)
@@ -95,7 +95,11 @@
         if (customer.share.tryTake(1, now) > Duration(0))
             return false;
     }
-    if (!isGranted || customer.fraction >= 1)
+    if (!isGranted)
+        return true;
+    if (static_cast<double>(customer.admitted) >= customer.admittedUntil)
+        return false;
+    if (customer.fraction >= 1)
         return true;
     customer.credit += customer.fraction;
     if (customer.credit < 1)
@@ -113,14 +117,11 @@
     customer.demandAt = now;
     if (!customer.unansweredSince)
         customer.unansweredSince = now;
+    bool const isAdmitted = decide(customer, now);
+    ++(isAdmitted ? customer.admitted : customer.refused);
     if (auto const *coordinator = customer.coordinator)
-        isReportUrgent_ = isReportUrgent_ || isDue(*coordinator, true, now);
-    if (decide(customer, now)) {
-        ++customer.admitted;
-        return std::nullopt;
-    }
-    ++customer.refused;
-    return retryAfter(customer, now);
+        isReportUrgent_ = isReportUrgent_ || isDue(*coordinator, demandOf(customer), now);
+    return isAdmitted ? std::nullopt : std::optional(retryAfter(customer, now));
 }
 
 /// Within the settling time, (1/p - 1) requests are refused for each admitted one. If these return, they are spread over the time that the
@@ -134,7 +135,14 @@
     return std::max(options_.minRetryAfter, std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait)));
 }
 
-bool FractionLimiter::isDue(Coordinator const &coordinator, bool hasDemand, Instant now) const
+FractionLimiter::Demand FractionLimiter::demandOf(Customer const &customer)
+{
+    if (customer.reported == customer.admitted + customer.refused)
+        return Demand::None;
+    return static_cast<double>(customer.admitted) >= customer.urgentFrom ? Demand::Urgent : Demand::Some;
+}
+
+bool FractionLimiter::isDue(Coordinator const &coordinator, Demand demand, Instant now) const
 {
     if (coordinator.reportedAt == Instant::min())
         return true;
@@ -142,23 +150,23 @@
     bool const isAnswering = now - std::max(coordinator.repliedAt, coordinator.firstReportedAt) < options_.unansweredTimeout;
     if (!isAnswering)
         return sinceReport >= options_.unansweredReportInterval;
-    return sinceReport >= (hasDemand ? options_.reportInterval : options_.idleReportInterval);
+    if (demand == Demand::Urgent)
+        return sinceReport >= options_.urgentReportInterval;
+    return sinceReport >= (demand == Demand::Some ? options_.reportInterval : options_.idleReportInterval);
 }
 
 std::optional<LimitReport> FractionLimiter::composeFor(Coordinator &coordinator, Instant now)
 {
     std::vector<CustomerId const *> idle;
     LimitReport report{.entry = options_.self, .startedAt = options_.startedAt, .sentAt = now.time_since_epoch().count()};
-    bool hasDemand = false;
+    auto demand = Demand::None;
     auto const add = [&](CustomerId const &id, Customer &customer) {
         report.usage.push_back({.customer = id, .admitted = customer.admitted, .refused = customer.refused});
         customer.reported = customer.admitted + customer.refused;
     };
-    for (auto const &id : coordinator.customers) {
-        auto const &customer = customers_.at(id);
-        hasDemand = hasDemand || customer.reported != customer.admitted + customer.refused;
-    }
-    if (!isDue(coordinator, hasDemand, now))
+    for (auto const &id : coordinator.customers)
+        demand = std::max(demand, demandOf(customers_.at(id)));
+    if (!isDue(coordinator, demand, now))
         return std::nullopt;
     // Reports between two regular ones are only about customers with demand.
     bool const isRegular =
@@ -217,6 +225,8 @@
         customer.grantUntil = sentAt + options_.grantLifetime;
         customer.fraction = std::clamp(grant.fraction, 0.0, 1.0);
         customer.sharePerSecond = std::max(0.0, grant.sharePerSecond);
+        customer.admittedUntil = static_cast<double>(grant.counted) + grant.advance;
+        customer.urgentFrom = static_cast<double>(grant.counted) + grant.advance / 2;
         // Requests after the report are not answered yet.
         if (customer.unansweredSince && *customer.unansweredSince <= sentAt)
             customer.unansweredSince = customer.demandAt > sentAt ? std::optional(sentAt) : std::nullopt;
@@ -224,6 +234,15 @@
     }
 }
 
+std::size_t FractionLimiter::ungrantedWithDemand(Instant now) const
+{
+    return static_cast<std::size_t>(std::count_if(customers_.begin(), customers_.end(), [&](auto const &entry) {
+        auto const &customer = entry.second;
+        bool const isAwaited = customer.unansweredSince && now - *customer.unansweredSince >= options_.replyTimeout;
+        return isAwaited && now >= customer.grantUntil && now - customer.demandAt < options_.demandRetention;
+    }));
+}
+
 std::map<CustomerId, FractionLimiter::CustomerCounts> FractionLimiter::counts(Instant now) const
 {
     std::map<CustomerId, CustomerCounts> counts;
--- a/Libraries/LibRouting/FractionLimiter.h
+++ b/Libraries/LibRouting/FractionLimiter.h
@@ -23,6 +23,8 @@
     Duration replyTimeout = 200ms;
     /// Minimum time between two reports to one coordinator.
     Duration reportInterval = 50ms;
+    /// Minimum time between two reports if half of what may be admitted before the next reply is used up.
+    Duration urgentReportInterval = 5ms;
     /// Maximum time between two reports to one coordinator. Grants are renewed several times within their lifetime.
     Duration idleReportInterval = 500ms;
     /// Interval of reports to a coordinator that does not reply. It may run a build that logs each one.
@@ -67,6 +69,9 @@
     [[nodiscard]] bool isReportUrgent() const;
     void onReply(LimitReply const &reply, Instant now);
 
+    /// Number of customers with recent requests and without a valid grant.
+    [[nodiscard]] std::size_t ungrantedWithDemand(Instant now) const;
+
     struct CustomerCounts {
         std::uint64_t admitted = 0;
         std::uint64_t refused = 0;
@@ -99,6 +104,10 @@
         std::optional<Instant> unansweredSince;
         double fraction = 1;
         double credit = 0;
+        /// Number of admitted requests up to which the grant holds.
+        double admittedUntil = 0;
+        /// Number of admitted requests from which the next report is urgent.
+        double urgentFrom = 0;
         Instant grantUntil = Instant::min();
         std::int64_t grantSentAt = 0;
         /// Limits this entry without a current reply.
@@ -112,7 +121,15 @@
     /// Requests that this entry may admit at once without a grant.
     [[nodiscard]] double allowanceFor(CustomerId const &id) const;
     [[nodiscard]] Duration retryAfter(Customer const &customer, Instant now);
-    [[nodiscard]] bool isDue(Coordinator const &coordinator, bool hasDemand, Instant now) const;
+    enum class Demand {
+        None,
+        Some,
+        /// What may be admitted before the next reply is nearly used up.
+        Urgent,
+    };
+
+    [[nodiscard]] static Demand demandOf(Customer const &customer);
+    [[nodiscard]] bool isDue(Coordinator const &coordinator, Demand demand, Instant now) const;
     [[nodiscard]] std::optional<LimitReport> composeFor(Coordinator &coordinator, Instant now);
 
     FractionLimiterOptions options_;
--- a/Libraries/LibRouting/LimitCoordinator.cpp
+++ b/Libraries/LibRouting/LimitCoordinator.cpp
@@ -52,7 +52,15 @@
 void LimitCoordinator::setKnownEntries(std::vector<InstanceId> const &entries, Instant now)
 {
     for (auto const &id : entries)
-        entries_.try_emplace(id, Entry{.knownSince = now});
+        entries_.try_emplace(id, Entry{.aliveAt = now});
+}
+
+void LimitCoordinator::onEntriesAlive(std::vector<InstanceId> const &entries, Instant now)
+{
+    for (auto const &id : entries) {
+        if (auto const found = entries_.find(id); found != entries_.end())
+            found->second.aliveAt = now;
+    }
 }
 
 bool LimitCoordinator::isSilent(Entry const &entry, Instant now) const
@@ -67,7 +75,7 @@
 
 double LimitCoordinator::withheldRate(Customer const &customer, InstanceId const &id, Entry const &entry, Instant now) const
 {
-    if (!isSilent(entry, now) || now - entry.heardAt.value_or(entry.knownSince) >= options_.forgetTimeout)
+    if (!isSilent(entry, now) || now - entry.aliveAt >= options_.forgetTimeout)
         return 0;
     auto const equalShare = customer.limit.perSecond / static_cast<double>(entries_.size());
     auto const found = customer.usage.find(id);
@@ -94,8 +102,8 @@
     customer.refilledAt = now;
 }
 
-/// The first counts of an entry may have been charged by another coordinator, so only later increases are charged. An entry that started
-/// again counts from zero.
+/// The first counts of an entry may have been charged by another coordinator, so only later increases are charged. An entry counts from
+/// zero after its start, and after the customer was removed and added again.
 void LimitCoordinator::charge(Customer &customer, LimitReport const &report, CustomerUsage const &counts, Instant now)
 {
     auto const [position, isNew] = customer.usage.try_emplace(report.entry);
@@ -104,12 +112,12 @@
         usage = {.startedAt = report.startedAt, .counts = counts, .countedAt = now};
         return;
     }
-    if (usage.startedAt != report.startedAt) {
+    bool const hasRestarted =
+        usage.startedAt != report.startedAt || counts.admitted < usage.counts.admitted || counts.refused < usage.counts.refused;
+    if (hasRestarted) {
         usage.startedAt = report.startedAt;
         usage.counts = {};
     }
-    if (counts.admitted < usage.counts.admitted || counts.refused < usage.counts.refused)
-        return;
     auto const admitted = static_cast<double>(counts.admitted - usage.counts.admitted);
     auto const refused = static_cast<double>(counts.refused - usage.counts.refused);
     customer.level += std::min(admitted, std::exchange(usage.withheld, 0)) - admitted;
@@ -120,6 +128,8 @@
     customer.admittedPerSecond += usage.admittedPerSecond - before;
     usage.counts = counts;
     usage.countedAt = now;
+    if (admitted + refused > 0)
+        usage.demandAt = now;
 }
 
 void LimitCoordinator::updateFraction(Customer &customer, Instant now)
@@ -131,6 +141,9 @@
     auto &offered = customer.offeredPerSecond;
     offered += (std::exchange(customer.offeredSince, 0) / seconds(elapsed) - offered) * weightOf(elapsed, options_.offeredWindow);
     customer.fractionAt = now;
+    customer.activeEntries = static_cast<std::size_t>(std::count_if(customer.usage.begin(), customer.usage.end(), [&](auto const &entry) {
+        return entry.second.demandAt != Instant::min() && now - entry.second.demandAt < options_.shareWindow;
+    }));
     auto const available = customer.limit.perSecond + customer.level / seconds(options_.settlingTime);
     customer.fraction = available >= offered ? 1 : std::max(0.0, available / offered);
 }
@@ -143,11 +156,20 @@
     usage.sharePerSecond = usage.admittedPerSecond * scale + spare;
 }
 
+double LimitCoordinator::advanceFor(Customer const &customer, Usage const &usage, Instant now) const
+{
+    auto const aheadTime = seconds(options_.advanceTime);
+    bool const isActive = usage.demandAt != Instant::min() && now - usage.demandAt < options_.shareWindow;
+    auto const sharers = static_cast<double>(customer.activeEntries + (isActive ? 0 : 1));
+    auto const left = std::max(0.0, customer.level + customer.limit.perSecond * aheadTime);
+    return options_.minAdvance + left / std::max(1.0, sharers) + usage.admittedPerSecond * aheadTime;
+}
+
 LimitReply LimitCoordinator::onReport(LimitReport const &report, Instant now)
 {
     LimitReply reply{.coordinator = options_.self, .startedAt = report.startedAt, .reportSentAt = report.sentAt};
     forgetSilent(now);
-    auto &entry = entries_.try_emplace(report.entry, Entry{.knownSince = now}).first->second;
+    auto &entry = entries_.try_emplace(report.entry, Entry{.aliveAt = now}).first->second;
     bool const isNewest = std::tie(report.startedAt, report.sentAt) >= std::tie(entry.startedAt, entry.reportSentAt);
     // Refilled first, as long as the entry counts as silent.
     for (auto const &counts : report.usage) {
@@ -165,6 +187,7 @@
     entry.startedAt = report.startedAt;
     entry.reportSentAt = report.sentAt;
     entry.heardAt = now;
+    entry.aliveAt = now;
     for (auto const &counts : report.usage) {
         auto const found = customers_.find(counts.customer);
         if (found == customers_.end())
@@ -173,7 +196,13 @@
         updateFraction(customer, now);
         auto &usage = customer.usage.at(report.entry);
         updateShare(customer, usage);
-        reply.grants.push_back({.customer = counts.customer, .fraction = customer.fraction, .sharePerSecond = usage.sharePerSecond});
+        reply.grants.push_back({
+            .customer = counts.customer,
+            .fraction = customer.fraction,
+            .sharePerSecond = usage.sharePerSecond,
+            .counted = usage.counts.admitted,
+            .advance = advanceFor(customer, usage, now),
+        });
     }
     return reply;
 }
@@ -184,7 +213,7 @@
         return;
     forgetAt_ = now + ForgetInterval;
     for (auto const &[id, entry] : entries_) {
-        if (now - entry.heardAt.value_or(entry.knownSince) < options_.forgetTimeout)
+        if (now - entry.aliveAt < options_.forgetTimeout)
             continue;
         for (auto &[customerId, customer] : customers_) {
             if (auto const usage = customer.usage.find(id); usage != customer.usage.end()) {
@@ -201,6 +230,17 @@
     return found == customers_.end() ? 1 : found->second.fraction;
 }
 
+std::vector<LimitCoordinator::LimitedCustomer> LimitCoordinator::limitedCustomers(Instant now) const
+{
+    std::vector<LimitedCustomer> limited;
+    for (auto const &[id, customer] : customers_) {
+        bool const isCurrent = now - customer.fractionAt < options_.silenceTimeout;
+        if (isCurrent && customer.fraction < 1)
+            limited.push_back({.customer = id, .limit = customer.limit, .offeredPerSecond = customer.offeredPerSecond});
+    }
+    return limited;
+}
+
 std::size_t LimitCoordinator::heardEntries(Instant now) const
 {
     return static_cast<std::size_t>(
--- a/Libraries/LibRouting/LimitCoordinator.h
+++ b/Libraries/LibRouting/LimitCoordinator.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace Anvilyard::Routing {
 
@@ -26,6 +27,10 @@
     Duration equalShareTimeout = 2s;
     /// An entry that has been silent for this long is no longer counted. Instances are cut off for 5 to 12 s.
     Duration forgetTimeout = 60s;
+    /// Requests that an entry with new demand may admit before its next reply, besides its part of the level.
+    double minAdvance = 2;
+    /// Time for which an entry may go on at its own rate before its next reply. Entries report every 50 ms, and datagrams get lost.
+    Duration advanceTime = 200ms;
     /// Requests admitted beyond rate and burst. Random arrivals below the limit exceed it for short times; the agreed slack of 20
     /// requests leaves as many for counts that are still on their way.
     double tolerance = 8;
@@ -44,11 +49,21 @@
     void setLimits(std::unordered_map<CustomerId, RequestLimit> const &limits, Instant now);
     /// Sets the entries that may be running. The equal shares of those that are not heard from are subtracted from the limits.
     void setKnownEntries(std::vector<InstanceId> const &entries, Instant now);
+    /// Keeps entries from being forgotten that run without reporting here, such as those of an earlier build.
+    void onEntriesAlive(std::vector<InstanceId> const &entries, Instant now);
     /// Processes a report and returns the grants for the customers in it. Customers without a limit get none.
     LimitReply onReport(LimitReport const &report, Instant now);
 
     /// Admission fraction of a customer; 1 if it is unknown.
     [[nodiscard]] double fractionOf(CustomerId const &customer) const;
+    struct LimitedCustomer {
+        CustomerId customer;
+        RequestLimit limit;
+        double offeredPerSecond = 0;
+    };
+
+    /// Customers of whose requests some are refused now.
+    [[nodiscard]] std::vector<LimitedCustomer> limitedCustomers(Instant now) const;
     /// Number of entries that reported recently.
     [[nodiscard]] std::size_t heardEntries(Instant now) const;
 
@@ -58,7 +73,8 @@
         std::int64_t reportSentAt = 0;
         /// Unset if the entry is known but never reported here.
         std::optional<Instant> heardAt;
-        Instant knownSince;
+        /// When it was last known to be running.
+        Instant aliveAt;
     };
 
     /// Usage of one customer at one entry.
@@ -66,6 +82,7 @@
         std::int64_t startedAt = 0;
         CustomerUsage counts;
         Instant countedAt;
+        Instant demandAt = Instant::min();
         double admittedPerSecond = 0;
         double sharePerSecond = 0;
         /// Tokens withheld since the entry fell silent. They are given back when its counts arrive.
@@ -81,6 +98,8 @@
         Instant fractionAt;
         double fraction = 1;
         double admittedPerSecond = 0;
+        /// Entries with recent demand, counted at each computation of the fraction.
+        std::size_t activeEntries = 0;
         std::map<InstanceId, Usage> usage;
     };
 
@@ -92,6 +111,8 @@
     void charge(Customer &customer, LimitReport const &report, CustomerUsage const &counts, Instant now);
     void updateFraction(Customer &customer, Instant now);
     void updateShare(Customer const &customer, Usage &usage) const;
+    /// Bounds what floods admit at an entry between two replies, without refusing what is left in the bucket.
+    [[nodiscard]] double advanceFor(Customer const &customer, Usage const &usage, Instant now) const;
     void forgetSilent(Instant now);
 
     LimitCoordinatorOptions options_;
--- a/Libraries/LibRouting/LimitExchange.h
+++ b/Libraries/LibRouting/LimitExchange.h
@@ -44,6 +44,10 @@
     double fraction = 1;
     /// Requests per second that the entry may admit while it gets no replies. The shares of all entries add up to the limit.
     double sharePerSecond = 0;
+    /// Admitted requests of the entry that the coordinator has counted.
+    std::uint64_t counted = 0;
+    /// Requests that the entry may admit beyond these before its next reply.
+    double advance = 0;
 
     bool operator==(LimitGrant const &) const = default;
 };
--- a/Libraries/LibServing/PeerTable.cpp
+++ b/Libraries/LibServing/PeerTable.cpp
@@ -537,6 +537,11 @@
     return firstRunnerFor(server.value());
 }
 
+std::optional<InstanceId> PeerTable::limitCoordinatorOf(CustomerId const &customer) const
+{
+    return firstRunnerFor(customer.value());
+}
+
 std::optional<InstanceId> PeerTable::firstRunnerFor(std::string const &key) const
 {
     auto const owner = rendezvousOwner(key, runners_, [](InstanceId const &id) -> std::string const & { return id.value(); });
--- a/Libraries/LibServing/PeerTable.h
+++ b/Libraries/LibServing/PeerTable.h
@@ -149,6 +149,8 @@
     [[nodiscard]] std::vector<InstanceId> originKeepersOf(RequestId const &stream) const;
     /// The runner that issues the permits for requests to a limited server; `std::nullopt` if no runner is known.
     [[nodiscard]] std::optional<InstanceId> permitIssuerOf(ServerId const &server) const;
+    /// The runner that coordinates a customer's rate limit; `std::nullopt` if no runner is known.
+    [[nodiscard]] std::optional<InstanceId> limitCoordinatorOf(CustomerId const &customer) const;
 
 private:
     struct Peer {
--- a/Services/Node/NodeContext.h
+++ b/Services/Node/NodeContext.h
@@ -76,6 +76,8 @@
     std::function<void(Serving::RequestSuspects, std::function<void(std::optional<WallInstant>)>)> reserveTrial = {};
     /// Whether it is known which requests crash servers and which runners own which jobs, so that items may be sent.
     bool maySendItems = false;
+    /// Called with datagrams about the rate limits of customers.
+    std::function<void(std::string_view)> onLimitDatagram = [](std::string_view) {};
     /// Limits of servers that take only so many requests a second.
     ServerLimits limits = {};
     /// Limits the requests and streams that are moved away from a slow or silent server, as it may only be busy.
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -108,6 +108,7 @@
     , health_(context_, permits_, [this] { fleet_.onEjectionsChanged(); })
     , fleet_(context_, [this] { onStateChanged(); })
     , peerReports_(context_, fleet_, [this] { onLoadChanged(); })
+    , customerLimits_(context_, [this](Address const &to, std::string const &content) { peerReports_.send(to, content); })
     , versions_(context_)
     , quarantines_(context_)
     , origins_(context_, versions_, [this](Address const &to, std::string const &content) { peerReports_.send(to, content); })
@@ -228,6 +229,7 @@
 {
     if (callers_)
         callers_->setLimits(context_.routes->state().limits);
+    customerLimits_.onStateChanged(readLocalClock());
 }
 
 void NodeProgram::handleReadiness(Http::HttpRequest const &request, Writer const &writer)
@@ -290,6 +292,7 @@
 void NodeProgram::refreshGauges()
 {
     auto const now = readLocalClock();
+    customerLimits_.refreshMetrics(now);
     auto const set = [&](std::string const &name, std::string const &help, double value, Observe::Labels const &labels = {}) {
         registry_.gauge(name, help, labels).set(value);
     };
@@ -409,9 +412,19 @@
         return refuse(Refusals::noRoute());
     if (route->kind == RouteKind::Batch)
         return jobApi_.submit(*route, request, std::move(writer));
+    auto const *customer = findCustomer(request);
+    if (auto const wait = customer ? customerLimits_.tryAdmit(*customer, readLocalClock()) : std::nullopt)
+        return refuse(Refusals::customerLimitReached(*wait));
     startOnlineCall(*route, std::move(request), std::move(writer), std::nullopt);
 }
 
+Serving::Customer const *NodeProgram::findCustomer(Http::HttpRequest const &request) const
+{
+    auto const *customers = context_.routes->customers();
+    auto const key = customers ? context_.protocol.readKey(request) : std::nullopt;
+    return key ? customers->findByKey(*key) : nullptr;
+}
+
 bool NodeProgram::canSend(Instant now) const
 {
     return fleet_.isComplete() && versions_.isComplete() && quarantines_.isReady(now);
@@ -469,6 +482,7 @@
     fleet_.onTick(now);
     versions_.onTick(now);
     quarantines_.onTick(now);
+    customerLimits_.onTick(now);
     context_.maySendItems = quarantines_.isReady(now) && peerReports_.areRunnersKnown(now);
     if (context_.settings.role == InstanceRole::Runner) {
         runner_.onTick(now);
--- a/Services/Node/NodeProgram.h
+++ b/Services/Node/NodeProgram.h
@@ -2,6 +2,7 @@
 
 #include "LibPlatform/MeteredStore.h"
 #include "LibService/Program.h"
+#include "Services/Node/CustomerLimits.h"
 #include "Services/Node/HealthProber.h"
 #include "Services/Node/JobApiHandler.h"
 #include "Services/Node/JobRunner.h"
@@ -59,6 +60,8 @@
 
 private:
     void handleCaller(Http::HttpRequest request, Writer writer);
+    /// The customer that holds the key of the request; null if there is none.
+    [[nodiscard]] Serving::Customer const *findCustomer(Http::HttpRequest const &request) const;
     /// Time until this instance exits; `std::nullopt` if it is not stopping.
     [[nodiscard]] std::optional<Duration> timeToExit(Instant now) const;
     /// Keeps a request that arrived before the first lists of the store until these arrive or a short time has passed.
@@ -96,6 +99,7 @@
     HealthProber health_;
     FleetFollower fleet_;
     PeerReportExchange peerReports_;
+    CustomerLimits customerLimits_;
     VersionRegister versions_;
     QuarantineRegister quarantines_;
     StreamOriginClient origins_;
--- a/Services/Node/NodeRefusals.cpp
+++ b/Services/Node/NodeRefusals.cpp
@@ -66,6 +66,13 @@
     return unavailable("limits_reached", "the servers of this route take no more requests now", retryAfter);
 }
 
+Refusal customerLimitReached(Duration retryAfter)
+{
+    auto result = refusal(429, "rate_limit_error", "rate_limit_exceeded", "the customer has reached its limit of requests a second");
+    result.retryAfter = std::chrono::duration_cast<milliseconds>(retryAfter);
+    return result;
+}
+
 Refusal noServer()
 {
     return unavailable("no_server_available", "no server of this route can be reached now", NoServerRetryAfter);
--- a/Services/Node/NodeRefusals.h
+++ b/Services/Node/NodeRefusals.h
@@ -17,6 +17,8 @@
 Http::Refusal overloaded(Duration retryAfter);
 /// All servers of the service have limits, and these are reached.
 Http::Refusal limitsReached(Duration retryAfter);
+/// The customer has reached its rate limit.
+Http::Refusal customerLimitReached(Duration retryAfter);
 Http::Refusal noServer();
 /// It is not known which software version began the stream that the caller takes up, and will not be.
 Http::Refusal originUnknown();
--- a/Services/Node/PeerReportExchange.cpp
+++ b/Services/Node/PeerReportExchange.cpp
@@ -1,6 +1,7 @@
 #include "Services/Node/PeerReportExchange.h"
 
 #include "LibObserve/Events.h"
+#include "LibServing/LimitMessages.h"
 #include "LibServing/ServerLimitNews.h"
 
 #include <boost/json.hpp>
@@ -145,6 +146,8 @@
         auto const limits = Serving::decodeServerLimits(content, now);
         return limits ? context_.limits.merge(*limits, now) : reject("server limits of a peer", limits.error());
     }
+    if (Serving::isLimitReport(content) || Serving::isLimitReply(content))
+        return context_.onLimitDatagram(content);
     auto report = Serving::decodePeerReport(content);
     return report ? onReport(std::move(*report)) : reject("report of a peer", report.error());
 }
