--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -120,6 +120,7 @@
     , health_(context_, permits_, [this] { fleet_.onEjectionsChanged(); })
     , fleet_(context_, [this] { onStateChanged(); })
     , peerReports_(context_, fleet_, [this] { onLoadChanged(); })
+    , customerLimits_(context_, [this](Address const &to, std::string const &content) { peerReports_.send(to, content); })
     , versions_(context_)
     , quarantines_(context_)
     , origins_(context_, versions_, [this](Address const &to, std::string const &content) { peerReports_.send(to, content); })
@@ -240,6 +241,7 @@
 {
     if (callers_)
         callers_->setLimits(context_.routes->state().limits);
+    customerLimits_.onStateChanged(readLocalClock());
 }
 
 void NodeProgram::handleReadiness(Http::HttpRequest const &request, Writer const &writer)
@@ -321,6 +323,7 @@
 void NodeProgram::refreshGauges()
 {
     auto const now = readLocalClock();
+    customerLimits_.refreshMetrics(now);
     auto const set = [&](std::string const &name, std::string const &help, double value, Observe::Labels const &labels = {}) {
         registry_.gauge(name, help, labels).set(value);
     };
@@ -443,6 +446,9 @@
         return refuse(refusalOf(authentication));
     if (route->kind == RouteKind::Batch)
         return jobApi_.submit(*route, request, std::move(writer));
+    auto const *customer = authentication.customer();
+    if (auto const wait = customer ? customerLimits_.tryAdmit(*customer, readLocalClock()) : std::nullopt)
+        return refuse(Refusals::customerLimitReached(*wait));
     startOnlineCall(withPriorityOf(*route, authentication.customer()),
                     authentication.customerId(),
                     std::move(request),
@@ -512,6 +518,7 @@
     fleet_.onTick(now);
     versions_.onTick(now);
     quarantines_.onTick(now);
+    customerLimits_.onTick(now);
     context_.maySendItems = quarantines_.isReady(now) && peerReports_.areRunnersKnown(now);
     if (context_.settings.role == InstanceRole::Runner) {
         runner_.onTick(now);
--- a/Services/Node/NodeProgram.h
+++ b/Services/Node/NodeProgram.h
@@ -3,6 +3,7 @@
 #include "LibPlatform/MeteredStore.h"
 #include "LibService/Program.h"
 #include "Services/Node/CallerAuthentication.h"
+#include "Services/Node/CustomerLimits.h"
 #include "Services/Node/HealthProber.h"
 #include "Services/Node/JobApiHandler.h"
 #include "Services/Node/JobRunner.h"
@@ -104,6 +105,7 @@
     HealthProber health_;
     FleetFollower fleet_;
     PeerReportExchange peerReports_;
+    CustomerLimits customerLimits_;
     VersionRegister versions_;
     QuarantineRegister quarantines_;
     StreamOriginClient origins_;
