Open batch jobs to their customers only

Calls about batch jobs needed no key, so that any caller could read and end every job, and items were sent to servers with whatever headers they hold.

Jobs store the customer that submitted them. Submission, reads, bodies and ends need a key, and a job of another customer is answered with 404 by its owner or, where no owner answers, from the store. The owner marks its answer as checked, because earlier builds ignore the caller in the call; an unmarked answer is not used and the store is read instead. An end is checked by one more call to the owner. A submission under the id of another customer's job is refused with 409, as the job would never run. Items are sent with the job's customer instead of a key. Without a desired state, job calls are held for a moment and then answered with 503.

--- a/Libraries/LibJobs/Job.h
+++ b/Libraries/LibJobs/Job.h
@@ -5,6 +5,7 @@
 #include "LibHttp/HttpMessage.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,8 @@
     /// Host to which the job was submitted. It determines the route of the items.
     std::string host;
     WallInstant acceptedAt;
+    /// Customer that submitted the job; unset for a caller without a key and in jobs of earlier builds.
+    std::optional<CustomerId> customer = {};
     std::vector<JobItem> items;
 
     [[nodiscard]] std::uint64_t tokens() const;
--- a/Libraries/LibJobs/JobCodec.cpp
+++ b/Libraries/LibJobs/JobCodec.cpp
@@ -98,12 +98,15 @@
     StoredJob stored;
     for (std::size_t group = 1; group < groups.size(); ++group)
         stored.parts.push_back(json::serialize(json::object{{"items", std::move(groups[group])}}));
-    stored.spec = json::serialize(json::object{
+    json::object object{
         {"host", job.host},
         {"acceptedAt", job.acceptedAt.time_since_epoch().count()},
         {"parts", stored.parts.size()},
         {"items", std::move(groups.front())},
-    });
+    };
+    if (job.customer)
+        object["customer"] = job.customer->value();
+    stored.spec = json::serialize(object);
     return stored;
 }
 
@@ -111,12 +114,14 @@
 try {
     auto const value = json::parse(spec);
     auto const &object = value.as_object();
+    auto const *customer = object.if_contains("customer");
     return JobHead{
         .record =
             {
                 .id = job,
                 .host = text(object.at("host")),
                 .acceptedAt = WallInstant(std::chrono::milliseconds(object.at("acceptedAt").to_number<std::int64_t>())),
+                .customer = customer ? std::optional(CustomerId(text(*customer))) : std::nullopt,
                 .items = decodeItems(object.at("items")),
             },
         .parts = object.at("parts").to_number<std::size_t>(),
--- a/Libraries/LibJobs/ResultChain.cpp
+++ b/Libraries/LibJobs/ResultChain.cpp
@@ -35,6 +35,8 @@
                 return self->reply_(tl::unexpected(head.error()));
             self->loaded_.record = std::move(head->record);
             self->loaded_.isEnded = isEnded(object->status);
+            if (self->extent_ == LoadExtent::HeadOnly)
+                return self->reply_(std::move(self->loaded_));
             self->parts_ = head->parts;
             self->loadPart(0);
         });
--- a/Libraries/LibJobs/ResultChain.h
+++ b/Libraries/LibJobs/ResultChain.h
@@ -21,6 +21,8 @@
     Full,
     /// The job without its segments.
     JobOnly,
+    /// Only the job object, with the first items.
+    HeadOnly,
 };
 
 /// Reads a job from the store, then its segments one after the other until one does not exist yet. Fails with JobsError::JobNotFound
--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -25,9 +25,10 @@
 
 } // namespace
 
-Serving::RequestSuspects suspectsOf(NodeContext const &context, Jobs::JobItem const &item, std::string const &host)
+Serving::RequestSuspects suspectsOf(NodeContext const &context, Jobs::JobItem const &item, ItemOrigin const &origin)
 {
-    return {.parts = context.protocol.readPromptParts(item.headers), .request = context.protocol.fingerprintOf(item, host, std::nullopt)};
+    return {.parts = context.protocol.readPromptParts(item.headers),
+            .request = context.protocol.fingerprintOf(item, origin.host, origin.customer)};
 }
 
 ItemRun::ItemRun(NodeContext &context, HealthProber &health, Serving::ServerRecord server, Jobs::ItemStart item, Hooks hooks)
@@ -42,29 +43,30 @@
 {
 }
 
-void ItemRun::start(Jobs::JobItem const &item, std::string const &host)
+void ItemRun::start(Jobs::JobItem const &item, ItemOrigin const &origin)
 {
     itemId_ = item.id;
-    suspects_ = suspectsOf(context_, item, host);
+    suspects_ = suspectsOf(context_, item, origin);
     context_.load.onStarted(server_.id, Serving::WorkClass::Batch);
     if (!context_.prompts.isTrial(suspects_))
-        return send(item, host);
-    context_.reserveTrial(suspects_, [self = shared_from_this(), item, host](std::optional<WallInstant> trialAt) {
+        return send(item, origin);
+    context_.reserveTrial(suspects_, [self = shared_from_this(), item, origin](std::optional<WallInstant> trialAt) {
         self->trialAt_ = trialAt;
         if (self->isEnded_)
             return self->returnTrial();
         if (!trialAt)
             return self->finish(SendEnd::Unserved);
-        self->send(item, host);
+        self->send(item, origin);
     });
 }
 
-void ItemRun::send(Jobs::JobItem const &item, std::string const &host)
+void ItemRun::send(Jobs::JobItem const &item, ItemOrigin const &origin)
 {
     context_.prompts.onPlaced(suspects_);
     Http::ClientRequest request{
         .server = server_.address,
-        .request = context_.protocol.makeServerRequest(item, host, {.server = server_.id, .lastEventId = item_.lastEventId}),
+        .request = context_.protocol.makeServerRequest(
+            item, origin.host, {.server = server_.id, .lastEventId = item_.lastEventId, .customer = origin.customer}),
         .deadline = startedAt_ + RunTimeout,
         .connectTimeout = ConnectTimeout,
         .headTimeout = isSentWithCare() ? CarefulHeadTimeout : HeadTimeout,
--- a/Services/Node/ItemRun.h
+++ b/Services/Node/ItemRun.h
@@ -7,8 +7,15 @@
 
 namespace Anvilyard::Node {
 
+/// What an item has from its job.
+struct ItemOrigin {
+    std::string host;
+    /// As in AttemptParameters.
+    std::optional<CustomerId> customer;
+};
+
 /// Returns what may be the cause if a server crashes while it runs the item.
-Serving::RequestSuspects suspectsOf(NodeContext const &context, Jobs::JobItem const &item, std::string const &host);
+Serving::RequestSuspects suspectsOf(NodeContext const &context, Jobs::JobItem const &item, ItemOrigin const &origin);
 
 /// One attempt to run a batch item at a server.
 class ItemRun : public std::enable_shared_from_this<ItemRun>
@@ -23,7 +30,7 @@
 
     ItemRun(NodeContext &context, HealthProber &health, Serving::ServerRecord server, Jobs::ItemStart item, Hooks hooks);
 
-    void start(Jobs::JobItem const &item, std::string const &host);
+    void start(Jobs::JobItem const &item, ItemOrigin const &origin);
     /// Ends the run without calling a hook again.
     void cancel();
 
@@ -36,7 +43,7 @@
     [[nodiscard]] bool isSentWithCare() const;
 
 private:
-    void send(Jobs::JobItem const &item, std::string const &host);
+    void send(Jobs::JobItem const &item, ItemOrigin const &origin);
     void onSending();
     /// Gives a trial back that was not sent.
     void returnTrial();
--- a/Services/Node/JobApiHandler.cpp
+++ b/Services/Node/JobApiHandler.cpp
@@ -33,6 +33,9 @@
 struct JobApiHandler::Submission {
     JobId id;
     Jobs::StoredJob stored;
+    std::optional<CustomerId> customer;
+    /// As in AttemptParameters.
+    JobCaller caller;
     std::uint64_t tokens = 0;
     std::size_t items = 0;
     Writer writer;
@@ -64,7 +67,7 @@
     return sum;
 }
 
-void JobApiHandler::submit(Serving::Route const &route, Http::HttpRequest const &request, Writer writer)
+void JobApiHandler::submit(Serving::Route const &route, JobCaller const &caller, Http::HttpRequest const &request, Writer writer)
 {
     auto job = context_.protocol.readSubmission(request);
     if (!job)
@@ -74,10 +77,13 @@
         .id = job->id,
         .host = std::string(request.headers.find("Host").value_or("")),
         .acceptedAt = now.wall,
+        .customer = caller && !caller->value().empty() ? caller : std::nullopt,
         .items = std::move(job->items),
     };
     auto const submission = std::make_shared<Submission>();
     submission->id = record.id;
+    submission->customer = record.customer;
+    submission->caller = caller;
     submission->tokens = record.tokens();
     submission->items = record.items.size();
     submission->writer = std::move(writer);
@@ -118,7 +124,7 @@
                        Jobs::jobObject(submission->id),
                        [this, submission, maxWaitingTokens](Result<Platform::Object> stored) {
                            if (stored)
-                               return acknowledge(submission);
+                               return acknowledgeStored(submission, stored->spec);
                            if (stored.error().code == PlatformError::NotFound)
                                return refuseForQuota(submission, maxWaitingTokens);
                            refuse(submission->id, submission->writer, Refusals::storeOutcomeUnknown());
@@ -158,9 +164,11 @@
                           Jobs::jobObject(submission->id),
                           submission->stored.spec,
                           [this, submission](Result<Platform::Object> created) {
-                              // A repeated submission finds the job stored.
-                              if (created || created.error().code == PlatformError::AlreadyExists)
+                              if (created)
                                   return acknowledge(submission);
+                              // A repeated submission finds the job stored.
+                              if (created.error().code == PlatformError::AlreadyExists)
+                                  return acknowledgeStored(submission);
                               if (created.error().code == PlatformError::OutcomeUnknown)
                                   submission->isOutcomeUnknown = true;
                               onStoreError(submission, created.error(), [this, submission] { storeJob(submission); });
@@ -181,9 +189,32 @@
         submission->id, submission->writer, submission->isOutcomeUnknown ? Refusals::storeOutcomeUnknown() : Refusals::storeUnavailable());
 }
 
+void JobApiHandler::acknowledgeStored(std::shared_ptr<Submission> const &submission)
+{
+    auto const accepted = accepted_.find(submission->id);
+    bool const isOwn = accepted != accepted_.end() && accepted->second.customer == submission->customer;
+    if (!submission->caller || isOwn)
+        return acknowledge(submission);
+    context_.store.get(
+        CallClass::Acknowledge, Jobs::jobKind, Jobs::jobObject(submission->id), [this, submission](Result<Platform::Object> stored) {
+            if (stored)
+                return acknowledgeStored(submission, stored->spec);
+            refuse(submission->id, submission->writer, Refusals::storeOutcomeUnknown());
+        });
+}
+
+void JobApiHandler::acknowledgeStored(std::shared_ptr<Submission> const &submission, std::string_view spec)
+{
+    auto const stored = Jobs::decodeJob(submission->id, spec);
+    // The job of another customer would not run for this one.
+    if (submission->caller && stored && stored->record.customer && stored->record.customer != submission->customer)
+        return refuse(submission->id, submission->writer, Refusals::jobIdInUse());
+    acknowledge(submission);
+}
+
 void JobApiHandler::acknowledge(std::shared_ptr<Submission> const &submission)
 {
-    accepted_[submission->id] = {.at = readLocalClock(), .tokens = submission->tokens};
+    accepted_[submission->id] = {.at = readLocalClock(), .tokens = submission->tokens, .customer = submission->customer};
     metrics_.jobsAccepted.add();
     Observe::log(
         Observe::Events::NodeJobAccepted,
@@ -192,28 +223,34 @@
     submission->writer->respond({.status = 202, .headers = {{"Content-Type", "application/json"}}, .body = "{}"});
 }
 
-void JobApiHandler::handle(JobCall const &call, Writer writer)
+void JobApiHandler::handle(JobCall const &call, JobCaller const &caller, Writer writer)
 {
     std::visit(
         [&](auto const &alternative) {
             if constexpr (std::is_same_v<std::decay_t<decltype(alternative)>, EndJob>)
-                end(alternative, std::move(writer), readLocalClock() + StoreTimeout, false);
+                endIfAccessible(alternative, caller, std::move(writer));
             else
-                read(alternative, std::move(writer));
+                read(alternative, caller, std::move(writer));
         },
         call);
 }
 
 void JobApiHandler::callOwner(JobId const &job,
+                              JobCaller const &caller,
                               std::string target,
                               Duration wait,
                               std::function<void(std::optional<Http::HttpResponse>)> done)
 {
-    callPeer(context_.peers.ownerOf(job), std::move(target), wait, [done = std::move(done)](std::optional<Http::HttpResponse> answer) {
-        // After any other response the entry reads the store.
-        bool const isUsable = answer && (answer->status == 200 || answer->status == UnconfirmedStatus);
-        done(isUsable ? std::move(answer) : std::nullopt);
-    });
+    callPeer(context_.peers.ownerOf(job),
+             std::move(target),
+             wait,
+             [isCallerKnown = caller.has_value(), done = std::move(done)](std::optional<Http::HttpResponse> answer) {
+                 bool const isChecked = answer && isAccessChecked(*answer);
+                 bool const isFound = answer && (answer->status == 200 || answer->status == UnconfirmedStatus);
+                 bool const isUsable = isCallerKnown ? isChecked && (isFound || answer->status == ForeignJobStatus) : isFound;
+                 // After any other response the entry reads the store.
+                 done(isUsable ? std::move(answer) : std::nullopt);
+             });
 }
 
 /// If the notice is lost, the owner learns of the change from its watch of the store, or of the job when it is read.
@@ -243,47 +280,61 @@
                                });
 }
 
-void JobApiHandler::read(ReadResults const &call, Writer writer)
+void JobApiHandler::read(ReadResults const &call, JobCaller const &caller, Writer writer)
 {
     auto const wait = std::min(call.wait, MaxWait);
     callOwner(call.job,
-              toTarget(PeerReadResults{.job = call.job, .from = call.from, .wait = wait, .runnersHash = context_.peers.runnersHash()}),
+              caller,
+              toTarget(PeerReadResults{
+                  .job = call.job, .from = call.from, .wait = wait, .runnersHash = context_.peers.runnersHash(), .caller = caller}),
               wait,
-              [this, call, writer = std::move(writer)](std::optional<Http::HttpResponse> answer) {
+              [this, call, caller, writer = std::move(writer)](std::optional<Http::HttpResponse> answer) {
                   if (!answer)
-                      return readFromStore(call, writer);
+                      return readFromStore(call, caller, writer);
+                  if (answer->status == ForeignJobStatus)
+                      return refuse(call.job, writer, Refusals::jobNotFound());
                   if (answer->status == UnconfirmedStatus)
-                      return confirmNoResults(call, std::move(answer->body), writer);
+                      return confirmNoResults(call, caller, std::move(answer->body), writer);
                   writer->respond({.status = 200, .headers = {{"Content-Type", "application/json"}}, .body = std::move(answer->body)});
               });
 }
 
 /// While runners disagree about the owner, each read would otherwise read a job and all its segments from the store. All outcomes before
 /// the position are known to the owner, so that the segment that begins there is the only one that can be new.
-void JobApiHandler::confirmNoResults(ReadResults const &call, std::string emptyPage, Writer const &writer)
+void JobApiHandler::confirmNoResults(ReadResults const &call, JobCaller const &caller, std::string emptyPage, Writer const &writer)
 {
     Jobs::loadSegment(context_.store,
                       call.job,
                       call.from,
-                      [this, call, emptyPage = std::move(emptyPage), writer](Result<std::optional<Jobs::ResultSegment>> segment) {
+                      [this, call, caller, emptyPage = std::move(emptyPage), writer](Result<std::optional<Jobs::ResultSegment>> segment) {
                           if (!segment || *segment)
-                              return readFromStore(call, writer);
+                              return readFromStore(call, caller, writer);
                           writer->respond({.status = 200, .headers = {{"Content-Type", "application/json"}}, .body = emptyPage});
                       });
 }
 
-void JobApiHandler::readFromStore(ReadResults const &call, Writer writer)
+void JobApiHandler::loadFor(
+    JobId const &job, JobCaller const &caller, Jobs::LoadExtent extent, Writer const &writer, std::function<void(Jobs::LoadedJob)> onLoaded)
 {
-    Jobs::loadJob(context_.store, call.job, Jobs::LoadExtent::Full, [this, call, writer = std::move(writer)](Result<Jobs::LoadedJob> job) {
-        if (!job && job.error().code == Jobs::JobsError::JobNotFound)
-            return refuse(call.job, writer, Refusals::jobNotFound());
-        if (!job) {
-            Observe::log(Observe::Events::NodeJobReadFailed, {{"job", call.job.value()}, {"error", job.error().toString()}});
-            return refuse(call.job, writer, Refusals::storeUnavailable());
+    Jobs::loadJob(context_.store, job, extent, [this, job, caller, writer, onLoaded = std::move(onLoaded)](Result<Jobs::LoadedJob> loaded) {
+        if (!loaded && loaded.error().code == Jobs::JobsError::JobNotFound)
+            return refuse(job, writer, Refusals::jobNotFound());
+        if (!loaded) {
+            Observe::log(Observe::Events::NodeJobReadFailed, {{"job", job.value()}, {"error", loaded.error().toString()}});
+            return refuse(job, writer, Refusals::storeUnavailable());
         }
-        Jobs::ResultPage page{.total = job->record.items.size(), .next = call.from};
+        if (!mayAccess(context_.routes.get(), loaded->record, caller))
+            return refuse(job, writer, Refusals::jobNotFound());
+        onLoaded(std::move(*loaded));
+    });
+}
+
+void JobApiHandler::readFromStore(ReadResults const &call, JobCaller const &caller, Writer writer)
+{
+    loadFor(call.job, caller, Jobs::LoadExtent::Full, writer, [this, call, writer](Jobs::LoadedJob job) {
+        Jobs::ResultPage page{.total = job.record.items.size(), .next = call.from};
         std::size_t bytes = 0;
-        for (auto &segment : job->segments) {
+        for (auto &segment : job.segments) {
             for (std::size_t index = 0; index < segment.outcomes.size(); ++index) {
                 if (segment.first + index != page.next)
                     continue;
@@ -299,33 +350,51 @@
     });
 }
 
-void JobApiHandler::read(ReadItemBody const &call, Writer writer)
+void JobApiHandler::read(ReadItemBody const &call, JobCaller const &caller, Writer writer)
 {
     callOwner(
         call.job,
-        toTarget(PeerReadBody{.job = call.job, .item = call.item}),
+        caller,
+        toTarget(PeerReadBody{.job = call.job, .item = call.item, .caller = caller}),
         Duration::zero(),
-        [this, call, writer = std::move(writer)](std::optional<Http::HttpResponse> answer) {
+        [this, call, caller, writer = std::move(writer)](std::optional<Http::HttpResponse> answer) {
             if (!answer)
-                return readFromStore(call, writer);
+                return readFromStore(call, caller, writer);
+            if (answer->status == ForeignJobStatus)
+                return refuse(call.job, writer, Refusals::jobNotFound());
             writer->respond({.status = 200, .headers = {{"Content-Type", "application/octet-stream"}}, .body = std::move(answer->body)});
         });
 }
 
-void JobApiHandler::readFromStore(ReadItemBody const &call, Writer writer)
+void JobApiHandler::readFromStore(ReadItemBody const &call, JobCaller const &caller, Writer writer)
 {
-    Jobs::loadJob(
-        context_.store, call.job, Jobs::LoadExtent::JobOnly, [this, call, writer = std::move(writer)](Result<Jobs::LoadedJob> job) {
-            if (!job && job.error().code == Jobs::JobsError::JobNotFound)
-                return refuse(call.job, writer, Refusals::jobNotFound());
-            if (!job)
-                return refuse(call.job, writer, Refusals::storeUnavailable());
-            auto &items = job->record.items;
-            auto const item = std::find_if(items.begin(), items.end(), [&](Jobs::JobItem const &known) { return known.id == call.item; });
-            if (item == items.end())
-                return refuse(call.job, writer, Refusals::itemNotFound());
-            writer->respond({.status = 200, .headers = {{"Content-Type", "application/octet-stream"}}, .body = std::move(item->body)});
-        });
+    loadFor(call.job, caller, Jobs::LoadExtent::JobOnly, writer, [this, call, writer](Jobs::LoadedJob job) {
+        auto &items = job.record.items;
+        auto const item = std::find_if(items.begin(), items.end(), [&](Jobs::JobItem const &known) { return known.id == call.item; });
+        if (item == items.end())
+            return refuse(call.job, writer, Refusals::itemNotFound());
+        writer->respond({.status = 200, .headers = {{"Content-Type", "application/octet-stream"}}, .body = std::move(item->body)});
+    });
+}
+
+void JobApiHandler::endIfAccessible(EndJob const &call, JobCaller const &caller, Writer writer)
+{
+    auto const deadline = readLocalClock() + StoreTimeout;
+    if (!caller)
+        return end(call, std::move(writer), deadline, false);
+    callOwner(call.job,
+              caller,
+              toTarget(PeerJobAccess{.job = call.job, .caller = caller}),
+              Duration::zero(),
+              [this, call, caller, writer = std::move(writer), deadline](std::optional<Http::HttpResponse> const &answer) {
+                  if (answer && answer->status == ForeignJobStatus)
+                      return refuse(call.job, writer, Refusals::jobNotFound());
+                  if (answer)
+                      return end(call, writer, deadline, false);
+                  loadFor(call.job, caller, Jobs::LoadExtent::HeadOnly, writer, [this, call, writer, deadline](Jobs::LoadedJob const &) {
+                      end(call, writer, deadline, false);
+                  });
+              });
 }
 
 void JobApiHandler::end(EndJob const &call, Writer writer, Instant deadline, bool wasOutcomeUnknown)
--- a/Services/Node/JobApiHandler.h
+++ b/Services/Node/JobApiHandler.h
@@ -4,6 +4,7 @@
 #include "LibHttp/Refusal.h"
 #include "LibJobs/JobCodec.h"
 #include "LibJobs/ResultChain.h"
+#include "Services/Node/JobAccess.h"
 #include "Services/Node/NodeContext.h"
 #include "Services/Node/NodeMetrics.h"
 #include "Services/Node/PeerJobCalls.h"
@@ -21,8 +22,9 @@
 public:
     JobApiHandler(NodeContext &context, NodeMetrics &metrics);
 
-    void submit(Serving::Route const &route, Http::HttpRequest const &request, Writer writer);
-    void handle(JobCall const &call, Writer writer);
+    void submit(Serving::Route const &route, JobCaller const &caller, Http::HttpRequest const &request, Writer writer);
+    /// The caller may read and end the jobs that mayAccess() allows. To it, others do not exist.
+    void handle(JobCall const &call, JobCaller const &caller, Writer writer);
 
 private:
     /// A submitted job that is not acknowledged yet.
@@ -31,17 +33,33 @@
     void storePart(std::shared_ptr<Submission> const &submission, std::size_t part);
     void storeJob(std::shared_ptr<Submission> const &submission);
     void onStoreError(std::shared_ptr<Submission> const &submission, Error const &error, std::function<void()> retry);
+    /// Acknowledges a job that is stored under the id of the submission, unless another customer submitted it.
+    void acknowledgeStored(std::shared_ptr<Submission> const &submission);
+    /// The same if the content of the stored object is known.
+    void acknowledgeStored(std::shared_ptr<Submission> const &submission, std::string_view spec);
     void acknowledge(std::shared_ptr<Submission> const &submission);
     void refuse(JobId const &job, Writer const &writer, Http::Refusal const &refusal);
 
-    void read(ReadResults const &call, Writer writer);
-    void confirmNoResults(ReadResults const &call, std::string emptyPage, Writer const &writer);
-    void readFromStore(ReadResults const &call, Writer writer);
-    void read(ReadItemBody const &call, Writer writer);
-    void readFromStore(ReadItemBody const &call, Writer writer);
+    void read(ReadResults const &call, JobCaller const &caller, Writer writer);
+    void confirmNoResults(ReadResults const &call, JobCaller const &caller, std::string emptyPage, Writer const &writer);
+    void readFromStore(ReadResults const &call, JobCaller const &caller, Writer writer);
+    void read(ReadItemBody const &call, JobCaller const &caller, Writer writer);
+    void readFromStore(ReadItemBody const &call, JobCaller const &caller, Writer writer);
+    /// Reads a job from the store for a caller that may access it, and refuses the call if it may not.
+    void loadFor(JobId const &job,
+                 JobCaller const &caller,
+                 Jobs::LoadExtent extent,
+                 Writer const &writer,
+                 std::function<void(Jobs::LoadedJob)> onLoaded);
+    /// Ends the job if the caller may access it.
+    void endIfAccessible(EndJob const &call, JobCaller const &caller, Writer writer);
     void end(EndJob const &call, Writer writer, Instant deadline, bool wasOutcomeUnknown);
     void notifyOwner(PeerJobNotice const &notice);
-    void callOwner(JobId const &job, std::string target, Duration wait, std::function<void(std::optional<Http::HttpResponse>)> done);
+    void callOwner(JobId const &job,
+                   JobCaller const &caller,
+                   std::string target,
+                   Duration wait,
+                   std::function<void(std::optional<Http::HttpResponse>)> done);
     /// Calls `done` with std::nullopt if the peer is unknown or does not respond.
     void callPeer(std::optional<InstanceId> const &id,
                   std::string target,
@@ -58,6 +76,7 @@
     struct AcceptedJob {
         Instant at;
         std::uint64_t tokens = 0;
+        std::optional<CustomerId> customer;
     };
     /// Recently accepted jobs that their runners may not have counted yet.
     std::map<JobId, AcceptedJob> accepted_;
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -599,7 +599,8 @@
         if (!next)
             return;
         auto const *record = jobs_.find(next->job);
-        if (context_.prompts.refusalReason(suspectsOf(context_, record->items[next->index], record->host))) {
+        ItemOrigin const origin{.host = record->host, .customer = itemCustomer(context_.routes.get(), *record)};
+        if (context_.prompts.refusalReason(suspectsOf(context_, record->items[next->index], origin))) {
             jobs_.onHeldBack(*next, now);
             continue;
         }
@@ -624,7 +625,7 @@
                 .onEnd = [this, item = *next, server](SendEnd end) { onRunEnded(item, server, end); },
             });
         runs_.push_back(run);
-        run->start(record->items[next->index], record->host);
+        run->start(record->items[next->index], origin);
     }
 }
 
@@ -855,6 +856,10 @@
         serveBody(*body, writer);
         return true;
     }
+    if (auto const *access = std::get_if<PeerJobAccess>(&*call)) {
+        respondWithAccess(context_.routes.get(), jobs_.find(access->job), access->caller, *writer);
+        return true;
+    }
     if (auto const *admission = std::get_if<PeerAdmission>(&*call)) {
         serveAdmission(*admission, writer);
         return true;
@@ -881,12 +886,14 @@
 
 void JobRunner::serveBody(PeerReadBody const &call, Writer const &writer)
 {
+    if (refuseForeign(context_.routes.get(), jobs_.find(call.job), call.caller, *writer))
+        return;
     auto const *item = owns(call.job) ? jobs_.findItem(call.job, call.item) : nullptr;
     if (!item || jobs_.isListed(call.job, call.item)) {
         lookForUnheardJob(call.job);
         return writer->respond({.status = NotOwnerStatus});
     }
-    writer->respond({.status = 200, .body = item->body});
+    writer->respond(markAccessChecked({.status = 200, .body = item->body}));
 }
 
 void JobRunner::serveOwnerCheck(PeerOwnerCheck const &call, Writer const &writer)
@@ -914,6 +921,8 @@
 
 bool JobRunner::serve(PendingRead const &read, Instant now)
 {
+    if (refuseForeign(context_.routes.get(), jobs_.find(read.call.job), read.call.caller, *read.writer))
+        return true;
     auto const known = knownJobs_.find(read.call.job);
     if (!owns(read.call.job) || known == knownJobs_.end()) {
         lookForUnheardJob(read.call.job);
@@ -935,7 +944,7 @@
     // there is no new result.
     bool const mayLackResults = mayHideSegment(read.call.job, now) || read.call.runnersHash != context_.peers.runnersHash()
         || context_.peers.isUnsettled(now) || unconfirmed_.contains(read.call.job);
-    auto response = context_.protocol.writeResults(*page);
+    auto response = markAccessChecked(context_.protocol.writeResults(*page));
     if (page->outcomes.empty() && mayLackResults) {
         // Only at the end of the listed outcomes would a segment of another runner begin.
         if (read.call.from != jobs_.listedCount(read.call.job))
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -290,7 +290,11 @@
 
 CallerAuthentication NodeProgram::authenticate(Serving::Route const &route, Http::HttpRequest const &request)
 {
-    auto const authentication = CallerAuthentication::ofRequest(*context_.routes, route, context_.protocol.readKey(request));
+    return counted(CallerAuthentication::ofRequest(*context_.routes, route, context_.protocol.readKey(request)));
+}
+
+CallerAuthentication NodeProgram::counted(CallerAuthentication authentication)
+{
     if (authentication.outcome() != CallerAuthentication::Outcome::NotRequired)
         metrics_.onAuthenticated(nameOf(authentication.outcome()));
     return authentication;
@@ -424,11 +428,8 @@
     auto const refuse = [&](Http::Refusal const &refusal) { this->refuse(request, writer, refusal); };
     if (auto const left = timeToExit(readLocalClock()); left && *left < MinTimeBeforeExit)
         return refuse(Refusals::stopping());
-    if (auto call = context_.protocol.readJobCall(request)) {
-        if (!*call)
-            return refuse(Refusals::badRequest(call->error().detail));
-        return jobApi_.handle(**call, std::move(writer));
-    }
+    if (auto const call = context_.protocol.readJobCall(request))
+        return handleJobCall(*call, std::move(request), std::move(writer));
     if (auto const now = readLocalClock(); !canSend(now)) {
         if (now < holdsUntil_ && !stoppingSince_)
             return holdUntilReady(std::move(request), std::move(writer), now);
@@ -442,7 +443,7 @@
     if (authentication.isRefused())
         return refuse(refusalOf(authentication));
     if (route->kind == RouteKind::Batch)
-        return jobApi_.submit(*route, request, std::move(writer));
+        return jobApi_.submit(*route, authentication.customerId(), request, std::move(writer));
     startOnlineCall(withPriorityOf(*route, authentication.customer()),
                     authentication.customerId(),
                     std::move(request),
@@ -450,6 +451,23 @@
                     std::nullopt);
 }
 
+void NodeProgram::handleJobCall(Result<JobCall> const &call, Http::HttpRequest request, Writer writer)
+{
+    if (!context_.routes) {
+        auto const now = readLocalClock();
+        if (now < holdsUntil_ && !stoppingSince_)
+            return holdUntilReady(std::move(request), std::move(writer), now);
+        return refuse(request, writer, Refusals::notReady());
+    }
+    auto const host = request.headers.find("Host").value_or("");
+    auto const authentication = counted(CallerAuthentication::ofJobCall(*context_.routes, host, context_.protocol.readKey(request)));
+    if (authentication.isRefused())
+        return refuse(request, writer, refusalOf(authentication));
+    if (!call)
+        return refuse(request, writer, Refusals::badRequest(call.error().detail));
+    jobApi_.handle(*call, authentication.customerId(), std::move(writer));
+}
+
 bool NodeProgram::canSend(Instant now) const
 {
     return fleet_.isComplete() && versions_.isComplete() && quarantines_.isReady(now);
--- a/Services/Node/NodeProgram.h
+++ b/Services/Node/NodeProgram.h
@@ -74,7 +74,9 @@
     [[nodiscard]] std::optional<std::string> relayObstacle(RelayTerms const &terms) const;
     /// Whether requests can be sent with all that has to be known for it.
     [[nodiscard]] bool canSend(Instant now) const;
+    void handleJobCall(Result<JobCall> const &call, Http::HttpRequest request, Writer writer);
     /// Counts the outcome.
+    CallerAuthentication counted(CallerAuthentication authentication);
     CallerAuthentication authenticate(Serving::Route const &route, Http::HttpRequest const &request);
     /// `customer` is as in AttemptParameters.
     void startOnlineCall(Serving::Route route,
--- a/Services/Node/NodeRefusals.cpp
+++ b/Services/Node/NodeRefusals.cpp
@@ -129,6 +129,11 @@
     return refusal(504, "timeout_error", "timed_out", "the request had no answer within its time", runState);
 }
 
+Refusal jobIdInUse()
+{
+    return refusal(409, "invalid_request_error", "job_id_in_use", "this id belongs to a job that is not of this caller");
+}
+
 Refusal jobNotFound()
 {
     return refusal(404, "invalid_request_error", "job_not_found", "there is no such batch job");
--- a/Services/Node/NodeRefusals.h
+++ b/Services/Node/NodeRefusals.h
@@ -36,6 +36,8 @@
 Http::Refusal outcomeUnknown();
 Http::Refusal timedOut(Http::RunState runState);
 Http::Refusal jobNotFound();
+/// Another customer submitted a job under this id.
+Http::Refusal jobIdInUse();
 Http::Refusal itemNotFound();
 Http::Refusal overQuota(Duration retryAfter);
 /// The runner that admits jobs cannot be reached.
--- a/Services/Node/PeerJobCalls.cpp
+++ b/Services/Node/PeerJobCalls.cpp
@@ -16,12 +16,26 @@
 constexpr std::string_view AcceptedSegment = "accepted";
 constexpr std::string_view EndedSegment = "ended";
 constexpr std::string_view OwnerSegment = "owner";
+constexpr std::string_view AccessSegment = "access";
+constexpr std::string_view CustomerParameter = "customer";
 
 std::string percentEncode(std::string const &segment)
 {
     return boost::urls::encode(segment, boost::urls::unreserved_chars);
 }
 
+/// Returns the parameter after `separator`, or nothing.
+std::string callerParameter(char separator, JobCaller const &caller)
+{
+    return caller ? separator + std::string(CustomerParameter) + "=" + percentEncode(caller->value()) : "";
+}
+
+JobCaller readCaller(Http::HttpRequest const &request)
+{
+    auto name = request.query(CustomerParameter);
+    return name ? std::optional(CustomerId(std::move(*name))) : std::nullopt;
+}
+
 } // namespace
 
 std::uint64_t readNumberParameter(Http::HttpRequest const &request, std::string_view name)
@@ -36,12 +50,17 @@
 {
     auto const wait = std::chrono::duration_cast<std::chrono::milliseconds>(call.wait).count();
     return "/jobs/" + percentEncode(call.job.value()) + "/results?from=" + std::to_string(call.from) + "&wait=" + std::to_string(wait)
-        + "&runners=" + std::to_string(call.runnersHash);
+        + "&runners=" + std::to_string(call.runnersHash) + callerParameter('&', call.caller);
 }
 
 std::string toTarget(PeerReadBody const &call)
 {
-    return "/jobs/" + percentEncode(call.job.value()) + "/items/" + percentEncode(call.item.value());
+    return "/jobs/" + percentEncode(call.job.value()) + "/items/" + percentEncode(call.item.value()) + callerParameter('?', call.caller);
+}
+
+std::string toTarget(PeerJobAccess const &call)
+{
+    return "/jobs/" + percentEncode(call.job.value()) + "/" + std::string(AccessSegment) + callerParameter('?', call.caller);
 }
 
 std::string toTarget(PeerAdmission const &call)
@@ -78,6 +97,7 @@
             .from = static_cast<std::size_t>(readNumberParameter(request, "from")),
             .wait = std::chrono::milliseconds(readNumberParameter(request, "wait")),
             .runnersHash = readNumberParameter(request, "runners"),
+            .caller = readCaller(request),
         };
     }
     if (segments.size() == 3 && segments[2] == AdmissionSegment)
@@ -87,10 +107,12 @@
         return PeerJobNotice{.job = std::move(job), .event = PeerJobNotice::Event::Accepted};
     if (segments.size() == 3 && segments[2] == EndedSegment)
         return PeerJobNotice{.job = std::move(job), .event = PeerJobNotice::Event::Ended};
+    if (segments.size() == 3 && segments[2] == AccessSegment)
+        return PeerJobAccess{.job = std::move(job), .caller = readCaller(request)};
     if (segments.size() == 3 && segments[2] == OwnerSegment)
         return PeerOwnerCheck{.job = std::move(job)};
     if (segments.size() == 4 && segments[2] == ItemsSegment)
-        return PeerReadBody{.job = std::move(job), .item = Jobs::ItemId(segments[3])};
+        return PeerReadBody{.job = std::move(job), .item = Jobs::ItemId(segments[3]), .caller = readCaller(request)};
     return std::nullopt;
 }
 
--- a/Services/Node/PeerJobCalls.h
+++ b/Services/Node/PeerJobCalls.h
@@ -3,6 +3,7 @@
 #include "LibCore/Result.h"
 #include "LibHttp/HttpMessage.h"
 #include "LibJobs/Job.h"
+#include "Services/Node/JobAccess.h"
 
 #include <optional>
 #include <string>
@@ -18,12 +19,20 @@
     Duration wait{0};
     /// Hash over the runners that the entry considers alive, as in its reports.
     std::uint64_t runnersHash = 0;
+    JobCaller caller = {};
 };
 
 /// Call of an entry to the runner that owns a job: reads the body of an item.
 struct PeerReadBody {
     JobId job;
     Jobs::ItemId item;
+    JobCaller caller = {};
+};
+
+/// Call of an entry to the runner that owns a job: whether the caller may end the job.
+struct PeerJobAccess {
+    JobId job;
+    JobCaller caller = {};
 };
 
 /// Call of an entry to the admitter of a route: whether a job fits within the route's limit of waiting tokens. Sent only while
@@ -48,10 +57,11 @@
     JobId job;
 };
 
-using PeerJobCall = std::variant<PeerReadResults, PeerReadBody, PeerAdmission, PeerJobNotice, PeerOwnerCheck>;
+using PeerJobCall = std::variant<PeerReadResults, PeerReadBody, PeerJobAccess, PeerAdmission, PeerJobNotice, PeerOwnerCheck>;
 
 std::string toTarget(PeerReadResults const &call);
 std::string toTarget(PeerReadBody const &call);
+std::string toTarget(PeerJobAccess const &call);
 std::string toTarget(PeerAdmission const &call);
 std::string toTarget(PeerJobNotice const &call);
 std::string toTarget(PeerOwnerCheck const &call);
@@ -60,8 +70,6 @@
 /// Returns std::nullopt if the request is not a call about a job.
 std::optional<PeerJobCall> parsePeerJobCall(Http::HttpRequest const &request);
 
-/// Status sent by a runner that does not own the job. The entry then reads the store.
-constexpr int NotOwnerStatus = 421;
 /// Status sent by a runner that has no further results, if another runner may have stored some. The entry then reads the store at this
 /// position only.
 constexpr int UnconfirmedStatus = 203;
--- a/Tests/LibJobs/TestJobCodec.cpp
+++ b/Tests/LibJobs/TestJobCodec.cpp
@@ -68,6 +68,16 @@
 }
 
 /// Guards against putting all items into one object regardless of their size.
+/// Earlier builds store no customer and ignore it.
+TEST(JobCodecTest, TheCustomerOfAJobIsOptional)
+{
+    auto job = jobOf(1, 10);
+    EXPECT_EQ(encodeJob(job).spec.find("customer"), std::string::npos);
+    EXPECT_EQ(decodeJob(job.id, encodeJob(job).spec)->record.customer, std::nullopt);
+    job.customer = CustomerId("north");
+    EXPECT_EQ(decodeJob(job.id, encodeJob(job).spec)->record.customer, CustomerId("north"));
+}
+
 TEST(JobCodecTest, ALargeJobIsSeveralObjectsEachBelowThePlatformsLimit)
 {
     auto const job = jobOf(24, 290'000);
