Test entries against crowds of hostile callers

Crowds of one kind each (trailers without an end, bodies over the limit, bodies in large and in small chunks that stop short of their end, callers that read nothing) meet one entry process. Checked are its peak memory (48 MiB), its open descriptors (112 of a limit of 128), that it lives and that one ordinary request is answered while the crowd is connected. No times are checked. The crowds are small enough for a test because the limit of descriptors is lowered for the process.

--- a/Tests/NodeProcesses/ModelServer.cpp
+++ b/Tests/NodeProcesses/ModelServer.cpp
@@ -1,5 +1,7 @@
 #include "Tests/NodeProcesses/ModelServer.h"
 
+#include <algorithm>
+
 namespace Anvilyard::Tests {
 
 ModelServer::ModelServer(Http::EventLoop &loop, Options options)
@@ -154,7 +156,9 @@
         return writeEvents(run);
     if (run->fate != ResponseFate::Arrives)
         return lose(run);
-    run->writer->respond({.status = 200, .headers = headersFor(run->request), .body = "response to " + run->request.body});
+    auto body = "response to " + run->request.body;
+    body.resize(std::max(body.size(), options_.minResponseBytes), '.');
+    run->writer->respond({.status = 200, .headers = headersFor(run->request), .body = std::move(body)});
     end(run);
 }
 
--- a/Tests/NodeProcesses/ModelServer.h
+++ b/Tests/NodeProcesses/ModelServer.h
@@ -61,6 +61,8 @@
         std::size_t slots = 4;
         /// Time from the start of a run until the behaviour is called.
         Duration promptTime = 30ms;
+        /// Whole responses are filled up to this size.
+        std::size_t minResponseBytes = 0;
         Duration eventGap = 10ms;
         std::uint64_t events = 10;
         /// Precedes the text of each event.
--- a/Tests/NodeProcesses/NodeProcess.cpp
+++ b/Tests/NodeProcesses/NodeProcess.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <stdexcept>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <system_error>
@@ -96,6 +97,10 @@
     ::dup2(output, STDOUT_FILENO);
     ::dup2(output, STDERR_FILENO);
     ::close_range(STDERR_FILENO + 1, ~0U, 0);
+    if (options_.maxDescriptors) {
+        rlimit const limit{.rlim_cur = *options_.maxDescriptors, .rlim_max = *options_.maxDescriptors};
+        ::setrlimit(RLIMIT_NOFILE, &limit);
+    }
     ::execv(program.c_str(), arguments.data());
     ::_exit(1);
 }
@@ -139,6 +144,24 @@
     ::kill(process_, SIGCONT);
 }
 
+std::size_t NodeProcess::peakMemoryBytes() const
+{
+    constexpr std::size_t BytesPerUnit = 1024;
+    constexpr std::string_view Key = "VmHWM:";
+    std::ifstream status("/proc/" + std::to_string(process_) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(Key))
+            return std::stoull(line.substr(Key.size())) * BytesPerUnit;
+    }
+    throw std::runtime_error(options_.name + " has no memory: it has ended");
+}
+
+std::size_t NodeProcess::openDescriptors() const
+{
+    auto const entries = std::filesystem::directory_iterator("/proc/" + std::to_string(process_) + "/fd");
+    return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 std::size_t NodeProcess::countInLog(std::string_view text) const
 {
     std::ifstream log(logFile());
--- a/Tests/NodeProcesses/NodeProcess.h
+++ b/Tests/NodeProcesses/NodeProcess.h
@@ -4,6 +4,7 @@
 #include "LibServing/PeerReport.h"
 
 #include <filesystem>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <sys/types.h>
@@ -23,6 +24,8 @@
         std::string ip;
         /// Where the settings and the log of the process are written.
         std::filesystem::path folder;
+        /// Limit of open descriptors of the process; unset for the limit of this program.
+        std::optional<std::size_t> maxDescriptors = {};
     };
 
     explicit NodeProcess(Options options);
@@ -42,6 +45,9 @@
     /// Stops the process by SIGSTOP and waits until it has stopped.
     void pause();
     void resume();
+    /// Peak of the resident memory since the start. Throws if the process is gone.
+    [[nodiscard]] std::size_t peakMemoryBytes() const;
+    [[nodiscard]] std::size_t openDescriptors() const;
 
     [[nodiscard]] std::string const &name() const;
     /// Number of lines in the log with the text, since the first start.
--- a/Tests/NodeProcesses/ServingFleet.cpp
+++ b/Tests/NodeProcesses/ServingFleet.cpp
@@ -211,6 +211,11 @@
     promptTime_ = time;
 }
 
+void ServingFleet::setResponseSize(std::size_t bytes)
+{
+    minResponseBytes_ = bytes;
+}
+
 void ServingFleet::setTimeToCrash(Duration time)
 {
     thread_.call([&] { timeToCrash_ = time; });
@@ -312,6 +317,7 @@
             .form = start.form,
             .headMoment = headMoment_,
             .promptTime = promptTime_,
+            .minResponseBytes = minResponseBytes_,
             .eventGap = eventGap_,
             .events = events_,
             .eventPrefix = start.version.empty() ? "" : start.version + "-",
@@ -469,6 +475,7 @@
         .platform = platform,
         .ip = "127." + std::to_string(1 + (number >> 8) % 250) + "." + std::to_string(number % 256) + "." + std::to_string(nodes_.size()),
         .folder = folder_,
+        .maxDescriptors = options_.maxDescriptors,
     });
     node->start();
     return *node;
--- a/Tests/NodeProcesses/ServingFleet.h
+++ b/Tests/NodeProcesses/ServingFleet.h
@@ -56,6 +56,8 @@
         std::chrono::seconds queueTime = 2s;
         /// Time after which the items of a job are due.
         std::chrono::milliseconds completionTarget = 2s;
+        /// Limit of open descriptors of node processes; unset for the limit of this program.
+        std::optional<std::size_t> maxDescriptors = {};
     };
 
     ServingFleet();
@@ -77,6 +79,8 @@
     void setHeadMoment(ModelServer::HeadMoment moment);
     /// Sets how long servers that are started later run a request before its first event or whole response.
     void setPromptTime(Duration time);
+    /// Sets how many bytes whole responses of servers that are started later have at least.
+    void setResponseSize(std::size_t bytes);
     /// Sets how long servers run a request that crashes them before its response begins.
     void setTimeToCrash(Duration time);
     /// Sets what becomes of responses to requests that are started later. Called on the event loop.
@@ -233,6 +237,7 @@
     std::uint64_t events_ = 10;
     Duration eventGap_ = 10ms;
     Duration promptTime_ = 30ms;
+    std::size_t minResponseBytes_ = 0;
     Duration timeToCrash_{0};
     std::function<ModelServer::ResponseFate(Http::HttpRequest const &)> responseFate_;
     ModelServer::HeadMoment headMoment_ = ModelServer::HeadMoment::RunBegins;
