--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -409,7 +409,7 @@
     if (auto const slowStartTimeout = plan_.responseTimeout(true, now); hasFreeSlot && slowStartTimeout < responseTimeout)
         scheduleSlowStartCheck(now + slowStartTimeout);
     bool const mayRunOnlyOnce = repeatabilityOf(parts_.route) == Repeatability::Unsafe;
-    Http::ClientRequest const request{
+    Http::ClientRequest request{
         .server = server.address,
         .request = context.protocol.makeServerRequest(
             parts_.request,
@@ -423,7 +423,7 @@
                                                                         : Http::ClientRequest::Connection::AnyIdle,
         .framing = Http::ClientRequest::Framing::CloseMayEnd,
     };
-    startExchange(*context.serverClient, request);
+    startExchange(*context.serverClient, std::move(request));
 }
 
 bool OnlineCall::mayRelay() const
@@ -474,7 +474,7 @@
                    .pool = pool_,
                    .version = streamVersion_,
                    .isAuthenticated = parts_.customer.has_value()});
-    Http::ClientRequest const call{
+    Http::ClientRequest call{
         .server = helper.address,
         .request = std::move(request),
         .deadline = deadline_,
@@ -483,7 +483,7 @@
         .progressTimeout = std::max(Duration::zero(), deadline_ - now),
         .connection = Http::ClientRequest::Connection::FreshOnly,
     };
-    startExchange(*context.peerClient, call);
+    startExchange(*context.peerClient, std::move(call));
 }
 
 void OnlineCall::startExchange(Http::HttpClient &client, Http::ClientRequest request)
@@ -588,6 +588,7 @@
     if (attempt_->isEventStream)
         return relayEvents(piece);
     attempt_->body += piece;
+    parts_.writer->setKeptBytes(attempt_->body.capacity());
     if (attempt_->body.size() > MaxBufferedResponseBytes)
         abortAttempt(HttpError::BodyTooLarge);
 }
