Weigh servers by the speed that they state

Online requests were placed by the number of requests in flight and one mean run time a pool, so a slow server got as much work as a fast one, and a request was admitted if any server seemed to have room by a report that all other instances had acted on, too.

Servers that state a speed as the fourth figure of their load report are weighed by it and by the time between events of their responses. Requests that ended and began since the report are estimated by speed, and a request is refused by the expected wait at the level to which these fill the servers. Pools whose servers state no speed are served as before.

--- a/Libraries/LibRouting/ArrivalSpread.h
+++ b/Libraries/LibRouting/ArrivalSpread.h
@@ -16,4 +16,13 @@
 /// `std::nullopt` if all costs are infinite.
 std::optional<std::size_t> chooseBySpread(std::span<double const> costs, double arrivals, double draw);
 
+struct SpreadChoice {
+    std::size_t index = 0;
+    /// Cost at which all servers end that get requests.
+    double level = 0;
+};
+
+/// Like the above, for servers whose cost grows with each request by their own step instead of by 1.
+std::optional<SpreadChoice> chooseBySpread(std::span<double const> costs, std::span<double const> steps, double arrivals, double draw);
+
 } // namespace Anvilyard::Routing
--- a/Libraries/LibRouting/ServerChooser.cpp
+++ b/Libraries/LibRouting/ServerChooser.cpp
@@ -109,7 +109,7 @@
     matched_.assign(servers_.size(), 0);
     loads_.assign(servers_.size(), 0);
     subsetCount_ = std::min(servers_.size(), options_.subsetSize);
-    updateMeanOthers();
+    meanOthers_.reset();
 }
 
 void ServerChooser::setEjected(std::set<ServerId> const &ejected)
@@ -149,11 +149,16 @@
     candidate->othersAtReport = std::max(0.0, total - candidate->ownInFlight);
     candidate->reportedAt = now;
     candidate->hasReport = true;
-    updateMeanOthers();
+    candidate->slots = report.slots;
+    candidate->slowness = report.slowness;
+    candidate->departures = report.departures;
+    meanOthers_.reset();
 }
 
-void ServerChooser::updateMeanOthers()
+double ServerChooser::meanOthers() const
 {
+    if (meanOthers_)
+        return *meanOthers_;
     double sum = 0;
     double count = 0;
     for (auto const &candidate : candidates_) {
@@ -163,6 +168,17 @@
         }
     }
     meanOthers_ = count > 0 ? sum / count : 0;
+    return *meanOthers_;
+}
+
+/// A request that waits at a slow server waits longer, and one that runs there takes longer.
+double ServerChooser::pacedLoad(Candidate const &candidate, double load) const
+{
+    if (candidate.slots == std::numeric_limits<double>::infinity())
+        return load;
+    auto const remaining = load - candidate.departures;
+    auto const waiting = std::max(0.0, remaining - candidate.slots);
+    return remaining + waiting * (candidate.slowness - 1) + options_.slownessWeight * (candidate.slowness - 1);
 }
 
 bool ServerChooser::hasModel(Candidate const &candidate, std::uint64_t modelBit)
@@ -233,7 +249,7 @@
         auto const halfLife = static_cast<double>(options_.reportHalfLife.count());
         reportWeight = halfLife / (halfLife + age);
     }
-    return candidate.ownInFlight + reportWeight * candidate.othersAtReport + (1 - reportWeight) * meanOthers_;
+    return candidate.ownInFlight + reportWeight * candidate.othersAtReport + (1 - reportWeight) * meanOthers();
 }
 
 double ServerChooser::expectedLoad(ServerId const &server, Instant now) const
@@ -249,6 +265,11 @@
     return found == indexOf_.end() ? 0 : candidates_[found->second].ownInFlight;
 }
 
+double ServerChooser::expectedLevel() const
+{
+    return expectedLevel_;
+}
+
 Room ServerChooser::room(std::string_view model, Instant now)
 {
     auto const modelBit = bitOf(model);
@@ -329,7 +350,9 @@
         ownTotal += candidates_[index].ownInFlight;
         // Instances with the same outdated reports would all choose the same server. The less a report can be trusted, the
         // larger is the random part.
-        loads_[index] = load >= options_.maxLoad ? Full : load + (1 - reportWeight) * drawFor(seed, candidates_[index].idHash);
+        loads_[index] = load >= options_.maxLoad
+            ? Full
+            : pacedLoad(candidates_[index], load) + (1 - reportWeight) * drawFor(seed, candidates_[index].idHash);
     }
     auto const count = static_cast<double>(std::max<std::size_t>(1, end - begin));
     auto const bound = options_.affinityLoadBound * (total / count) + 1;
@@ -337,6 +360,7 @@
     // burst to one server of a pool full of batch work.
     auto const ownBound = options_.affinityLoadBound * (ownTotal / count) + 1;
     costs_.assign(end - begin, Full);
+    steps_.assign(end - begin, 1);
     for (std::size_t index = begin; index < end; ++index) {
         auto const &candidate = candidates_[index];
         if (candidate.isEjected || !hasModel(candidate, modelBit) || loads_[index] == Full || isExcluded(index, request.excluded))
@@ -345,9 +369,11 @@
         if (request.prefix && loads_[index] <= bound && candidate.ownInFlight <= ownBound)
             score -= options_.affinityWeight * cachedShares_[index];
         costs_[index - begin] = score;
+        steps_[index - begin] = loads_[index] >= candidate.slots ? candidate.slowness : 1;
     }
-    auto const chosen = chooseBySpread(costs_, request.unreportedArrivals, drawFor(seed, SpreadDraw));
-    return chosen ? begin + *chosen : InvalidIndex;
+    auto const chosen = chooseBySpread(costs_, steps_, request.unreportedArrivals, drawFor(seed, SpreadDraw));
+    expectedLevel_ = chosen ? chosen->level : 0;
+    return chosen ? begin + chosen->index : InvalidIndex;
 }
 
 Fleet::BackendServer const *ServerChooser::choose(ChoiceRequest const &request, Instant now, RandomSource &random)
--- a/Libraries/LibRouting/ServerChooser.h
+++ b/Libraries/LibRouting/ServerChooser.h
@@ -6,6 +6,7 @@
 #include "LibRouting/PrefixIndex.h"
 #include "LibRouting/PromptPrefix.h"
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -21,6 +22,12 @@
 struct LoadReport {
     double running = 0;
     double waiting = 0;
+    /// Requests that run at once; further ones wait. Unlimited if unknown.
+    double slots = std::numeric_limits<double>::infinity();
+    /// Time that work takes, relative to the mean of the servers.
+    double slowness = 1;
+    /// Requests that are expected to end while the expected requests arrive.
+    double departures = 0;
 };
 
 struct ChooserOptions {
@@ -43,6 +50,8 @@
     std::size_t prefixCapacity = 50'000;
     /// Expected load at which a server gets no further requests.
     double maxLoad = 64;
+    /// Requests in flight that outweigh the slowness of a server that takes twice the usual time and has free slots.
+    double slownessWeight = 0.5;
 };
 
 /// Whether a pool can accept a request now.
@@ -90,6 +99,9 @@
     /// Returns the server to send to, valid until the next setServers(), or `nullptr` if none is eligible or all are full.
     [[nodiscard]] Fleet::BackendServer const *choose(ChoiceRequest const &request, Instant now, RandomSource &random);
 
+    /// Load at which the servers end that got the expected requests of the last choice.
+    [[nodiscard]] double expectedLevel() const;
+
     /// Returns whether choose() would find a server for the model, and if not, whether waiting can help.
     [[nodiscard]] Room room(std::string_view model, Instant now);
 
@@ -103,6 +115,9 @@
         double ownInFlight = 0;
         /// Requests of other instances in flight, by the last report.
         double othersAtReport = 0;
+        double slots = std::numeric_limits<double>::infinity();
+        double slowness = 1;
+        double departures = 0;
         Instant reportedAt;
         double distanceCost = 0;
         std::uint64_t idHash = 0;
@@ -122,7 +137,10 @@
     [[nodiscard]] double expectedLoad(Candidate const &candidate, Instant now, double &reportWeight) const;
     [[nodiscard]] double distanceCost(Fleet::BackendServer const &server) const;
     void rank(std::vector<Fleet::BackendServer> &servers) const;
-    void updateMeanOthers();
+    /// Mean over the candidates of the requests of other instances.
+    [[nodiscard]] double meanOthers() const;
+    /// Load after the expected departures, counted higher at a slow server.
+    [[nodiscard]] double pacedLoad(Candidate const &candidate, double load) const;
     void updateCachedShares(PromptPrefix const &prefix, std::uint64_t modelBit, std::size_t count);
     [[nodiscard]] std::size_t homeServerOf(PromptPrefix const &prefix, std::uint64_t modelBit, std::size_t count) const;
     [[nodiscard]] std::size_t
@@ -138,8 +156,11 @@
     std::vector<std::size_t> matched_;
     std::vector<double> loads_;
     std::vector<double> costs_;
+    std::vector<double> steps_;
+    double expectedLevel_ = 0;
     std::size_t subsetCount_ = 0;
-    double meanOthers_ = 0;
+    /// Unset after a report until it is needed.
+    mutable std::optional<double> meanOthers_;
     std::unordered_map<ServerId, std::size_t> indexOf_;
     PrefixIndex prefixes_;
     std::map<std::string, std::uint64_t, std::less<>> modelBits_;
--- a/Libraries/LibServing/Admission.cpp
+++ b/Libraries/LibServing/Admission.cpp
@@ -10,7 +10,8 @@
         return Duration::zero();
     auto const slots = std::max<std::uint32_t>(1, load.slots);
     // On average, a slot becomes free every meanRun / slots.
-    return meanRun * (load.online + 1 - slots) / slots;
+    auto const ownRun = std::chrono::duration_cast<Duration>(meanRun * load.slowness);
+    return ownRun * (load.online + 1 - slots) / slots;
 }
 
 AdmissionVerdict admit(std::span<ServerLoad const> servers, Duration meanRun, Duration latencyTarget, AdmissionOptions const &options)
--- a/Libraries/LibServing/Admission.h
+++ b/Libraries/LibServing/Admission.h
@@ -13,6 +13,8 @@
     std::uint32_t slots = 1;
     /// Online requests running or waiting at the server. Batch items are not counted because they are preempted.
     std::uint32_t online = 0;
+    /// Time that work takes there, relative to the mean of the servers.
+    double slowness = 1;
 };
 
 struct AdmissionOptions {
--- a/Libraries/LibServing/OnlinePlacement.cpp
+++ b/Libraries/LibServing/OnlinePlacement.cpp
@@ -27,6 +27,10 @@
     return static_cast<std::uint32_t>(std::clamp<double>(std::floor(occupied), 1, std::max<std::uint32_t>(1, slots)));
 }
 
+/// Weight of one statement or one observation in the moving averages of a pool.
+constexpr double PoolPaceWeight = 0.02;
+constexpr std::size_t MinTimedEvents = 8;
+
 /// As many requests start within the time of a run as are in flight.
 double unreportedArrivals(std::span<ServerLoad const> servers, Duration meanRun, Duration loadAge)
 {
@@ -74,13 +78,16 @@
             return server.use == ServerUse::Usable && !ejected.contains(server.record.id);
         });
         auto &pool = poolNamed(name);
-        pool.servers.clear();
+        auto const known = std::exchange(pool.servers, {});
         std::vector<Fleet::BackendServer> candidates;
         for (auto const &[record, use] : members) {
             // If every server of a pool is leaving or ejected, all of them stay candidates: refusing the request would be no better.
             bool const isReserve = hasUsable && (use == ServerUse::LastResort || ejected.contains(record.id));
             candidates.push_back(toBackendServer(record));
-            pool.servers.emplace(record.id, Member{.record = record, .isReserve = isReserve});
+            auto const same = known.find(record.id);
+            pool.servers.emplace(
+                record.id,
+                Member{.record = record, .isReserve = isReserve, .pace = same == known.end() ? ServerPace() : same->second.pace});
         }
         pool.chooser.setServers(candidates);
     }
@@ -92,6 +99,58 @@
     mean += std::chrono::duration_cast<Duration>((slotTime - mean) * MeanRunWeight);
 }
 
+void OnlinePlacement::onLoadStated(ServerRecord const &server, StatedLoad const &stated, Instant now)
+{
+    if (!stated.slowness)
+        return;
+    auto &pool = poolNamed(server.pool);
+    auto const member = pool.servers.find(server.id);
+    if (member == pool.servers.end())
+        return;
+    pool.meanStated += (*stated.slowness - pool.meanStated) * PoolPaceWeight;
+    pool.statesPace = true;
+    member->second.pace.onStated(*stated.slowness, pool.meanStated, now);
+}
+
+void OnlinePlacement::onEvents(ServerRecord const &server, EventTiming const &timing, Instant now)
+{
+    auto &pool = poolNamed(server.pool);
+    auto const member = pool.servers.find(server.id);
+    if (!pool.statesPace || member == pool.servers.end() || timing.time <= Duration::zero())
+        return;
+    if (pool.meanGeneration == Duration::zero())
+        pool.meanGeneration = timing.time;
+    pool.meanGeneration += std::chrono::duration_cast<Duration>((timing.time - pool.meanGeneration) * MeanRunWeight);
+    if (timing.events < MinTimedEvents)
+        return;
+    auto const seconds = std::chrono::duration<double>(timing.time).count() / static_cast<double>(timing.events);
+    auto &pace = member->second.pace;
+    auto const usual = seconds / pace.statedOver(timing.time, now);
+    if (pool.eventSeconds <= 0)
+        pool.eventSeconds = usual;
+    pool.eventSeconds += (usual - pool.eventSeconds) * PoolPaceWeight;
+    pace.onEventTime(seconds / pool.eventSeconds, timing.time, now);
+}
+
+Duration OnlinePlacement::slotTime(Pool const &pool)
+{
+    // The run time includes the wait for a slot.
+    return pool.statesPace && pool.meanGeneration > Duration::zero() ? pool.meanGeneration : pool.meanRun;
+}
+
+void OnlinePlacement::updateSlowness(Pool &pool, Instant now)
+{
+    double speeds = 0;
+    for (auto &[id, member] : pool.servers) {
+        member.slowness = member.pace.isStated() ? member.pace.slowness(now) : pool.meanStated;
+        speeds += 1 / member.slowness;
+    }
+    // Fast servers run more requests, so the mean run time is that of the harmonic mean.
+    auto const mean = static_cast<double>(pool.servers.size()) / speeds;
+    for (auto &[id, member] : pool.servers)
+        member.slowness /= mean;
+}
+
 void OnlinePlacement::onStarted(ServerRecord const &server, Routing::PromptPrefix const *prefix)
 {
     poolNamed(server.pool).chooser.onStarted(server.id, prefix);
@@ -103,19 +162,34 @@
 }
 
 /// The requests of this instance are known exactly, those of other instances as of their last report.
-void OnlinePlacement::refreshLoads(
+double OnlinePlacement::refreshLoads(
     Pool &pool, Candidates const &candidates, LoadTracker const &own, PeerTable const &peers, LoadAge const &age, Instant now)
 {
+    double departures = 0;
+    double running = 0;
+    for (auto const &load : candidates.loads)
+        running += std::min(load.slots, load.online);
+    auto const runningPerServer = candidates.loads.empty() ? 0 : running / static_cast<double>(candidates.loads.size());
     for (auto const &[id, member] : pool.servers) {
         auto const &record = member.record;
         auto const ownInFlight = own.at(id);
         auto const others = peers.othersAt(id);
         // A limited server has few requests in flight, but not for want of load.
         auto const unused = candidates.unusedSlots.find(id);
+        auto const reportAge = record.dataCentre == options_.dataCentre ? age.near : age.far;
         auto const load = ownInFlight.online + others.online + options_.batchWeight * (ownInFlight.batch + others.batch)
             + (unused == candidates.unusedSlots.end() ? 0 : unused->second);
-        pool.chooser.onLoadReport(id, {.running = load}, now - (record.dataCentre == options_.dataCentre ? age.near : age.far));
+        Routing::LoadReport report{.running = load};
+        if (pool.statesPace) {
+            report.slots = record.slots;
+            report.slowness = member.slowness;
+            report.departures =
+                runningPerServer * static_cast<double>(age.near.count()) / (static_cast<double>(slotTime(pool).count()) * member.slowness);
+            departures += report.departures;
+        }
+        pool.chooser.onLoadReport(id, report, pool.statesPace ? now : now - reportAge);
     }
+    return departures;
 }
 
 OnlinePlacement::Candidates OnlinePlacement::findCandidates(
@@ -154,7 +228,7 @@
             }
             candidates.unusedSlots[id] = record.slots - slotsWithin(allowance->rate, record.slots, pool.meanRun);
         }
-        candidates.loads.push_back({.slots = record.slots, .online = onlineAt(id, own, peers)});
+        candidates.loads.push_back({.slots = record.slots, .online = onlineAt(id, own, peers), .slowness = member.slowness});
     }
     return candidates;
 }
@@ -163,6 +237,8 @@
 OnlinePlacement::place(PlacementRequest const &request, LoadTracker const &own, PeerTable const &peers, Instant now, RandomSource &random)
 {
     auto &pool = poolNamed(request.pool);
+    if (pool.statesPace)
+        updateSlowness(pool, now);
     auto const candidates = findCandidates(pool, request, own, peers, now);
     auto const &loads = candidates.loads;
     auto const limitedRate = candidates.permitExpectedAt ? std::optional(candidates.takenRate) : std::nullopt;
@@ -170,24 +246,36 @@
         return {.outcome = Placement::Outcome::LimitsReached, .retryAfter = *candidates.permitExpectedAt - now, .limitedRate = limitedRate};
     if (loads.empty())
         return {};
-    auto const verdict = admit(loads, pool.meanRun, request.latencyTarget, options_.admission);
+    auto const verdict = admit(loads, slotTime(pool), request.latencyTarget, options_.admission);
     if (!verdict.isAdmitted)
         return {.outcome = Placement::Outcome::Full,
                 .retryAfter = verdict.retryAfter,
                 .limitedRate = limitedRate,
                 .servers = loads.size(),
                 .shortestWait = verdict.shortestWait};
-    refreshLoads(pool, candidates, own, peers, request.loadAge, now);
+    auto const expectedDepartures = refreshLoads(pool, candidates, own, peers, request.loadAge, now);
     auto const *chosen = pool.chooser.choose(
         {
             .prefix = request.prefix,
             .excluded = candidates.excluded,
-            .unreportedArrivals = unreportedArrivals(loads, pool.meanRun, request.loadAge.near),
+            .unreportedArrivals = pool.statesPace ? expectedDepartures : unreportedArrivals(loads, pool.meanRun, request.loadAge.near),
         },
         now,
         random);
     if (!chosen)
         return {};
+    if (pool.statesPace) {
+        auto const slots = static_cast<double>(pool.servers.at(chosen->id).record.slots);
+        auto const waiting = std::max(0.0, pool.chooser.expectedLevel() + 1 - slots);
+        auto const wait = std::chrono::duration_cast<Duration>(slotTime(pool) * (waiting / slots));
+        auto const allowed = std::chrono::duration_cast<Duration>(request.latencyTarget * options_.admission.waitShareOfTarget);
+        if (wait > allowed)
+            return {.outcome = Placement::Outcome::Full,
+                    .retryAfter = std::max(options_.admission.minRetryAfter, wait - allowed),
+                    .limitedRate = limitedRate,
+                    .servers = loads.size(),
+                    .shortestWait = wait};
+    }
     auto const &record = pool.servers.at(chosen->id).record;
     auto const others = peers.othersAt(record.id);
     auto const ownInFlight = own.at(record.id);
--- a/Libraries/LibServing/OnlinePlacement.h
+++ b/Libraries/LibServing/OnlinePlacement.h
@@ -7,6 +7,8 @@
 #include "LibServing/PeerTable.h"
 #include "LibServing/ServerAllowances.h"
 #include "LibServing/ServerDirectory.h"
+#include "LibServing/ServerPace.h"
+#include "LibServing/StatedLoad.h"
 
 #include <functional>
 #include <map>
@@ -96,6 +98,10 @@
     void setServers(std::vector<UsableServer> servers, std::set<ServerId> const &ejected);
     /// Records that a request ended after occupying its slot for `slotTime`.
     void onRunFinished(PoolName const &pool, Duration slotTime);
+    /// Records the load that a response of the server stated. The pool's servers are weighed by their speed once one of them states it.
+    void onLoadStated(ServerRecord const &server, StatedLoad const &stated, Instant now);
+    /// Records how fast the server generated the events of a response.
+    void onEvents(ServerRecord const &server, EventTiming const &timing, Instant now);
     void onStarted(ServerRecord const &server, Routing::PromptPrefix const *prefix);
     void onFinished(ServerRecord const &server);
 
@@ -108,6 +114,9 @@
         ServerRecord record;
         /// It receives requests only if no other server of an accepted version may: it is leaving or ejected.
         bool isReserve = false;
+        ServerPace pace = {};
+        /// Time that work takes there, relative to the pool's mean, as of the last choice.
+        double slowness = 1;
     };
 
     struct Pool {
@@ -119,6 +128,13 @@
         Routing::ServerChooser chooser;
         std::map<ServerId, Member> servers;
         Duration meanRun;
+        /// Whether servers of the pool state their speed.
+        bool statesPace = false;
+        double meanStated = 1;
+        /// Average time from the first event to the last; zero until it was observed.
+        Duration meanGeneration{0};
+        /// Usual time from one event to the next at a server of slowness 1, in seconds; 0 until it was observed.
+        double eventSeconds = 0;
     };
 
     Pool &poolNamed(PoolName const &name);
@@ -140,6 +156,8 @@
         WithReserve,
     };
 
+    /// Updates the slowness of all servers of a pool whose servers state it.
+    static void updateSlowness(Pool &pool, Instant now);
     [[nodiscard]] Candidates
     findCandidates(Pool const &pool, PlacementRequest const &request, LoadTracker const &own, PeerTable const &peers, Instant now) const;
     [[nodiscard]] Candidates findCandidates(Extent extent,
@@ -148,8 +166,12 @@
                                             LoadTracker const &own,
                                             PeerTable const &peers,
                                             Instant now) const;
-    void
+    /// Returns the number of requests that are expected to have ended since the load was reported, in pools whose servers state their
+    /// speed.
+    double
     refreshLoads(Pool &pool, Candidates const &candidates, LoadTracker const &own, PeerTable const &peers, LoadAge const &age, Instant now);
+    /// Time that a request occupies a slot.
+    [[nodiscard]] static Duration slotTime(Pool const &pool);
 
     OnlinePlacementOptions options_;
     std::map<PoolName, Pool> pools_;
--- a/Services/Node/NodeContext.h
+++ b/Services/Node/NodeContext.h
@@ -96,7 +96,7 @@
         context.onServerLeaving(server);
 }
 
-/// Records which server responded to what was sent to this one, and what it states about its limit.
+/// Records which server responded to what was sent to this one, and what it states about its limit and load.
 inline void recordResponse(NodeContext &context, Serving::ServerRecord const &server, ResponseTraits const &response, Instant sentAt)
 {
     bool const isFromServer = !response.server || *response.server == server.id;
@@ -105,6 +105,7 @@
         return context.prompts.onRefused(server);
     context.prompts.onReached(server, sentAt);
     context.limits.onResponse(server, response.limit, sentAt);
+    context.placement.onLoadStated(server, response.load, readLocalClock());
 }
 
 /// Whether a lost response may show that the server has crashed. A server that leaves ends its connections, too.
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -591,6 +591,7 @@
     if (!completeEvents.empty()) {
         auto const now = readLocalClock();
         onStreamBegins();
+        attempt_->eventTimer.onEvents(attemptEvents(), now);
         if (!std::exchange(isRelaying_, true)) {
             // The caller receives the head of the first server even if another server resumes the stream.
             parts_.writer->start(
@@ -630,6 +631,7 @@
         parts_.writer->start(
             {.status = attempt_->head.status, .headers = parts_.context.protocol.makeCallerHeaders(attempt_->head.headers)});
     parts_.context.placement.onRunFinished(pool_, readLocalClock() - attempt_->sentAt);
+    parts_.context.placement.onEvents(attempt_->server, attempt_->eventTimer.timing(), readLocalClock());
     parts_.context.prompts.onAnswered(suspects());
     finishAttempt();
     parts_.writer->finish();
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -55,6 +55,7 @@
         Serving::EventReader events;
         /// Events of the stream before this attempt.
         std::size_t earlierEvents = 0;
+        Serving::EventTimer eventTimer = {};
         /// Null once the attempt has ended.
         std::shared_ptr<Http::Exchange> exchange;
         Http::ResponseHead head;
--- a/Services/Node/ServingProtocol.h
+++ b/Services/Node/ServingProtocol.h
@@ -10,6 +10,7 @@
 #include "LibServing/RequestFingerprint.h"
 #include "LibServing/ServerDirectory.h"
 #include "LibServing/ServerLimit.h"
+#include "LibServing/StatedLoad.h"
 
 #include <optional>
 #include <string>
@@ -61,6 +62,7 @@
     /// The server states that it is leaving and must receive no new requests.
     bool isServerLeaving = false;
     Serving::StatedLimit limit;
+    Serving::StatedLoad load = {};
 };
 
 /// Reads the results of a job from a position on.
