Measure the placement of an online request in bench-choose

The benchmark measured only the choice within a pool. A placement also sums up the load at each server and decides on admission. It has 90 servers, without and with stated speeds.

--- a/Benchmarks/Choose/Main.cpp
+++ b/Benchmarks/Choose/Main.cpp
@@ -1,10 +1,12 @@
 // Measures the time to choose a server of a pool for several pool sizes, and the time to hash the prefixes of a prompt.
 
 #include "LibRouting/ServerChooser.h"
+#include "LibServing/OnlinePlacement.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
 #include <chrono>
+#include <functional>
 #include <iostream>
 #include <vector>
 
@@ -81,6 +83,37 @@
     });
 }
 
+/// Measures the complete placement of an online request with reports of one other instance. `prepare` is called with the placement.
+double measurePlacement(int serverCount, std::function<void(Serving::OnlinePlacement &, Serving::ServerRecord const &)> const &prepare)
+{
+    RandomSource random(1);
+    Serving::OnlinePlacement placement({.instance = InstanceId("instance-1"), .dataCentre = DataCentreId("dc-0")});
+    Serving::PeerTable peers({.self = InstanceId("instance-1")});
+    Serving::LoadTracker const load;
+    Serving::PeerReport report{.sender = InstanceId("instance-2"), .startedAt = 1, .number = 1};
+    std::vector<Serving::UsableServer> servers;
+    for (auto const &server : makeServers(serverCount)) {
+        servers.push_back(
+            {.record = {
+                 .id = server.id, .pool = server.pool, .address = server.address, .dataCentre = server.dataCentre, .slots = 8}});
+        report.inFlight[server.id].online = static_cast<std::uint32_t>(random() % 8);
+    }
+    placement.setServers(servers, {});
+    peers.onReport(report, Instant{});
+    for (auto const &server : servers)
+        prepare(placement, server.record);
+    auto const prefixes = makePrefixes();
+    return medianNanoseconds([&](int turn) {
+        auto const now = Instant{} + Duration(turn);
+        Serving::PlacementRequest const request{.pool = PoolName("engines"),
+                                                .prefix = &prefixes[static_cast<std::size_t>(turn) % GroupCount],
+                                                .loadAge = {.near = 100ms, .far = 200ms}};
+        auto const placed = placement.place(request, load, peers, now, random);
+        placement.onStarted(placed.server, request.prefix);
+        placement.onFinished(placed.server);
+    });
+}
+
 double measureHashing()
 {
     auto const prompt = makePrompt(1);
@@ -106,5 +139,14 @@
     print({{"metric", "growth_10_to_600"}, {"value", all / ten}, {"unit", "ratio"}});
     print({{"metric", "ns_per_choice_10"}, {"value", ten}, {"unit", "ns"}});
     print({{"metric", "ns_per_choice_600_without_subset"}, {"value", measureChoice(600, 600)}, {"unit", "ns"}});
+    constexpr int Engines = 90;
+    auto const place = measurePlacement(Engines, [](Serving::OnlinePlacement &, Serving::ServerRecord const &) {});
+    print({{"metric", "ns_per_placement_90"}, {"value", place}, {"unit", "ns"}});
+#ifndef WITHOUT_PACE
+    auto const placeWithPace = measurePlacement(Engines, [](Serving::OnlinePlacement &placement, Serving::ServerRecord const &server) {
+        placement.onLoadStated(server, {.slowness = server.id.value().ends_with('1') ? 1.8 : 1}, Instant{});
+    });
+    print({{"metric", "ns_per_placement_90_with_pace"}, {"value", placeWithPace}, {"unit", "ns"}});
+#endif
     print({{"metric", "ns_per_prompt_hash_8kb"}, {"value", measureHashing()}, {"unit", "ns"}});
 }
