Refuse requests earlier where servers state their speed

The expected wait of such a pool is a mean that allows for unreported requests, no longer the shortest one by an old report, so that about half of the requests that are admitted at the limit wait longer. The allowed share of the latency target is now 0.4 instead of 0.7 there.

--- a/Libraries/LibServing/Admission.h
+++ b/Libraries/LibServing/Admission.h
@@ -20,6 +20,9 @@
 struct AdmissionOptions {
     /// Share of the latency target that a request may spend waiting for a slot. The rest covers prompt processing and network latency.
     double waitShareOfTarget = 0.7;
+    /// The same for pools whose servers state their speed. There the expected wait is a mean that allows for unreported requests, and the
+    /// actual wait may be twice as long.
+    double meanWaitShareOfTarget = 0.4;
     /// Shortest delay reported to a refused caller. An earlier retry would find the same load.
     Duration minRetryAfter = 100ms;
 };
--- a/Libraries/LibServing/OnlinePlacement.cpp
+++ b/Libraries/LibServing/OnlinePlacement.cpp
@@ -268,7 +268,7 @@
         auto const slots = static_cast<double>(pool.servers.at(chosen->id).record.slots);
         auto const waiting = std::max(0.0, pool.chooser.expectedLevel() + 1 - slots);
         auto const wait = std::chrono::duration_cast<Duration>(slotTime(pool) * (waiting / slots));
-        auto const allowed = std::chrono::duration_cast<Duration>(request.latencyTarget * options_.admission.waitShareOfTarget);
+        auto const allowed = std::chrono::duration_cast<Duration>(request.latencyTarget * options_.admission.meanWaitShareOfTarget);
         if (wait > allowed)
             return {.outcome = Placement::Outcome::Full,
                     .retryAfter = std::max(options_.admission.minRetryAfter, wait - allowed),
