--- a/Libraries/LibServing/Admission.cpp
+++ b/Libraries/LibServing/Admission.cpp
@@ -10,7 +10,8 @@
         return Duration::zero();
     auto const slots = std::max<std::uint32_t>(1, load.slots);
     // On average, a slot becomes free every meanRun / slots.
-    return meanRun * (load.online + 1 - slots) / slots;
+    auto const ownRun = std::chrono::duration_cast<Duration>(meanRun * load.slowness);
+    return ownRun * (load.online + 1 - slots) / slots;
 }
 
 Duration allowedWait(Duration latencyTarget, AdmissionOptions const &options)
