Test customers' limits with node processes

Cause: limits were tested in virtual time and with nodes of one process.

The fleet of the tests may have customers.

--- a/Tests/LibRouting/LimitSimulation.cpp
+++ b/Tests/LibRouting/LimitSimulation.cpp
@@ -192,10 +192,10 @@
 void LimitSimulation::report(std::size_t entry)
 {
     for (auto &[runner, report] : entries_[entry]->takeReports(now_)) {
-        for (std::size_t index = 0; index < runners_.size(); ++index) {
-            if (runnerId(index) == runner)
-                send({.entry = entry, .runner = index, .content = std::move(report)});
-        }
+        std::size_t index = 0;
+        while (runnerId(index) != runner)
+            ++index;
+        send({.entry = entry, .runner = index, .content = std::move(report)});
     }
 }
 
--- a/Tests/NodeProcesses/ServingFleet.cpp
+++ b/Tests/NodeProcesses/ServingFleet.cpp
@@ -82,7 +82,7 @@
     return form == ModelServer::ResponseForm::EventStream ? "p" : "q";
 }
 
-constexpr std::string_view DesiredState = R"({"version":$version,"routes":[$idleRoutes
+constexpr std::string_view DesiredState = R"({"version":$version,$customers"routes":[$idleRoutes
     {"name":"s","host":"h.example","pathPrefix":"/s/","kind":"streaming","timeoutMs":5000,"sloMs":300,"priority":0,"service":"p",
      "attempts":2,"resumable":true,"gapAimMs":600,"sessionAffinity":true},
     {"name":"b","host":"h.example","pathPrefix":"/b/","kind":"batch","timeoutMs":15000,"sloMs":400,"priority":2,"service":"p",
@@ -105,6 +105,7 @@
     set("$completionTarget", std::to_string(options.completionTarget.count()));
     set("$queueTime", std::to_string(options.queueTime.count()));
     set("$version", std::to_string(version));
+    set("$customers", options.customers.empty() ? "" : R"("tenants":)" + options.customers + ",");
     std::string routes;
     for (std::size_t number = 0; number < idleRoutes; ++number) {
         auto const name = "idle-" + std::to_string(number);
--- a/Tests/NodeProcesses/ServingFleet.h
+++ b/Tests/NodeProcesses/ServingFleet.h
@@ -56,6 +56,8 @@
         std::chrono::seconds queueTime = 2s;
         /// Time after which the items of a job are due.
         std::chrono::milliseconds completionTarget = 2s;
+        /// Customers as a JSON array; empty for none, so that requests need no key.
+        std::string customers = {};
     };
 
     ServingFleet();
