--- a/Tests/NodeProcesses/ServingFleet.h
+++ b/Tests/NodeProcesses/ServingFleet.h
@@ -60,6 +60,8 @@
         std::optional<std::size_t> maxDescriptors = {};
         /// Memory of the machines of node processes, in MB; unset to leave the setting out.
         std::optional<std::size_t> memoryMegabytes = {};
+        /// Customers as a JSON array; empty for none, so that requests need no key.
+        std::string customers = {};
     };
 
     ServingFleet();
