--- a/Libraries/LibServing/OnlinePlacement.cpp
+++ b/Libraries/LibServing/OnlinePlacement.cpp
@@ -30,6 +30,8 @@
 /// Weight of one statement or one observation in the moving averages of a pool.
 constexpr double PoolPaceWeight = 0.02;
 constexpr std::size_t MinTimedEvents = 8;
+/// Multiple of the pool's mean from which a server is shown as slow.
+constexpr double SlowServer = 1.4;
 
 /// As many requests start within the time of a run as are in flight.
 double unreportedArrivals(std::span<ServerLoad const> servers, Duration meanRun, Duration loadAge)
@@ -289,6 +291,27 @@
             .shortestWait = verdict.shortestWait};
 }
 
+PaceSummary OnlinePlacement::paceSummary(LoadTracker const &own, PeerTable const &peers, Instant now)
+{
+    PaceSummary summary;
+    for (auto &[name, pool] : pools_) {
+        if (!pool.statesPace || pool.servers.empty())
+            continue;
+        updateSlowness(pool, now);
+        auto shortest = Duration::max();
+        auto longest = Duration::zero();
+        for (auto const &[id, member] : pool.servers) {
+            summary.slowServers += member.slowness >= SlowServer ? 1 : 0;
+            ServerLoad const load{.slots = member.record.slots, .online = onlineAt(id, own, peers), .slowness = member.slowness};
+            auto const wait = expectedWait(load, slotTime(pool));
+            shortest = std::min(shortest, wait);
+            longest = std::max(longest, wait);
+        }
+        summary.waitSpread = std::max(summary.waitSpread, longest - shortest);
+    }
+    return summary;
+}
+
 Duration OnlinePlacement::meanRun(PoolName const &pool) const
 {
     auto const found = pools_.find(pool);
--- a/Libraries/LibServing/OnlinePlacement.h
+++ b/Libraries/LibServing/OnlinePlacement.h
@@ -88,7 +88,16 @@
     Duration shortestWait{0};
 };
 
-/// Chooses servers for online requests by the requests that all instances have in flight there. Performs no I/O.
+/// What the pools whose servers state their speed look like.
+struct PaceSummary {
+    /// Servers at which work takes far longer than on average.
+    std::size_t slowServers = 0;
+    /// Largest difference between the expected waits at two servers of a pool.
+    Duration waitSpread{0};
+};
+
+/// Chooses servers for online requests by the requests that all instances have in flight there, and by the servers' speed if they
+/// state it. Performs no I/O.
 class OnlinePlacement
 {
 public:
@@ -108,6 +117,7 @@
     [[nodiscard]] Placement
     place(PlacementRequest const &request, LoadTracker const &own, PeerTable const &peers, Instant now, RandomSource &random);
     [[nodiscard]] Duration meanRun(PoolName const &pool) const;
+    [[nodiscard]] PaceSummary paceSummary(LoadTracker const &own, PeerTable const &peers, Instant now);
 
 private:
     struct Member {
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -312,6 +312,13 @@
     set("anvilyard_node_limited_servers",
         "Backend servers that take a limited rate of requests",
         static_cast<double>(context_.limits.limitedServers()));
+    auto const pace = context_.placement.paceSummary(context_.load, context_.peers, now);
+    set("anvilyard_node_slow_servers",
+        "Backend servers that state or show to be much slower than the mean of their pool",
+        static_cast<double>(pace.slowServers));
+    set("anvilyard_node_expected_wait_spread_seconds",
+        "Largest difference between the expected waits for a slot at two servers of a pool that state their speed",
+        std::chrono::duration<double>(pace.waitSpread).count());
     std::uint32_t online = 0;
     for (auto const &[id, count] : context_.load.all())
         online += count.online;
--- a/Tests/FleetAdapter/TestFleetProtocol.cpp
+++ b/Tests/FleetAdapter/TestFleetProtocol.cpp
@@ -325,6 +325,24 @@
     EXPECT_EQ(limitOf(421, {{"Server-Limit", "2"}}).kind, Kind::NotStated);
 }
 
+/// Guards against weighing a server by a malformed statement, or by that of another server.
+TEST(FleetProtocolTest, AResponseStatesTheLoadAndSpeedOfItsServer)
+{
+    auto const loadOf = [](int status, std::string text) {
+        return protocol.readResponseHead({.status = status, .headers = {{"anvilyard-instance-load", std::move(text)}}}).load;
+    };
+    auto const load = loadOf(200, "8,3,8,250");
+    EXPECT_EQ(load.running, 8);
+    EXPECT_EQ(load.waiting, 3);
+    EXPECT_EQ(load.slots, 8);
+    EXPECT_EQ(load.slowness, 2.5);
+    EXPECT_EQ(loadOf(503, "8,3,8,100").slowness, 1);
+    for (auto const *text : {"8,3,8", "", "8", "8,3", "8,3,8,", "8,3,8,0", "8,3,8,-100", "8,3,8,nan", "8,3,8,inf", "8,3,8,x", "8;3;8;250"})
+        EXPECT_FALSE(loadOf(200, text).slowness) << text;
+    EXPECT_FALSE(loadOf(421, "8,3,8,250").slowness);
+    EXPECT_FALSE(protocol.readResponseHead({.status = 200}).load.slowness);
+}
+
 TEST(FleetProtocolTest, JobCallsAreDistinguishedFromRequests)
 {
     auto const read = protocol.readJobCall(requestOf("GET", "/api/lots/j1?after=12", {{"Anvilyard-Wait-Ms", "1000"}}));
--- a/Tests/LibRouting/TestArrivalSpread.cpp
+++ b/Tests/LibRouting/TestArrivalSpread.cpp
@@ -114,3 +114,19 @@
     RecordProperty("late_by_least_load", std::to_string(byLeastLoad));
     std::cout << "late by least load " << byLeastLoad << ", by spread " << bySpread << '\n';
 }
+
+/// At a server where each request adds twice as much cost, half as many requests fit below the level.
+TEST(ArrivalSpreadTest, ServersWithLargerStepsGetFewerRequests)
+{
+    std::vector<double> const costs{0, 0};
+    std::vector<double> const steps{1, 2};
+    constexpr int Draws = 3000;
+    int chosenFirst = 0;
+    for (int draw = 0; draw < Draws; ++draw) {
+        auto const choice = chooseBySpread(costs, steps, 6, static_cast<double>(draw) / Draws);
+        ASSERT_TRUE(choice);
+        EXPECT_DOUBLE_EQ(choice->level, 4);
+        chosenFirst += choice->index == 0 ? 1 : 0;
+    }
+    EXPECT_NEAR(chosenFirst, Draws * 2 / 3, 1);
+}
