--- a/Libraries/LibServing/OnlinePlacement.cpp
+++ b/Libraries/LibServing/OnlinePlacement.cpp
@@ -33,6 +33,18 @@
 /// Multiple of the pool's mean from which a server is shown as slow.
 constexpr double SlowServer = 1.4;
 
+/// Online requests in flight per slot.
+double occupancyOf(std::span<ServerLoad const> servers)
+{
+    std::uint64_t online = 0;
+    std::uint64_t slots = 0;
+    for (auto const &server : servers) {
+        online += server.online;
+        slots += server.slots;
+    }
+    return static_cast<double>(online) / static_cast<double>(std::max<std::uint64_t>(1, slots));
+}
+
 /// As many requests start within the time of a run as are in flight.
 double unreportedArrivals(std::span<ServerLoad const> servers, Duration meanRun, Duration loadAge)
 {
@@ -254,7 +266,8 @@
                 .retryAfter = verdict.retryAfter,
                 .limitedRate = limitedRate,
                 .servers = loads.size(),
-                .shortestWait = verdict.shortestWait};
+                .shortestWait = verdict.shortestWait,
+                .occupancy = occupancyOf(loads)};
     auto const expectedDepartures = refreshLoads(pool, candidates, own, peers, request.loadAge, now);
     auto const *chosen = pool.chooser.choose(
         {
@@ -276,7 +289,8 @@
                     .retryAfter = std::max(options_.admission.minRetryAfter, wait - allowed),
                     .limitedRate = limitedRate,
                     .servers = loads.size(),
-                    .shortestWait = wait};
+                    .shortestWait = wait,
+                    .occupancy = occupancyOf(loads)};
     }
     auto const &record = pool.servers.at(chosen->id).record;
     auto const others = peers.othersAt(record.id);
@@ -288,7 +302,8 @@
             .hasFreeSlot = hasFreeSlot,
             .isLimited = candidates.unusedSlots.contains(record.id),
             .servers = loads.size(),
-            .shortestWait = verdict.shortestWait};
+            .shortestWait = verdict.shortestWait,
+            .occupancy = occupancyOf(loads)};
 }
 
 PaceSummary OnlinePlacement::paceSummary(LoadTracker const &own, PeerTable const &peers, Instant now)
--- a/Libraries/LibServing/OnlinePlacement.h
+++ b/Libraries/LibServing/OnlinePlacement.h
@@ -86,6 +86,8 @@
     std::size_t servers = 0;
     /// Shortest expected wait for a slot over the candidate servers.
     Duration shortestWait{0};
+    /// Online requests in flight per slot of the candidate servers.
+    double occupancy = 0;
 };
 
 /// What the pools whose servers state their speed look like.
