Apply the limit of waiting tokens to each customer

The limit of a batch route held for the sum over all jobs, so one customer with many jobs kept out all others.

Near the limit, entries name the customer to the admitting runner, which decides by the customer's own tokens. Runners report these to each other by customer, in a datagram of their own every 150 ms while they change. Tokens that no report attributes count for every customer, so that a lost report cannot raise a limit. The reports also name the jobs of the last 4 s: the admitting runner counts jobs that it has admitted for 3 s, and would otherwise count them twice once their owner reports them, so that a job below the limit is refused (found by reading; the node test was not run without it). TokenAdmission, taken out of JobRunner, holds this decision. Without customers nothing is sent and the decision is unchanged.

TestLibJobs passed with 85 tests, and the 11 tests of customers' jobs in TestNode.

--- a/Libraries/LibJobs/JobTracker.cpp
+++ b/Libraries/LibJobs/JobTracker.cpp
@@ -745,13 +745,39 @@
 std::uint64_t JobTracker::waitingTokens() const
 {
     std::uint64_t sum = 0;
+    for (auto const &[id, job] : jobs_)
+        sum += waitingTokens(job);
+    return sum;
+}
+
+std::map<CustomerId, std::uint64_t> JobTracker::waitingTokensByCustomer() const
+{
+    std::map<CustomerId, std::uint64_t> sums;
     for (auto const &[id, job] : jobs_) {
-        if (job.isEnded)
-            continue;
-        for (std::size_t index = 0; index < job.items.size(); ++index) {
-            if (job.items[index].state == Item::State::Waiting || job.items[index].state == Item::State::Running)
-                sum += job.record.items[index].tokens;
-        }
+        if (auto const tokens = waitingTokens(job); tokens > 0)
+            sums[job.record.customer.value_or(CustomerId())] += tokens;
+    }
+    return sums;
+}
+
+std::vector<JobId> JobTracker::acceptedWithin(Duration time, Instant now) const
+{
+    std::vector<JobId> jobs;
+    for (auto const &[id, job] : jobs_) {
+        if (now - job.acceptedAt < time)
+            jobs.push_back(id);
+    }
+    return jobs;
+}
+
+std::uint64_t JobTracker::waitingTokens(Job const &job)
+{
+    std::uint64_t sum = 0;
+    if (job.isEnded)
+        return sum;
+    for (std::size_t index = 0; index < job.items.size(); ++index) {
+        if (job.items[index].state == Item::State::Waiting || job.items[index].state == Item::State::Running)
+            sum += job.record.items[index].tokens;
     }
     return sum;
 }
--- a/Libraries/LibJobs/JobTracker.h
+++ b/Libraries/LibJobs/JobTracker.h
@@ -228,6 +228,10 @@
     [[nodiscard]] std::size_t listedCount(JobId const &job) const;
     /// Tokens of the waiting and running items of all jobs that were not ended.
     [[nodiscard]] std::uint64_t waitingTokens() const;
+    /// The same by customer, with an empty name for jobs without one.
+    [[nodiscard]] std::map<CustomerId, std::uint64_t> waitingTokensByCustomer() const;
+    /// Jobs that were accepted within this time.
+    [[nodiscard]] std::vector<JobId> acceptedWithin(Duration time, Instant now) const;
     /// Item counts over all jobs, including completed ones.
     [[nodiscard]] ItemCounts counts() const;
 
@@ -304,6 +308,8 @@
         bool hasFailedItem = false;
     };
 
+    [[nodiscard]] static std::uint64_t waitingTokens(Job const &job);
+
     struct Candidate {
         Instant due;
         ItemStart start;
--- a/Libraries/LibServing/DesiredState.h
+++ b/Libraries/LibServing/DesiredState.h
@@ -58,7 +58,7 @@
     Duration completionTarget = 0s;
     /// Batch: an item that is not completed within this time after submission may be given up.
     Duration giveUpAfter = 0s;
-    /// Batch: maximum number of waiting tokens of accepted items over all instances. 0 means no limit.
+    /// Batch: maximum number of waiting tokens of accepted items over all instances, of each customer if there are any. 0 means no limit.
     std::uint64_t maxWaitingTokens = 0;
 };
 
--- a/Services/Node/JobApiHandler.cpp
+++ b/Services/Node/JobApiHandler.cpp
@@ -105,7 +105,8 @@
     auto const admitter = context_.peers.admitterOf(route.name);
     auto const maxWaitingTokens = route.maxWaitingTokens;
     callPeer(admitter,
-             toTarget(PeerAdmission{.job = submission->id, .tokens = submission->tokens, .maxTokens = maxWaitingTokens}),
+             toTarget(PeerAdmission{
+                 .job = submission->id, .tokens = submission->tokens, .maxTokens = maxWaitingTokens, .caller = submission->caller}),
              Duration::zero(),
              [this, submission, maxWaitingTokens](std::optional<Http::HttpResponse> answer) {
                  if (answer && answer->status == 200)
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -24,8 +24,8 @@
 constexpr Duration LoadOverdueAfter = 5s;
 /// Counting the items of all jobs in each tick would cost more than the line is worth.
 constexpr Duration WaitCheckInterval = 1s;
-/// Within this time the owner of an admitted job has read it and counts its tokens.
-constexpr Duration AdmissionRetention = 3s;
+/// The admitting runner counts a job that it admitted for three seconds unless the owner names it.
+constexpr Duration RecentJobTime = 4s;
 /// The store takes some milliseconds to store a segment, and some hundred at its slowest.
 constexpr Duration StoreOverdueAfter = 500ms;
 /// A runner in the same region responds within milliseconds.
@@ -395,6 +395,10 @@
     confirmJobs(now);
     servePendingReads(now);
     peerReports_.setWaitingTokens(jobs_.waitingTokens());
+    if (context_.routes && context_.routes->customers())
+        peerReports_.setCustomerTokens(jobs_.waitingTokensByCustomer(), jobs_.acceptedWithin(RecentJobTime, now));
+    else
+        peerReports_.setCustomerTokens({}, {});
     auto const unreachableSince = jobFollower_.unreachableSince();
     bool const isLost = unreachableSince && now - *unreachableSince >= StoreOutageTolerance;
     peerReports_.setStoreReachability(isLost ? Serving::StoreReachability::Lost : Serving::StoreReachability::Reached);
@@ -909,14 +913,16 @@
 void JobRunner::serveAdmission(PeerAdmission const &call, Writer const &writer)
 {
     auto const now = readLocalClock();
-    std::erase_if(admissions_, [&](auto const &entry) { return now >= entry.second.until; });
-    auto sum = jobs_.waitingTokens() + context_.peers.waitingTokens(now);
-    for (auto const &[job, admission] : admissions_)
-        sum += jobs_.contains(job) || job == call.job ? 0 : admission.tokens;
-    if (sum + call.tokens > call.maxTokens)
-        return writer->respond({.status = QuotaFullStatus});
-    admissions_[call.job] = {.until = now + AdmissionRetention, .tokens = call.tokens};
-    writer->respond({.status = 200});
+    auto const others = context_.peers.waitingTokens(now);
+    auto const &customer = call.caller;
+    auto const waiting = customer ? jobs_.waitingTokensByCustomer()[*customer] + context_.customerTokens.waiting(*customer, others, now)
+                                  : jobs_.waitingTokens() + others;
+    bool const isAdmitted = admission_.tryAdmit(
+        {.job = call.job, .customer = customer, .tokens = call.tokens, .maxTokens = call.maxTokens},
+        waiting,
+        [&](JobId const &job) { return jobs_.contains(job) || context_.customerTokens.isCounted(job, now); },
+        now);
+    writer->respond({.status = isAdmitted ? 200 : QuotaFullStatus});
 }
 
 bool JobRunner::serve(PendingRead const &read, Instant now)
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -6,6 +6,7 @@
 #include "LibJobs/JobWaitDetector.h"
 #include "LibJobs/OwnerCheck.h"
 #include "LibJobs/StallDetector.h"
+#include "LibJobs/TokenAdmission.h"
 #include "Services/Node/ItemRun.h"
 #include "Services/Node/JobApiHandler.h"
 #include "Services/Node/PeerReportExchange.h"
@@ -177,12 +178,7 @@
     };
     /// Jobs of which the store may have a segment of this runner that is not listed yet.
     std::map<JobId, PendingStore> pendingStores_;
-    struct Admission {
-        Instant until;
-        std::uint64_t tokens = 0;
-    };
-    /// Jobs admitted here that their owners may not have counted yet.
-    std::map<JobId, Admission> admissions_;
+    Jobs::TokenAdmission admission_;
     /// Moving average of the duration of item runs that were not resumed.
     Duration meanRunTime_;
     Jobs::StallDetector stalls_;
--- a/Services/Node/NodeContext.h
+++ b/Services/Node/NodeContext.h
@@ -7,6 +7,7 @@
 #include "LibPlatform/ObjectStore.h"
 #include "LibRouting/RetryBudget.h"
 #include "LibRouting/ServerHealth.h"
+#include "LibServing/CustomerTokens.h"
 #include "LibServing/LoadTracker.h"
 #include "LibServing/OnlinePlacement.h"
 #include "LibServing/PeerTable.h"
@@ -78,6 +79,8 @@
     bool maySendItems = false;
     /// Limits of servers that take only so many requests a second.
     ServerLimits limits = {};
+    /// Runners: tokens that wait at other runners, by customer.
+    Serving::CustomerTokenTable customerTokens = {};
     /// Limits the requests and streams that are moved away from a slow or silent server, as it may only be busy.
     Routing::RetryBudget moveBudget;
     /// The desired state in force; null until the first one is read.
--- a/Services/Node/PeerJobCalls.cpp
+++ b/Services/Node/PeerJobCalls.cpp
@@ -66,7 +66,7 @@
 std::string toTarget(PeerAdmission const &call)
 {
     return "/jobs/" + percentEncode(call.job.value()) + "/admission?tokens=" + std::to_string(call.tokens)
-        + "&most=" + std::to_string(call.maxTokens);
+        + "&most=" + std::to_string(call.maxTokens) + callerParameter('&', call.caller);
 }
 
 std::string toTarget(PeerJobNotice const &call)
@@ -101,8 +101,10 @@
         };
     }
     if (segments.size() == 3 && segments[2] == AdmissionSegment)
-        return PeerAdmission{
-            .job = std::move(job), .tokens = readNumberParameter(request, "tokens"), .maxTokens = readNumberParameter(request, "most")};
+        return PeerAdmission{.job = std::move(job),
+                             .tokens = readNumberParameter(request, "tokens"),
+                             .maxTokens = readNumberParameter(request, "most"),
+                             .caller = readCaller(request)};
     if (segments.size() == 3 && segments[2] == AcceptedSegment)
         return PeerJobNotice{.job = std::move(job), .event = PeerJobNotice::Event::Accepted};
     if (segments.size() == 3 && segments[2] == EndedSegment)
--- a/Services/Node/PeerJobCalls.h
+++ b/Services/Node/PeerJobCalls.h
@@ -41,6 +41,8 @@
     JobId job;
     std::uint64_t tokens = 0;
     std::uint64_t maxTokens = 0;
+    /// The limit applies to the jobs of this customer; unset if it applies to all jobs together.
+    JobCaller caller = {};
 };
 
 /// Notifies the owner of a job that it was accepted or ended, ahead of the owner's watch, whose calls of the store are paced.
--- a/Services/Node/PeerReportExchange.cpp
+++ b/Services/Node/PeerReportExchange.cpp
@@ -13,6 +13,9 @@
 
 Platform::Kind const instanceKind("instances");
 constexpr Duration RegistrationRetryDelay = 500ms;
+constexpr Duration MinCustomerTokensInterval = 150ms;
+/// Repeats make up for lost reports.
+constexpr Duration MaxCustomerTokensInterval = 1s;
 constexpr std::string_view EntryRole = "entry";
 constexpr std::string_view RunnerRole = "runner";
 
@@ -145,6 +148,11 @@
         auto const limits = Serving::decodeServerLimits(content, now);
         return limits ? context_.limits.merge(*limits, now) : reject("server limits of a peer", limits.error());
     }
+    if (Serving::isCustomerTokens(content)) {
+        auto tokens = Serving::decodeCustomerTokens(content);
+        return tokens ? context_.customerTokens.onReport(std::move(*tokens), readLocalClock())
+                      : reject("tokens of customers of a peer", tokens.error());
+    }
     auto report = Serving::decodePeerReport(content);
     return report ? onReport(std::move(*report)) : reject("report of a peer", report.error());
 }
@@ -230,9 +238,31 @@
         for (auto const &receiver : due.serverLimits->receivers)
             socket_->send(receiver, content);
     }
+    sendCustomerTokens(now);
     fleet_.setChangeSource(exchange_.changeSource(now));
 }
 
+/// With 75 customers a report takes some two kilobytes. Until it arrives, new tokens count for every customer at the receiver.
+void PeerReportExchange::sendCustomerTokens(Instant now)
+{
+    auto const interval = areCustomerTokensSent_ ? MaxCustomerTokensInterval : MinCustomerTokensInterval;
+    bool const isUnused = customerTokens_.empty() && areCustomerTokensSent_;
+    if (isUnused || (customerTokensSentAt_ != Instant::min() && now - customerTokensSentAt_ < interval))
+        return;
+    customerTokensSentAt_ = now;
+    areCustomerTokensSent_ = true;
+    Serving::CustomerTokensReport const common{
+        .sender = context_.settings.instance, .startedAt = startedAt_, .number = ++customerTokensNumber_, .recentJobs = recentJobs_};
+    for (auto const &report : Serving::splitCustomerTokens(customerTokens_, common)) {
+        auto const content = Serving::encodeCustomerTokens(report);
+        for (auto const &runner : context_.peers.runners()) {
+            auto const address = runner == context_.settings.instance ? std::nullopt : context_.peers.addressOf(runner);
+            if (address)
+                socket_->send(*address, content);
+        }
+    }
+}
+
 void PeerReportExchange::send(Address const &to, std::string const &content)
 {
     socket_->send(to, content);
@@ -268,4 +298,13 @@
         ++waitingTokensChanges_;
 }
 
+void PeerReportExchange::setCustomerTokens(Serving::TokensByCustomer tokens, std::vector<JobId> recentJobs)
+{
+    recentJobs_ = std::move(recentJobs);
+    if (customerTokens_ == tokens)
+        return;
+    customerTokens_ = std::move(tokens);
+    areCustomerTokensSent_ = false;
+}
+
 } // namespace Anvilyard::Node
--- a/Services/Node/PeerReportExchange.h
+++ b/Services/Node/PeerReportExchange.h
@@ -26,6 +26,8 @@
     void setStoreReachability(Serving::StoreReachability reachability);
     /// Sets the number of tokens that wait in this instance's jobs.
     void setWaitingTokens(std::uint64_t tokens);
+    /// Sets the same by customer. Only runners are told.
+    void setCustomerTokens(Serving::TokensByCustomer tokens, std::vector<JobId> recentJobs);
 
 private:
     void registerSelf();
@@ -33,6 +35,7 @@
     void onDatagram(std::string_view content);
     void onReport(Serving::PeerReport report);
     void onSummary(Serving::LoadSummary summary);
+    void sendCustomerTokens(Instant now);
 
     NodeContext &context_;
     FleetFollower &fleet_;
@@ -46,6 +49,11 @@
     std::int64_t startedAt_ = 0;
     std::uint64_t waitingTokens_ = 0;
     std::uint64_t waitingTokensChanges_ = 0;
+    Serving::TokensByCustomer customerTokens_;
+    std::vector<JobId> recentJobs_;
+    bool areCustomerTokensSent_ = true;
+    Instant customerTokensSentAt_ = Instant::min();
+    std::uint64_t customerTokensNumber_ = 0;
 };
 
 } // namespace Anvilyard::Node
--- a/Tests/LibJobs/TestJobTracker.cpp
+++ b/Tests/LibJobs/TestJobTracker.cpp
@@ -686,6 +686,7 @@
 {
     add("j", 2);
     EXPECT_EQ(tracker_.waitingTokens(), 200U);
+    EXPECT_EQ(tracker_.waitingTokensByCustomer(), (std::map<CustomerId, std::uint64_t>{{CustomerId(), 200}}));
     complete();
     EXPECT_EQ(tracker_.waitingTokens(), 100U);
     tracker_.onEnded(JobId("j"));
--- a/Tests/Node/TestCustomerJobs.cpp
+++ b/Tests/Node/TestCustomerJobs.cpp
@@ -35,13 +35,17 @@
         return headers;
     }
 
-    int submit(Node::NodeProgram &node, std::string const &job, std::string const &key, std::string const &host = "h.example")
+    int submit(Node::NodeProgram &node,
+               std::string const &job,
+               std::string const &key,
+               std::string const &host = "h.example",
+               std::uint64_t tokens = 100)
     {
         json::object const item{{"id", job + "-0"},
                                 {"path", "/b/x"},
                                 {"headers", {{"Authorization", "Token k1"}, {"Anvilyard-Tenant", "other"}}},
                                 {"body", "aGVsbG8="},
-                                {"tokens", 100}};
+                                {"tokens", tokens}};
         auto headers = headersOf(key, host);
         headers.append({"Anvilyard-Attempt-Id", job});
         return status(node, {"POST", "/b/1", headers, json::serialize(json::object{{"items", json::array{item}}})});
@@ -177,6 +181,46 @@
     EXPECT_EQ(read(entry, "j1", "", "open.example"), 200);
 }
 
+/// Jobs of one customer fill the limit. Guards against refusing those of another, and against two runners that each admit up to the limit.
+TEST_F(CustomerJobsTest, TheLimitOfWaitingTokensAppliesToEachCustomer)
+{
+    putState(2, PublicBatchRoute, 1000);
+    auto &entry = startNode("entry-1");
+    std::vector<Node::NodeProgram *> const runners = {&startNode("runner-1", InstanceRole::Runner),
+                                                      &startNode("runner-2", InstanceRole::Runner)};
+    waitUntilReady(entry);
+    for (auto *runner : runners)
+        waitUntilReady(*runner);
+    waitUntil([&] {
+        auto const hash = entry.runnersHash();
+        return hash != 0 && hash == runners[0]->runnersHash() && hash == runners[1]->runnersHash();
+    });
+    auto submitTokens = [&, number = 0](std::string const &key, std::uint64_t tokens) mutable {
+        return submit(entry, "j" + std::to_string(++number), key, "h.example", tokens);
+    };
+    for (int job = 0; job < 4; ++job)
+        ASSERT_EQ(submitTokens("k1", 200), 202) << job;
+    // Both runners know what the other one holds, so that nothing counts for every customer.
+    auto const isSettled = [&] {
+        std::size_t waiting = 0;
+        for (auto *runner : runners) {
+            std::string const sample = "\nanvilyard_node_items{state=\"waiting\"} ";
+            auto const metrics = metricsOf(*runner);
+            waiting += std::stoul(metrics.substr(metrics.find(sample) + sample.size()));
+        }
+        return waiting == 4;
+    };
+    while (!isSettled())
+        waitUntil([] { return true; });
+    auto const tokensReported = readLocalClock() + 400ms;
+    waitUntil([&] { return readLocalClock() >= tokensReported; });
+    EXPECT_EQ(submitTokens("k2", 300), 429) << "800 of 1000 wait";
+    EXPECT_EQ(submitTokens("k3", 900), 202);
+    EXPECT_EQ(submitTokens("k3", 200), 429);
+    EXPECT_EQ(submitTokens("k2", 200), 202);
+    EXPECT_EQ(submitTokens("k2", 100), 429);
+}
+
 /// Removing a key ends no job. Guards against a job that its customer cannot read with the key that replaced the one of its submission.
 TEST_F(CustomerJobsTest, AJobOutlivesTheKeyOfItsSubmission)
 {
@@ -246,6 +290,7 @@
     for (Node::JobCaller const &caller : {Node::JobCaller(), Node::JobCaller(CustomerId()), Node::JobCaller(CustomerId("a&b=c %/ü"))}) {
         EXPECT_EQ(roundTrip(Node::PeerReadResults{.job = JobId("j"), .caller = caller}), caller);
         EXPECT_EQ(roundTrip(Node::PeerReadBody{.job = JobId("j"), .item = Jobs::ItemId("i"), .caller = caller}), caller);
+        EXPECT_EQ(roundTrip(Node::PeerAdmission{.job = JobId("j"), .caller = caller}), caller);
         EXPECT_EQ(roundTrip(Node::PeerJobAccess{.job = JobId("j"), .caller = caller}), caller);
     }
 }
