Test removed keys with real processes

One entry is cut off from the store and another one killed and started again while a key is removed under 100 requests a second. Keys that are valid are served, removed and unknown ones are refused at all entries 3 s after the change, and servers see the right customer and no key.

--- a/Tests/NodeProcesses/ServingFleet.cpp
+++ b/Tests/NodeProcesses/ServingFleet.cpp
@@ -236,6 +236,18 @@
     thread_.call([&] { store_->put("config", "main", desiredState(options_, ++stateVersion_, idleRoutes)); });
 }
 
+void ServingFleet::setCustomers(std::string const &customers)
+{
+    auto state = desiredState(options_, ++stateVersion_, 0);
+    state.insert(state.rfind('}'), R"(,"tenants":)" + customers);
+    thread_.call([&] { store_->put("config", "main", state); });
+}
+
+void ServingFleet::setObserver(std::function<void(Http::HttpRequest const &)> observer)
+{
+    thread_.call([&] { observer_ = std::move(observer); });
+}
+
 NodeProcess &ServingFleet::startNodeBehindPathToStore(std::string const &name, Serving::InstanceRole role)
 {
     if (!storePath_)
@@ -360,6 +372,7 @@
 void ServingFleet::onReceived(std::string const &server, Http::HttpRequest const &request)
 {
     auto const now = readLocalClock();
+    observer_(request);
     arrivalsByServer_[server].push_back(now);
     for (auto const &part : sharedParts(request))
         arrivals_[part].push_back(now);
--- a/Tests/NodeProcesses/ServingFleet.h
+++ b/Tests/NodeProcesses/ServingFleet.h
@@ -87,6 +87,10 @@
     void setVersionAfterCrash(std::string version);
     /// Replaces the desired state by one of a newer version, with so many further routes that get no requests.
     void changeDesiredState(std::size_t idleRoutes);
+    /// Replaces the desired state by one of a newer version with these customers, a JSON array.
+    void setCustomers(std::string const &customers);
+    /// Called on the event loop with each request that reaches a server to be run.
+    void setObserver(std::function<void(Http::HttpRequest const &)> observer);
     /// Starts a node whose path to the store setStoreCut() cuts.
     NodeProcess &startNodeBehindPathToStore(std::string const &name, Serving::InstanceRole role);
     void setStoreCut(Cut cut);
@@ -220,6 +224,7 @@
 
     Options options_;
     std::uint64_t stateVersion_ = 1;
+    std::function<void(Http::HttpRequest const &)> observer_ = [](auto const &) {};
     std::unique_ptr<CuttablePath> storePath_;
     std::filesystem::path folder_;
     LoopThread thread_;
