--- a/Tests/LibServing/TestCustomerTokens.cpp
+++ b/Tests/LibServing/TestCustomerTokens.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr Instant Start{1h};
-CustomerId const North("north");
-CustomerId const South("south");
+CustomerId const north("north");
+CustomerId const south("south");
 
 CustomerTokensReport reportOf(std::string const &sender, std::uint64_t number, TokensByCustomer tokens)
 {
@@ -22,7 +22,7 @@
 
 TEST(CustomerTokensTest, ReportsRoundTrip)
 {
-    auto report = reportOf("r1", 7, {{CustomerId(), 3}, {North, 1'000'000'000'000}});
+    auto report = reportOf("r1", 7, {{CustomerId(), 3}, {north, 1'000'000'000'000}});
     report.part = 1;
     report.parts = 2;
     report.recentJobs = {JobId("j1"), JobId("j2")};
@@ -65,22 +65,22 @@
 TEST(CustomerTokensTest, TokensThatNoReportAttributesCountForEachCustomer)
 {
     CustomerTokenTable table;
-    EXPECT_EQ(table.waiting(North, 100, Start), 100U);
-    table.onReport(reportOf("r1", 1, {{North, 60}, {South, 40}}), Start);
-    EXPECT_EQ(table.waiting(North, 100, Start), 60U);
-    EXPECT_EQ(table.waiting(South, 130, Start), 70U);
+    EXPECT_EQ(table.waiting(north, 100, Start), 100U);
+    table.onReport(reportOf("r1", 1, {{north, 60}, {south, 40}}), Start);
+    EXPECT_EQ(table.waiting(north, 100, Start), 60U);
+    EXPECT_EQ(table.waiting(south, 130, Start), 70U);
     EXPECT_EQ(table.waiting(CustomerId("new"), 100, Start), 0U);
-    table.onReport(reportOf("r2", 1, {{North, 5}}), Start + 1s);
-    EXPECT_EQ(table.waiting(North, 105, Start + 1s), 65U);
-    EXPECT_EQ(table.waiting(North, 105, Start + 3s), 105U) << "r1 is not heard any more";
-    EXPECT_EQ(table.waiting(North, 80, Start + 1s), 65U);
+    table.onReport(reportOf("r2", 1, {{north, 5}}), Start + 1s);
+    EXPECT_EQ(table.waiting(north, 105, Start + 1s), 65U);
+    EXPECT_EQ(table.waiting(north, 105, Start + 3s), 105U) << "r1 is not heard any more";
+    EXPECT_EQ(table.waiting(north, 80, Start + 1s), 65U);
 }
 
 /// Guards against a job that counts twice: as admitted, and as reported by its owner.
 TEST(CustomerTokensTest, ReportsNameTheJobsThatTheyInclude)
 {
     CustomerTokenTable table;
-    auto report = reportOf("r1", 1, {{North, 60}});
+    auto report = reportOf("r1", 1, {{north, 60}});
     report.recentJobs = {JobId("j1")};
     table.onReport(report, Start);
     EXPECT_TRUE(table.isCounted(JobId("j1"), Start));
@@ -92,17 +92,17 @@
 TEST(CustomerTokensTest, TheNewestReportOfASenderHolds)
 {
     CustomerTokenTable table;
-    table.onReport(reportOf("r1", 2, {{North, 60}}), Start);
-    table.onReport(reportOf("r1", 1, {{North, 10}}), Start);
-    EXPECT_EQ(table.waiting(North, 60, Start), 60U);
-    auto restarted = reportOf("r1", 1, {{North, 20}});
+    table.onReport(reportOf("r1", 2, {{north, 60}}), Start);
+    table.onReport(reportOf("r1", 1, {{north, 10}}), Start);
+    EXPECT_EQ(table.waiting(north, 60, Start), 60U);
+    auto restarted = reportOf("r1", 1, {{north, 20}});
     restarted.startedAt = 2;
     table.onReport(restarted, Start);
-    EXPECT_EQ(table.waiting(North, 20, Start), 20U);
+    EXPECT_EQ(table.waiting(north, 20, Start), 20U);
     // Customers move to other parts when their number grows.
     restarted.number = 2;
     restarted.parts = 2;
     restarted.part = 1;
     table.onReport(restarted, Start);
-    EXPECT_EQ(table.waiting(North, 20, Start), 20U);
+    EXPECT_EQ(table.waiting(north, 20, Start), 20U);
 }
