Test the decisions on customers' limits one by one

Cause: the simulations show sums only.

Change: tests of retry times, customers without a limit, reports to a coordinator that does not reply, and counts that arrive twice, late or of an earlier process. Two functions without callers are removed.

--- a/Libraries/LibRouting/LimitCoordinator.cpp
+++ b/Libraries/LibRouting/LimitCoordinator.cpp
@@ -226,12 +226,6 @@
     }
 }
 
-double LimitCoordinator::fractionOf(CustomerId const &customer) const
-{
-    auto const found = customers_.find(customer);
-    return found == customers_.end() ? 1 : found->second.fraction;
-}
-
 std::vector<LimitCoordinator::LimitedCustomer> LimitCoordinator::limitedCustomers(Instant now) const
 {
     std::vector<LimitedCustomer> limited;
@@ -243,10 +237,4 @@
     return limited;
 }
 
-std::size_t LimitCoordinator::heardEntries(Instant now) const
-{
-    return static_cast<std::size_t>(
-        std::count_if(entries_.begin(), entries_.end(), [&](auto const &entry) { return !isSilent(entry.second, now); }));
-}
-
 } // namespace Anvilyard::Routing
--- a/Libraries/LibRouting/LimitCoordinator.h
+++ b/Libraries/LibRouting/LimitCoordinator.h
@@ -57,8 +57,6 @@
     /// Processes a report and returns the grants for the customers in it. Customers without a limit get none.
     LimitReply onReport(LimitReport const &report, Instant now);
 
-    /// Admission fraction of a customer; 1 if it is unknown.
-    [[nodiscard]] double fractionOf(CustomerId const &customer) const;
     struct LimitedCustomer {
         CustomerId customer;
         RequestLimit limit;
@@ -67,8 +65,6 @@
 
     /// Customers of whose requests some are refused now.
     [[nodiscard]] std::vector<LimitedCustomer> limitedCustomers(Instant now) const;
-    /// Number of entries that reported recently.
-    [[nodiscard]] std::size_t heardEntries(Instant now) const;
 
 private:
     struct Entry {
--- a/Tests/LibRouting/TestCustomerLimits.cpp
+++ b/Tests/LibRouting/TestCustomerLimits.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <set>
 
 using namespace Anvilyard;
 using namespace Anvilyard::Routing;
@@ -261,3 +262,96 @@
     }
     RC_ASSERT(static_cast<double>(simulation.worstWindow()) <= LimitSimulation::allowedInWindow(options.limit));
 }
+
+namespace {
+
+CustomerId const north("north");
+
+/// An entry with one customer of 10 requests a second and a burst of 5.
+FractionLimiter entryOf(std::size_t knownEntries)
+{
+    FractionLimiter limiter({
+        .self = InstanceId("entry-1"),
+        .startedAt = 1,
+        .coordinatorOf = [](CustomerId const &) { return std::optional(InstanceId("runner-1")); },
+    });
+    limiter.setKnownEntries(knownEntries);
+    limiter.setLimits({{north, {.perSecond = 10, .burst = 5}}}, Instant(1h));
+    return limiter;
+}
+
+} // namespace
+
+// Guards against callers that return at the same time, at once, or never.
+TEST(FractionLimiterTest, RetryTimesAreBoundedAndSpread)
+{
+    auto limiter = entryOf(55);
+    Instant const now(1h);
+    std::set<Duration> waits;
+    for (int request = 0; request < 100; ++request) {
+        if (auto const wait = limiter.tryAdmit(north, now)) {
+            EXPECT_GE(*wait, 100ms);
+            EXPECT_LE(*wait, 5s);
+            waits.insert(*wait);
+        }
+    }
+    EXPECT_GE(waits.size(), 20U);
+}
+
+// Guards against refusals of customers that were removed, or never had a limit.
+TEST(FractionLimiterTest, CustomersWithoutALimitAreNotCharged)
+{
+    auto limiter = entryOf(1);
+    Instant const now(1h);
+    for (int request = 0; request < 1000; ++request)
+        EXPECT_FALSE(limiter.tryAdmit(CustomerId("south"), now));
+    limiter.setLimits({}, now);
+    for (int request = 0; request < 1000; ++request)
+        EXPECT_FALSE(limiter.tryAdmit(north, now));
+    EXPECT_TRUE(limiter.takeReports(now).empty()) << "nothing is sent without limits";
+}
+
+// Guards against a flood of log lines at a runner of an earlier build, which logs each report.
+TEST(FractionLimiterTest, AFewReportsGoToACoordinatorThatDoesNotReply)
+{
+    auto limiter = entryOf(55);
+    Instant now(1h);
+    std::size_t reports = 0;
+    for (int step = 0; step < 20'000; ++step) {
+        now += 1ms;
+        static_cast<void>(limiter.tryAdmit(north, now));
+        if (now >= Instant(1h) + 5s)
+            reports += limiter.takeReports(now).size();
+        else
+            static_cast<void>(limiter.takeReports(now));
+    }
+    EXPECT_LE(reports, 16U) << "in 15 s";
+}
+
+// Guards against counts that are charged twice, or not at all, when reports are doubled, reordered or of an earlier process.
+TEST(LimitCoordinatorTest, CountsAreChargedOnce)
+{
+    Instant now(1h);
+    LimitCoordinator coordinator({.self = InstanceId("runner-1")}, now);
+    coordinator.setLimits({{north, {.perSecond = 10, .burst = 0}}}, now);
+    LimitReport report{.entry = InstanceId("entry-1"), .startedAt = 1, .sentAt = 1, .usage = {{.customer = north, .admitted = 1'000'000}}};
+    EXPECT_EQ(coordinator.onReport(report, now).grants.front().fraction, 1) << "the first counts may have been charged elsewhere";
+    now += 20s;
+    auto const grantAfter = [&](std::int64_t sentAt, std::uint64_t admitted) {
+        now += 20ms;
+        report.sentAt = sentAt;
+        report.usage.front().admitted = admitted;
+        return coordinator.onReport(report, now);
+    };
+    EXPECT_EQ(grantAfter(2, 1'000'001).grants.front().fraction, 1);
+    for (int copy = 0; copy < 50; ++copy)
+        EXPECT_EQ(grantAfter(2, 1'000'001).grants.front().fraction, 1) << "a doubled report";
+    EXPECT_TRUE(grantAfter(1, 1'000'000).grants.empty()) << "a late report";
+    EXPECT_EQ(grantAfter(3, 1'000'101).grants.front().fraction, 0) << "100 more than the bucket holds";
+    auto const afterRestart = [&] {
+        report.startedAt = 2;
+        return grantAfter(1, 1);
+    }();
+    ASSERT_EQ(afterRestart.grants.size(), 1U);
+    EXPECT_EQ(afterRestart.grants.front().counted, 1U);
+}
