Keep the sum of all customers' demand

Each decision added up the demand of all customers. The sum is now kept, and only customers above the tolerated demand are sorted to find the common level.

--- a/Libraries/LibServing/FairAdmission.cpp
+++ b/Libraries/LibServing/FairAdmission.cpp
@@ -52,7 +52,7 @@
     decay(now);
     recordArrival(request);
     auto const demand = customers_[*request.customer].sum();
-    verdict.customerShare = demand / totalDemand();
+    verdict.customerShare = demand / totalDemand_;
     auto const ofCustomer = fractionOfCustomer(demand, std::min(verdict.pressure, options_.maxShed));
     auto const ofUrgency = fractionOfUrgency(request.urgency, verdict.pressure);
     auto const least = options_.minRelativeService * admitted_ / arrivals_;
@@ -86,13 +86,18 @@
 {
     auto const weight = sizeOf(work);
     customers_[customer].inFlight += weight;
+    totalDemand_ += weight;
     return RequestWeight(weight);
 }
 
 void FairAdmission::onFinished(CustomerId const &customer, RequestWeight weight)
 {
-    if (auto const found = customers_.find(customer); found != customers_.end())
-        found->second.inFlight = std::max(0.0, found->second.inFlight - weight.value());
+    auto const found = customers_.find(customer);
+    if (found == customers_.end())
+        return;
+    auto const ended = std::min(found->second.inFlight, weight.value());
+    found->second.inFlight -= ended;
+    totalDemand_ -= ended;
 }
 
 void FairAdmission::decay(Instant now)
@@ -103,6 +108,9 @@
     for (auto &[id, demand] : customers_)
         demand.recent *= factor;
     std::erase_if(customers_, [](auto const &entry) { return entry.second.sum() < NegligibleDemand; });
+    totalDemand_ = 0;
+    for (auto const &[id, demand] : customers_)
+        totalDemand_ += demand.sum();
     for (auto &arrivals : arrivalsByUrgency_)
         arrivals *= factor;
     for (auto *sum : {&arrivals_, &admitted_, &knownWork_, &knownRequests_})
@@ -115,7 +123,9 @@
         knownWork_ += request.work->value();
         ++knownRequests_;
     }
-    customers_[*request.customer].recent += sizeOf(request.work);
+    auto const size = sizeOf(request.work);
+    customers_[*request.customer].recent += size;
+    totalDemand_ += size;
     ++arrivalsByUrgency_[static_cast<std::size_t>(request.urgency)];
     ++arrivals_;
 }
@@ -126,26 +136,19 @@
     return work && knownWork_ > 0 ? work->value() * knownRequests_ / knownWork_ : 1;
 }
 
-double FairAdmission::totalDemand() const
-{
-    double total = 0;
-    for (auto const &[id, demand] : customers_)
-        total += demand.sum();
-    return total;
-}
-
 double FairAdmission::fractionOfCustomer(double demand, double shed) const
 {
-    auto const total = totalDemand();
-    auto const tolerated = options_.tolerance * total / static_cast<double>(customers_.size());
+    auto const tolerated = options_.tolerance * totalDemand_ / static_cast<double>(customers_.size());
     if (shed <= 0 || demand <= tolerated)
         return 1;
     std::vector<double> demands;
-    for (auto const &[id, other] : customers_)
-        demands.push_back(other.sum());
+    for (auto const &[id, other] : customers_) {
+        if (other.sum() > tolerated)
+            demands.push_back(other.sum());
+    }
     std::sort(demands.begin(), demands.end(), std::greater<>());
     // The level is lowered over the largest customers until what exceeds it is the part to refuse.
-    auto const excess = shed * total;
+    auto const excess = shed * totalDemand_;
     double above = 0;
     double level = demands.front();
     for (std::size_t count = 1; count <= demands.size(); ++count) {
--- a/Libraries/LibServing/FairAdmission.h
+++ b/Libraries/LibServing/FairAdmission.h
@@ -105,7 +105,6 @@
     void decay(Instant now);
     void recordArrival(FairAdmissionRequest const &request);
     [[nodiscard]] double sizeOf(std::optional<WorkSize> work) const;
-    [[nodiscard]] double totalDemand() const;
     /// Share of this customer's requests that may be admitted if `shed` of all demand has to be refused.
     [[nodiscard]] double fractionOfCustomer(double demand, double shed) const;
     [[nodiscard]] double fractionOfUrgency(Urgency urgency, double pressure) const;
@@ -113,6 +112,8 @@
 
     FairAdmissionOptions options_;
     std::map<CustomerId, Demand> customers_;
+    /// Sum over all customers.
+    double totalDemand_ = 0;
     std::array<double, UrgencyCount> arrivalsByUrgency_{};
     double arrivals_ = 0;
     double admitted_ = 0;
