--- a/Libraries/LibHttp/ClientExchange.cpp
+++ b/Libraries/LibHttp/ClientExchange.cpp
@@ -148,6 +148,8 @@
             return;
         if (error)
             return self->fail(HttpError::ClosedEarly, error.message());
+        // The caller of send() keeps the request if it may be sent again.
+        self->message_.body() = std::string();
         self->headDeadline_ = readLocalClock() + self->request_.headTimeout;
         self->readHead();
     });
@@ -253,6 +255,8 @@
 {
     // Bytes beyond the message belong to no request, so a connection with such bytes must not be reused.
     bool const isReusable = parser_->keep_alive() && connection_->buffer.size() == 0;
+    // Idle connections are many, and would keep a buffer of the size of a head each.
+    connection_->buffer.shrink_to_fit();
     if (isReusable)
         shared_->idle->put(request_.server, std::move(connection_));
     auto const onEnd = std::move(handlers_.onEnd);
--- a/Libraries/LibHttp/DeadlineSweep.cpp
+++ b/Libraries/LibHttp/DeadlineSweep.cpp
@@ -64,9 +64,10 @@
             overdue.push_back(std::move(holder));
         ++entry;
     }
+    // First, since a call may throw, and the other deadlines still apply then.
+    schedule();
     for (auto const &holder : overdue)
         holder->onDeadline();
-    schedule();
 }
 
 } // namespace Anvilyard::Http
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -77,6 +77,8 @@
     void stopAccepting() override
     {
         boost::system::error_code ignored;
+        if (acceptor_->is_open())
+            acceptWaiting();
         acceptor_->close(ignored);
     }
 
@@ -112,6 +114,20 @@
     }
 
 private:
+    /// Accepts the connections that the system has made already. It would reset them together with the listening socket, and with them
+    /// requests that have arrived.
+    void acceptWaiting()
+    {
+        boost::system::error_code error;
+        acceptor_->non_blocking(true, error);
+        while (!error) {
+            LoopSocket socket(acceptor_->get_executor());
+            acceptor_->accept(socket, error);
+            if (!error && shared_->openConnections < shared_->options.connectionLimit)
+                ServerConnection::start(std::move(socket), shared_);
+        }
+    }
+
     static void accept(std::shared_ptr<LoopAcceptor> const &acceptor, std::shared_ptr<ServerShared> const &shared)
     {
         acceptor->async_accept([acceptor, shared](boost::system::error_code error, LoopSocket socket) {
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -117,7 +117,7 @@
     std::size_t streamedBodyLimitBytes = 1024UL * 1024 * 1024;
     /// Maximum wait for the next piece of a streamed body.
     Duration bodyProgressTimeout = 20s;
-    /// Maximum wait for a slow caller to receive MemoryBudget::MinProgressBytes of the response, or the rest of what is sent.
+    /// Maximum wait for a slow caller to receive 16 KiB of the response, or the rest of what is sent.
     Duration writeTimeout = 60s;
     /// At the limit, a new connection takes the place of one that is stalled or idle, or else is closed.
     std::size_t connectionLimit = 4096;
--- a/Libraries/LibHttp/MemoryBudget.cpp
+++ b/Libraries/LibHttp/MemoryBudget.cpp
@@ -101,8 +101,9 @@
     std::vector<Candidate> candidates;
     for (auto const &[id, holder] : holders_) {
         auto const stall = std::max(Duration::zero(), now - holder.progressAt);
-        bool const isStalled = stall >= MinStall;
-        auto const factor = isStalled ? std::chrono::duration<double>(stall).count() : 1;
+        bool const isDraining = holder.phase == MemoryPhase::Draining;
+        bool const isStalled = isDraining || stall >= MinStall;
+        auto const factor = isStalled ? std::chrono::duration<double>(std::max(stall, MinStall)).count() : 1;
         candidates.push_back({.isHandled = holder.phase == MemoryPhase::Handling,
                               .isStalled = isStalled,
                               .weight = static_cast<double>(holder.bytes) * factor,
@@ -130,7 +131,8 @@
     auto longestStall = Duration::zero();
     for (auto const &[id, holder] : holders_) {
         auto const stall = now - holder.progressAt;
-        if (holder.phase == MemoryPhase::Handling || stall < MinStall)
+        auto const least = holder.phase == MemoryPhase::Idle ? MinIdle : MinStall;
+        if (holder.phase == MemoryPhase::Handling || stall < least)
             continue;
         auto const weighted = holder.phase == MemoryPhase::Idle ? stall / IdleWeight : stall;
         if (weighted <= longestStall)
--- a/Libraries/LibHttp/MemoryBudget.h
+++ b/Libraries/LibHttp/MemoryBudget.h
@@ -25,6 +25,8 @@
     Handling,
     /// The caller, which has to receive bytes of the response.
     Writing,
+    /// The caller's end of the connection, after all of the response was sent.
+    Draining,
 };
 
 /// Counts the bytes that the connections of a process hold, and decides which connections have to end when they are too many, or when there
@@ -38,6 +40,8 @@
     static constexpr std::size_t MinProgressBytes = 256;
     /// Ordinary callers on a lossy path pause for a retransmission, of 200 ms.
     static constexpr Duration MinStall = 250ms;
+    /// A balancer sends its next request within this time on connections that it uses.
+    static constexpr Duration MinIdle = 3s;
 
     explicit MemoryBudget(std::size_t maxBytes = std::numeric_limits<std::size_t>::max());
 
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -49,6 +49,11 @@
 constexpr std::size_t ConnectionBytes = 4 * 1024;
 /// A handler keeps the request for retries while a copy is sent to a backend server.
 constexpr std::size_t CopiesOfHandledRequest = 2;
+constexpr std::size_t MaxReadBytes = 64 * 1024;
+/// The system doubles it. One of 256 KiB takes a response at 200 Mbit/s over a path of 10 ms.
+constexpr int SendBufferBytes = 128 * 1024;
+/// A caller has to receive as many bytes of a response within the write timeout, or the rest of what is sent.
+constexpr std::size_t MinSentBytes = 16 * 1024;
 /// Pieces of a response that are queued are joined up to this size.
 constexpr std::size_t MaxJoinedBytes = 16 * 1024;
 
@@ -84,6 +89,8 @@
     boost::system::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    // The system takes up to 4 MB for a caller that reads nothing, and reports that a slow one has read only after a third of that.
+    socket.set_option(asio::socket_base::send_buffer_size(SendBufferBytes), ignored);
     auto const connection = std::make_shared<ServerConnection>(std::move(socket), std::move(shared));
     connection->shared_->sweep->add(connection);
     connection->shared_->connections.emplace(connection.get(), connection);
@@ -236,47 +243,59 @@
         self->requestParser_.emplace(std::move(*self->headParser_));
         self->requestParser_->body_limit(self->shared_->options.limits.bodyLimitBytes);
         self->requestParser_->eager(true);
-        self->readBodyPart();
+        self->parseBody();
     });
 }
 
+/// Parses what the buffer holds. The read functions of Boost.Beast would go on reading while a piece ends within the framing, so that
+/// neither progress nor framing could be counted.
+void ServerConnection::parseBody()
+{
+    while (!requestParser_->is_done()) {
+        auto const room = body_.prepare();
+        auto &body = requestParser_->get().body();
+        body.data = room.data();
+        body.size = room.size();
+        boost::system::error_code error = wire::error::need_more;
+        auto const consumed = buffer_.size() > 0 ? requestParser_->put(buffer_.data(), error) : 0;
+        buffer_.consume(consumed);
+        onBodyPart(consumed, room.size() - body.size);
+        if (isFramingTooLarge())
+            return refuse(framingTooLarge());
+        if (error == wire::error::need_more)
+            return readBodyPart();
+        if (error && error != wire::error::need_buffer)
+            return refuseReadError(error);
+    }
+    dispatchBody();
+}
+
 void ServerConnection::readBodyPart()
 {
-    if (state_ != State::ReadingRequest)
-        return;
-    if (requestParser_->is_done())
-        return dispatchBody();
-    auto const room = body_.prepare();
-    auto &body = requestParser_->get().body();
-    body.data = room.data();
-    body.size = room.size();
-    wire::async_read_some(socket_,
-                          buffer_,
-                          *requestParser_,
-                          [self = shared_from_this(), room = room.size()](boost::system::error_code error, std::size_t consumed) {
-                              if (self->state_ == State::ReadingRequest)
-                                  self->onBodyPart(error, consumed, room - self->requestParser_->get().body().size);
-                          });
-}
-
-void ServerConnection::onBodyPart(boost::system::error_code error, std::size_t consumed, std::size_t content)
-{
-    if (error == wire::error::buffer_overflow)
+    auto const room = std::min(MaxReadBytes, buffer_.max_size() - buffer_.size());
+    if (room == 0)
         return refuse(framingTooLarge());
-    if (error && error != wire::error::need_buffer)
-        return refuseReadError(error);
+    account();
+    socket_.async_read_some(buffer_.prepare(room), [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
+        if (self->state_ != State::ReadingRequest)
+            return;
+        if (error)
+            return self->close(CloseReason::CallerClosed);
+        self->buffer_.commit(size);
+        self->parseBody();
+    });
+}
+
+void ServerConnection::onBodyPart(std::size_t consumed, std::size_t content)
+{
     body_.commit(content);
     receivedBytes_ += consumed;
-    if (isFramingTooLarge())
-        return refuse(framingTooLarge());
     shared_->options.budget->onMoved(memoryId_, content);
-    account();
-    if (auto const now = readLocalClock(); body_.size() >= progressBytes_ + MemoryBudget::MinProgressBytes) {
-        auto const &limits = shared_->options.limits;
-        progressBytes_ = body_.size();
-        deadline_ = std::min(requestStartedAt_ + limits.requestTimeout, now + limits.bodyStallTimeout);
-    }
-    readBodyPart();
+    if (body_.size() < progressBytes_ + MemoryBudget::MinProgressBytes)
+        return;
+    auto const &limits = shared_->options.limits;
+    progressBytes_ = body_.size();
+    deadline_ = std::min(requestStartedAt_ + limits.requestTimeout, readLocalClock() + limits.bodyStallTimeout);
 }
 
 bool ServerConnection::isFramingTooLarge() const
@@ -575,7 +594,7 @@
         return;
     shared_->options.budget->onMoved(memoryId_, sent);
     unreportedSentBytes_ += sent;
-    if (unreportedSentBytes_ < MemoryBudget::MinProgressBytes)
+    if (unreportedSentBytes_ < MinSentBytes)
         return;
     unreportedSentBytes_ = 0;
     deadline_ = readLocalClock() + shared_->options.writeTimeout;
@@ -684,8 +703,9 @@
     case State::Streaming:
         return pendingBytes() > 0 ? MemoryPhase::Writing : MemoryPhase::Handling;
     case State::Finishing:
-    case State::Draining:
         return MemoryPhase::Writing;
+    case State::Draining:
+        return MemoryPhase::Draining;
     }
     return MemoryPhase::Idle;
 }
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -71,9 +71,10 @@
     void readHead();
     void onHead(boost::system::error_code error);
     void readFullBody();
+    void parseBody();
     void readBodyPart();
     /// `consumed`: bytes as received, with the framing of chunks; `content`: those of the body.
-    void onBodyPart(boost::system::error_code error, std::size_t consumed, std::size_t content);
+    void onBodyPart(std::size_t consumed, std::size_t content);
     [[nodiscard]] bool isFramingTooLarge() const;
     void dispatchBody();
     void readStreamedBody(BodySink sink);
--- a/Services/Node/DatagramSocket.cpp
+++ b/Services/Node/DatagramSocket.cpp
@@ -68,7 +68,13 @@
         socket_.async_wait(asio::socket_base::wait_read, [this](boost::system::error_code error) {
             if (error == asio::error::operation_aborted)
                 return;
-            drain();
+            try {
+                drain();
+            } catch (...) {
+                // The handler failed on one datagram. Without another wait, this instance would hear nothing any more.
+                receive();
+                throw;
+            }
             receive();
         });
     }
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -582,9 +582,10 @@
 
 void OnlineCall::relayEvents(std::string_view piece)
 {
-    attempt_->lastPieceAt = readLocalClock();
     auto const eventsBefore = attemptEvents();
     auto completeEvents = attempt_->events.take(piece);
+    if (attempt_->progress.onPiece(piece.size(), completeEvents.size()))
+        attempt_->lastPieceAt = readLocalClock();
     if (eventsBefore < Serving::EventsOfAnswer && attemptEvents() >= Serving::EventsOfAnswer) {
         isAnswered_ = true;
         parts_.context.prompts.onAnswered(suspects());
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -3,6 +3,7 @@
 #include "LibHttp/HttpServer.h"
 #include "LibServing/AttemptPlan.h"
 #include "LibServing/EventReader.h"
+#include "LibServing/StreamProgress.h"
 #include "Services/Node/HealthProber.h"
 #include "Services/Node/NodeContext.h"
 #include "Services/Node/NodeMetrics.h"
@@ -68,8 +69,9 @@
         bool isMoved = false;
         /// Reading is paused because the caller is slow.
         bool isPaused = false;
-        /// When bytes of the stream last arrived, or its silence was last tolerated.
+        /// When the stream last made progress, or its silence was last tolerated.
         Instant lastPieceAt;
+        Serving::StreamProgress progress;
         /// Checks whether the response starts, and then whether its stream goes on.
         std::unique_ptr<Http::Timer> progressTimer;
     };
--- a/Tests/LibHttp/RawConnection.cpp
+++ b/Tests/LibHttp/RawConnection.cpp
@@ -69,6 +69,13 @@
     return received;
 }
 
+std::string RawConnection::readPiece()
+{
+    std::string received;
+    readSome(received);
+    return received;
+}
+
 std::string RawConnection::readAll()
 {
     std::string received;
--- a/Tests/LibHttp/RawConnection.h
+++ b/Tests/LibHttp/RawConnection.h
@@ -23,6 +23,8 @@
     void finishSending();
     /// Reads until the text was received, the connection ended or the timeout expired.
     std::string readUntil(std::string_view text);
+    /// Reads what is there, or waits for it. Empty if the connection ended or the timeout expired.
+    std::string readPiece();
     /// Reads until the connection ended or the timeout expired.
     std::string readAll();
     /// Returns whether the server closed or reset the connection, as opposed to a timeout.
--- a/Tests/LibHttp/TestHostileCallers.cpp
+++ b/Tests/LibHttp/TestHostileCallers.cpp
@@ -1,3 +1,4 @@
+#include "LibHttp/DeadlineSweep.h"
 #include "LibHttp/HttpError.h"
 #include "LibHttp/HttpServer.h"
 #include "Tests/LibHttp/LoopThread.h"
@@ -206,6 +207,170 @@
     EXPECT_TRUE(handled().empty());
 }
 
+/// Guards against a parser that takes trailers, or the line of a chunk, of any size, and against framing that is a multiple of the body.
+TEST_F(HostileCallersTest, EndlessFramingIsRefused)
+{
+    serve();
+    std::string const start = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::string const longText(3 * HeadLimit + 10'000, 'x');
+    std::string extensions;
+    for (int count = 0; count < 100; ++count)
+        extensions += "1;" + std::string(HeadLimit / 2, 'x') + "\r\nx\r\n";
+    for (auto const &framing : {"1\r\nx\r\n0\r\nA: " + longText, "1;" + longText, extensions}) {
+        RawConnection connection(server_->address());
+        connection.send(start + framing);
+        auto const answer = connection.readAll();
+        EXPECT_THAT(answer, StartsWith("HTTP/1.1 413")) << framing.substr(0, 10);
+        EXPECT_THAT(answer, HasSubstr("framing_too_large"));
+        EXPECT_THAT(answer, HasSubstr("Connection: close"));
+    }
+    EXPECT_TRUE(handled().empty());
+}
+
+/// Guards against bodies that hold a connection until the end of the time for a request although their callers stopped sending, or send
+/// only framing.
+TEST_F(HostileCallersTest, ABodyThatStallsIsRefused)
+{
+    serve({.limits = {.bodyStallTimeout = 100ms}});
+    for (auto const *const part : {"Content-Length: 5\r\n\r\nhel", "Transfer-Encoding: chunked\r\n\r\n5\r\nhel"}) {
+        RawConnection connection(server_->address());
+        connection.send(std::string("POST / HTTP/1.1\r\n") + part);
+        auto const answer = connection.readAll();
+        EXPECT_THAT(answer, StartsWith("HTTP/1.1 408")) << part;
+        EXPECT_THAT(answer, HasSubstr("Connection: close")) << part;
+    }
+    EXPECT_TRUE(handled().empty());
+}
+
+/// Guards against refusing a caller that is slow but goes on: its body takes far longer than it may stall.
+TEST_F(HostileCallersTest, ASlowBodyThatGoesOnIsServed)
+{
+    serve({.limits = {.bodyStallTimeout = 400ms}});
+    constexpr int Pieces = 10;
+    std::string const piece(MemoryBudget::MinProgressBytes, 'x');
+    RawConnection connection(server_->address());
+    connection.send("POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: " + std::to_string(Pieces * piece.size()) + "\r\n\r\n");
+    for (int sent = 0; sent < Pieces; ++sent) {
+        std::this_thread::sleep_for(100ms);
+        connection.send(piece);
+    }
+    EXPECT_THAT(connection.readAll(), StartsWith("HTTP/1.1 200"));
+}
+
+/// Guards against cutting off a caller that reads slowly, but steadily, because all that is queued takes longer than the write timeout.
+TEST_F(HostileCallersTest, ASlowReaderThatGoesOnGetsTheWholeResponse)
+{
+    constexpr std::size_t ResponseBytes = 12UL * 1024 * 1024;
+    serve({.writeTimeout = 400ms}, [&](HttpRequest const &, std::shared_ptr<ResponseWriter> const &writer) {
+        writer->respond({.body = std::string(ResponseBytes, 'x')});
+    });
+    RawConnection connection(server_->address());
+    connection.send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    // As long as the caller has not received this much, the rest cannot be in the buffers of the system.
+    constexpr std::size_t SlowBytes = 4UL * 1024 * 1024;
+    std::size_t received = 0;
+    for (auto pauseAt = SlowBytes / 16; received < SlowBytes; pauseAt += SlowBytes / 16) {
+        std::this_thread::sleep_for(80ms);
+        while (received < pauseAt) {
+            auto const piece = connection.readPiece();
+            ASSERT_FALSE(piece.empty()) << received;
+            received += piece.size();
+        }
+    }
+    received += connection.readAll().size();
+    EXPECT_GT(received, ResponseBytes);
+}
+
+/// Guards against a crowd that fills the memory and stalls: it gets refusals that are true, and another caller is served.
+TEST_F(HostileCallersTest, StalledBodiesMakeRoomForOthers)
+{
+    auto const budget = ConnectionBudget::create(thread_.loop(), 120'000);
+    serve({.budget = budget});
+    std::vector<std::unique_ptr<RawConnection>> stalled;
+    for (int count = 0; count < 8; ++count) {
+        stalled.push_back(std::make_unique<RawConnection>(server_->address()));
+        stalled.back()->send("POST / HTTP/1.1\r\nContent-Length: 9000\r\n\r\n" + std::string(8000, 'x'));
+    }
+    EXPECT_THAT(exchange("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello"), HasSubstr("hello"));
+    EXPECT_EQ(handled().size(), 1U);
+    EXPECT_LE(thread_.call([&] { return budget->memory().heldBytes(); }), 120'000U);
+    stalled.front()->finishSending();
+    auto const refusal = stalled.front()->readAll();
+    EXPECT_TRUE(refusal.empty() || refusal.starts_with("HTTP/1.1 503")) << refusal;
+}
+
+/// The memory is short while a response is written. Guards against an end that makes it look complete, or refuses a request that ran.
+TEST_F(HostileCallersTest, AResponseThatIsEndedForItsMemoryLooksIncomplete)
+{
+    for (std::string const version : {"1.0", "1.1"}) {
+        serve({.budget = ConnectionBudget::create(thread_.loop(), 20'000'000)},
+              [](HttpRequest const &, std::shared_ptr<ResponseWriter> const &writer) {
+                  writer->start({.status = 200});
+                  writer->write(std::string(21'000'000, 'x'), [writer](WriteOutcome) { writer->finish(); });
+              });
+        RawConnection connection(server_->address());
+        connection.send("GET / HTTP/" + version + "\r\n\r\n");
+        auto const received = connection.readAll();
+        EXPECT_TRUE(connection.isEnded());
+        EXPECT_EQ(received.find("503"), std::string::npos);
+        EXPECT_TRUE(version == "1.1" ? !received.ends_with("\r\n0\r\n\r\n") : connection.isReset()) << version;
+        TearDown();
+    }
+}
+
+/// A connection was made, and its request arrived, before the server stops accepting, but the loop has not noticed yet. Guards against
+/// resetting it together with the listening socket.
+TEST_F(HostileCallersTest, ARequestThatArrivedBeforeTheStopIsAnswered)
+{
+    serve();
+    RawConnection first(server_->address());
+    std::vector<std::unique_ptr<RawConnection>> waiting;
+    thread_.call([&] {
+        for (int count = 0; count < 3; ++count) {
+            waiting.push_back(std::make_unique<RawConnection>(server_->address()));
+            waiting.back()->send("GET /waiting HTTP/1.1\r\nConnection: close\r\n\r\n");
+        }
+        server_->announceLeaving();
+        server_->stopAccepting();
+        server_->closeIdle();
+    });
+    for (auto const &connection : waiting)
+        EXPECT_THAT(connection->readAll(), HasSubstr("/waiting"));
+}
+
+/// Guards against a server that applies no deadlines any more after one of its callbacks failed.
+TEST_F(HostileCallersTest, DeadlinesApplyAfterAnExceptionInAnotherOne)
+{
+    struct Holder final : DeadlineHolder {
+        [[nodiscard]] Instant deadline() const override
+        {
+            return due;
+        }
+        void onDeadline() override
+        {
+            due = Instant::max();
+            onDue();
+        }
+        Instant due = Instant::min();
+        std::function<void()> onDue;
+    };
+    boost::asio::io_context io;
+    auto const sweep = std::make_shared<DeadlineSweep>(io);
+    auto const failing = std::make_shared<Holder>();
+    failing->onDue = [] { throw std::runtime_error("fails"); };
+    sweep->add(failing);
+    EXPECT_THROW(io.run_one(), std::runtime_error);
+    bool isCalled = false;
+    auto const next = std::make_shared<Holder>();
+    next->onDue = [&] { isCalled = true; };
+    failing->due = Instant::max();
+    next->due = Instant::min();
+    // Added as one that was there before: the sweep is not scheduled by this call if it is still scheduled.
+    sweep->add(next);
+    io.run_for(1s);
+    EXPECT_TRUE(isCalled);
+}
+
 /// A streamed body that stalls, is truncated or is invalid must be reported to its consumer, which otherwise would wait for more
 /// pieces without limit.
 TEST_F(HostileCallersTest, StalledOrInvalidStreamedBodyIsReportedToItsConsumer)
