Count only online requests of allowed servers for admission by speed

The expected wait by which a pool with stated speeds refuses requests contained batch items, which are preempted, and the requests expected at servers that may not take the request. A request that only a few servers may take, or one beside many items, could have been refused without need.

--- a/Libraries/LibServing/OnlinePlacement.cpp
+++ b/Libraries/LibServing/OnlinePlacement.cpp
@@ -167,11 +167,16 @@
 double OnlinePlacement::refreshLoads(
     Pool &pool, Candidates const &candidates, LoadTracker const &own, PeerTable const &peers, LoadAge const &age, Instant now)
 {
-    double departures = 0;
+    // On average, as many requests run at each server, as the choice keeps the load even.
     double running = 0;
-    for (auto const &load : candidates.loads)
+    double speeds = 0;
+    for (auto const &load : candidates.loads) {
         running += std::min(load.slots, load.online);
+        speeds += 1 / load.slowness;
+    }
     auto const runningPerServer = candidates.loads.empty() ? 0 : running / static_cast<double>(candidates.loads.size());
+    auto const departuresAtMeanSpeed =
+        runningPerServer * static_cast<double>(age.near.count()) / static_cast<double>(std::max<Duration::rep>(1, slotTime(pool).count()));
     for (auto const &[id, member] : pool.servers) {
         auto const &record = member.record;
         auto const ownInFlight = own.at(id);
@@ -185,13 +190,11 @@
         if (pool.statesPace) {
             report.slots = record.slots;
             report.slowness = member.slowness;
-            report.departures =
-                runningPerServer * static_cast<double>(age.near.count()) / (static_cast<double>(slotTime(pool).count()) * member.slowness);
-            departures += report.departures;
+            report.departures = departuresAtMeanSpeed / member.slowness;
         }
         pool.chooser.onLoadReport(id, report, pool.statesPace ? now : now - reportAge);
     }
-    return departures;
+    return departuresAtMeanSpeed * speeds;
 }
 
 OnlinePlacement::Candidates OnlinePlacement::findCandidates(
@@ -268,7 +271,9 @@
         return {};
     if (pool.statesPace) {
         auto const slots = static_cast<double>(pool.servers.at(chosen->id).record.slots);
-        auto const waiting = std::max(0.0, pool.chooser.expectedLevel() + 1 - slots);
+        // Batch items are preempted.
+        auto const batch = options_.batchWeight * (own.at(chosen->id).batch + peers.othersAt(chosen->id).batch);
+        auto const waiting = std::max(0.0, pool.chooser.expectedLevel() - batch + 1 - slots);
         auto const wait = std::chrono::duration_cast<Duration>(slotTime(pool) * (waiting / slots));
         auto const allowed = std::chrono::duration_cast<Duration>(request.latencyTarget * options_.admission.meanWaitShareOfTarget);
         if (wait > allowed)
--- a/Tests/LibServing/TestServerPace.cpp
+++ b/Tests/LibServing/TestServerPace.cpp
@@ -180,6 +180,33 @@
     EXPECT_GE(full.retryAfter, 100ms);
 }
 
+/// Batch items are preempted, so they are no reason to refuse.
+TEST_F(PacedPlacementTest, BatchItemsRefuseNoRequest)
+{
+    for (auto const *id : {"a", "b", "c"}) {
+        placement_.onLoadStated(recordOf(id), {.slowness = 1}, Start);
+        for (int item = 0; item < 30; ++item)
+            own_.onStarted(ServerId(id), WorkClass::Batch);
+    }
+    EXPECT_EQ(place(Start, 100ms).outcome, Placement::Outcome::Chosen);
+}
+
+/// Guards against counting the requests that go to all servers for the few that may take this one.
+TEST_F(PacedPlacementTest, OnlyTheRequestsOfAllowedServersCount)
+{
+    setOthers(6);
+    for (auto const *id : {"a", "b", "c"})
+        placement_.onLoadStated(recordOf(id), {.slowness = 1}, Start);
+    std::vector<ServerId> const excluded{ServerId("b"), ServerId("c")};
+    auto const placement =
+        placement_.place({.pool = PoolName("p"), .latencyTarget = 300ms, .excluded = excluded, .loadAge = {.near = 300ms, .far = 300ms}},
+                         own_,
+                         peers_,
+                         Start,
+                         random_);
+    EXPECT_EQ(placement.server.id, ServerId("a"));
+}
+
 TEST_F(PacedPlacementTest, SlowServersAndTheSpreadOfWaitsAreShown)
 {
     EXPECT_EQ(placement_.paceSummary(own_, peers_, Start).slowServers, 0U);
