--- a/Tests/Node/TestObservation.cpp
+++ b/Tests/Node/TestObservation.cpp
@@ -192,3 +192,26 @@
     loop.run();
     EXPECT_EQ(ticks, 2);
 }
+
+/// The fourth figure of a server's load report has to reach the choice of servers.
+TEST_F(ObservationTest, MetricsShowAServerThatStatesToBeSlow)
+{
+    FleetServer::Script const script = [](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        auto headers = signedHeaders(request, "text/event-stream");
+        headers.set("Anvilyard-Instance-Load", "1,0,8,250");
+        writer->start({.status = 200, .headers = std::move(headers)});
+        writer->write(eventTexts(0, 3), nullptr);
+        writer->finish();
+    };
+    FleetServer const other(thread_, script);
+    putServer("s2", other.address());
+    auto &node = serve(script);
+    EXPECT_THAT(metricsOf(node), HasSubstr("anvilyard_node_slow_servers 0"));
+    // A server that has stated nothing yet counts as usual. The effect of a statement fades within a second.
+    bool isShown = false;
+    for (int request = 0; request < 20 && !isShown; ++request) {
+        ASSERT_TRUE(ask(node, requestOf("/s/1", "r" + std::to_string(request))));
+        isShown = metricsOf(node).find("anvilyard_node_slow_servers 1") != std::string::npos;
+    }
+    EXPECT_TRUE(isShown);
+}
