--- a/Benchmarks/Choose/Main.cpp
+++ b/Benchmarks/Choose/Main.cpp
@@ -94,8 +94,7 @@
     std::vector<Serving::UsableServer> servers;
     for (auto const &server : makeServers(serverCount)) {
         servers.push_back(
-            {.record = {
-                 .id = server.id, .pool = server.pool, .address = server.address, .dataCentre = server.dataCentre, .slots = 8}});
+            {.record = {.id = server.id, .pool = server.pool, .address = server.address, .dataCentre = server.dataCentre, .slots = 8}});
         report.inFlight[server.id].online = static_cast<std::uint32_t>(random() % 8);
     }
     placement.setServers(servers, {});
