Count a request that its server failed as in flight for four runs

Errors are no evidence for an ejection, since an entry sees each server too rarely, and the health path of such a server responds.

Change: LoadTracker counts a failed request as in flight for four mean run times of the pool. The counts go to all instances with the reports of load as they are, without a further message, and a build without the change counts them like any others.

--- a/Libraries/LibServing/LoadTracker.cpp
+++ b/Libraries/LibServing/LoadTracker.cpp
@@ -41,6 +41,20 @@
     recordChange();
 }
 
+void LoadTracker::onFailed(ServerId const &server, WorkClass workClass, Instant until)
+{
+    onStarted(server, workClass);
+    failed_.emplace(until, FailedRequest{.server = server, .workClass = workClass});
+}
+
+void LoadTracker::onTick(Instant now)
+{
+    while (!failed_.empty() && failed_.begin()->first <= now) {
+        auto const failed = failed_.extract(failed_.begin()).mapped();
+        onFinished(failed.server, failed.workClass);
+    }
+}
+
 InFlight LoadTracker::at(ServerId const &server) const
 {
     auto const found = inFlight_.find(server);
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -583,6 +583,7 @@
     lastTickByBootClock_ = bootClock;
     if (bool const ready = isReady(); ready != std::exchange(wasReady_, ready))
         Observe::log(ready ? Observe::Events::NodeReady : Observe::Events::NodeNotReady);
+    context_.load.onTick(now);
     health_.onTick(now);
     fleet_.onTick(now);
     versions_.onTick(now);
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -33,6 +33,9 @@
 constexpr std::size_t MaxRelayRefusals = 4;
 /// Number of permits that are requested for one request. Each takes some milliseconds.
 constexpr std::size_t MaxPermitRequests = 8;
+/// Time for which a request counts as in flight at the server that failed it, in mean run times of the pool. While most servers are busy,
+/// one that fails its requests gets a quarter of what a sound one gets.
+constexpr int FailedRequestRuns = 4;
 
 Repeatability repeatabilityOf(Serving::Route const &route)
 {
@@ -62,6 +65,13 @@
     return status >= FirstRequestError && status < FirstServerError;
 }
 
+/// Whether the status says that the server is at fault.
+bool isServerError(int status)
+{
+    constexpr int FirstServerError = 500;
+    return status >= FirstServerError;
+}
+
 bool isEventStream(Http::Headers const &headers)
 {
     return headers.find("Content-Type").value_or("").starts_with("text/event-stream");
@@ -688,6 +698,8 @@
                   {"slots", std::to_string(attempt_->server.slots)},
                   {"after_ms", millisecondsSince(attempt_->sentAt, now)},
                   {"send", std::to_string(attempts_)}});
+    if (isServerError(attempt_->head.status) && !attempt_->traits.isNotRun)
+        parts_.context.load.onFailed(server, Serving::WorkClass::Online, now + FailedRequestRuns * parts_.context.placement.meanRun(pool_));
     finishAttempt();
     auto const evidence = attempt_->traits.isNotRun ? Routing::NotRunEvidence::Stated : Routing::NotRunEvidence::Withheld;
     perform(plan_.onEnded(server, Routing::ServerErrorResponse{.status = attempt_->head.status, .evidence = evidence}, now));
