--- a/Tests/FleetAdapter/TestPlatformNames.cpp
+++ b/Tests/FleetAdapter/TestPlatformNames.cpp
@@ -7,25 +7,11 @@
 TEST(PlatformNamesTest, PlatformNamesStayInTheAdapter)
 {
     std::filesystem::path const root = ANVILYARD_SOURCE_FOLDER;
-    std::vector<std::string> const names = {"Attempt-Id",
-                                            "Deadline-Ms",
-                                            "Token-Usage",
-                                            "Prompt-Prefix",
-                                            "Expect-Instance",
-                                            "Not-Executed",
-                                            "Response-Signature",
-                                            "warmupLeft",
-                                            "dead_letter",
-                                            "/api/lots",
-                                            "/api/items",
-                                            "/api/objects",
-                                            "/api/readyz",
-                                            "nextToken",
-                                            "allowStale",
-                                            "pathPrefix\"",
-                                            "sloMs",
-                                            "queueTtlS",
-                                            "completionTargetMs"};
+    std::vector<std::string> const names = {
+        "Attempt-Id",         "Deadline-Ms",      "Token-Usage",   "Prompt-Prefix", "Expect-Instance", "Not-Executed",
+        "Response-Signature", "warmupLeft",       "dead_letter",   "/api/lots",     "/api/items",      "/api/objects",
+        "/api/readyz",        "nextToken",        "allowStale",    "pathPrefix\"",  "sloMs",           "queueTtlS",
+        "completionTargetMs", "Anvilyard-Tenant", "Instance-Load", "apiKeys",       "ratePerS"};
     std::size_t files = 0;
     for (auto const *const folder : {"Libraries", "Services", "Utilities"}) {
         for (auto const &entry : std::filesystem::recursive_directory_iterator(root / folder)) {
