--- a/Libraries/LibRouting/LimitCoordinator.h
+++ b/Libraries/LibRouting/LimitCoordinator.h
@@ -50,7 +50,7 @@
 
     /// Replaces the limits of all customers. Customers keep their levels, up to the new burst.
     void setLimits(std::unordered_map<CustomerId, RequestLimit> const &limits, Instant now);
-    /// Sets the entries that may be running. The equal shares of those that are not heard from are subtracted from the limits.
+    /// Sets the entries that may be running. The equal shares of those that do not report are subtracted from the limits.
     void setKnownEntries(std::vector<InstanceId> const &entries, Instant now);
     /// Keeps entries from being forgotten that run without reporting here, such as those of an earlier build.
     void onEntriesAlive(std::vector<InstanceId> const &entries, Instant now);
--- a/Libraries/LibServing/CustomerTable.h
+++ b/Libraries/LibServing/CustomerTable.h
@@ -11,7 +11,7 @@
 
 namespace Anvilyard::Serving {
 
-/// Fails with `ServingError::BadRecord` if the customers cannot be told apart by their names and keys, or if a limit is out of range. The
+/// Fails with `ServingError::BadRecord` if names or keys of the customers are not unique, or if a limit is out of range. The
 /// error names the customer and the field, and the value unless it is a key.
 Result<std::monostate> checkCustomers(std::span<Customer const> customers);
 
--- a/Services/Node/DatagramSocket.cpp
+++ b/Services/Node/DatagramSocket.cpp
@@ -71,7 +71,7 @@
             try {
                 drain();
             } catch (...) {
-                // The handler failed on one datagram. Without another wait, this instance would hear nothing any more.
+                // The handler failed on one datagram. Without another wait, this instance would receive no further one.
                 receive();
                 throw;
             }
--- a/Services/Node/JobAccess.h
+++ b/Services/Node/JobAccess.h
@@ -15,7 +15,7 @@
 /// that submitted it. A job that was submitted without a customer is open to the callers of all customers. `routes` may be null.
 [[nodiscard]] bool mayAccess(Serving::RouteTable const *routes, Jobs::JobRecord const &job, JobCaller const &caller);
 
-/// Customer that the servers of a job's items are told, as in AttemptParameters. `routes` may be null.
+/// Customer that is sent to servers with the items of a job, as in AttemptParameters. `routes` may be null.
 [[nodiscard]] std::optional<CustomerId> itemCustomer(Serving::RouteTable const *routes, Jobs::JobRecord const &job);
 
 /// Marks the answer of a runner that has checked the caller of a job call. Earlier builds ignore the caller, and the entry must not use
--- a/Services/Node/PeerReportExchange.h
+++ b/Services/Node/PeerReportExchange.h
@@ -26,7 +26,7 @@
     void setStoreReachability(Serving::StoreReachability reachability);
     /// Sets the number of tokens that wait in this instance's jobs.
     void setWaitingTokens(std::uint64_t tokens);
-    /// Sets the same by customer. Only runners are told.
+    /// Sets the same by customer. Sent to runners only.
     void setCustomerTokens(Serving::TokensByCustomer tokens, std::vector<JobId> recentJobs);
 
 private:
--- a/Services/Node/ServingProtocol.h
+++ b/Services/Node/ServingProtocol.h
@@ -42,8 +42,8 @@
     /// Time limit for the server; unlimited if unset.
     std::optional<Duration> timeLeft;
     std::optional<std::uint64_t> lastEventId;
-    /// Customer that the server is told. Empty for a caller without a key; unset if the desired state has no customers. If set, the server
-    /// is not sent the caller's key.
+    /// Customer that is sent to the server. Empty for a caller without a key; unset if the desired state has no customers. If set, the
+    /// server is not sent the caller's key.
     std::optional<CustomerId> customer = {};
 };
 
@@ -113,7 +113,7 @@
     [[nodiscard]] virtual std::optional<std::string_view> readKey(Http::HttpRequest const &request) const = 0;
     /// Returns the customer that makeServerRequest() stated; `std::nullopt` if it stated none.
     [[nodiscard]] virtual std::optional<CustomerId> readCustomer(Http::HttpRequest const &request) const = 0;
-    /// `customer` is the one that the server will be told, as in AttemptParameters. If set, it replaces the key in the fingerprint.
+    /// `customer` is the one that will be sent to the server, as in AttemptParameters. If set, it replaces the key in the fingerprint.
     [[nodiscard]] virtual Result<OnlineRequestHead> readOnlineRequest(Http::HttpRequest const &request,
                                                                       std::optional<CustomerId> const &customer) const = 0;
     /// Returns the parts of a prompt that other requests may share, in their order.
--- a/Tests/Node/TestCustomerJobs.cpp
+++ b/Tests/Node/TestCustomerJobs.cpp
@@ -125,7 +125,7 @@
     EXPECT_EQ(end(entry, "j1", "k1"), 200);
 }
 
-/// Guards against servers that see a key in an item, or are told a name that the submitter made up.
+/// Guards against servers that receive a key with an item, or a customer name that the submitter chose.
 TEST_F(CustomerJobsTest, ItemsAreSentWithTheCustomerOfTheirJob)
 {
     FleetServer server(thread_, [](int, auto const &request, auto const &writer) { answerEvents(request, writer, 3); });
@@ -144,7 +144,7 @@
     EXPECT_FALSE(server.requests().back().headers.contains("Anvilyard-Tenant"));
 }
 
-/// Guards against jobs of earlier builds that nobody can read after customers were introduced.
+/// Guards against jobs of earlier builds that cannot be read any more once the desired state has customers.
 TEST_F(CustomerJobsTest, AJobWithoutACustomerIsOpenToEveryKey)
 {
     Jobs::JobRecord const job{
--- a/Tests/Node/TestCustomers.cpp
+++ b/Tests/Node/TestCustomers.cpp
@@ -86,7 +86,7 @@
     EXPECT_THAT(metricsOf(node), testing::HasSubstr("anvilyard_node_authentications_total{outcome=\"accepted\"} 1"));
 }
 
-/// Guards against requests that run without a valid key, and against a caller that is told to come again although its key will not do.
+/// Guards against requests that run without a valid key, and against a Retry-After for a key that will not be accepted later either.
 TEST_F(CustomersTest, ARequestWithoutAValidKeyIsRefused)
 {
     auto &node = serveWith(TwoCustomers);
@@ -105,7 +105,7 @@
     EXPECT_TRUE(server_.requests().empty());
 }
 
-/// Guards against a public route that needs a key, or whose server sees one or is told a name that the caller made up.
+/// Guards against a public route that needs a key, or whose server receives one, or a customer name that the caller chose.
 TEST_F(CustomersTest, APublicRouteNeedsNoKey)
 {
     auto &node = serveWith(TwoCustomers);
@@ -157,7 +157,7 @@
     }
 }
 
-/// Another instance has checked the key. Guards against refusing its request, as it has none, and against a server that is told another
+/// Another instance has checked the key. Guards against refusing its request, as it has none, and against a server that receives another
 /// name. An instance of an earlier build passes the request on as the caller sent it.
 TEST_F(CustomersTest, ARelayedRequestHasTheCustomerThatTheSenderFound)
 {
--- a/Tests/NodeProcesses/TestCustomerKeys.cpp
+++ b/Tests/NodeProcesses/TestCustomerKeys.cpp
@@ -16,7 +16,7 @@
 class CustomerKeysTest : public ::testing::Test
 {
 protected:
-    /// Sends a request whose body is the customer that its server must be told.
+    /// Sends a request whose body is the customer that its server must receive.
     std::future<ServingFleet::Answer> send(NodeProcess const &entry, std::string const &key, std::string const &customer)
     {
         auto request = ServingFleet::plainRequest("/q/1", customer);
--- a/Tests/NodeProcesses/TestCustomerLimits.cpp
+++ b/Tests/NodeProcesses/TestCustomerLimits.cpp
@@ -48,7 +48,7 @@
             entries_.push_back(&fleet_.startNode(name));
         for (auto const *entry : entries_)
             fleet_.waitUntilReady(*entry);
-        // Instances have heard of each other by then.
+        // Instances have received reports of each other by then.
         fleet_.waitUntil(readLocalClock() + 2s);
     }
 
