Charge only what an entry decided on since its coordinator returned

Cause: entries report cumulative counts. A runner that coordinated a customer for a moment, such as while the others started, and again later, charged all that the entries had decided on in between at once.

Change: an entry states how often it has changed the coordinator of a customer. A coordinator to which it returns starts from the counts as they are, and from an empty bucket.

--- a/Libraries/LibRouting/FractionLimiter.cpp
+++ b/Libraries/LibRouting/FractionLimiter.cpp
@@ -67,6 +67,8 @@
     for (auto &[id, customer] : customers_) {
         auto const runner = options_.coordinatorOf(id);
         customer.coordinator = runner ? &coordinators_[*runner] : nullptr;
+        if (runner && std::exchange(customer.lastCoordinator, runner) != runner)
+            ++customer.coordinatorChanges;
         if (customer.coordinator)
             customer.coordinator->customers.push_back(id);
     }
@@ -163,7 +165,10 @@
     LimitReport report{.entry = options_.self, .startedAt = options_.startedAt, .sentAt = now.time_since_epoch().count()};
     auto demand = Demand::None;
     auto const add = [&](CustomerId const &id, Customer const &customer) {
-        report.usage.push_back({.customer = id, .admitted = customer.admitted, .refused = customer.refused});
+        report.usage.push_back({.customer = id,
+                                .admitted = customer.admitted,
+                                .refused = customer.refused,
+                                .coordinatorChanges = customer.coordinatorChanges});
     };
     for (auto const &id : coordinator.customers)
         demand = std::max(demand, demandOf(customers_.at(id)));
--- a/Libraries/LibRouting/FractionLimiter.h
+++ b/Libraries/LibRouting/FractionLimiter.h
@@ -113,6 +113,9 @@
         RateLimiter share;
         double sharePerSecond = 0;
         Coordinator *coordinator = nullptr;
+        /// The last one that was known.
+        std::optional<InstanceId> lastCoordinator = {};
+        std::uint64_t coordinatorChanges = 0;
     };
 
     [[nodiscard]] bool decide(Customer &customer, Instant now);
--- a/Libraries/LibRouting/LimitCoordinator.cpp
+++ b/Libraries/LibRouting/LimitCoordinator.cpp
@@ -110,10 +110,13 @@
 {
     auto const [position, isNew] = customer.usage.try_emplace(report.entry);
     auto &usage = position->second;
-    if (isNew) {
-        usage = {.startedAt = report.startedAt, .counts = counts, .countedAt = now};
-        return;
-    }
+    // The first coordinator of an entry charges all of its counts, a later one only what it decides on since then.
+    auto const sinceStart =
+        usage.startedAt == report.startedAt ? usage.counts.coordinatorChanges : std::min<std::uint64_t>(1, counts.coordinatorChanges);
+    bool const hasReturned = counts.coordinatorChanges != sinceStart;
+    if (isNew || hasReturned)
+        return startCounting(customer, usage, report, counts, now);
+    customer.countedAt = now;
     bool const hasRestarted =
         usage.startedAt != report.startedAt || counts.admitted < usage.counts.admitted || counts.refused < usage.counts.refused;
     if (hasRestarted) {
@@ -134,6 +137,17 @@
         usage.demandAt = now;
 }
 
+void LimitCoordinator::startCounting(
+    Customer &customer, Usage &usage, LimitReport const &report, CustomerUsage const &counts, Instant now) const
+{
+    // Another coordinator may have granted what was left here.
+    if (customer.countedAt != Instant::min() && now - customer.countedAt >= options_.silenceTimeout)
+        customer.level = std::min(customer.level, 0.0);
+    customer.countedAt = now;
+    customer.admittedPerSecond -= usage.admittedPerSecond;
+    usage = {.startedAt = report.startedAt, .counts = counts, .countedAt = now};
+}
+
 void LimitCoordinator::updateFraction(Customer &customer, Instant now)
 {
     auto const elapsed = now - customer.fractionAt;
--- a/Libraries/LibRouting/LimitCoordinator.h
+++ b/Libraries/LibRouting/LimitCoordinator.h
@@ -92,6 +92,8 @@
         RequestLimit limit;
         double level = 0;
         Instant refilledAt;
+        /// When counts of any entry last arrived.
+        Instant countedAt = Instant::min();
         double offeredPerSecond = 0;
         double offeredSince = 0;
         Instant fractionAt;
@@ -108,6 +110,8 @@
     [[nodiscard]] double withheldRate(Customer const &customer, InstanceId const &id, Entry const &entry, Instant now) const;
     void refill(Customer &customer, Instant now);
     void charge(Customer &customer, LimitReport const &report, CustomerUsage const &counts, Instant now);
+    /// Takes counts that another coordinator has charged as those from which increases are charged.
+    void startCounting(Customer &customer, Usage &usage, LimitReport const &report, CustomerUsage const &counts, Instant now) const;
     void updateFraction(Customer &customer, Instant now);
     void updateShare(Customer const &customer, Usage &usage) const;
     /// Bounds what floods admit at an entry between two replies, without refusing what is left in the bucket.
--- a/Libraries/LibRouting/LimitExchange.h
+++ b/Libraries/LibRouting/LimitExchange.h
@@ -21,6 +21,8 @@
     CustomerId customer;
     std::uint64_t admitted = 0;
     std::uint64_t refused = 0;
+    /// How often the entry has changed the coordinator of the customer. What it decided on under another coordinator was charged there.
+    std::uint64_t coordinatorChanges = 0;
 
     bool operator==(CustomerUsage const &) const = default;
 };
--- a/Libraries/LibServing/LimitMessages.cpp
+++ b/Libraries/LibServing/LimitMessages.cpp
@@ -41,7 +41,7 @@
     auto const &report = addressed.report;
     json::array usage;
     for (auto const &counts : report.usage)
-        usage.push_back(json::array{counts.customer.value(), counts.admitted, counts.refused});
+        usage.push_back(json::array{counts.customer.value(), counts.admitted, counts.refused, counts.coordinatorChanges});
     return json::serialize(json::object{
         {"customerUsage", std::move(usage)},
         {"entry", report.entry.value()},
@@ -94,6 +94,8 @@
             .customer = CustomerId(textOf(counts.at(0))),
             .admitted = counts.at(1).to_number<std::uint64_t>(),
             .refused = counts.at(2).to_number<std::uint64_t>(),
+            // The first build with this message did not state it.
+            .coordinatorChanges = counts.size() > 3 ? counts.at(3).to_number<std::uint64_t>() : 0,
         });
     }
     return addressed;
--- a/Tests/LibRouting/TestCustomerLimits.cpp
+++ b/Tests/LibRouting/TestCustomerLimits.cpp
@@ -355,3 +355,50 @@
     ASSERT_EQ(afterRestart.grants.size(), 1U);
     EXPECT_EQ(afterRestart.grants.front().counted, 1U);
 }
+
+// A runner that was cut off or paused coordinates the limit again while its process runs on. Guards against charging at once what entries
+// admitted meanwhile, with which a customer below its limit was refused for seconds.
+TEST(CustomerLimitHandoverTest, ACoordinatorThatReturnsDoesNotChargeWhatAnotherOneHasCounted)
+{
+    constexpr Duration Step = 10ms;
+    constexpr std::size_t EntryCount = 5;
+    CustomerId const id("calm");
+    std::unordered_map<CustomerId, RequestLimit> const limits{{id, {.perSecond = 20, .burst = 20}}};
+    Instant now{std::chrono::hours(1)};
+    std::map<InstanceId, LimitCoordinator> runners;
+    for (auto const *const name : {"a", "b"}) {
+        auto &runner = runners.emplace(InstanceId(name), LimitCoordinator({.self = InstanceId(name)}, now)).first->second;
+        runner.setLimits(limits, now);
+    }
+    InstanceId coordinator("a");
+    std::vector<std::unique_ptr<FractionLimiter>> entries;
+    for (std::size_t index = 0; index < EntryCount; ++index) {
+        FractionLimiterOptions options{.self = InstanceId("entry-" + std::to_string(index)), .startedAt = 1};
+        options.coordinatorOf = [&](CustomerId const &) { return std::optional(coordinator); };
+        entries.push_back(std::make_unique<FractionLimiter>(options));
+        entries.back()->setKnownEntries(EntryCount);
+        entries.back()->setLimits(limits, now);
+    }
+    std::size_t steps = 0;
+    std::size_t refused = 0;
+    auto const run = [&](InstanceId const &runner, Duration duration) {
+        coordinator = runner;
+        for (auto const &entry : entries)
+            entry->refreshCoordinators();
+        refused = 0;
+        for (auto const until = now + duration; now < until; now += Step) {
+            // 12.5 requests a second, at one entry after the other.
+            if (++steps % 8 == 0)
+                refused += entries[steps / 8 % EntryCount]->tryAdmit(id, now) ? 1 : 0;
+            for (auto const &entry : entries) {
+                for (auto const &[to, report] : entry->takeReports(now))
+                    entry->onReply(runners.at(to).onReport(report, now), now);
+            }
+        }
+    };
+    run(InstanceId("a"), 2s);
+    run(InstanceId("b"), 20s);
+    EXPECT_EQ(refused, 0U);
+    run(InstanceId("a"), 20s);
+    EXPECT_LE(refused, 2U) << "of 250";
+}
