--- a/Services/Node/ConnectionLimits.cpp
+++ b/Services/Node/ConnectionLimits.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <sys/resource.h>
+#include <sys/sysinfo.h>
 
 namespace Anvilyard::Node {
 
@@ -36,4 +37,13 @@
     return limit.rlim_cur;
 }
 
+std::optional<std::size_t> readMachineMemory()
+{
+    struct sysinfo info {
+    };
+    if (::sysinfo(&info) != 0 || info.totalram == 0)
+        return std::nullopt;
+    return static_cast<std::size_t>(info.totalram) * info.mem_unit;
+}
+
 } // namespace Anvilyard::Node
--- a/Services/Node/ConnectionLimits.h
+++ b/Services/Node/ConnectionLimits.h
@@ -22,5 +22,7 @@
 [[nodiscard]] ConnectionLimits connectionLimits(std::size_t descriptors, std::optional<std::size_t> machineMemoryBytes);
 /// Reads the limit of descriptors of this process.
 [[nodiscard]] std::size_t readDescriptorLimit();
+/// Reads the memory of the machine in bytes; `std::nullopt` if the system does not state it.
+[[nodiscard]] std::optional<std::size_t> readMachineMemory();
 
 } // namespace Anvilyard::Node
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -135,7 +135,8 @@
                            },
                        .isEmpty = [this] { return runner_.isIdle(); },
                    })
-    , connectionLimits_(connectionLimits(readDescriptorLimit(), options.settings.memoryBytes))
+    , connectionLimits_(
+          connectionLimits(readDescriptorLimit(), options.settings.memoryBytes ? options.settings.memoryBytes : readMachineMemory()))
     , connectionBudget_(
           Http::ConnectionBudget::create(options.loop, connectionLimits_.memoryBytes.value_or(std::numeric_limits<std::size_t>::max())))
     , maxRequestHold_(options.maxRequestHold)
@@ -149,7 +150,8 @@
     Observe::log(Observe::Events::NodeStarted,
                  {{"instance", context_.settings.instance.value()},
                   {"role", context_.settings.role == InstanceRole::Entry ? "entry" : "runner"},
-                  {"dc", context_.settings.dataCentre.value()}});
+                  {"dc", context_.settings.dataCentre.value()},
+                  {"connection_bytes_limit", connectionLimits_.memoryBytes ? std::to_string(*connectionLimits_.memoryBytes) : "none"}});
     auto const listen = [this](Address const &address, std::size_t connections, Http::RequestHandler handler) {
         return Http::HttpServer::create(
             context_.loop, {.listen = address, .connectionLimit = connections, .budget = connectionBudget_}, std::move(handler));
--- a/Services/Node/NodeSettings.h
+++ b/Services/Node/NodeSettings.h
@@ -24,7 +24,7 @@
     Address platform;
     /// Maximum duration of a stop. The platform kills a process that still runs after it.
     Duration stopTimeout = 8s;
-    /// Memory of the machine; unset if the connections' memory is not bounded.
+    /// Memory of the machine; unset if the system states it.
     std::optional<std::size_t> memoryBytes = {};
 };
 
