--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,7 +13,7 @@
 from fleet import Host, desiredState, newId, play  # noqa: E402
 from store import Store  # noqa: E402
 
-# config_storm of the site's days: a change each 0.06 s for 1.5 s. platform_down, how silent: 4.5 s in the site's list, here 2 s.
+# config_storm: a change each 0.06 s for 1.5 s, as in a day of the site coldline-kr. platform_down, how silent: 2.5 s in a day, here 2 s.
 StormTime = 1.5
 StormGap = 0.06
 SilentTime = 2.0
