--- a/review/6/case.py
+++ b/review/6/case.py
@@ -17,10 +17,10 @@
 StormTime = 1.5
 StormGap = 0.06
 SilentTime = 2.0
-# Bounds of the installation.
-ContactTime = 3.0
-ConfigApplyTime = 2.0
-JudgedTime = 14.0
+# contactMs and configApplyMs of coldline-kr-grown.
+ContactTime = 4.0
+ConfigApplyTime = 3.0
+JudgedTime = 12.0
 Services = ("dele69a", "kubi18c")
 
 
