End each list of the store, whatever names other writers chose

Cause: FleetStore::list put the name into the target of the next call as it was. A blank made the call malformed, so that each list failed; the other characters changed the name, so that the store gave a page again and StoreFollower asked for it without end.

Change: the name is encoded; a list that comes back to a page fails and begins again after a pause; a page continues after the last name that can be read, also if that object cannot be read otherwise; an id that is no header value names no server. LibBatch uses the same loop.

--- a/Libraries/LibBatch/JobApi.cpp
+++ b/Libraries/LibBatch/JobApi.cpp
@@ -10,6 +10,7 @@
 #include "LibBatch/JobRequest.h"
 #include "LibBatch/JobSubmission.h"
 #include "LibBatch/ResultStreamer.h"
+#include "LibPlatform/PagedList.h"
 
 #include <algorithm>
 #include <boost/json/array.hpp>
@@ -90,15 +91,14 @@
     void accept(JobRequest const &request, FileRecord const &file, Writer const &writer);
     void cancel(CustomerId const &customer, JobId const &job, Writer const &writer);
     void listJobs(CustomerId const &customer, Http::HttpRequest const &request, Writer const &writer);
-    void listMoreJobs(CustomerId const &customer,
-                      std::string continueToken,
-                      std::vector<JobRecord> jobs,
-                      std::function<void(Result<std::vector<JobRecord>>)> done);
+    void listAllJobs(CustomerId const &customer, std::function<void(Result<std::vector<JobRecord>>)> done);
+    /// Lists all objects of a kind whose names have the prefix.
+    void listAll(Platform::Kind const &kind, std::string prefix, Platform::PageHandler onPage, Platform::Reply<std::monostate> done);
     void withJob(CustomerId const &customer, JobId const &job, Writer const &writer, std::function<void(JobRecord)> use);
     void withFile(CustomerId const &customer, FileId const &file, Writer const &writer, std::function<void(FileRecord)> use);
     /// Counts the outcomes of a finished job from its record and those of an open job from its chunks.
     void countOutcomes(JobRecord const &job, std::function<void(Result<OutcomeCounts>)> done);
-    void countChunks(JobId const &job, std::string continueToken, OutcomeCounts counts, std::function<void(Result<OutcomeCounts>)> done);
+    void countChunks(JobId const &job, std::function<void(Result<OutcomeCounts>)> done);
     void showJob(JobRecord const &job, Writer const &writer);
     UploadId makeUploadId();
 
@@ -365,29 +365,37 @@
     if (job.status != JobStatus::Open)
         done(job.counts);
     else
-        countChunks(job.id, {}, {}, std::move(done));
+        countChunks(job.id, std::move(done));
 }
 
-void JobApiServer::countChunks(JobId const &job,
-                               std::string continueToken,
-                               OutcomeCounts counts,
-                               std::function<void(Result<OutcomeCounts>)> done)
+void JobApiServer::listAll(Platform::Kind const &kind,
+                           std::string prefix,
+                           Platform::PageHandler onPage,
+                           Platform::Reply<std::monostate> done)
 {
-    Platform::ListOptions options{.namePrefix = chunkPrefix(job), .continueToken = std::move(continueToken)};
-    store_->list(
-        Kinds::chunks, std::move(options), [this, job, counts, done = std::move(done)](Result<Platform::ObjectList> const &result) mutable {
-            if (!result) {
-                done(tl::unexpected(result.error()));
-                return;
-            }
-            for (auto const &object : result->objects) {
+    Platform::listAllPages(
+        [this, kind](Platform::ListOptions options, Platform::Reply<Platform::ObjectList> reply) {
+            store_->list(kind, std::move(options), std::move(reply));
+        },
+        {.namePrefix = std::move(prefix)},
+        std::move(onPage),
+        std::move(done));
+}
+
+void JobApiServer::countChunks(JobId const &job, std::function<void(Result<OutcomeCounts>)> done)
+{
+    auto const counts = std::make_shared<OutcomeCounts>();
+    listAll(
+        Kinds::chunks,
+        chunkPrefix(job),
+        [counts](std::vector<Platform::Object> const &objects) {
+            for (auto const &object : objects) {
                 if (auto const chunk = ChunkCodec::decode(object.spec))
-                    addOutcomes(counts, chunk->outcomes);
+                    addOutcomes(*counts, chunk->outcomes);
             }
-            if (result->continueToken.empty())
-                done(counts);
-            else
-                countChunks(job, result->continueToken, counts, std::move(done));
+        },
+        [counts, done = std::move(done)](Result<std::monostate> const &listed) {
+            done(listed ? Result<OutcomeCounts>(*counts) : tl::unexpected(listed.error()));
         });
 }
 
@@ -398,7 +406,7 @@
         std::from_chars(text->data(), text->data() + text->size(), limit);
     limit = std::clamp<std::size_t>(limit, 1, MaxListedJobs);
     auto const after = request.query("after").value_or("");
-    listMoreJobs(customer, {}, {}, [writer, limit, after](Result<std::vector<JobRecord>> jobs) {
+    listAllJobs(customer, [writer, limit, after](Result<std::vector<JobRecord>> jobs) {
         if (!jobs) {
             refuse(writer, storeUnavailable("The batches cannot be read now."));
             return;
@@ -419,28 +427,21 @@
     });
 }
 
-void JobApiServer::listMoreJobs(CustomerId const &customer,
-                                std::string continueToken,
-                                std::vector<JobRecord> jobs,
-                                std::function<void(Result<std::vector<JobRecord>>)> done)
+void JobApiServer::listAllJobs(CustomerId const &customer, std::function<void(Result<std::vector<JobRecord>>)> done)
 {
-    Platform::ListOptions options{.namePrefix = customerJobPrefix(customer), .continueToken = std::move(continueToken)};
-    store_->list(Kinds::jobs,
-                 std::move(options),
-                 [this, customer, jobs = std::move(jobs), done = std::move(done)](Result<Platform::ObjectList> const &result) mutable {
-                     if (!result) {
-                         done(tl::unexpected(result.error()));
-                         return;
-                     }
-                     for (auto const &object : result->objects) {
-                         if (auto job = JobCodec::decode(object.spec); job && job->customer == customer)
-                             jobs.push_back(std::move(*job));
-                     }
-                     if (result->continueToken.empty())
-                         done(std::move(jobs));
-                     else
-                         listMoreJobs(customer, result->continueToken, std::move(jobs), std::move(done));
-                 });
+    auto const jobs = std::make_shared<std::vector<JobRecord>>();
+    listAll(
+        Kinds::jobs,
+        customerJobPrefix(customer),
+        [customer, jobs](std::vector<Platform::Object> const &objects) {
+            for (auto const &object : objects) {
+                if (auto job = JobCodec::decode(object.spec); job && job->customer == customer)
+                    jobs->push_back(std::move(*job));
+            }
+        },
+        [jobs, done = std::move(done)](Result<std::monostate> const &listed) {
+            done(listed ? Result<std::vector<JobRecord>>(std::move(*jobs)) : tl::unexpected(listed.error()));
+        });
 }
 
 } // namespace
--- a/Libraries/LibBatch/ResultStreamer.cpp
+++ b/Libraries/LibBatch/ResultStreamer.cpp
@@ -51,6 +51,10 @@
             if (!chunk->parts.empty())
                 self->chunks_.push_back(std::move(chunk->parts));
         }
+        if (!result->continueToken.empty() && !self->listProgress_.advance(result->continueToken)) {
+            self->fail();
+            return;
+        }
         self->continueToken_ = result->continueToken;
         if (!std::exchange(self->started_, true))
             self->writer_->start({.status = 200, .headers = {{"Content-Type", "application/jsonl"}}});
--- a/Libraries/LibBatch/ResultStreamer.h
+++ b/Libraries/LibBatch/ResultStreamer.h
@@ -3,6 +3,7 @@
 #include "LibBatch/JobNames.h"
 #include "LibBatch/StoreCaller.h"
 #include "LibHttp/HttpServer.h"
+#include "LibPlatform/PagedList.h"
 
 #include <deque>
 #include <memory>
@@ -32,6 +33,7 @@
     /// Names of the result parts of each chunk of the current page.
     std::deque<std::vector<std::string>> chunks_;
     std::string continueToken_;
+    Platform::ListProgress listProgress_;
     std::vector<std::string> parts_;
     std::vector<ResultLine> lines_;
     bool started_ = false;
--- a/Libraries/LibBatch/RunnerTransport.cpp
+++ b/Libraries/LibBatch/RunnerTransport.cpp
@@ -7,6 +7,7 @@
 #include "LibBatch/JobNames.h"
 #include "LibBatch/OpenJobCodec.h"
 #include "LibBatch/ResultCodec.h"
+#include "LibPlatform/PagedList.h"
 
 namespace Anvilyard::Batch {
 
@@ -110,34 +111,23 @@
 
 void RunnerTransport::listAll(Platform::Kind const &kind, std::string prefix, std::function<void(Result<Objects>)> done)
 {
-    listRest(kind, {.namePrefix = std::move(prefix), .limit = PageSize}, std::make_shared<Objects>(), std::move(done));
-}
-
-void RunnerTransport::listRest(Platform::Kind kind,
-                               Platform::ListOptions options,
-                               std::shared_ptr<Objects> objects,
-                               std::function<void(Result<Objects>)> done)
-{
-    reads_.add();
-    options_.store.list(
-        CallClass::Read,
-        kind,
-        options,
-        [weak = weak_from_this(), kind, options, objects, done = std::move(done)](Result<Platform::ObjectList> result) mutable {
+    auto const objects = std::make_shared<Objects>();
+    Platform::listAllPages(
+        [weak = weak_from_this(), kind](Platform::ListOptions options, Platform::Reply<Platform::ObjectList> reply) {
             auto const self = weak.lock();
             if (!self)
                 return;
-            if (!result) {
-                done(tl::unexpected(result.error()));
-                return;
-            }
-            std::move(result->objects.begin(), result->objects.end(), std::back_inserter(*objects));
-            if (result->continueToken.empty()) {
-                done(std::move(*objects));
-                return;
-            }
-            options.continueToken = result->continueToken;
-            self->listRest(kind, options, objects, std::move(done));
+            self->reads_.add();
+            self->options_.store.list(
+                CallClass::Read, kind, std::move(options), [weak, reply = std::move(reply)](Result<Platform::ObjectList> page) {
+                    if (auto const alive = weak.lock())
+                        reply(std::move(page));
+                });
+        },
+        {.namePrefix = std::move(prefix), .limit = PageSize},
+        [objects](Objects page) { std::move(page.begin(), page.end(), std::back_inserter(*objects)); },
+        [objects, done = std::move(done)](Result<std::monostate> const &listed) {
+            done(listed ? Result<Objects>(std::move(*objects)) : tl::unexpected(listed.error()));
         });
 }
 
--- a/Libraries/LibBatch/RunnerTransport.h
+++ b/Libraries/LibBatch/RunnerTransport.h
@@ -62,10 +62,6 @@
 
     using Objects = std::vector<Platform::Object>;
     void listAll(Platform::Kind const &kind, std::string prefix, std::function<void(Result<Objects>)> done);
-    void listRest(Platform::Kind kind,
-                  Platform::ListOptions options,
-                  std::shared_ptr<Objects> objects,
-                  std::function<void(Result<Objects>)> done);
     Platform::Reply<Platform::Object> chunkReply(ChunkRef const &chunk);
 
     RunnerTransportOptions options_;
--- a/Services/Node/StoreFollower.cpp
+++ b/Services/Node/StoreFollower.cpp
@@ -56,6 +56,7 @@
     if (isFirstPage_) {
         listed_.clear();
         listExtent_ = {.startedAt = readLocalClock()};
+        listProgress_ = {};
     }
     options_.store.list(Platform::CallClass::Read,
                         options_.kind,
@@ -84,8 +85,11 @@
         options_.hooks.onPage(std::move(page->objects));
     else
         listed_.insert(listed_.end(), std::make_move_iterator(page->objects.begin()), std::make_move_iterator(page->objects.end()));
-    if (!page->continueToken.empty())
+    if (!page->continueToken.empty()) {
+        if (auto const advanced = listProgress_.advance(page->continueToken); !advanced)
+            return retryLater(advanced.error());
         return list(page->continueToken);
+    }
     isListing_ = false;
     hasListed_ = true;
     auto const listDuration = std::chrono::duration_cast<std::chrono::milliseconds>(readLocalClock() - listExtent_.startedAt);
--- a/Services/Node/StoreFollower.h
+++ b/Services/Node/StoreFollower.h
@@ -2,7 +2,7 @@
 
 #include "LibCore/Random.h"
 #include "LibHttp/EventLoop.h"
-#include "LibPlatform/ObjectStore.h"
+#include "LibPlatform/PagedList.h"
 
 #include <functional>
 #include <memory>
@@ -80,6 +80,8 @@
     std::optional<Instant> unreachableSince_;
     bool isFirstPage_ = true;
     /// Of the current list.
+    Platform::ListProgress listProgress_;
+    /// Of the current list.
     struct {
         Instant startedAt;
         std::size_t pages = 0;
--- a/Tests/FleetAdapter/TestFleetStore.cpp
+++ b/Tests/FleetAdapter/TestFleetStore.cpp
@@ -127,6 +127,29 @@
     EXPECT_EQ(names, (std::vector<std::string>{"a", "b", "c", "d", "e"}));
 }
 
+/// Guards against a list that begins again or fails at a page that ends with a name of another writer, which may hold characters that have
+/// a meaning in a target. No object after it would be found.
+TEST_F(FleetStoreTest, ListsGoOnAfterNamesWithAnyCharacters)
+{
+    std::vector<std::string> const names = {
+        "#", "%", "&x", "a", "a b", "a#c", "a%20d", "a%zz", "a&after=", "a+b", "a/b", "a?allowStale=1", "b", "b\xc3\xa9"};
+    for (auto const &name : names)
+        thread_.call([&] { server_->put("things", name, "{}"); });
+    for (std::size_t const pageSize : {1U, 2U, 3U}) {
+        thread_.call([&] { server_->setPageSize(pageSize); });
+        std::vector<std::string> listed;
+        std::string next;
+        do {
+            auto const page = call<ObjectList>([&](auto reply) { store_->list(CallClass::Read, things, {.continueToken = next}, reply); });
+            ASSERT_TRUE(page) << "after '" << next << "': " << page.error().toString();
+            for (auto const &object : page->objects)
+                listed.push_back(object.name.value());
+            next = page->continueToken;
+        } while (!next.empty() && listed.size() <= names.size());
+        EXPECT_EQ(listed, names) << pageSize << " objects a page";
+    }
+}
+
 /// Guards against mapping a lost response to a refusal: the change would be reported as not applied although it was.
 TEST_F(FleetStoreTest, FailedCallsAreMappedToErrors)
 {
--- a/Tests/FleetAdapter/TestFleetStoreCodec.cpp
+++ b/Tests/FleetAdapter/TestFleetStoreCodec.cpp
@@ -101,6 +101,21 @@
     }
 }
 
+// A page that ends with an entry that cannot be read. Guards against a list that ends there as if it were complete, or that reads the same
+// page again and again.
+TEST(FleetStoreCodecTest, AListGoesOnAfterAnEntryThatCannotBeRead)
+{
+    auto const named = R"({"metadata":{"name":"odd","revision":-1}})";
+    EXPECT_EQ(decodeList(list({sound("a"), named}, "true"))->continueToken, "odd");
+    EXPECT_EQ(decodeList(list({named}, "true"))->continueToken, "odd");
+    EXPECT_EQ(decodeList(list({R"({"spec":7,"metadata":{"name":"odd"}})"}, "true"))->continueToken, "odd");
+    EXPECT_EQ(decodeList(list({sound("a"), "{}", "null"}, "true"))->continueToken, "a");
+    EXPECT_EQ(decodeList(list({sound("a"), named}, "false"))->continueToken, "");
+    // Nothing shows where the next page begins.
+    for (auto const *page : {"", "null", "{}", R"({"metadata":{"name":""}})", R"({"metadata":{"name":"\ud800","revision":1}})"})
+        EXPECT_FALSE(decodeList(list({page}, "true"))) << page;
+}
+
 TEST(FleetStoreCodecTest, ATruncatedResponseIsAnError)
 {
     auto const text = list({sound("a"), sound("b")});
