Send an item again on a fresh connection

Cause: each of the three sends that an item may have without a response took a kept connection, and each reset counted.

Change: a send after one that was not answered uses a fresh connection. Not to count resets of kept connections was ruled out: a server that answers 422 and resets looks the same, and the item would reach servers a fourth time.

ItemConnectionsTest.AnItemThatMetADroppedConnectionIsSentOnAFreshOne failed before (the item was given up after 15.5 s) and passes.

--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -71,6 +71,8 @@
         .connectTimeout = ConnectTimeout,
         .headTimeout = isSentWithCare() ? CarefulHeadTimeout : HeadTimeout,
         .progressTimeout = ProgressTimeout,
+        // The server may have dropped an idle connection without notice.
+        .connection = isSentWithCare() ? Http::ClientRequest::Connection::FreshOnly : Http::ClientRequest::Connection::AnyIdle,
         .framing = Http::ClientRequest::Framing::CloseMayEnd,
         .matchesRequest =
             [&protocol = context_.protocol, id = item.id](Http::ResponseHead const &head) {
