Record a repeated send of an item when it has a place at a server

Cause: a send after an unanswered one is recorded before it starts. The record was written when the item's pause was over, long before there was a server for it, so that each owner that ended meanwhile left one send that nobody had made. After three the item is held.

Change: the item gets its place at a server first, then its send is recorded, then it is made. A send that is not made is withdrawn from the record, and the place is given back if the store does not accept the record or other owners have sent the item too often. The counts of one item move to UnansweredSends, what becomes of their servers to UnansweredItems.

JobTrackerTest.AnItemThatWaitsForAServerIsNotCountedAsSent failed before (2 sends recorded after the first owner, 3 after the second, where one was made) and passes. ASendAfterAnUnansweredOneIsRecordedBeforeItStarts expected the old order, a record before the item is chosen; the test that replaces it expects that nothing is sent before its record, and that a record which the store refuses sends nothing.

--- a/Libraries/LibJobs/JobTracker.cpp
+++ b/Libraries/LibJobs/JobTracker.cpp
@@ -9,6 +9,12 @@
 /// Weight of one completed item in the moving average of events.
 constexpr double MeanEventsWeight = 0.1;
 
+std::optional<std::uint32_t> countAt(FailureCounts const &counts, std::size_t index)
+{
+    auto const found = counts.find(index);
+    return found == counts.end() ? std::nullopt : std::optional(found->second);
+}
+
 } // namespace
 
 JobTracker::JobTracker(JobTrackerOptions options)
@@ -157,7 +163,7 @@
                   .lastEventId = canGoOnAt(*waitingItem, versions.current) ? waitingItem->lastEventId : std::nullopt,
                   .isLate = now + timeLeft(*waitingItem, runTime) > due,
                   .version = versions.current,
-                  .unansweredAt = mayHaveFailedUnseen(*waitingItem) ? std::optional(waitingItem->unansweredAt) : std::nullopt},
+                  .unansweredAt = waitingItem->sends.mayHaveFailedUnseen() ? std::optional(waitingItem->sends.lastAt()) : std::nullopt},
     };
 }
 
@@ -227,6 +233,7 @@
         return;
     auto &item = job->items[start.index];
     item.state = Item::State::Running;
+    item.isReserved = item.sends.mayHaveFailedUnseen();
     item.isHeldBack = false;
     if (!canGoOnAt(item, start.version))
         restart(item);
@@ -257,8 +264,8 @@
 void JobTracker::onServerCrashed(JobId const &id, std::size_t index)
 {
     auto *job = find(id, index);
-    if (job && job->items[index].unanswered > 0)
-        --job->items[index].unanswered;
+    if (job)
+        job->items[index].sends.onServerCrashed();
 }
 
 std::vector<JobWait> JobTracker::waits(Instant now) const
@@ -298,7 +305,7 @@
     item.output += data;
     item.lastEventId = eventId;
     item.pauses = 0;
-    item.hasResponded = true;
+    item.sends.onResponded();
     return true;
 }
 
@@ -315,6 +322,8 @@
     if (!job || job->items[index].state != Item::State::Running)
         return;
     auto &item = job->items[index];
+    if (item.isReserved)
+        return returnReserved(item, now);
     item.state = Item::State::Waiting;
     item.waitingSince = now;
     switch (end) {
@@ -324,7 +333,7 @@
         return decide(*job, index, OutcomeState::Completed, now);
     case SendEnd::Impossible:
         // A new owner that does not find the outcome would send it again.
-        ++item.unanswered;
+        item.sends.onUnanswered(now);
         return giveUpFailed(*job, index, now);
     case SendEnd::Failed:
         ++item.failures;
@@ -336,7 +345,7 @@
     case SendEnd::Unanswered:
         return onUnanswered(*job, item, now);
     case SendEnd::Preempted:
-        if (mayHaveFailedUnseen(item))
+        if (item.sends.mayHaveFailedUnseen())
             return onUnanswered(*job, item, now);
         break;
     }
@@ -347,12 +356,11 @@
 
 void JobTracker::onUnanswered(Job const &job, Item &item, Instant now) const
 {
-    if (item.hasResponded)
+    if (item.sends.hasResponded())
         return pause(item, now);
-    ++item.unanswered;
-    item.unansweredAt = now;
+    item.sends.onUnanswered(now);
     restart(item);
-    auto const sends = unansweredSendsOf(item);
+    auto const sends = item.sends.count();
     auto const timeLeft = job.acceptedAt + item.policy->completionTarget - now;
     auto const share = std::chrono::duration_cast<Duration>(timeLeft * (options_.unansweredShareOfTimeLeft * sends));
     item.notBefore = now + std::max(options_.unansweredPause * static_cast<Duration::rep>(sends), std::min(share, timeLeft / 2));
@@ -375,23 +383,17 @@
 {
     if (now < item.notBefore || item.recordedFailures < item.failures)
         return true;
-    // The next send is recorded before it starts.
-    return mayHaveFailedUnseen(item) && (!mayBeSentAgain(item) || item.recordedUnanswered <= item.unanswered);
-}
-
-std::uint32_t JobTracker::unansweredSendsOf(Item const &item)
-{
-    return item.unanswered + item.otherUnanswered;
+    return item.sends.mayHaveFailedUnseen() && !mayBeSentAgain(item);
 }
 
-bool JobTracker::mayHaveFailedUnseen(Item const &item)
+UnansweredSends::SendState JobTracker::sendStateOf(Item const &item)
 {
-    return !item.hasResponded && unansweredSendsOf(item) > 0;
+    return item.state == Item::State::Running ? UnansweredSends::SendState::Sending : UnansweredSends::SendState::None;
 }
 
 bool JobTracker::mayBeSentAgain(Item const &item) const
 {
-    auto const sends = unansweredSendsOf(item);
+    auto const sends = item.sends.count();
     // Whether its servers would answer with 422 is not known before one has answered.
     if (failuresOf(item) == 0)
         return sends < options_.maxUnansweredSends;
@@ -596,12 +598,10 @@
     for (std::size_t index = 0; index < job.items.size(); ++index) {
         auto const &item = job.items[index];
         isRecountDue = isRecountDue || (now >= job.nextRecountAt && isHeldByOthers(item));
-        auto const count = unansweredToRecord(item, now);
-        if (!count)
-            continue;
-        commit.counts.emplace(index, *count);
         bool const isOpen = item.state == Item::State::Waiting || item.state == Item::State::Running;
-        isDue = isDue || (isOpen && (item.hasResponded ? !item.isResponseRecorded : item.recordedUnanswered < *count));
+        isDue = isDue || (isOpen && !item.sends.isRecorded(sendStateOf(item)));
+        if (auto const count = item.sends.toRecord(sendStateOf(item)))
+            commit.counts.emplace(index, *count);
     }
     if ((!isDue && !isRecountDue) || job.isRecordingUnanswered)
         return std::nullopt;
@@ -610,19 +610,41 @@
     return commit;
 }
 
-std::optional<std::uint32_t> JobTracker::unansweredToRecord(Item const &item, Instant now) const
+void JobTracker::returnReserved(Item &item, Instant now)
+{
+    item.isReserved = false;
+    item.state = Item::State::Waiting;
+    item.waitingSince = now;
+}
+
+std::vector<ReservedSend> JobTracker::takeReservedSends(Instant now)
 {
-    if (item.hasResponded)
-        return unansweredSendsOf(item) + item.recordedUnanswered > 0 ? std::optional(0U) : std::nullopt;
-    bool const isNext = item.state == Item::State::Waiting && now >= item.notBefore && mayHaveFailedUnseen(item) && mayBeSentAgain(item);
-    bool const isRecorded = item.recordedUnanswered > item.unanswered;
-    auto const count = item.unanswered + (isNext || isRecorded ? 1 : 0);
-    return count > 0 ? std::optional(count) : std::nullopt;
+    std::vector<ReservedSend> sends;
+    for (auto &[id, job] : jobs_) {
+        // What is being written may not be what the item needs.
+        if (job.isRecordingUnanswered)
+            continue;
+        for (std::size_t index = 0; index < job.items.size(); ++index) {
+            auto &item = job.items[index];
+            bool const isRecorded = item.isReserved && item.sends.isRecorded(UnansweredSends::SendState::Sending);
+            if (!item.isReserved || (!isRecorded && now >= job.recordNotBefore))
+                continue;
+            bool const maySend = isRecorded && (!item.sends.mayHaveFailedUnseen() || mayBeSentAgain(item));
+            if (maySend)
+                item.isReserved = false;
+            else
+                returnReserved(item, now);
+            if (!isRecorded)
+                item.notBefore = job.recordNotBefore;
+            sends.push_back({.job = id, .index = index, .maySend = maySend});
+        }
+    }
+    return sends;
 }
 
 bool JobTracker::isHeldByOthers(Item const &item) const
 {
-    return item.state == Item::State::Waiting && item.otherUnanswered > 0 && mayHaveFailedUnseen(item) && !mayBeSentAgain(item);
+    return item.state == Item::State::Waiting && item.sends.hasOthers() && item.sends.mayHaveFailedUnseen() && !mayBeSentAgain(item);
 }
 
 std::vector<FailureCommit> JobTracker::takeLastFailures(JobId const &id) const
@@ -642,10 +664,10 @@
             failures.counts.emplace(index, item.failures);
         if (item.state == Item::State::Listed)
             continue;
-        bool const isCleared = item.hasResponded && unansweredSendsOf(item) + item.recordedUnanswered > 0;
-        hasUnanswered = hasUnanswered || (isCleared ? !item.isResponseRecorded : item.recordedUnanswered != item.unanswered);
-        if (isCleared || item.unanswered > 0)
-            unanswered.counts.emplace(index, isCleared ? 0 : item.unanswered);
+        // No item runs any more.
+        hasUnanswered = hasUnanswered || !item.sends.isRecorded(UnansweredSends::SendState::None);
+        if (auto const count = item.sends.toRecord(UnansweredSends::SendState::None))
+            unanswered.counts.emplace(index, *count);
     }
     std::vector<FailureCommit> commits;
     if (hasFailures)
@@ -657,16 +679,8 @@
 
 void JobTracker::setOtherUnanswered(Job &job, FailureCounts const &counts)
 {
-    for (auto const &[index, count] : counts) {
-        if (index >= job.items.size())
-            continue;
-        auto &item = job.items[index];
-        item.otherUnanswered = count;
-        if (count > 0)
-            continue;
-        item.hasResponded = true;
-        item.isResponseRecorded = true;
-    }
+    for (std::size_t index = 0; index < job.items.size(); ++index)
+        job.items[index].sends.setOthers(countAt(counts, index));
 }
 
 JobTracker::Job *JobTracker::find(FailureCommit const &commit)
@@ -682,10 +696,8 @@
         return;
     if (commit.subject == FailureCommit::Subject::UnansweredSends) {
         job->isRecordingUnanswered = false;
-        for (auto const &[index, count] : commit.counts) {
-            job->items[index].recordedUnanswered = count;
-            job->items[index].isResponseRecorded = job->items[index].isResponseRecorded || count == 0;
-        }
+        for (std::size_t index = 0; index < job->items.size(); ++index)
+            job->items[index].sends.onRecorded(countAt(commit.counts, index));
         return setOtherUnanswered(*job, others);
     }
     job->isRecording = false;
--- a/Libraries/LibJobs/JobTracker.h
+++ b/Libraries/LibJobs/JobTracker.h
@@ -2,6 +2,7 @@
 
 #include "LibJobs/FailureRecord.h"
 #include "LibJobs/Job.h"
+#include "LibJobs/UnansweredSends.h"
 #include "LibServing/SoftwareVersion.h"
 
 #include <functional>
@@ -112,11 +113,19 @@
     FailureCounts counts;
     enum class Subject {
         Failures,
-        /// They include the next send of each item that may be sent now, as its sender may end before it has recorded the outcome.
+        /// They include the current send of each item whose earlier one was not answered, as its sender may end before its outcome.
         UnansweredSends,
     } subject = Subject::Failures;
 };
 
+/// An item that was started and whose send waited for its record.
+struct ReservedSend {
+    JobId job;
+    std::size_t index = 0;
+    /// Otherwise the item waits again.
+    bool maySend = false;
+};
+
 /// What the items of a job wait for.
 struct JobWait {
     JobId job;
@@ -184,6 +193,7 @@
     [[nodiscard]] std::map<PoolName, std::size_t> waitingByPool() const;
     /// All jobs that were not ended, including those without waiting items.
     [[nodiscard]] std::vector<JobWait> waits(Instant now) const;
+    /// An item with `unansweredAt` must not be sent before takeReservedSends() returns it.
     void onStarted(ItemStart const &start);
     /// Called instead of onStarted() if the item must not be sent yet. It waits for a pause.
     void onHeldBack(ItemStart const &start, Instant now);
@@ -212,6 +222,9 @@
 
     /// Returns the failures to be recorded now. A job has at most one record being written at a time.
     [[nodiscard]] std::vector<FailureCommit> takeFailures(Instant now);
+    /// Returns the started items whose sends are recorded, so that they are sent now, and those that wait again because the store did not
+    /// accept the record, or because the record shows that other owners have sent them too often.
+    [[nodiscard]] std::vector<ReservedSend> takeReservedSends(Instant now);
     /// Returns what is not recorded yet of a job that this runner hands over. The next owner counts it.
     [[nodiscard]] std::vector<FailureCommit> takeLastFailures(JobId const &job) const;
     /// Called when the counts of the commit are in the store, with those of other tenures. Items that failed often enough are given up.
@@ -260,16 +273,9 @@
         std::uint32_t recordedFailures = 0;
         /// Failures in other tenures, as of the last record.
         std::uint32_t otherFailures = 0;
-        /// Sends in this tenure that reached a server and were not answered.
-        std::uint32_t unanswered = 0;
-        /// How many sends are recorded that may be unanswered: those above, and perhaps the next one.
-        std::uint32_t recordedUnanswered = 0;
-        /// The same of other tenures.
-        std::uint32_t otherUnanswered = 0;
-        Instant unansweredAt = Instant::min();
-        /// A server has sent a part of its output, so that it does not fail each time.
-        bool hasResponded = false;
-        bool isResponseRecorded = false;
+        UnansweredSends sends;
+        /// Whether its send waits for its record.
+        bool isReserved = false;
         std::uint32_t pauses = 0;
         /// How often the store refused its outcome.
         std::uint32_t storeRefusals = 0;
@@ -333,17 +339,15 @@
     [[nodiscard]] static std::uint32_t failuresOf(Item const &item);
     /// Whether the item has failed as often as its policy allows.
     [[nodiscard]] static bool isExhausted(Item const &item);
-    [[nodiscard]] static std::uint32_t unansweredSendsOf(Item const &item);
-    /// Whether servers may have answered sends of the item with errors that were lost on the way.
-    [[nodiscard]] static bool mayHaveFailedUnseen(Item const &item);
     /// Whether one more send keeps within the number of answers with an error that an item may get.
     [[nodiscard]] bool mayBeSentAgain(Item const &item) const;
     void onUnanswered(Job const &job, Item &item, Instant now) const;
-    /// Number of sends to be recorded for the item; `std::nullopt` if there is nothing to record.
-    [[nodiscard]] std::optional<std::uint32_t> unansweredToRecord(Item const &item, Instant now) const;
+    [[nodiscard]] static UnansweredSends::SendState sendStateOf(Item const &item);
     static void setOtherUnanswered(Job &job, FailureCounts const &counts);
     [[nodiscard]] std::optional<FailureCommit> takeFailures(JobId const &id, Job &job) const;
     [[nodiscard]] std::optional<FailureCommit> takeUnanswered(JobId const &id, Job &job, Instant now) const;
+    /// Makes an item wait again that was started and not sent.
+    static void returnReserved(Item &item, Instant now);
     /// Whether the item is not sent because of what other tenures recorded.
     [[nodiscard]] bool isHeldByOthers(Item const &item) const;
     void giveUpFailed(Job &job, std::size_t index, Instant now);
--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -43,11 +43,18 @@
 {
 }
 
+void ItemRun::reserve()
+{
+    if (!std::exchange(isReserved_, true))
+        context_.load.onStarted(server_.id, Serving::WorkClass::Batch);
+}
+
 void ItemRun::start(Jobs::JobItem const &item, ItemOrigin const &origin)
 {
     itemId_ = item.id;
     suspects_ = suspectsOf(context_, item, origin);
-    context_.load.onStarted(server_.id, Serving::WorkClass::Batch);
+    startedAt_ = readLocalClock();
+    reserve();
     if (!context_.prompts.isTrial(suspects_))
         return send(item, origin);
     context_.reserveTrial(suspects_, [self = shared_from_this(), item, origin](std::optional<WallInstant> trialAt) {
@@ -255,6 +262,11 @@
     return startedAt_;
 }
 
+bool ItemRun::isSent() const
+{
+    return isSent_;
+}
+
 bool ItemRun::hasResponse() const
 {
     return status_ != 0;
--- a/Services/Node/ItemRun.h
+++ b/Services/Node/ItemRun.h
@@ -30,6 +30,8 @@
 
     ItemRun(NodeContext &context, HealthProber &health, Serving::ServerRecord server, Jobs::ItemStart item, Hooks hooks);
 
+    /// Occupies a place at the server until start().
+    void reserve();
     void start(Jobs::JobItem const &item, ItemOrigin const &origin);
     /// Ends the run without calling a hook again.
     void cancel();
@@ -37,6 +39,8 @@
     [[nodiscard]] Serving::ServerRecord const &server() const;
     [[nodiscard]] Jobs::ItemStart const &item() const;
     [[nodiscard]] Instant startedAt() const;
+    /// Whether the item may have reached the server.
+    [[nodiscard]] bool isSent() const;
     /// Whether the head of a response has arrived.
     [[nodiscard]] bool hasResponse() const;
     /// Whether the item is one of few sends that it may get, so that the run should not be ended without an answer.
@@ -71,7 +75,7 @@
     Instant startedAt_;
     /// Time from which this run counts as the trial of a suspect after the end of its quarantine; unset for other runs.
     std::optional<WallInstant> trialAt_;
-    /// Whether the item may have reached the server.
+    bool isReserved_ = false;
     bool isSent_ = false;
     int status_ = 0;
     bool isEnded_ = false;
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -38,10 +38,6 @@
 /// After this time without reaching the platform's store, in which several attempts failed, a runner leaves its jobs to other
 /// runners.
 constexpr Duration StoreOutageTolerance = 700ms;
-/// Registrations of crashed servers are removed within this time.
-constexpr Duration CrashNoticeTime = 15s;
-/// Bounds the memory for servers that responded to a check.
-constexpr Duration ResponseRetention = 60s;
 
 Jobs::TenureId makeTenure(RandomSource &random)
 {
@@ -88,6 +84,7 @@
               .onChange = [this](Platform::WatchChange change, Platform::Object const &object) { onJobChanged(change, object); },
           },
       })
+    , unanswered_(context, health)
     , meanRunTime_(InitialMeanRunTime)
     , stalls_(Jobs::StallDetectorOptions{})
     , waits_(Jobs::JobWaitDetectorOptions{})
@@ -400,7 +397,8 @@
 void JobRunner::onTick(Instant now)
 {
     reconcile(now);
-    settleUnanswered(now);
+    for (auto const &send : unanswered_.takeCrashed(now))
+        jobs_.onServerCrashed(send.job, send.index);
     jobs_.onTick(now);
     if (!isLeaving_) {
         checkOwners(now);
@@ -616,17 +614,18 @@
 void JobRunner::startItemsAt(Serving::ServerRecord const &server, std::uint32_t count, Instant now)
 {
     auto const &pool = server.pool;
+    bool hasReserved = false;
     for (std::uint32_t started = 0; started < count;) {
         auto const next = jobs_.next(pool, {.current = server.softwareVersion, .inUse = itemVersions_[pool]}, meanRunTime_, now);
         if (!next)
-            return;
+            break;
         auto const *record = jobs_.find(next->job);
-        ItemOrigin const origin{.host = record->host, .customer = itemCustomer(context_.routes.get(), *record)};
+        auto const origin = originOf(*record);
         if (context_.prompts.refusalReason(suspectsOf(context_, record->items[next->index], origin))) {
             jobs_.onHeldBack(*next, now);
             continue;
         }
-        if (next->unansweredAt && !isPathKnown(server, *next->unansweredAt)) {
+        if (next->unansweredAt && !unanswered_.isPathKnown(server, *next->unansweredAt)) {
             jobs_.onPathUnknown(*next, now);
             continue;
         }
@@ -647,16 +646,32 @@
                 .onEnd = [this, item = *next, server](SendEnd end) { onRunEnded(item, server, end); },
             });
         runs_.push_back(run);
-        run->start(record->items[next->index], origin);
+        if (!next->unansweredAt) {
+            run->start(record->items[next->index], origin);
+            continue;
+        }
+        // Its send is recorded first, while it has its place at the server.
+        run->reserve();
+        hasReserved = true;
     }
+    if (hasReserved)
+        recordFailures(now);
+}
+
+ItemOrigin JobRunner::originOf(Jobs::JobRecord const &record) const
+{
+    return {.host = record.host, .customer = itemCustomer(context_.routes.get(), record)};
+}
+
+std::list<std::shared_ptr<ItemRun>>::iterator JobRunner::findRun(JobId const &job, std::size_t index)
+{
+    return std::ranges::find_if(runs_, [&](auto const &run) { return run->item().job == job && run->item().index == index; });
 }
 
 void JobRunner::onRunEnded(Jobs::ItemStart const &item, Serving::ServerRecord const &server, SendEnd end)
 {
     auto const now = readLocalClock();
-    auto const found = std::find_if(
-        runs_.begin(), runs_.end(), [&](auto const &known) { return known->item().job == item.job && known->item().index == item.index; });
-    if (found != runs_.end()) {
+    if (auto const found = findRun(item.job, item.index); found != runs_.end()) {
         if (end == SendEnd::Complete && !item.lastEventId)
             meanRunTime_ += std::chrono::duration_cast<Duration>((now - (*found)->startedAt() - meanRunTime_) * MeanRunTimeWeight);
         runs_.erase(found);
@@ -664,7 +679,7 @@
     jobs_.onSendEnded(item.job, item.index, end, now);
     if (end == SendEnd::Unanswered) {
         metrics_.unansweredItems.add();
-        unanswered_.push_back({.job = item.job, .index = item.index, .server = server, .endedAt = now});
+        unanswered_.add({.job = item.job, .index = item.index, .server = server, .endedAt = now});
     }
     // A new owner that does not find them in the store would run the item again.
     if (end == SendEnd::Failed || end == SendEnd::Impossible || end == SendEnd::Unanswered) {
@@ -673,28 +688,24 @@
     }
 }
 
-bool JobRunner::isPathKnown(Serving::ServerRecord const &server, Instant unansweredAt)
-{
-    auto const now = readLocalClock();
-    if (auto const found = respondedAt_.find(server.id); found != respondedAt_.end() && found->second >= unansweredAt)
-        return true;
-    std::erase_if(respondedAt_, [&](auto const &entry) { return now - entry.second >= ResponseRetention; });
-    health_.checkResponds(server, [this, id = server.id, now] { respondedAt_[id] = now; });
-    return false;
-}
-
-void JobRunner::settleUnanswered(Instant now)
+void JobRunner::sendReserved(Instant now)
 {
-    std::erase_if(unanswered_, [&](UnansweredSend const &send) {
-        if (now - send.endedAt >= CrashNoticeTime)
-            return true;
-        auto const known = context_.directory.find(send.server.id, now);
-        bool const hasEnded = !known || known->record.startedAt != send.server.startedAt
-            || context_.prompts.hasEnded({.id = send.server.id, .startedAt = send.server.startedAt});
-        if (hasEnded)
-            jobs_.onServerCrashed(send.job, send.index);
-        return hasEnded;
-    });
+    for (auto const &[job, index, maySend] : jobs_.takeReservedSends(now)) {
+        auto const found = findRun(job, index);
+        if (found == runs_.end())
+            continue;
+        auto const run = *found;
+        bool const isServerUsable = context_.directory.find(run->server().id, now).has_value();
+        if (auto const *record = jobs_.find(job); record && maySend && isServerUsable) {
+            run->start(record->items[index], originOf(*record));
+            continue;
+        }
+        run->cancel();
+        runs_.erase(found);
+        // An item that may not be sent waits already.
+        if (maySend)
+            jobs_.onSendEnded(job, index, SendEnd::Unserved, now);
+    }
 }
 
 /// Cancels the runs that started last because they have the most work left.
@@ -722,7 +733,8 @@
             return false;
         run->cancel();
         // The server may have answered, and a new owner sends the item again.
-        jobs_.onSendEnded(job, run->item().index, run->hasResponse() ? SendEnd::Preempted : SendEnd::Unanswered, now);
+        auto const end = run->hasResponse() ? SendEnd::Preempted : run->isSent() ? SendEnd::Unanswered : SendEnd::Unserved;
+        jobs_.onSendEnded(job, run->item().index, end, now);
         return true;
     });
 }
@@ -758,8 +770,10 @@
                                                   {{"job", commit.job.value()}, {"failures", std::to_string(otherFailures)}});
                                  jobs_.onFailuresRecorded(commit, *others, recorded);
                                  storeOutcomes(recorded);
+                                 sendReserved(recorded);
                              });
     }
+    sendReserved(now);
 }
 
 void JobRunner::recordLast(Jobs::FailureCommit const &commit, int attempts)
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -10,6 +10,7 @@
 #include "Services/Node/ItemRun.h"
 #include "Services/Node/JobApiHandler.h"
 #include "Services/Node/PeerReportExchange.h"
+#include "Services/Node/UnansweredItems.h"
 
 #include <list>
 #include <map>
@@ -86,10 +87,10 @@
     /// Starts items, or requests a permit for one first if the server has a limit.
     void startItems(ServerId const &server, std::uint32_t count, Instant now);
     void startItemsAt(Serving::ServerRecord const &server, std::uint32_t count, Instant now);
-    /// Whether responses of the server have arrived since a send to any server was not answered. If that is not known, it is found out.
-    [[nodiscard]] bool isPathKnown(Serving::ServerRecord const &server, Instant unansweredAt);
-    /// Finds out which sends were not answered because the server crashed.
-    void settleUnanswered(Instant now);
+    /// Sends the items whose sends are recorded now.
+    void sendReserved(Instant now);
+    [[nodiscard]] ItemOrigin originOf(Jobs::JobRecord const &record) const;
+    [[nodiscard]] std::list<std::shared_ptr<ItemRun>>::iterator findRun(JobId const &job, std::size_t index);
     void onRunEnded(Jobs::ItemStart const &item, Serving::ServerRecord const &server, Jobs::SendEnd end);
     void onJobLoaded(JobId const &job, Result<Jobs::LoadedJob> loaded, Result<Jobs::RecordedCounts> const &counts);
     void startItemWithPermit(Serving::ServerRecord const &server);
@@ -158,16 +159,7 @@
     /// Last change of the runners, until the watch has been checked after it.
     std::optional<Instant> uncheckedChangeAt_;
     std::list<std::shared_ptr<ItemRun>> runs_;
-    /// A send that was not answered, until it is known whether its server crashed.
-    struct UnansweredSend {
-        JobId job;
-        std::size_t index = 0;
-        Serving::ServerRecord server;
-        Instant endedAt;
-    };
-    std::vector<UnansweredSend> unanswered_;
-    /// When a check began to which the server responded.
-    std::map<ServerId, Instant> respondedAt_;
+    UnansweredItems unanswered_;
     /// Servers for which a permit is requested.
     std::set<ServerId> pendingPermits_;
     std::list<PendingRead> pendingReads_;
--- a/Tests/LibJobs/TestJobTracker.cpp
+++ b/Tests/LibJobs/TestJobTracker.cpp
@@ -36,16 +36,31 @@
         tracker_.setPolicy(JobId(id), policy(), Start);
     }
 
-    /// Starts the next item and records one event for it.
-    ItemStart run(Instant now = Start)
+    /// Starts the next item and records its send if it has to be. `others`: unanswered sends that other tenures recorded.
+    ItemStart start(Instant now, FailureCounts const &others = {})
     {
         auto const next = tracker_.next(batchPool, RunTime, now);
         EXPECT_TRUE(next);
         tracker_.onStarted(*next);
-        tracker_.onEvent(next->job, next->index, 0, "text");
+        if (!next->unansweredAt)
+            return *next;
+        EXPECT_TRUE(tracker_.takeReservedSends(now).empty());
+        for (auto const &commit : tracker_.takeFailures(now))
+            tracker_.onFailuresRecorded(commit, others, now);
+        auto const reserved = tracker_.takeReservedSends(now);
+        EXPECT_EQ(reserved.size(), 1U);
+        EXPECT_TRUE(!reserved.empty() && reserved[0].maySend && reserved[0].index == next->index);
         return *next;
     }
 
+    /// Starts the next item and records one event for it.
+    ItemStart run(Instant now = Start)
+    {
+        auto const item = start(now);
+        tracker_.onEvent(item.job, item.index, 0, "text");
+        return item;
+    }
+
     void complete(Instant now = Start)
     {
         auto const item = run(now);
@@ -61,12 +76,10 @@
     }
 
     /// Starts the next item, to which no response comes.
-    void leaveUnanswered(Instant now)
+    void leaveUnanswered(Instant now, FailureCounts const &others = {})
     {
-        auto const next = tracker_.next(batchPool, RunTime, now);
-        ASSERT_TRUE(next);
-        tracker_.onStarted(*next);
-        tracker_.onSendEnded(next->job, next->index, SendEnd::Unanswered, now);
+        auto const item = start(now, others);
+        tracker_.onSendEnded(item.job, item.index, SendEnd::Unanswered, now);
     }
 
     JobTracker tracker_{JobTrackerOptions{}};
@@ -529,7 +542,7 @@
 }
 
 /// An owner that ends between a send and its outcome leaves a send that the next owner does not count.
-TEST_F(JobTrackerTest, ASendAfterAnUnansweredOneIsRecordedBeforeItStarts)
+TEST_F(JobTrackerTest, ASendAfterAnUnansweredOneIsRecordedBeforeItIsMade)
 {
     add("j", 1);
     leaveUnanswered(Start);
@@ -539,16 +552,55 @@
     EXPECT_EQ(first[0].counts, (FailureCounts{{0, 1}}));
     tracker_.onFailuresRecorded(first[0], {}, Start);
     auto const later = Start + 10s;
-    EXPECT_FALSE(tracker_.next(batchPool, RunTime, later));
+    auto const next = tracker_.next(batchPool, RunTime, later);
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->unansweredAt, Start);
+    tracker_.onStarted(*next);
+    EXPECT_TRUE(tracker_.takeReservedSends(later).empty());
     auto const second = tracker_.takeFailures(later);
     ASSERT_EQ(second.size(), 1U);
     EXPECT_EQ(second[0].counts, (FailureCounts{{0, 2}}));
+    EXPECT_TRUE(tracker_.takeReservedSends(later).empty()) << "the record is not written yet";
     tracker_.onFailuresNotRecorded(second[0], later);
+    auto const refused = tracker_.takeReservedSends(later);
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_FALSE(refused[0].maySend) << "it does not keep its place at the server while the store fails";
+    EXPECT_FALSE(tracker_.next(batchPool, RunTime, later)) << "it waits for the pause of the record";
+    start(later + 1s);
+}
+
+/// Another owner has sent the item meanwhile. Guards against one more send than all owners together may make.
+TEST_F(JobTrackerTest, AStartedItemIsNotSentIfOthersHaveSentItTooOften)
+{
+    add("j", 1);
+    leaveUnanswered(Start);
+    recordFailures(tracker_, Start);
+    auto const later = Start + 10s;
+    tracker_.onStarted(*tracker_.next(batchPool, RunTime, later));
+    recordFailures(tracker_, later, {{0, 2}});
+    auto const reserved = tracker_.takeReservedSends(later);
+    ASSERT_EQ(reserved.size(), 1U);
+    EXPECT_FALSE(reserved[0].maySend);
     EXPECT_FALSE(tracker_.next(batchPool, RunTime, later));
-    recordFailures(tracker_, later + 1s);
-    auto const next = tracker_.next(batchPool, RunTime, later + 1s);
-    ASSERT_TRUE(next);
-    EXPECT_EQ(next->unansweredAt, Start);
+    auto const withdrawn = tracker_.takeFailures(later);
+    ASSERT_EQ(withdrawn.size(), 1U);
+    EXPECT_EQ(withdrawn[0].counts, (FailureCounts{{0, 1}}));
+}
+
+/// A server refuses an item, or the connection to it fails. Guards against a count of a send that no server got, which stays if its owner
+/// ends.
+TEST_F(JobTrackerTest, ASendThatWasNotMadeIsWithdrawn)
+{
+    add("j", 1);
+    tracker_.setRecordedCounts(JobId("j"), {.failures = {}, .unanswered = {{0, 1}}});
+    auto const item = start(Start, {{0, 1}});
+    tracker_.onSendEnded(item.job, item.index, SendEnd::Unserved, Start);
+    auto const withdrawn = tracker_.takeFailures(Start);
+    ASSERT_EQ(withdrawn.size(), 1U);
+    EXPECT_EQ(withdrawn[0].counts, FailureCounts()) << "a count of 0 would say that the item has responded";
+    tracker_.onFailuresRecorded(withdrawn[0], {{0, 1}}, Start);
+    EXPECT_TRUE(tracker_.takeFailures(Start).empty());
+    start(Start + 10s, {{0, 1}});
 }
 
 /// Guards against holding a sound item because of servers that crashed under it.
@@ -578,7 +630,7 @@
         recordFailures(tracker_, now, {{0, 3}, {1, 2}, {2, 0}});
         if (auto const next = tracker_.next(batchPool, RunTime, now)) {
             sent.push_back(next->index);
-            leaveUnanswered(now);
+            leaveUnanswered(now, {{0, 3}, {1, 2}, {2, 0}});
         }
     }
     EXPECT_EQ(std::ranges::count(sent, 0U), 0);
@@ -598,6 +650,29 @@
     EXPECT_TRUE(tracker_.next(batchPool, RunTime, Start + 11s));
 }
 
+/// The response to an item was lost, and the owners of its job end one after the other while it waits for a server. Guards against an item
+/// that is held for sends that none of them has made.
+TEST_F(JobTrackerTest, AnItemThatWaitsForAServerIsNotCountedAsSent)
+{
+    FailureRecord record;
+    auto now = Start;
+    for (std::string const owner : {"a", "b", "c", "d"}) {
+        tracker_.add(recordOf("j", 1), {}, 0s, Start, TenureId(owner));
+        tracker_.setPolicy(JobId("j"), policy(), now);
+        tracker_.setRecordedCounts(JobId("j"), {.failures = {}, .unanswered = record.others(TenureId())});
+        if (now == Start)
+            leaveUnanswered(now);
+        for (auto const until = now + 10s; now < until; now += 100ms) {
+            for (auto const &commit : tracker_.takeFailures(now)) {
+                record.set(commit.tenure, commit.counts);
+                tracker_.onFailuresRecorded(commit, record.others(commit.tenure), now);
+            }
+        }
+        EXPECT_EQ(record.others(TenureId()).at(0), 1U) << "after the tenure of " << owner;
+    }
+    EXPECT_TRUE(tracker_.next(batchPool, RunTime, now));
+}
+
 /// Guards against counts that a job's owner drops as it hands the job over.
 TEST_F(JobTrackerTest, WhatIsNotRecordedIsLeftForTheNextOwner)
 {
