Repeat no request on a connection that has carried it

Cause: responses name their request, but all sends of an item have one id, so that on a connection which has carried the item a copy is taken for a new response.

Change: a request states its identity, and no kept connection is used that has carried the same one. This covers repeats of items, also after the job was handed over and back, and repeats of one attempt of a caller.

ItemConnectionsTest.ALateCopyOfAFailureIsNotTakenForTheNextResponse failed before (the item was given up) and passes.

--- a/Libraries/LibHttp/ClientConnection.h
+++ b/Libraries/LibHttp/ClientConnection.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "LibHttp/HttpClient.h"
 #include "LibHttp/LoopSocket.h"
 
+#include <algorithm>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <deque>
 
 namespace Anvilyard::Http {
 
@@ -15,8 +18,24 @@
     {
     }
 
+    void onSent(RequestIdentity identity)
+    {
+        if (lastSent.size() == MaxLastSent)
+            lastSent.pop_front();
+        lastSent.push_back(identity);
+    }
+
+    [[nodiscard]] bool hasCarried(RequestIdentity identity) const
+    {
+        return std::ranges::find(lastSent, identity) != lastSent.end();
+    }
+
+    /// A surplus response comes in place of one of the next.
+    static constexpr std::size_t MaxLastSent = 32;
+
     LoopSocket socket;
     boost::beast::flat_buffer buffer;
+    std::deque<RequestIdentity> lastSent;
 };
 
 } // namespace Anvilyard::Http
--- a/Libraries/LibHttp/ClientExchange.cpp
+++ b/Libraries/LibHttp/ClientExchange.cpp
@@ -81,7 +81,7 @@
     message_.body() = std::move(source.body);
     message_.prepare_payload();
     if (request_.connection == ClientRequest::Connection::AnyIdle)
-        connection_ = shared_->idle->take(request_.server);
+        connection_ = shared_->idle->take(request_.server, request_.identity);
     if (!connection_)
         return connect();
     connectionUse_ = ConnectionUse::Reused;
@@ -141,6 +141,8 @@
         return;
     // Bytes may be sent from now on even if the write fails.
     reached_ = Reached::Sent;
+    if (request_.identity)
+        connection_->onSent(*request_.identity);
     if (handlers_.onSending)
         handlers_.onSending();
     wire::async_write(connection_->socket, message_, [self = shared_from_this()](boost::system::error_code error, std::size_t) {
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -4,6 +4,8 @@
 #include "LibHttp/EventLoopContext.h"
 #include "LibHttp/IdleConnections.h"
 
+#include <functional>
+
 namespace Anvilyard::Http {
 
 namespace {
@@ -42,6 +44,12 @@
 
 } // namespace
 
+RequestIdentity identifyRequest(std::string_view id)
+{
+    // Two ids of the same hash cost a connection.
+    return RequestIdentity(std::hash<std::string_view>()(id));
+}
+
 std::unique_ptr<HttpClient> HttpClient::create(EventLoop &loop, HttpClientOptions options)
 {
     return std::make_unique<AsioHttpClient>(loop, options);
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Ids.h"
 #include "LibCore/Result.h"
+#include "LibCore/StrongType.h"
 #include "LibHttp/EventLoop.h"
 #include "LibHttp/HttpError.h"
 #include "LibHttp/HttpMessage.h"
@@ -48,6 +49,11 @@
     std::function<void()> onSending = {};
 };
 
+/// Tells requests apart that servers name in their responses. Two sends of one request have the same identity.
+using RequestIdentity = StrongType<struct RequestIdentityTag, std::uint64_t>;
+/// Returns the identity of a request from its id.
+RequestIdentity identifyRequest(std::string_view id);
+
 struct ClientRequest {
     Address server;
     HttpRequest request;
@@ -70,6 +76,9 @@
     /// next one on the connection is checked, because servers may send a surplus response late, in place of the expected one.
     /// If empty, any response is accepted.
     std::function<bool(ResponseHead const &)> matchesRequest;
+    /// If set, no connection is used that has carried a request of the same identity: a copy of the earlier response may come late, and
+    /// `matchesRequest` cannot tell it from the response to this request.
+    std::optional<RequestIdentity> identity;
 };
 
 /// One running exchange. Destroying the handle does not end it; cancel() ends it and closes its connection.
--- a/Libraries/LibHttp/IdleConnections.cpp
+++ b/Libraries/LibHttp/IdleConnections.cpp
@@ -25,16 +25,19 @@
 {
 }
 
-std::unique_ptr<ClientConnection> IdleConnections::take(Address const &server)
+std::unique_ptr<ClientConnection> IdleConnections::take(Address const &server, std::optional<RequestIdentity> identity)
 {
     auto const found = servers_.find(server);
     if (found == servers_.end())
         return nullptr;
     auto &idle = found->second;
     auto const now = readLocalClock();
-    while (!idle.empty()) {
-        auto const candidate = std::move(idle.back());
-        idle.pop_back();
+    for (auto position = idle.size(); position-- > 0;) {
+        auto const at = idle.begin() + static_cast<std::ptrdiff_t>(position);
+        if (*at->connection && identity && (*at->connection)->hasCarried(*identity))
+            continue;
+        auto const candidate = std::move(*at);
+        idle.erase(at);
         if (!*candidate.connection)
             continue;
         auto connection = std::move(*candidate.connection);
--- a/Libraries/LibHttp/IdleConnections.h
+++ b/Libraries/LibHttp/IdleConnections.h
@@ -18,8 +18,9 @@
 public:
     explicit IdleConnections(HttpClientOptions options);
 
-    /// Removes and returns the most recently used connection that has not expired, or null if there is none.
-    std::unique_ptr<ClientConnection> take(Address const &server);
+    /// Removes and returns the most recently used connection that has not expired and has not carried a request of this identity, or null
+    /// if there is none.
+    std::unique_ptr<ClientConnection> take(Address const &server, std::optional<RequestIdentity> identity = {});
     void put(Address const &server, std::unique_ptr<ClientConnection> connection);
     void drop(Address const &server);
     void close();
--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -86,6 +86,7 @@
                 auto const answeredRequest = protocol.readResponseHead(head).answeredRequest;
                 return !answeredRequest || answeredRequest->value() == id.value();
             },
+        .identity = Http::identifyRequest(item.id.value()),
     };
     auto const self = shared_from_this();
     exchange_ = context_.serverClient->send(std::move(request),
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -502,6 +502,7 @@
         auto const answeredRequest = protocol.readResponseHead(head).answeredRequest;
         return !answeredRequest || *answeredRequest == id;
     };
+    request.identity = Http::identifyRequest(parts_.head.id.value());
     // Handlers of an earlier attempt are ignored.
     auto const guarded = [self = shared_from_this(), attempt = attempt_](auto action) {
         if (self->attempt_ == attempt && attempt->exchange)
--- a/Tests/Node/TestItemConnections.cpp
+++ b/Tests/Node/TestItemConnections.cpp
@@ -2,6 +2,8 @@
 #include "Tests/Node/NodeFixture.h"
 
 #include <boost/json.hpp>
+#include <deque>
+#include <map>
 
 using namespace Anvilyard;
 using namespace Anvilyard::Tests;
@@ -128,3 +130,27 @@
     submit(entry, "second", 1);
     EXPECT_EQ(countCompleted(entry, "second", 1), 1U);
 }
+
+/// A server fails two runs of an item, and a copy of the first response comes late, in place of the next one on its connection. Guards
+/// against counting the copy as a third failure, after which the item is given up although its next run would succeed.
+TEST_F(ItemConnectionsTest, ALateCopyOfAFailureIsNotTakenForTheNextResponse)
+{
+    constexpr int FailingRuns = 2;
+    int runs = 0;
+    // Responses that are due on each connection. The oldest one is sent for each request.
+    std::map<std::size_t, std::deque<std::string>> due;
+    auto &entry = serve([&](ScriptedServer::Connection &connection, std::size_t) {
+        auto const item = itemOf(connection);
+        auto const isFailing = ++runs <= FailingRuns;
+        auto const response = isFailing ? responseOf(item, 500, "failed") : responseOf(item, 200, eventTexts(0, 3));
+        auto &responses = due[connection.index()];
+        responses.push_back(response);
+        if (runs == 1)
+            responses.push_back(response);
+        connection.send(responses.front());
+        responses.pop_front();
+    });
+    submit(entry, "job", 1);
+    EXPECT_EQ(countCompleted(entry, "job", 1), 1U);
+    EXPECT_EQ(thread_.call([&] { return runs; }), FailingRuns + 1);
+}
