Notice within two seconds that the store lost the responses to watches

Cause: a watch call that reaches the store while it is silent gets no response and looks like one without changes. It was given up after 29.5 s. All watchers call again after the same change, so all of them waited, and no peer knew more.

Change: the first relay of each data centre has its calls held for one second, and fails them one second later; the others learn from it.

OnlineTest.ChangesAreFollowedWhenTheStoreLostItsWatches failed before (nothing applied within 3 s) and passes.

--- a/Libraries/LibPlatform/ObjectStore.h
+++ b/Libraries/LibPlatform/ObjectStore.h
@@ -4,8 +4,10 @@
 #include "LibCore/StrongType.h"
 #include "LibPlatform/PlatformError.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -61,6 +63,9 @@
     std::function<void(ResourceVersion)> onProgress = {};
     /// The watch ended. After VersionTooOld the objects must be listed again.
     std::function<void(Error)> onEnd;
+    /// Returns how long the platform may hold a call without a change; `std::nullopt` for the store's default. Optional, for stores that
+    /// watch by such calls; asked before each.
+    std::function<std::optional<std::chrono::milliseconds>()> holdTime = {};
 };
 
 class Watch
--- a/Libraries/LibServing/PeerExchange.cpp
+++ b/Libraries/LibServing/PeerExchange.cpp
@@ -273,6 +273,12 @@
     return changeSource_;
 }
 
+WatchHold PeerExchange::watchHold() const
+{
+    auto const &relays = peers_.relays();
+    return relays.empty() || relays.front() == options_.self ? WatchHold::Short : WatchHold::Default;
+}
+
 bool PeerExchange::areRunnersKnown(Instant now) const
 {
     // Runners that start at the same moment may register after this one has listed them.
--- a/Libraries/LibServing/PeerExchange.h
+++ b/Libraries/LibServing/PeerExchange.h
@@ -67,6 +67,13 @@
     Peers,
 };
 
+/// How long the store may hold the calls by which an instance watches it.
+enum class WatchHold {
+    Default,
+    /// Short, so that a call whose response was lost is noticed soon. The others learn of changes from this instance meanwhile.
+    Short,
+};
+
 /// Composes the reports and load summaries of an instance and processes those of its peers. Designed for fleets of hundreds of instances
 /// whose load changes thousands of times a second: see ReportSchedule. Performs no I/O.
 class PeerExchange
@@ -126,6 +133,9 @@
     [[nodiscard]] Outgoing takeDue(OwnState const &own, Instant now);
     /// Whether this instance watches the platform's store itself. In a large fleet the relays of a data centre do so for the others.
     [[nodiscard]] ChangeSource changeSource(Instant now);
+    /// The first relay of a data centre holds its calls for a short time, and so does every instance of a fleet without relays: the store
+    /// may lose the responses to all watches at once.
+    [[nodiscard]] WatchHold watchHold() const;
     /// Whether the runners are known. An instance that has just started takes itself for the only one.
     [[nodiscard]] bool areRunnersKnown(Instant now) const;
     /// Average age of the known load.
--- a/Services/Node/FleetFollower.cpp
+++ b/Services/Node/FleetFollower.cpp
@@ -25,6 +25,9 @@
 constexpr Duration PeerCallTimeout = 600ms;
 /// Registrations lapse after three heartbeat intervals of more than a second each, so none lapses during a shorter outage.
 constexpr Duration MinOutageForLapse = 1s;
+/// A lost call of the store is noticed within this time and the store's return timeout. Together with the reports to peers this is less
+/// than the time within which changes have to be in force after an outage of the store.
+constexpr std::chrono::milliseconds ShortHoldTime = 1s;
 
 std::uint64_t revisionNumber(Platform::ResourceVersion const &version)
 {
@@ -55,6 +58,7 @@
                       if (change != Platform::WatchChange::Deleted && object.name == context_.protocol.records().desiredStateName)
                           applyState(object.spec);
                   },
+              .holdTime = [this] { return holdTime(); },
           },
       })
     , serverFollower_({
@@ -78,6 +82,7 @@
                       registryReturnedAt_ = readLocalClock();
                       context_.directory.onRegistryReturned(*registryReturnedAt_);
                   },
+              .holdTime = [this] { return holdTime(); },
           },
       })
 {
@@ -104,6 +109,20 @@
     }
 }
 
+void FleetFollower::setWatchHold(Serving::WatchHold hold)
+{
+    if (std::exchange(watchHold_, hold) == hold || hold == Serving::WatchHold::Default)
+        return;
+    // The current calls may be held for long.
+    for (auto *follower : {&stateFollower_, &serverFollower_})
+        follower->renewWatch(readLocalClock());
+}
+
+std::optional<std::chrono::milliseconds> FleetFollower::holdTime() const
+{
+    return watchHold_ == Serving::WatchHold::Short ? std::optional(ShortHoldTime) : std::nullopt;
+}
+
 void FleetFollower::applyState(std::string const &spec)
 {
     auto state = context_.protocol.readDesiredState(spec);
--- a/Services/Node/FleetFollower.h
+++ b/Services/Node/FleetFollower.h
@@ -30,6 +30,7 @@
     void start();
     /// Initially `Serving::ChangeSource::Peers`, with one list from the store.
     void setChangeSource(Serving::ChangeSource source);
+    void setWatchHold(Serving::WatchHold hold);
     /// Removes servers whose registration has lapsed. Call several times a second.
     void onTick(Instant now);
     /// Called when servers were ejected or restored.
@@ -57,6 +58,8 @@
     void applyServerChange(Platform::WatchChange change, Platform::Object const &object);
     /// Applies the change without publishing it. Returns whether it was newer than what is known.
     bool recordServerChange(Platform::WatchChange change, Platform::Object const &object, Instant now);
+    /// How long the store may hold the calls of the watches; `std::nullopt` for the default.
+    [[nodiscard]] std::optional<std::chrono::milliseconds> holdTime() const;
     void requestChanges(Address const &peer, Instant now);
     void applyChanges(std::string_view text);
     [[nodiscard]] Duration expectedLag(PeerProgress const &progress) const;
@@ -79,6 +82,7 @@
     };
     std::optional<Behind> behind_;
     Serving::ChangeSource source_ = Serving::ChangeSource::Peers;
+    Serving::WatchHold watchHold_ = Serving::WatchHold::Default;
     /// Random share of MaxPeerLag, so that the instances of a data centre do not all call the same peer at once.
     Duration peerLag_{0};
     /// Servers that unregistered after `removalsSince_`, with the revision of the removal.
--- a/Services/Node/PeerReportExchange.cpp
+++ b/Services/Node/PeerReportExchange.cpp
@@ -243,6 +243,7 @@
     }
     sendCustomerTokens(now);
     fleet_.setChangeSource(exchange_.changeSource(now));
+    fleet_.setWatchHold(exchange_.watchHold());
 }
 
 /// With 75 customers a report takes some two kilobytes. Until it arrives, new tokens count for every customer at the receiver.
--- a/Services/Node/StoreFollower.cpp
+++ b/Services/Node/StoreFollower.cpp
@@ -138,6 +138,7 @@
                                               hasWatchEnded_ = true;
                                               retryLater(error);
                                           },
+                                      .holdTime = options_.hooks.holdTime,
                                   });
 }
 
--- a/Services/Node/StoreFollower.h
+++ b/Services/Node/StoreFollower.h
@@ -22,6 +22,8 @@
     std::function<void(Platform::ResourceVersion)> onProgress = {};
     /// Called before onListed when the store responds again after an outage.
     std::function<void(Duration outage)> onRecovered = {};
+    /// As in Platform::WatchHandlers.
+    std::function<std::optional<std::chrono::milliseconds>()> holdTime = {};
 };
 
 struct StoreFollowerOptions {
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -529,6 +529,29 @@
     EXPECT_EQ(ask(again, requestOf("/i/1", "a"))->status, 200);
 }
 
+/// The store loses the responses to the watches while they wait, as when it is silent for a moment after a change. Guards against a desired
+/// state and a list of servers that stay in force for as long as the store may hold a watch.
+TEST_F(OnlineTest, ChangesAreFollowedWhenTheStoreLostItsWatches)
+{
+    // The platform's bound for instances that reach the store again.
+    constexpr Duration ContactTime = 3s;
+    watchHoldTime_ = Adapter::FleetStoreOptions{.loop = thread_.loop(), .platform = store_->address()}.watchHoldTime;
+    servers_.push_back(std::make_unique<FleetServer>(thread_, respondWith("pong")));
+    putState(1);
+    auto &node = startNode("entry-1");
+    auto const kinds = {Platform::Kind("config"), Platform::Kind("servers")};
+    for (auto const &kind : kinds) {
+        waitUntil([&] { return store_->pendingWatches(kind) == 1; });
+        thread_.call([&] { store_->silenceWatches(kind); });
+    }
+    putState(2, streamsWithGapTarget(1000));
+    putServer("s1", servers_.back()->address());
+    auto const changedAt = readLocalClock();
+    while (ask(node, requestOf("/q/1", "a"))->status == 404 || ask(node, requestOf("/i/1", "a"))->status != 200)
+        ASSERT_LT(readLocalClock() - changedAt, ContactTime);
+    EXPECT_LT(readLocalClock() - changedAt, ContactTime);
+}
+
 /// In a large fleet relays watch the store for the others, which request the changes since their own revision. Guards against a
 /// complete list for each change and against a removed server that stays in use.
 TEST_F(OnlineTest, APeerReceivesOnlyTheChangesSinceItsRevision)
