Reject responses whose status does not exist

Cause: the parser takes any three digits for a status, and nothing checked its range.

Change: ClientExchange fails an exchange whose status is not 100 to 599 before anything of the response is used. All responses are read there: those of servers, probes, the store and peers.

Evidence: HostileServersTest.InvalidResponsesAreFailures (status 000 was a response) and OnlineTest.AResponseWithoutAValidStatusIsNoResponse (its body reached the caller) failed before and pass.

--- a/Libraries/LibHttp/ClientExchange.cpp
+++ b/Libraries/LibHttp/ClientExchange.cpp
@@ -22,6 +22,10 @@
 
 namespace {
 
+/// A status begins with 1 to 5 (RFC 9110, section 15). The parser accepts any three digits.
+constexpr unsigned MinStatus = 100;
+constexpr unsigned MaxStatus = 599;
+
 bool containsStatusLine(std::string_view text)
 {
     constexpr std::string_view Version = "HTTP/1.";
@@ -179,6 +183,8 @@
     if (error)
         return failRead(error);
     auto const &message = parser_->get();
+    if (message.result_int() < MinStatus || message.result_int() > MaxStatus)
+        return fail(HttpError::Malformed, "the status " + std::to_string(message.result_int()) + " does not exist");
     if (containsStatusLine(message))
         return fail(HttpError::Malformed, "the head is joined from those of two responses");
     if (message.result() == wire::status::switching_protocols)
--- a/Tests/LibHttp/TestHostileServers.cpp
+++ b/Tests/LibHttp/TestHostileServers.cpp
@@ -197,7 +197,7 @@
 {
     std::string const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     std::string const longText(3000, 'x');
-    return {
+    std::vector<BadResponseCase> cases = {
         {"empty", "", HttpError::ClosedEarly, Reached::Sent},
         {"not HTTP", "hello\r\n\r\n", HttpError::Malformed, Reached::Sent},
         {"bad status", "HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n", HttpError::Malformed, Reached::Sent},
@@ -225,6 +225,20 @@
         {"switch of protocols", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nhello", HttpError::Malformed, Reached::Sent},
         {"interim response only", "HTTP/1.1 103 Early Hints\r\n\r\n", HttpError::ClosedEarly, Reached::Sent},
     };
+    for (std::string const field : {"A B: c", "A : b", "A\tB: c", "A\x01: b", "A\xc3: b", "\"A\": b", ": b", "A", "A: b\x01", "A: b\rc"}) {
+        cases.push_back({.name = "header field " + field,
+                         .bytes = "HTTP/1.1 200 OK\r\n" + field + "\r\nContent-Length: 5\r\n\r\nhello",
+                         .error = HttpError::Malformed,
+                         .reached = Reached::Sent});
+    }
+    // The parser accepts any three digits, although a status begins with 1 to 5 (RFC 9110, section 15).
+    for (std::string const status : {"000", "001", "042", "099", "600", "999"}) {
+        cases.push_back({.name = "status " + status,
+                         .bytes = "HTTP/1.1 " + status + " X\r\nContent-Length: 5\r\n\r\nhello",
+                         .error = HttpError::Malformed,
+                         .reached = Reached::Sent});
+    }
+    return cases;
 }
 
 } // namespace
@@ -294,6 +308,31 @@
     serveOnce("");
 }
 
+/// A server answers an upload before it has read it, with a body that only the end of the connection ends, and resets the connection while
+/// the rest is being written. Guards against taking the part that arrived for a complete response.
+TEST_F(HostileServersTest, AResetDuringAnUploadIsAFailure)
+{
+    // The socket buffers of both sides hold less.
+    constexpr std::size_t UploadBytes = 32UL * 1024 * 1024;
+    for (std::string const body : {"", "part"}) {
+        serve([body](ScriptedServer::Connection &connection, std::size_t) {
+            connection.send("HTTP/1.1 200 OK\r\n\r\n" + body);
+            connection.reset();
+        });
+        std::promise<Answer> promise;
+        thread_.call([&] {
+            client_->fetch({.server = server_->address(),
+                            .request = {.method = "POST", .target = "/", .body = std::string(UploadBytes, 'x')},
+                            .deadline = readLocalClock() + 10s,
+                            .framing = ClientRequest::Framing::CloseMayEnd},
+                           [&](Answer answer) { promise.set_value(std::move(answer)); });
+        });
+        EXPECT_FALSE(promise.get_future().get()) << body;
+        TearDown();
+    }
+    serveOnce("");
+}
+
 /// A response truncated at any byte must be reported as a failure. It would be reported as complete if a close ended the body
 /// before the parser is done.
 TEST_F(HostileServersTest, ResponseTruncatedAtAnyByteIsAFailure)
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -783,6 +783,34 @@
     thread_.call([&] { server.reset(); });
 }
 
+/// One of two servers sends responses whose status is none. Guards against passing such a response on to the caller.
+TEST_F(OnlineTest, AResponseWithoutAValidStatusIsNoResponse)
+{
+    std::string status;
+    auto const faulty = thread_.call([&] {
+        return ScriptedServer::create(thread_.loop(), [&status](ScriptedServer::Connection &connection, std::size_t) {
+            auto const head = connection.head().starts_with("GET") ? "200" : status;
+            connection.send("HTTP/1.1 " + head + " X\r\nAnvilyard-Response-Signature: sig\r\nContent-Length: 6\r\n\r\nfaulty");
+        });
+    });
+    putServer("s2", faulty->address());
+    auto &node = serve({[](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        if (request.target.starts_with("/s/"))
+            return answerEvents(request, writer, 3);
+        writer->respond({.status = 200, .headers = signedHeaders(request, "text/plain"), .body = "pong"});
+    }});
+    for (std::string const text : {"000", "001", "042", "099", "600", "999"}) {
+        thread_.call([&] { status = text; });
+        for (int number = 0; number < 6; ++number) {
+            EXPECT_EQ(ask(node, requestOf("/i/1", text + std::to_string(number)))->body, "pong") << text;
+            EXPECT_EQ(ask(node, requestOf("/s/1", text + std::to_string(number)))->body, eventTexts(0, 3)) << text;
+            auto const once = ask(node, requestOf("/u/1", text + std::to_string(number)));
+            EXPECT_TRUE(once->status == 200 || once->status == 502) << text << ": " << once->status;
+            EXPECT_NE(once->body, "faulty") << text;
+        }
+    }
+}
+
 /// Both servers are slow to start requests but seem to have free slots, as at a load peak for which batch items have not been
 /// preempted yet. Guards against requests that lose their place at one server to queue again at the other, or that are refused
 /// although their server still works on them.
