Bound what servers without end can make an instance keep

Cause: without a statement in the settings the memory of the whole machine counts. What handlers keep of responses counted as part of requests that run, which end last, so that callers who did well were ended in favour of responses that were sure to be discarded.

Change: connections get 64 MB at most unless the settings state the memory. When memory is short, handlers drop what they keep of responses, the largest first, before the connection of a caller that goes on is ended; the request goes to another server or gets a 502. Kept responses do not make new requests be refused.

--- a/Libraries/LibHttp/ConnectionBudget.cpp
+++ b/Libraries/LibHttp/ConnectionBudget.cpp
@@ -26,9 +26,9 @@
     handlers_.erase(id);
 }
 
-void ConnectionBudget::update(MemoryHolderId id, MemoryPhase phase, std::size_t bytes)
+void ConnectionBudget::update(MemoryHolderId id, MemoryPhase phase, std::size_t bytes, std::size_t keptBytes)
 {
-    memory_.update(id, phase, bytes, readLocalClock());
+    memory_.update(id, phase, bytes, readLocalClock(), keptBytes);
     if (!memory_.isExceeded() || std::exchange(isEnforcing_, true))
         return;
     // A connection must not end within its own call.
@@ -59,8 +59,8 @@
 void ConnectionBudget::enforce()
 {
     isEnforcing_ = false;
-    for (auto const id : memory_.holdersToRelease(readLocalClock()))
-        release(id, ReleaseReason::MemoryShort);
+    for (auto const &[id, part] : memory_.releases(readLocalClock()))
+        release(id, part == MemoryRelease::Part::KeptResponse ? ReleaseReason::KeptResponse : ReleaseReason::MemoryShort);
 }
 
 void ConnectionBudget::release(MemoryHolderId id, ReleaseReason reason)
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -44,6 +44,9 @@
     [[nodiscard]] virtual std::size_t pendingBytes() const = 0;
     /// States how many bytes of a response the handler keeps before it passes them on. They count as the connection's.
     virtual void setKeptBytes(std::size_t) { }
+    /// Sets a callback that is called when the handler has to drop what it keeps of a response, as the connections hold too much memory.
+    /// Without one, the connection is closed.
+    virtual void onKeptTooMuch(std::function<void()>) { }
 };
 
 /// Receives the body of a request piece by piece, for bodies too large to hold in memory.
--- a/Libraries/LibHttp/MemoryBudget.cpp
+++ b/Libraries/LibHttp/MemoryBudget.cpp
@@ -33,7 +33,7 @@
     holders_.erase(id);
 }
 
-void MemoryBudget::update(MemoryHolderId id, MemoryPhase phase, std::size_t bytes, Instant now)
+void MemoryBudget::update(MemoryHolderId id, MemoryPhase phase, std::size_t bytes, Instant now, std::size_t keptBytes)
 {
     auto const found = holders_.find(id);
     if (found == holders_.end())
@@ -41,16 +41,17 @@
     auto &holder = found->second;
     heldBytes_ -= holder.bytes;
     if (holder.phase == MemoryPhase::Handling)
-        handledBytes_ -= holder.bytes;
+        handledBytes_ -= holder.bytes - holder.keptBytes;
     if (holder.phase != phase) {
         holder.movedBytes = 0;
         holder.progressAt = now;
     }
     holder.phase = phase;
     holder.bytes = bytes;
+    holder.keptBytes = keptBytes;
     heldBytes_ += bytes;
     if (phase == MemoryPhase::Handling)
-        handledBytes_ += bytes;
+        handledBytes_ += bytes - keptBytes;
 }
 
 void MemoryBudget::onMoved(MemoryHolderId id, std::size_t bytes, Instant now)
@@ -86,41 +87,54 @@
     return handledBytes_ == 0 || handledBytes_ + bytes <= maxBytes_;
 }
 
-std::vector<MemoryHolderId> MemoryBudget::holdersToRelease(Instant now) const
+std::vector<MemoryRelease> MemoryBudget::releases(Instant now) const
 {
     if (!isExceeded())
         return {};
+    enum class Rank {
+        Stalled,
+        KeptResponse,
+        GoingOn,
+        Handled,
+    };
     struct Candidate {
-        bool isHandled;
-        bool isStalled;
+        Rank rank;
         /// Bytes times the stall, or bytes alone of those that are not stalled.
         double weight;
         std::size_t bytes;
-        MemoryHolderId id;
+        MemoryRelease release;
     };
     std::vector<Candidate> candidates;
     for (auto const &[id, holder] : holders_) {
         auto const stall = std::max(Duration::zero(), now - holder.progressAt);
-        bool const isDraining = holder.phase == MemoryPhase::Draining;
-        bool const isStalled = isDraining || stall >= MinStall;
+        bool const isHandled = holder.phase == MemoryPhase::Handling;
+        bool const isStalled = holder.phase == MemoryPhase::Draining || stall >= MinStall;
         auto const factor = isStalled ? std::chrono::duration<double>(std::max(stall, MinStall)).count() : 1;
-        candidates.push_back({.isHandled = holder.phase == MemoryPhase::Handling,
-                              .isStalled = isStalled,
+        auto const kept = isHandled ? holder.keptBytes : 0;
+        if (kept > 0) {
+            candidates.push_back({.rank = Rank::KeptResponse,
+                                  .weight = static_cast<double>(kept),
+                                  .bytes = kept,
+                                  .release = {.id = id, .part = MemoryRelease::Part::KeptResponse}});
+        }
+        candidates.push_back({.rank = isHandled ? Rank::Handled
+                                  : isStalled   ? Rank::Stalled
+                                                : Rank::GoingOn,
                               .weight = static_cast<double>(holder.bytes) * factor,
-                              .bytes = holder.bytes,
-                              .id = id});
+                              .bytes = holder.bytes - kept,
+                              .release = {.id = id}});
     }
     std::ranges::sort(candidates, [](Candidate const &left, Candidate const &right) {
-        return std::tuple(left.isHandled, !left.isStalled, -left.weight) < std::tuple(right.isHandled, !right.isStalled, -right.weight);
+        return std::tuple(left.rank, -left.weight) < std::tuple(right.rank, -right.weight);
     });
-    std::vector<MemoryHolderId> released;
+    std::vector<MemoryRelease> released;
     auto left = heldBytes_;
     for (auto const &candidate : candidates) {
-        auto const target = candidate.isHandled ? maxBytes_ : maxBytes_ - maxBytes_ / RoomDivisor;
+        auto const target = candidate.rank == Rank::Handled ? maxBytes_ : maxBytes_ - maxBytes_ / RoomDivisor;
         if (left <= target)
             break;
         left -= candidate.bytes;
-        released.push_back(candidate.id);
+        released.push_back(candidate.release);
     }
     return released;
 }
--- a/Libraries/LibHttp/MemoryBudget.h
+++ b/Libraries/LibHttp/MemoryBudget.h
@@ -29,10 +29,24 @@
     Draining,
 };
 
+/// What has to end so that the connections hold less memory.
+struct MemoryRelease {
+    MemoryHolderId id;
+    enum class Part {
+        Connection,
+        /// Only the part of a response that the handler of the request keeps.
+        KeptResponse,
+    } part = Part::Connection;
+
+    bool operator==(MemoryRelease const &) const = default;
+};
+
 /// Counts the bytes that the connections of a process hold, and decides which connections have to end when they are too many, or when there
 /// are too many connections. The load pattern are crowds of callers that fill memory and then stall, or send or receive a few bytes now and
 /// then, beside ordinary callers. A connection is stalled if it has not moved MinProgressBytes for a while; stalled ones end first, those
-/// first whose bytes times their stall are the most. A request that the handler has is ended only if nothing else is left.
+/// first whose bytes times their stall are the most. Then the handlers drop what they keep of responses, the largest first: a server that
+/// sends without end makes them keep as much as they may, which is discarded in the end. A request that the handler has is ended only if
+/// nothing else is left.
 class MemoryBudget
 {
 public:
@@ -47,18 +61,19 @@
 
     MemoryHolderId add(Instant now);
     void remove(MemoryHolderId id);
-    /// A change of phase counts as progress.
-    void update(MemoryHolderId id, MemoryPhase phase, std::size_t bytes, Instant now);
+    /// A change of phase counts as progress. `keptBytes`: those of the bytes that the handler of a request keeps of a response.
+    void update(MemoryHolderId id, MemoryPhase phase, std::size_t bytes, Instant now, std::size_t keptBytes = 0);
     /// Bytes of the request arrived, or the caller has received bytes of the response.
     void onMoved(MemoryHolderId id, std::size_t bytes, Instant now);
 
     [[nodiscard]] std::size_t heldBytes() const;
     [[nodiscard]] std::size_t maxBytes() const;
     [[nodiscard]] bool isExceeded() const;
-    /// Whether the handler may get a request that then holds so many bytes. A request that is alone may.
+    /// Whether the handler may get a request that then holds so many bytes. A request that is alone may. What handlers keep of responses
+    /// does not count, as they can drop it.
     [[nodiscard]] bool admits(std::size_t bytes) const;
-    /// Connections to end so that the rest fits with some room; empty if the budget is not exceeded.
-    [[nodiscard]] std::vector<MemoryHolderId> holdersToRelease(Instant now) const;
+    /// What to release so that the rest fits with some room; empty if the budget is not exceeded.
+    [[nodiscard]] std::vector<MemoryRelease> releases(Instant now) const;
     /// The connection to end in favour of a new one; `std::nullopt` if none is stalled or idle.
     [[nodiscard]] std::optional<MemoryHolderId> holderToReplace(Instant now) const;
 
@@ -66,6 +81,7 @@
     struct Holder {
         MemoryPhase phase = MemoryPhase::Idle;
         std::size_t bytes = 0;
+        std::size_t keptBytes = 0;
         std::size_t movedBytes = 0;
         Instant progressAt;
     };
--- a/Libraries/LibHttp/ServerConnection.cpp
+++ b/Libraries/LibHttp/ServerConnection.cpp
@@ -537,6 +537,12 @@
         callerGone_ = std::move(callback);
 }
 
+void ServerConnection::onKeptTooMuch(std::uint64_t exchange, std::function<void()> callback)
+{
+    if (isCurrent(exchange))
+        keptTooMuch_ = std::move(callback);
+}
+
 std::size_t ServerConnection::pendingBytes() const
 {
     return queuedBytes_ + inFlightBytes_;
@@ -626,6 +632,7 @@
 {
     --shared_->openExchanges;
     callerGone_ = nullptr;
+    keptTooMuch_ = nullptr;
     handledBytes_ = 0;
     keptBytes_ = 0;
     state_ = State::Idle;
@@ -684,7 +691,11 @@
 {
     if (state_ == State::Closed)
         return;
-    bool const isMemoryShort = reason == ReleaseReason::MemoryShort;
+    if (reason == ReleaseReason::KeptResponse && keptTooMuch_) {
+        // A copy is called, because the callback may end the exchange.
+        return std::function(keptTooMuch_)();
+    }
+    bool const isMemoryShort = reason != ReleaseReason::ConnectionsFull;
     if (state_ == State::ReadingRequest && isMemoryShort)
         return refuse(memoryShort());
     close(isMemoryShort ? CloseReason::MemoryShort : CloseReason::ConnectionsFull);
@@ -717,7 +728,8 @@
     shared_->options.budget->update(memoryId_,
                                     memoryPhase(),
                                     ConnectionBytes + buffer + body_.capacity() + piece_.capacity() + handledBytes_ + keptBytes_
-                                        + pendingBytes());
+                                        + pendingBytes(),
+                                    keptBytes_);
 }
 
 void ServerConnection::reportClose(CloseReason reason) const
--- a/Libraries/LibHttp/ServerConnection.h
+++ b/Libraries/LibHttp/ServerConnection.h
@@ -60,6 +60,7 @@
     void onCallerGone(std::uint64_t exchange, std::function<void()> callback);
     [[nodiscard]] std::size_t pendingBytes() const;
     void setKeptBytes(std::uint64_t exchange, std::size_t bytes);
+    void onKeptTooMuch(std::uint64_t exchange, std::function<void()> callback);
     /// Closes the connection if it is idle and its caller has sent no request yet.
     void closeIfIdle();
     [[nodiscard]] ConnectionState state() const;
@@ -141,6 +142,7 @@
     bool headOnly_ = false;
     bool bodyPending_ = false;
     std::function<void()> callerGone_;
+    std::function<void()> keptTooMuch_;
 
     std::vector<std::string> pending_;
     std::size_t queuedBytes_ = 0;
--- a/Libraries/LibHttp/ServerResponseWriter.cpp
+++ b/Libraries/LibHttp/ServerResponseWriter.cpp
@@ -57,6 +57,11 @@
     connection_->setKeptBytes(exchange_, bytes);
 }
 
+void ServerResponseWriter::onKeptTooMuch(std::function<void()> callback)
+{
+    connection_->onKeptTooMuch(exchange_, std::move(callback));
+}
+
 void ServerResponseWriter::release()
 {
     isEnded_ = true;
--- a/Libraries/LibHttp/ServerResponseWriter.h
+++ b/Libraries/LibHttp/ServerResponseWriter.h
@@ -19,6 +19,7 @@
     void onCallerGone(std::function<void()> callback) override;
     [[nodiscard]] std::size_t pendingBytes() const override;
     void setKeptBytes(std::size_t bytes) override;
+    void onKeptTooMuch(std::function<void()> callback) override;
     /// Detaches the writer from the exchange without closing the connection.
     void release();
 
--- a/Services/Node/ConnectionLimits.cpp
+++ b/Services/Node/ConnectionLimits.cpp
@@ -17,16 +17,20 @@
 constexpr std::size_t MemoryDivisor = 2;
 /// A request of 4 MiB, its copy for the backend server and a response of 8 MiB fit.
 constexpr std::size_t MinMemoryBytes = 24'000'000;
+/// The most that connections get unless the settings state the memory: on a machine with other programs, or in a container, the system
+/// states more than the process may have.
+constexpr std::size_t MaxUnstatedMemoryBytes = 64'000'000;
 
 } // namespace
 
-ConnectionLimits connectionLimits(std::size_t descriptors, std::optional<std::size_t> machineMemoryBytes)
+ConnectionLimits connectionLimits(std::size_t descriptors, MachineMemory const &memory)
 {
     auto const share = [&](std::size_t divisor) { return std::clamp<std::size_t>(descriptors / divisor, 1, MaxConnections); };
-    ConnectionLimits limits{.callers = share(CallersDivisor), .peers = share(PeersDivisor), .others = share(OthersDivisor)};
-    if (machineMemoryBytes)
-        limits.memoryBytes = std::max(*machineMemoryBytes / MemoryDivisor, MinMemoryBytes);
-    return limits;
+    auto const memoryBytes = memory.stated ? std::max(*memory.stated / MemoryDivisor, MinMemoryBytes)
+                                           : std::clamp(memory.ofSystem.value_or(MaxUnstatedMemoryBytes * MemoryDivisor) / MemoryDivisor,
+                                                        MinMemoryBytes,
+                                                        MaxUnstatedMemoryBytes);
+    return {.callers = share(CallersDivisor), .peers = share(PeersDivisor), .others = share(OthersDivisor), .memoryBytes = memoryBytes};
 }
 
 std::size_t readDescriptorLimit()
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -135,10 +135,8 @@
                            },
                        .isEmpty = [this] { return runner_.isIdle(); },
                    })
-    , connectionLimits_(
-          connectionLimits(readDescriptorLimit(), options.settings.memoryBytes ? options.settings.memoryBytes : readMachineMemory()))
-    , connectionBudget_(
-          Http::ConnectionBudget::create(options.loop, connectionLimits_.memoryBytes.value_or(std::numeric_limits<std::size_t>::max())))
+    , connectionLimits_(connectionLimits(readDescriptorLimit(), {.stated = options.settings.memoryBytes, .ofSystem = readMachineMemory()}))
+    , connectionBudget_(Http::ConnectionBudget::create(options.loop, connectionLimits_.memoryBytes))
     , maxRequestHold_(options.maxRequestHold)
     , loadedSettings_(options.settings)
 {
@@ -151,7 +149,7 @@
                  {{"instance", context_.settings.instance.value()},
                   {"role", context_.settings.role == InstanceRole::Entry ? "entry" : "runner"},
                   {"dc", context_.settings.dataCentre.value()},
-                  {"connection_bytes_limit", connectionLimits_.memoryBytes ? std::to_string(*connectionLimits_.memoryBytes) : "none"}});
+                  {"connection_bytes_limit", std::to_string(connectionLimits_.memoryBytes)}});
     auto const listen = [this](Address const &address, std::size_t connections, Http::RequestHandler handler) {
         return Http::HttpServer::create(
             context_.loop, {.listen = address, .connectionLimit = connections, .budget = connectionBudget_}, std::move(handler));
@@ -386,10 +384,9 @@
     set("anvilyard_node_connection_bytes",
         "Memory that the connections of callers and other instances hold",
         static_cast<double>(connectionBudget_->memory().heldBytes()));
-    if (connectionLimits_.memoryBytes)
-        set("anvilyard_node_connection_bytes_limit",
-            "Memory that these connections may hold before some are refused or closed",
-            static_cast<double>(*connectionLimits_.memoryBytes));
+    set("anvilyard_node_connection_bytes_limit",
+        "Memory that these connections may hold before some are refused or closed",
+        static_cast<double>(connectionLimits_.memoryBytes));
     set("anvilyard_node_pools_out_of_reach",
         "Pools to whose servers this node cannot connect, so that their requests are passed on through other nodes",
         static_cast<double>(context_.reach.outOfReach().size()));
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -173,6 +173,10 @@
         if (auto const self = weak.lock())
             self->onCallerGone();
     });
+    parts_.writer->onKeptTooMuch([weak = weak_from_this()] {
+        if (auto const self = weak.lock())
+            self->dropResponse();
+    });
     if (isResumable() && parts_.head.lastEventId && !streamVersion_)
         findOrigin();
     else
@@ -601,7 +605,17 @@
     attempt_->body += piece;
     parts_.writer->setKeptBytes(attempt_->body.capacity());
     if (attempt_->body.size() > MaxBufferedResponseBytes)
-        abortAttempt(HttpError::BodyTooLarge);
+        dropResponse();
+}
+
+/// Drops what is kept of the response. Another server may send one that fits.
+void OnlineCall::dropResponse()
+{
+    if (isFinished_ || !attempt_ || !attempt_->exchange)
+        return;
+    attempt_->body = {};
+    parts_.writer->setKeptBytes(0);
+    abortAttempt(HttpError::BodyTooLarge);
 }
 
 void OnlineCall::relayEvents(std::string_view piece)
--- a/Services/Node/OnlineCall.h
+++ b/Services/Node/OnlineCall.h
@@ -127,6 +127,7 @@
     [[nodiscard]] Duration responseTimeout(Instant now) const;
     [[nodiscard]] std::size_t attemptEvents() const;
     void onCallerGone();
+    void dropResponse();
     void relayEvents(std::string_view piece);
     void endStream();
     void endBuffered();
--- a/Tests/LibHttp/TestMemoryBudget.cpp
+++ b/Tests/LibHttp/TestMemoryBudget.cpp
@@ -20,6 +20,17 @@
     return id;
 }
 
+/// Returns the connections to end. Expects that nothing else is to be released.
+std::vector<MemoryHolderId> connectionsToRelease(MemoryBudget const &budget, Instant now)
+{
+    std::vector<MemoryHolderId> ids;
+    for (auto const &[id, part] : budget.releases(now)) {
+        EXPECT_EQ(part, MemoryRelease::Part::Connection);
+        ids.push_back(id);
+    }
+    return ids;
+}
+
 } // namespace
 
 TEST(MemoryBudget, NothingIsReleasedWithinTheBudget)
@@ -27,7 +38,7 @@
     MemoryBudget budget(1000);
     addHolder(budget, MemoryPhase::Reading, 600);
     addHolder(budget, MemoryPhase::Writing, 400);
-    EXPECT_THAT(budget.holdersToRelease(Start + 10s), IsEmpty());
+    EXPECT_THAT(connectionsToRelease(budget, Start + 10s), IsEmpty());
 }
 
 /// Guards against ending the largest request although it goes on well, while others hold their memory and stall.
@@ -37,7 +48,7 @@
     auto const uploading = addHolder(budget, MemoryPhase::Reading, 700);
     auto const stalled = addHolder(budget, MemoryPhase::Reading, 400);
     budget.onMoved(uploading, MemoryBudget::MinProgressBytes, Start + 1s);
-    EXPECT_THAT(budget.holdersToRelease(Start + 1s), ElementsAre(stalled));
+    EXPECT_THAT(connectionsToRelease(budget, Start + 1s), ElementsAre(stalled));
 }
 
 /// Guards against taking a caller that sends a byte now and then for one that goes on.
@@ -49,7 +60,7 @@
     for (int count = 1; count <= 20; ++count)
         budget.onMoved(dripping, 1, Start + count * 100ms);
     budget.onMoved(reading, MemoryBudget::MinProgressBytes, Start + 2s);
-    EXPECT_THAT(budget.holdersToRelease(Start + 2s), ElementsAre(dripping));
+    EXPECT_THAT(connectionsToRelease(budget, Start + 2s), ElementsAre(dripping));
 }
 
 /// Guards against ending a request that runs, or its response that is on its way to the handler, before callers that hold memory.
@@ -58,9 +69,37 @@
     MemoryBudget budget(1000);
     auto const running = addHolder(budget, MemoryPhase::Handling, 900, Start - 5s);
     auto const reading = addHolder(budget, MemoryPhase::Reading, 200);
-    EXPECT_THAT(budget.holdersToRelease(Start), ElementsAre(reading));
+    EXPECT_THAT(connectionsToRelease(budget, Start), ElementsAre(reading));
     budget.update(running, MemoryPhase::Handling, 1100, Start);
-    EXPECT_THAT(budget.holdersToRelease(Start), ElementsAre(reading, running));
+    EXPECT_THAT(connectionsToRelease(budget, Start), ElementsAre(reading, running));
+}
+
+/// Servers send responses without end. Guards against ending the connections of callers for what the handlers of some requests keep.
+TEST(MemoryBudget, KeptResponsesAreDroppedBeforeCallersThatGoOnAreEnded)
+{
+    MemoryBudget budget(1000);
+    auto const stalled = addHolder(budget, MemoryPhase::Writing, 100, Start - 5s);
+    addHolder(budget, MemoryPhase::Reading, 200);
+    auto const small = budget.add(Start);
+    budget.update(small, MemoryPhase::Handling, 150, Start, 100);
+    auto const large = budget.add(Start);
+    budget.update(large, MemoryPhase::Handling, 650, Start, 600);
+    EXPECT_THAT(budget.releases(Start),
+                ElementsAre(MemoryRelease{.id = stalled}, MemoryRelease{.id = large, .part = MemoryRelease::Part::KeptResponse}));
+    budget.update(large, MemoryPhase::Handling, 50, Start);
+    EXPECT_THAT(budget.releases(Start), IsEmpty());
+}
+
+/// Guards against refusing requests because of responses that would be dropped in their favour.
+TEST(MemoryBudget, KeptResponsesDoNotCountAgainstNewRequests)
+{
+    MemoryBudget budget(1000);
+    auto const running = budget.add(Start);
+    budget.update(running, MemoryPhase::Handling, 900, Start, 800);
+    EXPECT_TRUE(budget.admits(900));
+    EXPECT_FALSE(budget.admits(901));
+    budget.update(running, MemoryPhase::Writing, 0, Start);
+    EXPECT_TRUE(budget.admits(2000));
 }
 
 /// Guards against refusing a large request that is alone, and against handing over more than fits.
@@ -101,7 +140,7 @@
         auto const phase = *rc::gen::element(MemoryPhase::Idle, MemoryPhase::Reading, MemoryPhase::Handling, MemoryPhase::Writing);
         bytes[addHolder(budget, phase, size, Start + *rc::gen::inRange(0, 1000) * 1ms)] = size;
     }
-    for (auto const id : budget.holdersToRelease(Start + 1s)) {
+    for (auto const id : connectionsToRelease(budget, Start + 1s)) {
         budget.remove(id);
         bytes.erase(id);
     }
--- a/Tests/NodeProcesses/ServingFleet.cpp
+++ b/Tests/NodeProcesses/ServingFleet.cpp
@@ -143,6 +143,7 @@
     thread_.call([this] {
         restarts_.clear();
         servers_.clear();
+        scriptedServers_.clear();
         paths_.clear();
         client_.reset();
         store_.reset();
@@ -319,6 +320,17 @@
     return "i-" + std::to_string(servers_.size());
 }
 
+void ServingFleet::startScriptedServer(std::string const &pool, ScriptedServer::Script script)
+{
+    thread_.call([&] {
+        auto const &server = scriptedServers_.emplace_back(ScriptedServer::create(thread_.loop(), std::move(script)));
+        store_->put("servers",
+                    "scripted-" + std::to_string(scriptedServers_.size()),
+                    R"({"service":")" + pool + R"(","address":")" + server->address().value()
+                        + R"(","zone":"dc","slots":4,"state":"ready","version":"","born":1})");
+    });
+}
+
 void ServingFleet::startServer(Start const &start)
 {
     auto const &id = start.id;
--- a/Tests/NodeProcesses/ServingFleet.h
+++ b/Tests/NodeProcesses/ServingFleet.h
@@ -2,6 +2,7 @@
 
 #include "LibHttp/HttpClient.h"
 #include "Tests/FakeFleet/FleetStoreServer.h"
+#include "Tests/Fakes/ScriptedServer.h"
 #include "Tests/LibHttp/LoopThread.h"
 #include "Tests/NodeProcesses/CuttablePath.h"
 #include "Tests/NodeProcesses/ModelServer.h"
@@ -74,6 +75,8 @@
     void startServers(std::size_t count, ModelServer::ResponseForm form = ModelServer::ResponseForm::EventStream);
     /// Starts servers with event streams whose events name the software version.
     void startServersOf(std::string const &version, std::size_t count);
+    /// Starts a server of the pool that sends the bytes of a script, also in response to probes.
+    void startScriptedServer(std::string const &pool, ScriptedServer::Script script);
     /// Ends all servers of a version for good.
     void stopServersOf(std::string const &version);
     void crashServerOf(std::string const &version);
@@ -254,6 +257,7 @@
     std::map<std::string, std::string> versions_;
     /// Crashed servers stay, because callbacks of their connections may refer to them.
     std::vector<std::unique_ptr<ModelServer>> servers_;
+    std::vector<std::unique_ptr<ScriptedServer>> scriptedServers_;
     IdAfterCrash idAfterCrash_ = IdAfterCrash::New;
     /// Unset for the version that the server had.
     std::optional<std::string> versionAfterCrash_;
--- /dev/null
+++ b/Tests/NodeProcesses/TestEndlessCrowds.cpp
@@ -0,0 +1,73 @@
+#include "Tests/NodeProcesses/ServingFleet.h"
+
+#include <gtest/gtest.h>
+#include <iostream>
+#include <map>
+
+using namespace Anvilyard;
+using namespace Anvilyard::Tests;
+
+namespace {
+
+constexpr std::size_t MiB = 1024 * 1024;
+/// Memory of the smallest machine of the platform, which the settings do not state.
+constexpr std::size_t MaxMemoryBytes = 110'000'000;
+constexpr std::size_t BlockBytes = 64 * 1024;
+constexpr std::size_t EndlessServers = 6;
+constexpr std::size_t SoundServers = 2;
+constexpr std::size_t Requests = 150;
+
+struct EndlessResponse {
+    std::string head;
+    std::string block;
+};
+
+std::vector<EndlessResponse> endlessResponses()
+{
+    std::string const text(BlockBytes, 'x');
+    std::string const signature = "Anvilyard-Response-Signature: sig\r\n";
+    return {
+        {"HTTP/1.1 200 OK\r\n" + signature + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + text + "\r\n"},
+        {"HTTP/1.1 200 OK\r\n" + signature + "\r\n", text},
+        {"HTTP/1.1 500 Internal Server Error\r\n" + signature + "\r\n", text},
+    };
+}
+
+} // namespace
+
+/// Most servers of a pool send responses without end while many callers wait for them. Guards against an entry that keeps the responses up
+/// to the limit of each, and is ended for its memory with the requests of all other callers.
+TEST(EndlessCrowdTest, ResponsesWithoutEndStayWithinTheMemory)
+{
+    ServingFleet fleet;
+    fleet.startServers(SoundServers, ModelServer::ResponseForm::Whole);
+    fleet.startServers(SoundServers);
+    auto const responses = endlessResponses();
+    for (std::size_t server = 0; server < EndlessServers; ++server) {
+        fleet.startScriptedServer("q",
+                                  [response = responses[server % responses.size()]](ScriptedServer::Connection &connection, std::size_t) {
+                                      if (connection.head().starts_with("GET"))
+                                          return connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                                      connection.send(response.head);
+                                      connection.sendFrom([block = response.block] { return block; });
+                                  });
+    }
+    fleet.startNode("runner-1", Serving::InstanceRole::Runner);
+    auto &entry = fleet.startNode("entry-1");
+    fleet.waitUntilReady(entry);
+    std::vector<std::future<ServingFleet::Answer>> answers;
+    for (std::size_t number = 0; number < Requests; ++number)
+        answers.push_back(fleet.sendAgain(entry, ServingFleet::plainRequest("/q/" + std::to_string(number), "body")));
+    std::map<std::string, std::size_t> outcomes;
+    for (auto &future : answers) {
+        auto const answer = future.get();
+        ++outcomes[answer ? std::to_string(answer->status) : "none"];
+    }
+    ASSERT_TRUE(entry.isRunning());
+    EXPECT_LE(entry.peakMemoryBytes(), MaxMemoryBytes);
+    EXPECT_EQ(outcomes["none"], 0U) << "callers get a response, not a closed connection";
+    EXPECT_EQ(fleet.sendAgain(entry, fleet.requestOf({"good"})).get()->status, 200) << "another pool serves";
+    for (auto const &[outcome, count] : outcomes)
+        std::cout << outcome << ": " << count << '\n';
+    std::cout << "peak memory " << entry.peakMemoryBytes() / MiB << " MiB\n";
+}
