Cancel the reserved run of an item that was listed meanwhile

Found by reading the change that reserves places: if another owner lists an item while its send waits for its record, the record is no longer due, so that the run kept its place at the server for good.

Change: takeReservedSends() returns such an item as one that may not be sent, so that its run is cancelled; its state stays.

Evidence: JobTrackerTest.AStartedItemThatWasListedMeanwhileIsNotSent failed on (the item was never returned) and passes.

--- a/Libraries/LibJobs/JobTracker.cpp
+++ b/Libraries/LibJobs/JobTracker.cpp
@@ -626,8 +626,16 @@
             continue;
         for (std::size_t index = 0; index < job.items.size(); ++index) {
             auto &item = job.items[index];
-            bool const isRecorded = item.isReserved && item.sends.isRecorded(UnansweredSends::SendState::Sending);
-            if (!item.isReserved || (!isRecorded && now >= job.recordNotBefore))
+            if (!item.isReserved)
+                continue;
+            // The outcome of another owner was found meanwhile.
+            if (item.state != Item::State::Running) {
+                item.isReserved = false;
+                sends.push_back({.job = id, .index = index});
+                continue;
+            }
+            bool const isRecorded = item.sends.isRecorded(UnansweredSends::SendState::Sending);
+            if (!isRecorded && now >= job.recordNotBefore)
                 continue;
             bool const maySend = isRecorded && (!item.sends.mayHaveFailedUnseen() || mayBeSentAgain(item));
             if (maySend)
--- a/Tests/LibJobs/TestJobTracker.cpp
+++ b/Tests/LibJobs/TestJobTracker.cpp
@@ -587,6 +587,25 @@
     EXPECT_EQ(withdrawn[0].counts, (FailureCounts{{0, 1}}));
 }
 
+/// Another owner lists the item while its send is being recorded. Guards against an item that waits again although it has a result, and is
+/// then listed twice.
+TEST_F(JobTrackerTest, AStartedItemThatWasListedMeanwhileIsNotSent)
+{
+    add("j", 1);
+    leaveUnanswered(Start);
+    recordFailures(tracker_, Start);
+    auto const later = Start + 10s;
+    tracker_.onStarted(*tracker_.next(batchPool, RunTime, later));
+    tracker_.onSegmentFound(JobId("j"), {.first = 0, .outcomes = {{.id = ItemId("j-0"), .output = "text"}}});
+    recordFailures(tracker_, later, {{0, 2}});
+    auto const reserved = tracker_.takeReservedSends(later);
+    ASSERT_EQ(reserved.size(), 1U);
+    EXPECT_FALSE(reserved[0].maySend);
+    EXPECT_TRUE(tracker_.isDone(JobId("j")));
+    EXPECT_EQ(tracker_.counts().listed, 1U);
+    EXPECT_FALSE(tracker_.next(batchPool, RunTime, later + 10s));
+}
+
 /// A server refuses an item, or the connection to it fails. Guards against a count of a send that no server got, which stays if its owner
 /// ends.
 TEST_F(JobTrackerTest, ASendThatWasNotMadeIsWithdrawn)
