--- a/Services/Node/FleetFollower.h
+++ b/Services/Node/FleetFollower.h
@@ -30,6 +30,7 @@
     void start();
     /// Initially `Serving::ChangeSource::Peers`, with one list from the store.
     void setChangeSource(Serving::ChangeSource source);
+    /// Initially the default.
     void setWatchHold(Serving::WatchHold hold);
     /// Removes servers whose registration has lapsed. Call several times a second.
     void onTick(Instant now);
--- a/Tests/LibServing/TestPeerExchange.cpp
+++ b/Tests/LibServing/TestPeerExchange.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <map>
 #include <tuple>
 
 using namespace Anvilyard;
@@ -248,6 +249,19 @@
     }
 }
 
+/// The store may lose the responses to all watches at once. Guards against a fleet in which nobody notices that soon, and against calls of
+/// the store by all instances.
+TEST(PeerExchangeTest, OneInstanceOfADataCentreHoldsItsWatchesForAShortTime)
+{
+    ExchangeSimulation fleet({.instances = 100});
+    fleet.run(1500ms, BusyChanges);
+    std::map<DataCentreId, std::size_t> shortHolds;
+    for (auto const &instance : fleet.instances())
+        shortHolds[instance.dataCentre] += instance.exchange->watchHold() == WatchHold::Short ? 1 : 0;
+    for (auto const &[dataCentre, count] : shortHolds)
+        EXPECT_EQ(count, 1U) << dataCentre.value();
+}
+
 /// Only relays and instances without a relay watch the store, since each watcher costs calls. On coldline-kr-large trouble-3
 /// (platform_down) all 295 instances tried to watch a store that was away for all, and listed it when it returned.
 TEST(PeerExchangeTest, FewInstancesOfALargeFleetWatchTheStore)
