Move the records of failures out of the runner of jobs

JobRunner has a thousand lines and grew by the places that are reserved for repeated sends. FailureRecorder holds what writes counts to the store and repeats the last record of a job that was handed over. The logic is the same.

--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -18,8 +18,6 @@
 constexpr Duration InitialMeanRunTime = 4s;
 constexpr double MeanRunTimeWeight = 0.1;
 constexpr Duration LoadRetryDelay = 200ms;
-/// Number of times that the counts of a job are written that was handed over.
-constexpr int LastRecordAttempts = 10;
 /// Reading a job takes some calls of the store, each of which ends after a second or two at the latest.
 constexpr Duration LoadOverdueAfter = 5s;
 /// Within this time of a job's creation no other runner has taken the job and stored something: their watches return later, and a runner
@@ -44,11 +42,6 @@
     return Jobs::TenureId(std::to_string(random()));
 }
 
-Platform::Kind const &kindOf(Jobs::FailureCommit const &commit)
-{
-    return commit.subject == Jobs::FailureCommit::Subject::Failures ? Jobs::failureKind : Jobs::unansweredKind;
-}
-
 Duration ageOf(WallInstant acceptedAt)
 {
     // After a backward step of the clock the difference would be negative.
@@ -85,6 +78,7 @@
           },
       })
     , unanswered_(context, health)
+    , failures_(context)
     , meanRunTime_(InitialMeanRunTime)
     , stalls_(Jobs::StallDetectorOptions{})
     , waits_(Jobs::JobWaitDetectorOptions{})
@@ -333,7 +327,7 @@
                 {{"job", job.value()}, {"owner", owner ? owner->value() : "none"}, {"observer", observer ? observer->value() : ""}});
             cancelRuns(job);
             for (auto const &commit : jobs_.takeLastFailures(job))
-                recordLast(commit, LastRecordAttempts);
+                failures_.recordLast(commit);
             jobs_.remove(job);
             policyRoutes_.erase(job);
             pendingStores_.erase(job);
@@ -748,58 +742,18 @@
 void JobRunner::recordFailures(Instant now)
 {
     for (auto &commit : jobs_.takeFailures(now)) {
-        ++pendingStoreCalls_;
-        Jobs::recordFailures(context_.store,
-                             kindOf(commit),
-                             commit.job,
-                             commit.tenure,
-                             commit.counts,
-                             [this, commit](Result<Jobs::FailureCounts> const &others) {
-                                 --pendingStoreCalls_;
-                                 auto const recorded = readLocalClock();
-                                 if (!others) {
-                                     Observe::log(Observe::Events::NodeFailuresNotRecorded,
-                                                  {{"job", commit.job.value()}, {"error", others.error().toString()}});
-                                     return jobs_.onFailuresNotRecorded(commit, recorded);
-                                 }
-                                 std::uint32_t otherFailures = 0;
-                                 for (auto const &[index, count] : *others)
-                                     otherFailures += count;
-                                 if (otherFailures > 0)
-                                     Observe::log(Observe::Events::NodeFailuresOfOthersFound,
-                                                  {{"job", commit.job.value()}, {"failures", std::to_string(otherFailures)}});
-                                 jobs_.onFailuresRecorded(commit, *others, recorded);
-                                 storeOutcomes(recorded);
-                                 sendReserved(recorded);
-                             });
+        failures_.record(commit, [this, commit](Result<Jobs::FailureCounts> const &others) {
+            auto const recorded = readLocalClock();
+            if (!others)
+                return jobs_.onFailuresNotRecorded(commit, recorded);
+            jobs_.onFailuresRecorded(commit, *others, recorded);
+            storeOutcomes(recorded);
+            sendReserved(recorded);
+        });
     }
     sendReserved(now);
 }
 
-void JobRunner::recordLast(Jobs::FailureCommit const &commit, int attempts)
-{
-    ++pendingStoreCalls_;
-    Jobs::recordFailures(
-        context_.store,
-        kindOf(commit),
-        commit.job,
-        commit.tenure,
-        commit.counts,
-        [this, commit, attempts](Result<Jobs::FailureCounts> const &others) {
-            --pendingStoreCalls_;
-            if (others)
-                return;
-            Observe::log(Observe::Events::NodeFailuresNotRecorded, {{"job", commit.job.value()}, {"error", others.error().toString()}});
-            if (attempts <= 1)
-                return;
-            auto const number = ++lastRetry_;
-            retryTimers_[number] = context_.loop.at(readLocalClock() + LoadRetryDelay, [this, commit, attempts, number] {
-                auto const timer = retryTimers_.extract(number);
-                recordLast(commit, attempts - 1);
-            });
-        });
-}
-
 void JobRunner::store(JobId const &job, Jobs::ResultSegment segment)
 {
     ++pendingStoreCalls_;
@@ -1052,7 +1006,7 @@
 
 bool JobRunner::isIdle() const
 {
-    return pendingStoreCalls_ == 0 && runs_.empty();
+    return pendingStoreCalls_ == 0 && failures_.isIdle() && runs_.empty();
 }
 
 } // namespace Anvilyard::Node
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -7,6 +7,7 @@
 #include "LibJobs/OwnerCheck.h"
 #include "LibJobs/StallDetector.h"
 #include "LibJobs/TokenAdmission.h"
+#include "Services/Node/FailureRecorder.h"
 #include "Services/Node/ItemRun.h"
 #include "Services/Node/JobApiHandler.h"
 #include "Services/Node/PeerReportExchange.h"
@@ -103,8 +104,6 @@
     void store(JobId const &job, Jobs::ResultSegment segment);
     /// Records failures of items, so that the next owner of their jobs counts them.
     void recordFailures(Instant now);
-    /// Records what is left of a job that was handed over.
-    void recordLast(Jobs::FailureCommit const &commit, int attempts);
     void onSegmentStored(JobId const &job, Jobs::ResultSegment segment);
     /// The store refused the segment for what it holds.
     void onStoreRefused(JobId const &job, Jobs::ResultSegment const &segment, Instant now);
@@ -160,6 +159,7 @@
     std::optional<Instant> uncheckedChangeAt_;
     std::list<std::shared_ptr<ItemRun>> runs_;
     UnansweredItems unanswered_;
+    FailureRecorder failures_;
     /// Servers for which a permit is requested.
     std::set<ServerId> pendingPermits_;
     std::list<PendingRead> pendingReads_;
@@ -181,8 +181,6 @@
     Instant nextWaitCheckAt_ = Instant::min();
     Jobs::OwnerCheck ownerCheck_;
     std::size_t pendingStoreCalls_ = 0;
-    std::map<std::uint64_t, std::unique_ptr<Http::Timer>> retryTimers_;
-    std::uint64_t lastRetry_ = 0;
     bool isLeaving_ = false;
 };
 
