Read a job that cannot be read less and less often

Cause: JobRunner tried each job that it could not read again after 200 ms, as if the store had failed.

Change: the delay doubles with each attempt in which the store answered, up to 30 s, until the job changes. While the store fails it stays 200 ms.

Evidence: OddEntriesTest.AJobThatCannotBeReadIsReadAgainLessAndLessOften failed on (five attempts within 1.4 s, where the doubled delays add up to 3 s) and passes. OddEntriesTest.EntriesOfEachKindLeaveTheOthersInUse passed before, too: it holds odd entries of eleven kinds, when they are listed, come by the watch, and are read again after a restart.

--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -18,6 +18,8 @@
 constexpr Duration InitialMeanRunTime = 4s;
 constexpr double MeanRunTimeWeight = 0.1;
 constexpr Duration LoadRetryDelay = 200ms;
+/// Upper limit of the delay for a job that cannot be read, which doubles with each attempt. Another writer may have left it.
+constexpr Duration MaxLoadRetryDelay = 30s;
 /// Reading a job takes some calls of the store, each of which ends after a second or two at the latest.
 constexpr Duration LoadOverdueAfter = 5s;
 /// Within this time of a job's creation no other runner has taken the job and stored something: their watches return later, and a runner
@@ -103,6 +105,9 @@
         return;
     }
     onJobKnown(job, Jobs::isEnded(object.status));
+    auto &known = knownJobs_.at(job);
+    known.unreadableLoads = 0;
+    known.loadNotBefore = Instant::min();
 }
 
 /// A notice may be lost, and so may the return of the watch. If the job does not exist, it is forgotten again.
@@ -253,7 +258,7 @@
         if (loaded.error().code == Jobs::JobsError::JobNotFound && !found->second.isConfirmed)
             knownJobs_.erase(found);
         else
-            found->second.loadNotBefore = now + LoadRetryDelay;
+            retryLoadLater(found->second, loaded.error(), now);
         return;
     }
     if (!owns(job))
@@ -277,6 +282,17 @@
     servePendingReads(now);
 }
 
+void JobRunner::retryLoadLater(KnownJob &known, Error const &error, Instant now)
+{
+    constexpr std::uint32_t MaxDoublings = 10;
+    auto const doublings = std::min(known.unreadableLoads, MaxDoublings);
+    known.loadNotBefore = now + std::min(LoadRetryDelay * (1U << doublings), MaxLoadRetryDelay);
+    // While the store fails, nothing is known of the job.
+    bool const isAnswered =
+        error.code == Jobs::JobsError::BadObject || error.code == Jobs::JobsError::JobNotFound || error.code == PlatformError::NotFound;
+    known.unreadableLoads += isAnswered ? 1 : 0;
+}
+
 void JobRunner::refreshPolicies(JobId const &job, Instant now)
 {
     auto const *record = jobs_.find(job);
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -59,6 +59,8 @@
         Instant loadingSince = Instant::min();
         bool isOverdueLogged = false;
         Instant loadNotBefore = Instant::min();
+        /// Attempts since the last change of the job in which the store answered, but the job could not be read.
+        std::uint32_t unreadableLoads = 0;
     };
 
     /// A read by an entry that waits for a result.
@@ -75,6 +77,7 @@
     void lookForUnheardJob(JobId const &job);
     void onJobChanged(Platform::WatchChange change, Platform::Object const &object);
     void load(JobId const &job);
+    void retryLoadLater(KnownJob &known, Error const &error, Instant now);
     /// Applies the current routes to the items of a job if they have changed since.
     void refreshPolicies(JobId const &job, Instant now);
     void reconcile(Instant now);
--- a/Tests/Node/TestStoreFollower.cpp
+++ b/Tests/Node/TestStoreFollower.cpp
@@ -1,8 +1,13 @@
 #include "Services/Node/StoreFollower.h"
 
+#include "LibJobs/JobCodec.h"
+#include "LibJobs/ResultChain.h"
 #include "Tests/Node/NodeFixture.h"
 
+#include <boost/json.hpp>
 #include <gtest/gtest.h>
+#include <map>
+#include <thread>
 
 using namespace Anvilyard;
 using namespace Anvilyard::Tests;
@@ -51,6 +56,42 @@
 
 class OddEntriesTest : public NodeTest
 {
+protected:
+    /// Puts entries of another writer under names that no instance uses into each kind that instances read.
+    void putOddEntries()
+    {
+        for (auto const *const kind : {"config",
+                                       "servers",
+                                       "batchjobs",
+                                       "batchjobparts",
+                                       "batchresults",
+                                       "batchfailures",
+                                       "batchunanswered",
+                                       "instances",
+                                       "softwareversions",
+                                       "retirements",
+                                       "quarantines"}) {
+            for (auto const *const name : {"#", "&x", "a b", "a%20b", "a+b", "a?allowStale=1", "zz"}) {
+                for (auto const *const spec : {"null", R"({"service":7,"version":"x","items":{}})"})
+                    thread_.call([&] { store_->put(kind, name, spec); });
+            }
+        }
+    }
+
+    /// Expects that a request is served and a job is done, at an entry and a runner that are up.
+    void expectServes(Node::NodeProgram &entry, std::string const &job)
+    {
+        waitUntilReady(entry);
+        EXPECT_EQ(ask(entry, requestOf("/s/1", "of-" + job))->status, 200);
+        auto const submitted =
+            ask(entry,
+                {.method = "POST",
+                 .target = "/b/1",
+                 .headers = {{"Host", "h.example"}, {"Anvilyard-Attempt-Id", job}},
+                 .body = R"({"items":[{"id":"i-)" + job + R"(","path":"/b/x","headers":{},"body":"aGVsbG8=","tokens":1}]})"});
+        EXPECT_EQ(submitted->status, 202);
+        waitUntil([&] { return store_->table().get(Jobs::segmentKind, Jobs::segmentObject(JobId(job), 0)).has_value(); });
+    }
 };
 
 } // namespace
@@ -114,3 +155,40 @@
     for (auto const *const name : {"i-1", "i-1 d", "i-1&a", "i-1%20d"})
         EXPECT_TRUE(protocol_.readServer(ServerId(name), spec)) << name;
 }
+
+/// Entries of another writer in each kind, when they are listed, come by the watch, and are read again after a restart. Guards against one
+/// that hides the others.
+TEST_F(OddEntriesTest, EntriesOfEachKindLeaveTheOthersInUse)
+{
+    FleetServer const server(
+        thread_, [](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) { answerEvents(request, writer, 3); });
+    putState(1);
+    putServer("s1", server.address());
+    thread_.call([&] { store_->setPageSize(2); });
+    auto *entry = &startNode("entry-1");
+    startNode("runner-1", Serving::InstanceRole::Runner);
+    expectServes(*entry, "before");
+    putOddEntries();
+    expectServes(*entry, "watched");
+    for (auto const *const name : {"entry-1", "runner-1"})
+        killNode(name);
+    startNode("runner-1", Serving::InstanceRole::Runner);
+    entry = &startNode("entry-1");
+    expectServes(*entry, "listed");
+}
+
+/// Guards against a job of another writer that is read from the store five times a second for as long as it stands there.
+TEST_F(OddEntriesTest, AJobThatCannotBeReadIsReadAgainLessAndLessOften)
+{
+    putState(1);
+    thread_.call([&] { store_->put("batchjobs", "odd", R"({"service":7})"); });
+    auto const startedAt = readLocalClock();
+    startNode("runner-1", Serving::InstanceRole::Runner);
+    // Each attempt reads the job's counts once.
+    constexpr std::size_t Attempts = 5;
+    waitUntil([&] {
+        auto const calls = store_->calls().find("GET batchfailures");
+        return calls != store_->calls().end() && calls->second >= Attempts;
+    });
+    EXPECT_GE(readLocalClock() - startedAt, 3s) << "0.2, 0.4, 0.8 and 1.6 s lie between five attempts";
+}
