Read all pages of the software versions at the start

Found by looking for the cause of the list without end on related paths: VersionRegister read the first page alone. With a page of entries of another writer, or more pools than a page holds, a node that starts knows no versions of the other pools until their records are written again.

Change: it uses the one loop over pages.

Evidence: OddEntriesTest.SoftwareVersionsOfAllPagesAreKnownAfterAStart failed on (0 of 2 pools known within 5 s, one entry a page) and passes.

--- a/Services/Node/VersionRegister.cpp
+++ b/Services/Node/VersionRegister.cpp
@@ -1,6 +1,7 @@
 #include "Services/Node/VersionRegister.h"
 
 #include "LibObserve/Events.h"
+#include "LibPlatform/PagedList.h"
 
 #include <algorithm>
 #include <random>
@@ -35,21 +36,22 @@
 
 void VersionRegister::start()
 {
-    // Versions leave the record so late that an old list is no worse than a new one.
-    context_.store.list(
-        CallClass::Read,
-        versionKind,
+    Platform::listAllPages(
+        [this](Platform::ListOptions options, Platform::Reply<Platform::ObjectList> reply) {
+            context_.store.list(CallClass::Read, versionKind, std::move(options), std::move(reply));
+        },
+        // Versions leave the record so late that an old list is no worse than a new one.
         {.consistency = Platform::ListConsistency::MayBeStale},
-        [this](Result<Platform::ObjectList> const &listed) {
-            if (!listed) {
-                Observe::log(Observe::Events::NodeVersionRecordFailed, {{"pool", ""}, {"error", listed.error().toString()}});
-                return;
-            }
-            for (auto const &object : listed->objects) {
+        [this](std::vector<Platform::Object> const &objects) {
+            for (auto const &object : objects) {
                 PoolName const pool(object.name.value());
                 if (auto const versions = decode(pool, object))
                     context_.versions.onRecorded(pool, *versions, readLocalClock());
             }
+        },
+        [](Result<std::monostate> const &listed) {
+            if (!listed)
+                Observe::log(Observe::Events::NodeVersionRecordFailed, {{"pool", ""}, {"error", listed.error().toString()}});
         });
 }
 
--- a/Tests/Node/TestStoreFollower.cpp
+++ b/Tests/Node/TestStoreFollower.cpp
@@ -192,3 +192,28 @@
     });
     EXPECT_GE(readLocalClock() - startedAt, 3s) << "0.2, 0.4, 0.8 and 1.6 s lie between five attempts";
 }
+
+/// The list of software versions has several pages, of which some hold only entries of another writer. Guards against a start that knows
+/// the versions of the first page only.
+TEST_F(OddEntriesTest, SoftwareVersionsOfAllPagesAreKnownAfterAStart)
+{
+    putState(1);
+    thread_.call([&] {
+        store_->setPageSize(1);
+        store_->put("softwareversions", "&x", "7");
+        for (auto const *const pool : {"p", "q"})
+            store_->put("softwareversions", pool, R"({"versions":["v1"]})");
+    });
+    auto &node = startNode("entry-1");
+    waitUntilReady(node);
+    auto const address = thread_.call([&] { return node.peerAddress(); });
+    waitUntil([&] { return store_->calls().contains("GET softwareversions"); });
+    auto const known = [&] {
+        auto const answer =
+            sendTo(address, {.method = "GET", .target = "/fleet?state=0&since=0", .headers = {{"Host", address.value()}}}).get();
+        return answer ? boost::json::parse(answer->body).at("versions").as_object().size() : 0;
+    };
+    for (auto const until = readLocalClock() + 5s; known() < 2 && readLocalClock() < until;)
+        waitFor(20ms);
+    EXPECT_EQ(known(), 2U);
+}
