Test that a promise in an invalid response promises nothing

OnlineTest.APromiseInAnInvalidResponsePromisesNothing: responses that are none, broken off or malformed, whose heads state that the request did not run. A request that may run once gets 502 and is sent once. The comment of a test of watches says the same in usual terms.

--- a/Tests/LibServing/TestPeerExchange.cpp
+++ b/Tests/LibServing/TestPeerExchange.cpp
@@ -249,8 +249,8 @@
     }
 }
 
-/// The store may lose the responses to all watches at once. Guards against a fleet in which nobody notices that soon, and against calls of
-/// the store by all instances.
+/// The store may lose the responses to all watches at once. Guards against a fleet without a short watch, and against one in which each
+/// instance pays for one.
 TEST(PeerExchangeTest, OneInstanceOfADataCentreHoldsItsWatchesForAShortTime)
 {
     ExchangeSimulation fleet({.instances = 100});
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -811,6 +811,42 @@
     }
 }
 
+/// A server states in a response that is no response that it did not run the request. Guards against passing that promise on, or relying on
+/// it to send the request again.
+TEST_F(OnlineTest, APromiseInAnInvalidResponsePromisesNothing)
+{
+    std::string head;
+    int runs = 0;
+    auto const faulty = thread_.call([&] {
+        return ScriptedServer::create(thread_.loop(), [&](ScriptedServer::Connection &connection, std::size_t) {
+            if (connection.head().starts_with("GET"))
+                return connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            ++runs;
+            connection.send(head);
+            connection.close();
+        });
+    });
+    putState(1);
+    for (auto const *const id : {"s1", "s2"})
+        putServer(id, faulty->address());
+    auto &node = startNode("entry-1");
+    waitUntilReady(node);
+    std::string const promise = "Anvilyard-Not-Executed: 1\r\n";
+    for (auto const &text : {"HTTP/1.1 000 X\r\n" + promise + "Content-Length: 0\r\n\r\n",
+                                   "HTTP/1.1 999 X\r\n" + promise + "Content-Length: 0\r\n\r\n",
+                                   "HTTP/1.1 503 X\r\n" + promise + "A B: c\r\nContent-Length: 0\r\n\r\n",
+                                   "HTTP/1.1 503 X\r\n" + promise + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+                                   "HTTP/1.1 503 X\r\n" + promise + "Content-Length: 9\r\n\r\nbroken",
+                                   std::string("HTTP/1.1 421 X\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n")}) {
+        thread_.call([&] {
+            head = text;
+            runs = 0;
+        });
+        EXPECT_EQ(ask(node, requestOf("/u/1", "a"))->status, 502) << text;
+        EXPECT_EQ(thread_.call([&] { return runs; }), 1) << text;
+    }
+}
+
 /// Both servers are slow to start requests but seem to have free slots, as at a load peak for which batch items have not been
 /// preempted yet. Guards against requests that lose their place at one server to queue again at the other, or that are refused
 /// although their server still works on them.
