Count a server as answering an item when an event is complete

What callers saw: a server of a pool answered each item with the head of a stream and then with bytes that were no events. Its pool kept using it, and items ended without output although the other server was sound.

The head of a response counted as an answer and cleared what spoke against the server.

Change: a runner counts a server as answering an item when the first event is complete or the response has ended. A malformed response whose head was read speaks against the server like a failed connection.

--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -120,7 +120,6 @@
     reportIfLeaving(context_, server_, traits);
     if (trialAt_ && traits.isNotRun)
         context_.prompts.onTrialEnded(suspects_, *trialAt_, Serving::TrialOutcome::NotRun);
-    health_.onEvidence(server_.id, Routing::ServerEvidence::Answered);
     bool const isInvalid = status_ == Ok && (!traits.isSigned || traits.isEncoded);
     if (isInvalid)
         fail({.code = Http::HttpError::Malformed});
@@ -155,6 +154,8 @@
     });
     if (error)
         return fail(*error);
+    if (eventsBefore == 0 && sequence_.count() > 0)
+        health_.onEvidence(server_.id, Routing::ServerEvidence::Answered);
     if (eventsBefore < Serving::EventsOfAnswer && sequence_.count() >= Serving::EventsOfAnswer)
         context_.prompts.onAnswered(suspects_);
     if (events_.isBroken())
@@ -171,10 +172,12 @@
             recordLoss(failure);
             return fail(failure.error);
         }
+        health_.onEvidence(server_.id, Routing::ServerEvidence::Answered);
         context_.prompts.onAnswered(suspects_);
         return finish(SendEnd::Complete);
     }
     logRejection();
+    health_.onEvidence(server_.id, Routing::ServerEvidence::Answered);
     if (status_ == InternalServerError || status_ == UnprocessableContent)
         context_.prompts.onAnswered({.request = suspects_.request});
     finish(status_ == InternalServerError ? SendEnd::Failed : status_ == UnprocessableContent ? SendEnd::Impossible : SendEnd::Unserved);
@@ -212,6 +215,9 @@
 
 void ItemRun::fail(Error const &error, SendEnd end)
 {
+    // A head alone is no answer of the server.
+    if (error.code == Http::HttpError::Malformed && status_ != 0)
+        health_.onEvidence(server_.id, Routing::ServerEvidence::FreshConnectionFailed);
     Observe::log(Observe::Events::NodeItemAttemptFailed,
                  {{"job", item_.job.value()},
                   {"item", itemId_.value()},
--- a/Tests/Node/TestEndlessServers.cpp
+++ b/Tests/Node/TestEndlessServers.cpp
@@ -1,3 +1,4 @@
+#include "LibObserve/Events.h"
 #include "Tests/Fakes/ScriptedServer.h"
 #include "Tests/Node/NodeFixture.h"
 
@@ -213,6 +214,33 @@
     }
 }
 
+/// A server sends heads of responses and then bytes that are no events. Guards against items that are sent to it again and again, as each
+/// head counts as an answer.
+TEST_F(EndlessServersTest, AServerWhoseStreamsAreNoneIsNotUsedForItems)
+{
+    putState(1);
+    addServers(1, [](ScriptedServer::Connection &connection) {
+        connection.send(eventStream + "\r\n");
+        connection.sendFrom(repeat("no event"));
+    });
+    addServers(1, [](ScriptedServer::Connection &connection) { connection.send(soundResponse()); });
+    auto &entry = startNode("entry-1");
+    startNode("runner-1", InstanceRole::Runner);
+    waitUntilReady(entry);
+    std::atomic<bool> isEjected = false;
+    Observe::setLogSink([&](Observe::EventDefinition const &event, std::initializer_list<Observe::Field>) {
+        isEjected = isEjected || event.name == Observe::Events::NodeServerEjected.name;
+    });
+    constexpr int MaxJobs = 30;
+    for (int job = 0; job < MaxJobs && !isEjected; ++job) {
+        auto const id = "job-" + std::to_string(job);
+        submitItem(entry, id);
+        EXPECT_EQ(readOutput(entry, id), "t0\nt1\nt2");
+    }
+    thread_.call([] { Observe::setLogSink(nullptr); });
+    EXPECT_TRUE(isEjected);
+}
+
 /// Guards against buffering the response to a probe without limit.
 TEST_F(EndlessServersTest, AnEndlessResponseToAProbeIsCutOff)
 {
