Format the test of promises in invalid responses

Change: the formatter's own output. No test or check changes. Measured: the formatter accepts all sources, and the linter has no finding in the files changed since.

--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -833,11 +833,11 @@
     waitUntilReady(node);
     std::string const promise = "Anvilyard-Not-Executed: 1\r\n";
     for (auto const &text : {"HTTP/1.1 000 X\r\n" + promise + "Content-Length: 0\r\n\r\n",
-                                   "HTTP/1.1 999 X\r\n" + promise + "Content-Length: 0\r\n\r\n",
-                                   "HTTP/1.1 503 X\r\n" + promise + "A B: c\r\nContent-Length: 0\r\n\r\n",
-                                   "HTTP/1.1 503 X\r\n" + promise + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
-                                   "HTTP/1.1 503 X\r\n" + promise + "Content-Length: 9\r\n\r\nbroken",
-                                   std::string("HTTP/1.1 421 X\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n")}) {
+                             "HTTP/1.1 999 X\r\n" + promise + "Content-Length: 0\r\n\r\n",
+                             "HTTP/1.1 503 X\r\n" + promise + "A B: c\r\nContent-Length: 0\r\n\r\n",
+                             "HTTP/1.1 503 X\r\n" + promise + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+                             "HTTP/1.1 503 X\r\n" + promise + "Content-Length: 9\r\n\r\nbroken",
+                             std::string("HTTP/1.1 421 X\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n")}) {
         thread_.call([&] {
             head = text;
             runs = 0;
