LibRouting+Node: Log why servers are ejected and restored, and what careful sends knew

A server that answers health checks and fails all work is ejected and restored in turn. The lines did not say on what evidence it was restored, nor how often this had happened since it last answered a request, nor whether the server of a failed send had answered anything before. Both lines now have evidence and ejections, node-item-attempt-failed has careful and server_answered_before_ms.

--- a/Libraries/LibRouting/ServerHealth.cpp
+++ b/Libraries/LibRouting/ServerHealth.cpp
@@ -4,6 +4,21 @@
 
 namespace Anvilyard::Routing {
 
+char const *nameOf(ServerEvidence evidence)
+{
+    switch (evidence) {
+    case ServerEvidence::Answered:
+        return "answered";
+    case ServerEvidence::ErrorResponse:
+        return "error-response";
+    case ServerEvidence::FreshConnectionFailed:
+        return "fresh-connection-failed";
+    case ServerEvidence::ReusedConnectionFailed:
+        return "reused-connection-failed";
+    }
+    return "unknown";
+}
+
 ServerHealth::ServerHealth(ServerHealthOptions options, RandomSource random)
     : options_(options)
     , random_(random)
@@ -24,11 +39,14 @@
     if (found == servers_.end() || evidence == ServerEvidence::ReusedConnectionFailed)
         return actions;
     auto &entry = found->second;
+    if (evidence == ServerEvidence::Answered)
+        entry.answeredAt = now;
     // A request sent before the ejection may still be answered; only a probe restores a server.
     if (entry.state != Server::State::InUse)
         return actions;
     if (evidence == ServerEvidence::Answered) {
         entry.points = 0;
+        entry.ejections = 0;
         return actions;
     }
     if (now >= entry.evidenceUntil)
@@ -36,7 +54,7 @@
     entry.evidenceUntil = now + options_.evidenceLifetime;
     entry.points +=
         evidence == ServerEvidence::FreshConnectionFailed ? options_.pointsPerFailedConnection : options_.pointsPerErrorResponse;
-    ejectIfDue(server, entry, now, actions);
+    ejectIfDue(server, entry, evidence, now, actions);
     return actions;
 }
 
@@ -55,14 +73,15 @@
     return ejected < maxEjected;
 }
 
-void ServerHealth::ejectIfDue(ServerId const &id, Server &server, Instant now, std::vector<HealthAction> &actions)
+void ServerHealth::ejectIfDue(ServerId const &id, Server &server, ServerEvidence evidence, Instant now, std::vector<HealthAction> &actions)
 {
     if (server.points < options_.ejectAtPoints || !mayEject(server.pool))
         return;
     server.state = Server::State::Ejected;
     server.probeDelay = options_.firstProbeDelay;
+    ++server.ejections;
     scheduleProbe(server, now);
-    actions.emplace_back(ServerEjected{id});
+    actions.emplace_back(ServerEjected{.server = id, .evidence = evidence, .ejections = server.ejections});
 }
 
 /// Spreads the probes of instances that ejected the server at the same time.
@@ -89,11 +108,11 @@
     // One more failure ejects it again, because a probe exercises less than a request does.
     entry.points = options_.ejectAtPoints - 1;
     entry.evidenceUntil = now + options_.evidenceLifetime;
-    actions.emplace_back(ServerRestored{server});
+    actions.emplace_back(ServerRestored{.server = server, .ejections = entry.ejections});
     // The bound now allows another server with enough evidence to be ejected.
     for (auto &[id, other] : servers_) {
         if (id != server && other.pool == entry.pool && other.state == Server::State::InUse && now < other.evidenceUntil)
-            ejectIfDue(id, other, now, actions);
+            ejectIfDue(id, other, ServerEvidence::FreshConnectionFailed, now, actions);
     }
     return actions;
 }
@@ -128,6 +147,12 @@
     return ejected;
 }
 
+std::optional<Instant> ServerHealth::answeredAt(ServerId const &server) const
+{
+    auto const found = servers_.find(server);
+    return found == servers_.end() ? std::nullopt : found->second.answeredAt;
+}
+
 std::optional<Instant> ServerHealth::nextTick() const
 {
     std::optional<Instant> next;
--- a/Libraries/LibRouting/ServerHealth.h
+++ b/Libraries/LibRouting/ServerHealth.h
@@ -23,6 +23,9 @@
     ReusedConnectionFailed,
 };
 
+/// Name for logs.
+char const *nameOf(ServerEvidence evidence);
+
 enum class ProbeOutcome {
     Answered,
     Failed,
@@ -44,10 +47,16 @@
 
 struct ServerEjected {
     ServerId server;
+    ServerEvidence evidence = ServerEvidence::FreshConnectionFailed;
+    /// Number of ejections since it last answered a request, this one included.
+    std::uint32_t ejections = 1;
 };
 
+/// The server answered a probe.
 struct ServerRestored {
     ServerId server;
+    /// Number of ejections since it last answered a request.
+    std::uint32_t ejections = 1;
 };
 
 /// Probe the server's health on a new connection and report the result to onProbe().
@@ -72,6 +81,8 @@
     void onPathRestored(Instant now);
 
     [[nodiscard]] std::set<ServerId> ejected() const;
+    /// When the server last answered a request; `std::nullopt` if it has answered none.
+    [[nodiscard]] std::optional<Instant> answeredAt(ServerId const &server) const;
     [[nodiscard]] std::optional<Instant> nextTick() const;
 
 private:
@@ -79,6 +90,9 @@
         PoolName pool;
         std::uint32_t points = 0;
         Instant evidenceUntil;
+        std::optional<Instant> answeredAt;
+        /// Since it last answered a request.
+        std::uint32_t ejections = 0;
         enum class State {
             InUse,
             Ejected,
@@ -89,7 +103,7 @@
     };
 
     [[nodiscard]] bool mayEject(PoolName const &pool) const;
-    void ejectIfDue(ServerId const &id, Server &server, Instant now, std::vector<HealthAction> &actions);
+    void ejectIfDue(ServerId const &id, Server &server, ServerEvidence evidence, Instant now, std::vector<HealthAction> &actions);
     void scheduleProbe(Server &server, Instant now);
 
     ServerHealthOptions options_;
--- a/Services/Node/HealthProber.cpp
+++ b/Services/Node/HealthProber.cpp
@@ -97,10 +97,14 @@
 {
     for (auto const &action : actions) {
         if (auto const *ejected = std::get_if<Routing::ServerEjected>(&action)) {
-            Observe::log(Observe::Events::NodeServerEjected, {{"server", ejected->server.value()}});
+            Observe::log(Observe::Events::NodeServerEjected,
+                         {{"server", ejected->server.value()},
+                          {"evidence", Routing::nameOf(ejected->evidence)},
+                          {"ejections", std::to_string(ejected->ejections)}});
             onEjectionsChanged_();
         } else if (auto const *restored = std::get_if<Routing::ServerRestored>(&action)) {
-            Observe::log(Observe::Events::NodeServerRestored, {{"server", restored->server.value()}});
+            Observe::log(Observe::Events::NodeServerRestored,
+                         {{"server", restored->server.value()}, {"evidence", "probe"}, {"ejections", std::to_string(restored->ejections)}});
             onEjectionsChanged_();
         } else if (auto const *due = std::get_if<Routing::ProbeServer>(&action)) {
             probe(due->server);
--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -23,6 +23,12 @@
 /// Upper limit for every run, about ten times the longest one.
 constexpr Duration RunTimeout = 60s;
 
+/// Negative if the first time is the later one.
+std::string millisecondsBetween(Instant from, Instant until)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(until - from).count());
+}
+
 } // namespace
 
 Serving::RequestSuspects suspectsOf(NodeContext const &context, Jobs::JobItem const &item, ItemOrigin const &origin)
@@ -218,6 +224,7 @@
     // A head alone is no answer of the server.
     if (error.code == Http::HttpError::Malformed && status_ != 0)
         health_.onEvidence(server_.id, Routing::ServerEvidence::FreshConnectionFailed);
+    auto const answeredAt = context_.health.answeredAt(server_.id);
     Observe::log(Observe::Events::NodeItemAttemptFailed,
                  {{"job", item_.job.value()},
                   {"item", itemId_.value()},
@@ -228,6 +235,8 @@
                   {"unfinished_bytes", std::to_string(events_.unfinishedBytes())},
                   {"status", status_ == 0 ? "none" : std::to_string(status_)},
                   {"unanswered", end == SendEnd::Unanswered ? "true" : "false"},
+                  {"careful", isSentWithCare() ? "true" : "false"},
+                  {"server_answered_before_ms", answeredAt ? millisecondsBetween(*answeredAt, startedAt_) : "none"},
                   {"prompt_parts", Serving::toString(suspects_.parts)},
                   {"fingerprint", suspects_.request ? Serving::toString(*suspects_.request) : "none"},
                   {"server_started_at", std::to_string(server_.startedAt)}});
