LibRouting+Node: Put servers on trial after a health check restored them

Callers saw 502 for requests that can be sent only once, and items had their few unanswered sends used up, by servers that answer health checks and reset all work. Cause: a probe restored an ejected server in full 0.4 s later, each time anew, so that it was in use for half of the time, and as it was empty it was chosen first.

A restored server is on trial until it has answered a request that was sent since. It gets one request an interval, of those that can be sent to another server; where none comes for 3 s, any. A failure on trial ejects it again and goes on doubling the delay of its probes. If the servers on trial are all there are, they are used as before. Rejections (429, 5xx) and ends of older streams do not end a trial.

--- a/Libraries/LibRouting/RetryPolicy.h
+++ b/Libraries/LibRouting/RetryPolicy.h
@@ -62,6 +62,13 @@
     AbortResponse,
 };
 
+/// What can be done with a request that its server fails.
+enum class SendsLeft {
+    /// It can be sent to another server.
+    Some,
+    None,
+};
+
 /// Returns whether the request may have run, given the end of an attempt.
 Http::RunState runStateAfter(AttemptEnd const &end);
 
--- a/Libraries/LibRouting/ServerHealth.cpp
+++ b/Libraries/LibRouting/ServerHealth.cpp
@@ -4,11 +4,20 @@
 
 namespace Anvilyard::Routing {
 
+ServerEvidence evidenceOf(int status)
+{
+    constexpr int TooManyRequests = 429;
+    constexpr int FirstServerError = 500;
+    return status < FirstServerError && status != TooManyRequests ? ServerEvidence::Answered : ServerEvidence::Responded;
+}
+
 char const *nameOf(ServerEvidence evidence)
 {
     switch (evidence) {
     case ServerEvidence::Answered:
         return "answered";
+    case ServerEvidence::Responded:
+        return "responded";
     case ServerEvidence::ErrorResponse:
         return "error-response";
     case ServerEvidence::FreshConnectionFailed:
@@ -35,21 +44,21 @@
 std::vector<HealthAction> ServerHealth::onEvidence(ServerId const &server, ServerEvidence evidence, Instant now)
 {
     std::vector<HealthAction> actions;
+    if (evidence == ServerEvidence::Answered)
+        onAnswered(server, now, now);
     auto const found = servers_.find(server);
-    if (found == servers_.end() || evidence == ServerEvidence::ReusedConnectionFailed)
+    if (found == servers_.end() || !isInUse(found->second) || evidence == ServerEvidence::Answered
+        || evidence == ServerEvidence::ReusedConnectionFailed)
         return actions;
     auto &entry = found->second;
-    if (evidence == ServerEvidence::Answered)
-        entry.answeredAt = now;
-    // A request sent before the ejection may still be answered; only a probe restores a server.
-    if (entry.state != Server::State::InUse)
-        return actions;
-    if (evidence == ServerEvidence::Answered) {
-        entry.points = 0;
-        entry.ejections = 0;
+    bool const isOnTrial = entry.state == Server::State::OnTrial;
+    if (evidence == ServerEvidence::Responded) {
+        if (!isOnTrial)
+            entry.points = 0;
         return actions;
     }
-    if (now >= entry.evidenceUntil)
+    // The first failure on trial counts, whenever it comes.
+    if (now >= entry.evidenceUntil && !isOnTrial)
         entry.points = 0;
     entry.evidenceUntil = now + options_.evidenceLifetime;
     entry.points +=
@@ -58,6 +67,33 @@
     return actions;
 }
 
+void ServerHealth::onAnswered(ServerId const &server, Instant sentAt, Instant now)
+{
+    auto const found = servers_.find(server);
+    if (found == servers_.end())
+        return;
+    auto &entry = found->second;
+    entry.answeredAt = now;
+    // Only a probe restores a server.
+    bool const endsTrial = entry.state == Server::State::OnTrial && sentAt >= entry.restoredAt;
+    if (entry.state != Server::State::InUse && !endsTrial)
+        return;
+    entry.state = Server::State::InUse;
+    entry.points = 0;
+    entry.ejections = 0;
+}
+
+void ServerHealth::onSent(ServerId const &server, Instant now)
+{
+    if (auto const found = servers_.find(server); found != servers_.end())
+        found->second.nextTrialAt = now + options_.trialInterval;
+}
+
+bool ServerHealth::isInUse(Server const &server)
+{
+    return server.state == Server::State::InUse || server.state == Server::State::OnTrial;
+}
+
 bool ServerHealth::mayEject(PoolName const &pool) const
 {
     std::size_t all = 0;
@@ -66,7 +102,7 @@
         if (server.pool != pool)
             continue;
         ++all;
-        ejected += server.state == Server::State::InUse ? 0 : 1;
+        ejected += isInUse(server) ? 0 : 1;
     }
     auto const maxEjected =
         std::max<std::size_t>(all >= 2 ? 1 : 0, static_cast<std::size_t>(static_cast<double>(all) * options_.maxEjectedShare));
@@ -78,7 +114,7 @@
     if (server.points < options_.ejectAtPoints || !mayEject(server.pool))
         return;
     server.state = Server::State::Ejected;
-    server.probeDelay = options_.firstProbeDelay;
+    server.probeDelay = server.ejections == 0 ? options_.firstProbeDelay : std::min(server.probeDelay * 2, options_.maxProbeDelay);
     ++server.ejections;
     scheduleProbe(server, now);
     actions.emplace_back(ServerEjected{.server = id, .evidence = evidence, .ejections = server.ejections});
@@ -104,14 +140,16 @@
         scheduleProbe(entry, now);
         return actions;
     }
-    entry.state = Server::State::InUse;
+    entry.state = Server::State::OnTrial;
+    entry.restoredAt = now;
+    entry.nextTrialAt = now;
     // One more failure ejects it again, because a probe exercises less than a request does.
     entry.points = options_.ejectAtPoints - 1;
     entry.evidenceUntil = now + options_.evidenceLifetime;
     actions.emplace_back(ServerRestored{.server = server, .ejections = entry.ejections});
     // The bound now allows another server with enough evidence to be ejected.
     for (auto &[id, other] : servers_) {
-        if (id != server && other.pool == entry.pool && other.state == Server::State::InUse && now < other.evidenceUntil)
+        if (id != server && other.pool == entry.pool && isInUse(other) && now < other.evidenceUntil)
             ejectIfDue(id, other, ServerEvidence::FreshConnectionFailed, now, actions);
     }
     return actions;
@@ -141,12 +179,35 @@
 {
     std::set<ServerId> ejected;
     for (auto const &[id, server] : servers_) {
-        if (server.state != Server::State::InUse)
+        if (!isInUse(server))
             ejected.insert(id);
     }
     return ejected;
 }
 
+std::set<ServerId> ServerHealth::onTrial() const
+{
+    std::set<ServerId> onTrial;
+    for (auto const &[id, server] : servers_) {
+        if (server.state == Server::State::OnTrial)
+            onTrial.insert(id);
+    }
+    return onTrial;
+}
+
+std::vector<ServerId> ServerHealth::closedTrials(SendsLeft sendsLeft, Instant now) const
+{
+    std::vector<ServerId> closed;
+    for (auto const &[id, server] : servers_) {
+        if (server.state != Server::State::OnTrial)
+            continue;
+        auto const openAt = sendsLeft == SendsLeft::Some ? server.restoredAt : server.restoredAt + options_.repeatableTrialTime;
+        if (now < std::max(openAt, server.nextTrialAt))
+            closed.push_back(id);
+    }
+    return closed;
+}
+
 std::optional<Instant> ServerHealth::answeredAt(ServerId const &server) const
 {
     auto const found = servers_.find(server);
--- a/Libraries/LibRouting/ServerHealth.h
+++ b/Libraries/LibRouting/ServerHealth.h
@@ -3,6 +3,7 @@
 #include "LibCore/Ids.h"
 #include "LibCore/Random.h"
 #include "LibCore/Time.h"
+#include "LibRouting/RetryPolicy.h"
 
 #include <map>
 #include <optional>
@@ -14,7 +15,10 @@
 
 /// Evidence about a backend server from one exchange.
 enum class ServerEvidence {
+    /// It answered a request.
     Answered,
+    /// It responded to a request without answering it, as it does when it is full.
+    Responded,
     /// It answered with an error that is not caused by the request.
     ErrorResponse,
     /// A new connection failed, or nothing was received on it.
@@ -23,6 +27,9 @@
     ReusedConnectionFailed,
 };
 
+/// Evidence from a complete response with this HTTP status.
+ServerEvidence evidenceOf(int status);
+
 /// Name for logs.
 char const *nameOf(ServerEvidence evidence);
 
@@ -40,9 +47,13 @@
     Duration evidenceLifetime = 30s;
     /// Maximum share of a pool that may be ejected; in a pool of two or more, one server always may be.
     double maxEjectedShare = 0.34;
-    /// Delay before the first probe; it doubles with each failed probe.
+    /// Delay before the first probe; it doubles with each failed probe and each ejection until the server answers a request.
     Duration firstProbeDelay = 1s;
     Duration maxProbeDelay = 30s;
+    /// Interval at which a server on trial gets requests.
+    Duration trialInterval = 500ms;
+    /// Time on trial after which a server gets requests that can be sent only once, as others may not come.
+    Duration repeatableTrialTime = 3s;
 };
 
 struct ServerEjected {
@@ -66,7 +77,9 @@
 
 using HealthAction = std::variant<ServerEjected, ServerRestored, ProbeServer>;
 
-/// Ejects servers based on evidence from all connections and restores them by probing. Performs no I/O.
+/// Ejects servers based on evidence from all connections and restores them by probing. A server may answer probes and fail all requests, so
+/// that a restored one is on trial until it has answered a request that was sent since: it gets single requests, and the first failure
+/// ejects it again, for longer each time. Performs no I/O.
 class ServerHealth
 {
 public:
@@ -75,12 +88,20 @@
     /// Sets the current servers and their pools. The state of servers that remain is kept.
     void setServers(std::map<ServerId, PoolName> const &servers);
     std::vector<HealthAction> onEvidence(ServerId const &server, ServerEvidence evidence, Instant now);
+    /// Records that the server answered a request. One that was sent before the server was restored does not end its trial.
+    void onAnswered(ServerId const &server, Instant sentAt, Instant now);
+    /// Records that a request is sent to the server.
+    void onSent(ServerId const &server, Instant now);
     std::vector<HealthAction> onProbe(ServerId const &server, ProbeOutcome outcome, Instant now);
     std::vector<HealthAction> onTick(Instant now);
     /// Makes the probes of all ejected servers due, as the path to them has been restored.
     void onPathRestored(Instant now);
 
     [[nodiscard]] std::set<ServerId> ejected() const;
+    /// Servers in use that have not answered a request since they were restored.
+    [[nodiscard]] std::set<ServerId> onTrial() const;
+    /// Those of them to which a request should not be sent now if other servers have room for it.
+    [[nodiscard]] std::vector<ServerId> closedTrials(SendsLeft sendsLeft, Instant now) const;
     /// When the server last answered a request; `std::nullopt` if it has answered none.
     [[nodiscard]] std::optional<Instant> answeredAt(ServerId const &server) const;
     [[nodiscard]] std::optional<Instant> nextTick() const;
@@ -97,11 +118,15 @@
             InUse,
             Ejected,
             Probing,
+            OnTrial,
         } state = State::InUse;
         Duration probeDelay{0};
         Instant probeAt;
+        Instant restoredAt;
+        Instant nextTrialAt;
     };
 
+    [[nodiscard]] static bool isInUse(Server const &server);
     [[nodiscard]] bool mayEject(PoolName const &pool) const;
     void ejectIfDue(ServerId const &id, Server &server, ServerEvidence evidence, Instant now, std::vector<HealthAction> &actions);
     void scheduleProbe(Server &server, Instant now);
--- a/Libraries/LibServing/AttemptPlan.cpp
+++ b/Libraries/LibServing/AttemptPlan.cpp
@@ -84,9 +84,7 @@
 Duration AttemptPlan::responseTimeout(bool serverHasFreeSlot, Instant now) const
 {
     auto const left = std::max(Duration::zero(), options_.deadline - now);
-    bool const hasOther =
-        options_.repeatability == Routing::Repeatability::Idempotent || options_.repeatability == Routing::Repeatability::Generation;
-    if (!hasOther || possibleRunServers_.size() + 1 >= options_.maxServers)
+    if (sendsLeft() == Routing::SendsLeft::None)
         return left;
     auto const factor = serverHasFreeSlot ? ResponseTimeoutShareWithFreeSlot : ResponseTimeoutTargetsWithoutFreeSlot;
     return std::min(left, std::chrono::duration_cast<Duration>(options_.latencyTarget * factor));
@@ -112,6 +110,13 @@
     return possibleRunServers_.size() < options_.maxServers;
 }
 
+Routing::SendsLeft AttemptPlan::sendsLeft() const
+{
+    bool const isRepeatable =
+        options_.repeatability == Routing::Repeatability::Idempotent || options_.repeatability == Routing::Repeatability::Generation;
+    return isRepeatable && possibleRunServers_.size() + 1 < options_.maxServers ? Routing::SendsLeft::Some : Routing::SendsLeft::None;
+}
+
 bool AttemptPlan::mayMoveFrom(ServerId const &current) const
 {
     return possibleRunServers_.size() + (possibleRunServers_.contains(current) ? 0 : 1) < options_.maxServers;
--- a/Libraries/LibServing/AttemptPlan.h
+++ b/Libraries/LibServing/AttemptPlan.h
@@ -72,6 +72,8 @@
     [[nodiscard]] bool mayHaveRun() const;
     /// Whether one more server may run the request.
     [[nodiscard]] bool mayUseAnotherServer() const;
+    /// What is left after the next send if its server fails the request.
+    [[nodiscard]] Routing::SendsLeft sendsLeft() const;
     /// Whether another server may run the request after `current`, which runs it now.
     [[nodiscard]] bool mayMoveFrom(ServerId const &current) const;
 
--- a/Services/Node/HealthProber.cpp
+++ b/Services/Node/HealthProber.cpp
@@ -29,11 +29,19 @@
 {
     auto const known = context_.directory.find(server, readLocalClock());
     // The path is to blame, and the servers are not to be ejected when it is restored.
-    if (known && evidence != Routing::ServerEvidence::Answered && context_.reach.isOutOfReach(known->record.pool))
+    if (known && evidence != Routing::ServerEvidence::Responded && context_.reach.isOutOfReach(known->record.pool))
         return;
     perform(context_.health.onEvidence(server, evidence, readLocalClock()));
 }
 
+void HealthProber::onResponse(ServerId const &server, int status, Instant sentAt)
+{
+    if (auto const evidence = Routing::evidenceOf(status); evidence == Routing::ServerEvidence::Answered)
+        context_.health.onAnswered(server, sentAt, readLocalClock());
+    else
+        onEvidence(server, evidence);
+}
+
 void HealthProber::onConnectFailed(ServerId const &server)
 {
     auto const now = readLocalClock();
--- a/Services/Node/HealthProber.h
+++ b/Services/Node/HealthProber.h
@@ -13,6 +13,8 @@
     HealthProber(NodeContext &context, PermitClient &permits, std::function<void()> onEjectionsChanged);
 
     void onEvidence(ServerId const &server, Routing::ServerEvidence evidence);
+    /// Records the end of a response with this status to a request, or a part of a successful one.
+    void onResponse(ServerId const &server, int status, Instant sentAt);
     /// Records that a new connection to the server failed. If others failed as well, it is checked whether the servers are out of reach.
     void onConnectFailed(ServerId const &server);
     void onTick(Instant now);
--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -51,8 +51,10 @@
 
 void ItemRun::reserve()
 {
-    if (!std::exchange(isReserved_, true))
-        context_.load.onStarted(server_.id, Serving::WorkClass::Batch);
+    if (std::exchange(isReserved_, true))
+        return;
+    context_.health.onSent(server_.id, readLocalClock());
+    context_.load.onStarted(server_.id, Serving::WorkClass::Batch);
 }
 
 void ItemRun::start(Jobs::JobItem const &item, ItemOrigin const &origin)
@@ -161,7 +163,7 @@
     if (error)
         return fail(*error);
     if (eventsBefore == 0 && sequence_.count() > 0)
-        health_.onEvidence(server_.id, Routing::ServerEvidence::Answered);
+        health_.onResponse(server_.id, status_, startedAt_);
     if (eventsBefore < Serving::EventsOfAnswer && sequence_.count() >= Serving::EventsOfAnswer)
         context_.prompts.onAnswered(suspects_);
     if (events_.isBroken())
@@ -178,12 +180,12 @@
             recordLoss(failure);
             return fail(failure.error);
         }
-        health_.onEvidence(server_.id, Routing::ServerEvidence::Answered);
+        health_.onResponse(server_.id, status_, startedAt_);
         context_.prompts.onAnswered(suspects_);
         return finish(SendEnd::Complete);
     }
     logRejection();
-    health_.onEvidence(server_.id, Routing::ServerEvidence::Answered);
+    health_.onResponse(server_.id, status_, startedAt_);
     if (status_ == InternalServerError || status_ == UnprocessableContent)
         context_.prompts.onAnswered({.request = suspects_.request});
     finish(status_ == InternalServerError ? SendEnd::Failed : status_ == UnprocessableContent ? SendEnd::Impossible : SendEnd::Unserved);
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -473,10 +473,11 @@
         return;
     refreshAssignments(now);
     auto const tokens = jobs_.waitingTokens();
+    auto const closedTrials = context_.health.closedTrials(Routing::SendsLeft::Some, now);
     for (auto const &[pool, servers] : poolServers_) {
         Jobs::ItemDemand const demand{.waiting = jobs_.waiting(pool, now), .tokens = tokens};
-        bool const hasLimits = context_.limits.limitedServers() > 0;
-        auto const &available = hasLimits ? withinLimits(servers, now) : servers;
+        bool const isRestricted = context_.limits.limitedServers() > 0 || !closedTrials.empty();
+        auto const &available = isRestricted ? openNow(servers, closedTrials, now) : servers;
         for (auto const &change : placement_.plan(pool, available, demand, context_.load, context_.peers, now)) {
             if (change.preempt > 0)
                 preempt(change.server, change.preempt, now);
@@ -593,12 +594,14 @@
     startItemsAt(server->record, count, now);
 }
 
-std::vector<Jobs::PoolServer> JobRunner::withinLimits(std::vector<Jobs::PoolServer> servers, Instant now) const
+std::vector<Jobs::PoolServer>
+JobRunner::openNow(std::vector<Jobs::PoolServer> servers, std::span<ServerId const> closedTrials, Instant now) const
 {
     for (auto &server : servers) {
         auto const known = context_.directory.find(server.id, now);
         auto const allowance = known ? context_.limits.allowances().find(known->record, Serving::Urgency::Batch, now) : std::nullopt;
-        server.acceptsNew = server.acceptsNew && !(allowance && allowance->exhaustedUntil);
+        bool const isClosed = std::ranges::find(closedTrials, server.id) != closedTrials.end();
+        server.acceptsNew = server.acceptsNew && !isClosed && !(allowance && allowance->exhaustedUntil);
     }
     return servers;
 }
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -99,8 +99,9 @@
     void onJobLoaded(JobId const &job, Result<Jobs::LoadedJob> loaded, Result<Jobs::RecordedCounts> const &counts);
     void startItemWithPermit(Serving::ServerRecord const &server);
     [[nodiscard]] bool hasFreeSlot(Serving::ServerRecord const &server) const;
-    /// The servers, of which those without permits accept no new items.
-    [[nodiscard]] std::vector<Jobs::PoolServer> withinLimits(std::vector<Jobs::PoolServer> servers, Instant now) const;
+    /// The servers, of which those without permits and those whose trials are closed accept no new items.
+    [[nodiscard]] std::vector<Jobs::PoolServer>
+    openNow(std::vector<Jobs::PoolServer> servers, std::span<ServerId const> closedTrials, Instant now) const;
     void preempt(ServerId const &server, std::uint32_t count, Instant now);
     void cancelRuns(JobId const &job);
     void storeOutcomes(Instant now);
--- a/Services/Node/NodeProgram.cpp
+++ b/Services/Node/NodeProgram.cpp
@@ -381,6 +381,7 @@
     setServers("usable", servers.size() - lastResort);
     setServers("last_resort", lastResort);
     setServers("ejected", context_.health.ejected().size());
+    setServers("on_trial", context_.health.onTrial().size());
     set("anvilyard_node_connection_bytes",
         "Memory that the connections of callers and other instances hold",
         static_cast<double>(connectionBudget_->memory().heldBytes()));
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -364,8 +364,12 @@
 Serving::Placement OnlineCall::findPlacement(Duration latencyTarget, Serving::PlacementRequest::LimitedServers limitedServers)
 {
     auto &context = parts_.context;
-    auto const excluded = plan_.excluded();
-    Serving::PlacementRequest const request{
+    auto const now = readLocalClock();
+    auto const tried = plan_.excluded();
+    auto excluded = context.health.closedTrials(plan_.sendsLeft(), now);
+    bool const hasClosedTrials = !excluded.empty();
+    excluded.insert(excluded.end(), tried.begin(), tried.end());
+    Serving::PlacementRequest request{
         .pool = pool_,
         .latencyTarget = latencyTarget,
         .prefix = &parts_.head.prefix,
@@ -379,7 +383,12 @@
         .reserveServers =
             streamVersion_ ? Serving::PlacementRequest::ReserveServers::Use : Serving::PlacementRequest::ReserveServers::Avoid,
     };
-    return context.placement.place(request, context.load, context.peers, readLocalClock(), context.random);
+    auto const placement = context.placement.place(request, context.load, context.peers, now, context.random);
+    if (!hasClosedTrials || placement.outcome == Serving::Placement::Outcome::Chosen)
+        return placement;
+    // A server that may fail the request is better than none.
+    request.excluded = tried;
+    return context.placement.place(request, context.load, context.peers, now, context.random);
 }
 
 /// Logs the inputs of the decision so that a refusal can be explained later.
@@ -416,6 +425,7 @@
         context.prompts.onPlaced(suspects());
     attempt_ = std::make_shared<Attempt>(
         Attempt{.server = server, .sentAt = now, .events = Serving::EventReader(events_), .earlierEvents = events_.count()});
+    context.health.onSent(server.id, now);
     context.load.onStarted(server.id, Serving::WorkClass::Online);
     context.placement.onStarted(server, &parts_.head.prefix);
     // If the server has no free slot or no other server is allowed, the request can only wait.
@@ -682,7 +692,7 @@
 void OnlineCall::reportAnswered()
 {
     if (!attempt_->helper)
-        parts_.health.onEvidence(attempt_->server.id, Routing::ServerEvidence::Answered);
+        parts_.health.onResponse(attempt_->server.id, attempt_->head.status, attempt_->sentAt);
 }
 
 void OnlineCall::endBuffered()
--- a/Tests/LibRouting/TestServerHealth.cpp
+++ b/Tests/LibRouting/TestServerHealth.cpp
@@ -151,3 +151,84 @@
     subject.onProbe(first, ProbeOutcome::Answered, now);
     EXPECT_EQ(subject.ejected(), std::set<ServerId>{second});
 }
+
+namespace {
+
+/// Lets the probe of an ejected server be answered. Returns when.
+Instant restore(ServerHealth &health, ServerId const &server)
+{
+    auto const due = *health.nextTick();
+    health.onTick(due);
+    health.onProbe(server, ProbeOutcome::Answered, due);
+    return due;
+}
+
+std::vector<ServerId> const none;
+std::vector<ServerId> const onlyFirst{first};
+
+} // namespace
+
+// Guards against a server that answers probes and fails all requests, and that is in use most of the time.
+TEST(ServerHealthTest, AServerThatFailsAfterEachProbeIsProbedLessOftenEachTime)
+{
+    auto subject = health(9);
+    Instant now{};
+    failOften(subject, first, now);
+    Duration lastWait{0};
+    for (int restored = 0; restored < 4; ++restored) {
+        auto const due = restore(subject, first);
+        EXPECT_GT(due - now, lastWait);
+        lastWait = due - now;
+        now = due;
+        auto const actions = subject.onEvidence(first, ServerEvidence::FreshConnectionFailed, now);
+        ASSERT_EQ(actions.size(), 1U);
+        EXPECT_EQ(std::get<ServerEjected>(actions[0]).ejections, static_cast<std::uint32_t>(restored) + 2);
+    }
+    // An answered request ends the series.
+    now = restore(subject, first);
+    subject.onAnswered(first, now, now);
+    failOften(subject, first, now);
+    EXPECT_LE(*subject.nextTick() - now, 1250ms);
+}
+
+// Guards against sending all requests to a server of which it is only known that it answers probes.
+TEST(ServerHealthTest, ARestoredServerGetsSingleRequestsUntilItHasAnsweredOne)
+{
+    auto subject = health(9);
+    failOften(subject, first, Instant{});
+    EXPECT_EQ(subject.closedTrials(SendsLeft::Some, Instant{}), none) << "it is not in use";
+    auto now = restore(subject, first);
+    EXPECT_EQ(subject.onTrial(), std::set<ServerId>{first});
+    EXPECT_EQ(subject.closedTrials(SendsLeft::Some, now), none);
+    EXPECT_EQ(subject.closedTrials(SendsLeft::None, now), onlyFirst);
+    subject.onSent(first, now);
+    EXPECT_EQ(subject.closedTrials(SendsLeft::Some, now += 100ms), onlyFirst);
+    EXPECT_EQ(subject.closedTrials(SendsLeft::Some, now + 500ms), none) << "the request may hang";
+    subject.onAnswered(first, now, now);
+    EXPECT_TRUE(subject.onTrial().empty());
+    EXPECT_EQ(subject.closedTrials(SendsLeft::None, now), none);
+}
+
+// Guards against a server that is never used again where all requests can be sent only once.
+TEST(ServerHealthTest, ATrialWithoutRepeatableRequestsIsOpenedToOthers)
+{
+    auto subject = health(9);
+    failOften(subject, first, Instant{});
+    auto const now = restore(subject, first);
+    EXPECT_EQ(subject.closedTrials(SendsLeft::None, now + 2900ms), onlyFirst);
+    EXPECT_EQ(subject.closedTrials(SendsLeft::None, now + 3s), none);
+}
+
+// Guards against taking the end of an older stream, or a rejection, for an answer of a server that fails all new requests.
+TEST(ServerHealthTest, OnlyAnAnswerToANewRequestEndsATrial)
+{
+    auto subject = health(9);
+    failOften(subject, first, Instant{});
+    auto const now = restore(subject, first);
+    subject.onAnswered(first, now - 1ms, now + 1ms);
+    subject.onEvidence(first, ServerEvidence::Responded, now + 2ms);
+    EXPECT_EQ(subject.onTrial(), std::set<ServerId>{first});
+    // However late, one failure is enough.
+    subject.onEvidence(first, ServerEvidence::FreshConnectionFailed, now + 40s);
+    EXPECT_EQ(subject.ejected(), std::set<ServerId>{first});
+}
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -1182,3 +1182,45 @@
     first.wait();
     second.wait();
 }
+
+/// A server answers health checks and resets all requests. Guards against giving it requests that can be sent only once after each health
+/// check, each of which fails for its caller.
+TEST_F(OnlineTest, AServerThatAnswersOnlyHealthChecksGetsFewRequestsThatCanBeSentOnlyOnce)
+{
+    constexpr int Callers = 3;
+    constexpr auto Time = 4s;
+    // The requests that it fails before it is ejected, those in flight at that time, and one on its longest trial.
+    constexpr int MaxFailed = 2 + Callers + 1;
+    putState(1);
+    auto const script = [](bool isSound) {
+        return [isSound](ScriptedServer::Connection &connection, std::size_t) {
+            auto const isProbe = connection.head().starts_with("GET");
+            if (!isProbe && !isSound)
+                return connection.reset();
+            connection.send("HTTP/1.1 200 OK\r\nAnvilyard-Response-Signature: sig\r\nContent-Length: 2\r\n\r\nok");
+        };
+    };
+    std::vector<std::unique_ptr<ScriptedServer>> servers;
+    for (bool const isSound : {false, true, true}) {
+        thread_.call([&] { servers.push_back(ScriptedServer::create(thread_.loop(), script(isSound))); });
+        putServer("s" + std::to_string(servers.size()), servers.back()->address());
+    }
+    auto &node = startNode("entry-1");
+    waitUntilReady(node);
+    int failed = 0;
+    int number = 0;
+    for (auto const until = readLocalClock() + Time; readLocalClock() < until;) {
+        std::vector<std::future<Answer>> answers;
+        for (int caller = 0; caller < Callers; ++caller)
+            answers.push_back(sendTo(node, requestOf("/u/1", "r" + std::to_string(++number))));
+        for (auto &answer : answers)
+            failed += answer.get()->status == 200 ? 0 : 1;
+        waitFor(10ms);
+    }
+    EXPECT_GT(failed, 0);
+    EXPECT_LE(failed, MaxFailed) << "of " << number;
+    thread_.call([&] {
+        nodes_.clear();
+        servers.clear();
+    });
+}
