LibJobs+Node: Send items with few sends left to servers that have answered items

Cause: where an item with an unanswered send goes next was decided by a health check, which such a server answers. As it fails at once it is empty, and empty servers come first. Second sends met a failing server in 49 of 131 cases where one in six would be expected.

CarefulPlacement sends these items to a server that has answered an item since the item's last send and has not failed one since that, one item for each answer, preferring servers that did not fail of late. Only if none is started for a second, one item tries a server that responds to a health check, and one whose last item failed only if all servers are like that.

--- a/Libraries/LibJobs/ItemPlacement.cpp
+++ b/Libraries/LibJobs/ItemPlacement.cpp
@@ -94,15 +94,18 @@
     };
 }
 
+bool ItemPlacement::hasRoom(PoolServer const &server, Serving::LoadTracker const &own, Serving::PeerTable const &peers) const
+{
+    auto const ownLoad = own.at(server.id);
+    auto const others = peers.othersAt(server.id);
+    auto const occupied = ownLoad.online + ownLoad.batch + others.online + others.batch;
+    return server.acceptsNew && occupied + options_.slots.reserve < server.slots;
+}
+
 std::size_t
 ItemPlacement::serversWithRoom(std::span<PoolServer const> servers, Serving::LoadTracker const &own, Serving::PeerTable const &peers) const
 {
-    return static_cast<std::size_t>(std::count_if(servers.begin(), servers.end(), [&](PoolServer const &server) {
-        auto const ownLoad = own.at(server.id);
-        auto const others = peers.othersAt(server.id);
-        auto const occupied = ownLoad.online + ownLoad.batch + others.online + others.batch;
-        return server.acceptsNew && occupied + options_.slots.reserve < server.slots;
-    }));
+    return static_cast<std::size_t>(std::ranges::count_if(servers, [&](PoolServer const &server) { return hasRoom(server, own, peers); }));
 }
 
 ServerSlots ItemPlacement::slotsAt(PoolServer const &server, Serving::InFlight const &own, Serving::PeerTable const &peers) const
--- a/Libraries/LibJobs/ItemPlacement.h
+++ b/Libraries/LibJobs/ItemPlacement.h
@@ -55,7 +55,9 @@
                                                Serving::PeerTable const &peers,
                                                Instant now);
 
-    /// Number of servers that accept new items and have a free slot beside the reserve.
+    /// Whether the server accepts new items and has a free slot beside the reserve.
+    [[nodiscard]] bool hasRoom(PoolServer const &server, Serving::LoadTracker const &own, Serving::PeerTable const &peers) const;
+    /// Number of such servers.
     [[nodiscard]] std::size_t
     serversWithRoom(std::span<PoolServer const> servers, Serving::LoadTracker const &own, Serving::PeerTable const &peers) const;
 
--- a/Libraries/LibJobs/JobTracker.cpp
+++ b/Libraries/LibJobs/JobTracker.cpp
@@ -144,13 +144,21 @@
         || now - item.waitingSince >= options_.versionPatience;
 }
 
-std::optional<JobTracker::Candidate> JobTracker::candidateOf(
-    JobId const &id, Job const &job, PoolName const &pool, ItemVersions const &versions, Duration runTime, Instant now) const
+bool JobTracker::isSelected(Item const &item, ItemSelection selection)
+{
+    return selection == ItemSelection::All || item.sends.mayHaveFailedUnseen() == (selection == ItemSelection::Careful);
+}
+
+std::optional<JobTracker::Candidate> JobTracker::candidateOf(JobId const &id,
+                                                             Job const &job,
+                                                             std::function<bool(Item const &)> const &mayStart,
+                                                             ItemVersions const &versions,
+                                                             Duration runTime,
+                                                             Instant now) const
 {
     auto waitingItem = job.items.end();
     for (auto item = job.items.begin(); item != job.items.end(); ++item) {
-        bool const mayStart = isWaitingFor(*item, pool) && !isPaused(*item, now) && mayRunAt(*item, versions, now);
-        if (mayStart && (waitingItem == job.items.end() || item->events > waitingItem->events))
+        if (mayStart(*item) && (waitingItem == job.items.end() || item->events > waitingItem->events))
             waitingItem = item;
     }
     if (waitingItem == job.items.end())
@@ -172,14 +180,18 @@
     return next(pool, ItemVersions(), runTime, now);
 }
 
-std::optional<ItemStart> JobTracker::next(PoolName const &pool, ItemVersions const &versions, Duration runTime, Instant now) const
+std::optional<ItemStart>
+JobTracker::next(PoolName const &pool, ItemVersions const &versions, Duration runTime, Instant now, ItemSelection selection) const
 {
+    auto const mayStart = [&](Item const &item) {
+        return isWaitingFor(item, pool) && isSelected(item, selection) && !isPaused(item, now) && mayRunAt(item, versions, now);
+    };
     std::optional<Candidate> onTime;
     std::optional<Candidate> late;
     for (auto const &[id, job] : jobs_) {
         if (!mayRun(job, pool))
             continue;
-        auto candidate = candidateOf(id, job, pool, versions, runTime, now);
+        auto candidate = candidateOf(id, job, mayStart, versions, runTime, now);
         if (!candidate)
             continue;
         auto &best = candidate->start.isLate ? late : onTime;
@@ -200,14 +212,14 @@
     return std::chrono::duration_cast<Duration>(runTime * left);
 }
 
-std::size_t JobTracker::waiting(PoolName const &pool, Instant now) const
+std::size_t JobTracker::waiting(PoolName const &pool, Instant now, ItemSelection selection) const
 {
+    auto const isMeant = [&](Item const &item) { return isWaitingFor(item, pool) && isSelected(item, selection) && !isPaused(item, now); };
     std::size_t count = 0;
     for (auto const &[id, job] : jobs_) {
         if (!mayRun(job, pool))
             continue;
-        count += static_cast<std::size_t>(std::count_if(
-            job.items.begin(), job.items.end(), [&](Item const &item) { return isWaitingFor(item, pool) && !isPaused(item, now); }));
+        count += static_cast<std::size_t>(std::ranges::count_if(job.items, isMeant));
     }
     return count;
 }
@@ -254,13 +266,6 @@
     pause(item, now);
 }
 
-void JobTracker::onPathUnknown(ItemStart const &start, Instant now)
-{
-    auto *job = find(start.job, start.index);
-    if (job && job->items[start.index].state == Item::State::Waiting)
-        job->items[start.index].notBefore = now + options_.retryPause;
-}
-
 void JobTracker::onServerCrashed(JobId const &id, std::size_t index)
 {
     auto *job = find(id, index);
--- a/Libraries/LibJobs/JobTracker.h
+++ b/Libraries/LibJobs/JobTracker.h
@@ -75,6 +75,14 @@
     Serving::SoftwareVersions inUse;
 };
 
+/// Which waiting items are meant.
+enum class ItemSelection {
+    All,
+    /// Those that have to be sent with care, as ItemStart::unansweredAt shows.
+    Careful,
+    Ordinary,
+};
+
 /// An item to be sent now.
 struct ItemStart {
     JobId job;
@@ -184,11 +192,15 @@
     /// Returns the next item to send to a server of the pool. `runTime`: average run time of an item.
     /// An item that ran partially goes on only at the software version that began it, as texts of two versions do not fit together. If none
     /// of the servers has this version, or it has waited for long, it starts anew.
-    [[nodiscard]] std::optional<ItemStart> next(PoolName const &pool, ItemVersions const &versions, Duration runTime, Instant now) const;
+    [[nodiscard]] std::optional<ItemStart> next(PoolName const &pool,
+                                                ItemVersions const &versions,
+                                                Duration runTime,
+                                                Instant now,
+                                                ItemSelection selection = ItemSelection::All) const;
     /// The same for servers that state no version.
     [[nodiscard]] std::optional<ItemStart> next(PoolName const &pool, Duration runTime, Instant now) const;
     /// Number of items waiting for a server of the pool.
-    [[nodiscard]] std::size_t waiting(PoolName const &pool, Instant now) const;
+    [[nodiscard]] std::size_t waiting(PoolName const &pool, Instant now, ItemSelection selection = ItemSelection::All) const;
     /// Number of waiting items by pool, including those that are not sent again yet.
     [[nodiscard]] std::map<PoolName, std::size_t> waitingByPool() const;
     /// All jobs that were not ended, including those without waiting items.
@@ -197,8 +209,6 @@
     void onStarted(ItemStart const &start);
     /// Called instead of onStarted() if the item must not be sent yet. It waits for a pause.
     void onHeldBack(ItemStart const &start, Instant now);
-    /// Called instead of onStarted() if it is not known whether responses of the server arrive. The item waits for a moment.
-    void onPathUnknown(ItemStart const &start, Instant now);
     /// Called when the server of an unanswered send has crashed, so that it has not answered with an error.
     void onServerCrashed(JobId const &job, std::size_t index);
     /// Records one event of the item's stream. Returns whether the item's output is within its limit. If it is not, the item starts anew,
@@ -322,9 +332,14 @@
     };
 
     [[nodiscard]] Job *find(JobId const &job, std::size_t index);
-    /// The item of a job to start first; `std::nullopt` if none may start now.
-    [[nodiscard]] std::optional<Candidate>
-    candidateOf(JobId const &id, Job const &job, PoolName const &pool, ItemVersions const &versions, Duration runTime, Instant now) const;
+    /// The item of a job to start first of those for which `mayStart` returns true; `std::nullopt` if none may start now.
+    [[nodiscard]] std::optional<Candidate> candidateOf(JobId const &id,
+                                                       Job const &job,
+                                                       std::function<bool(Item const &)> const &mayStart,
+                                                       ItemVersions const &versions,
+                                                       Duration runTime,
+                                                       Instant now) const;
+    [[nodiscard]] static bool isSelected(Item const &item, ItemSelection selection);
     [[nodiscard]] bool mayRunAt(Item const &item, ItemVersions const &versions, Instant now) const;
     /// Whether the item can go on after its last event at a server of its pool with this version.
     [[nodiscard]] static bool canGoOnAt(Item const &item, Serving::SoftwareVersion const &version);
--- a/Services/Node/ItemRun.cpp
+++ b/Services/Node/ItemRun.cpp
@@ -162,8 +162,10 @@
     });
     if (error)
         return fail(*error);
-    if (eventsBefore == 0 && sequence_.count() > 0)
+    if (eventsBefore == 0 && sequence_.count() > 0) {
         health_.onResponse(server_.id, status_, startedAt_);
+        hooks_.onAnswered();
+    }
     if (eventsBefore < Serving::EventsOfAnswer && sequence_.count() >= Serving::EventsOfAnswer)
         context_.prompts.onAnswered(suspects_);
     if (events_.isBroken())
@@ -181,6 +183,7 @@
             return fail(failure.error);
         }
         health_.onResponse(server_.id, status_, startedAt_);
+        hooks_.onAnswered();
         context_.prompts.onAnswered(suspects_);
         return finish(SendEnd::Complete);
     }
@@ -242,6 +245,8 @@
                   {"prompt_parts", Serving::toString(suspects_.parts)},
                   {"fingerprint", suspects_.request ? Serving::toString(*suspects_.request) : "none"},
                   {"server_started_at", std::to_string(server_.startedAt)}});
+    if (hooks_.onBroken)
+        hooks_.onBroken();
     finish(end);
 }
 
--- a/Services/Node/ItemRun.h
+++ b/Services/Node/ItemRun.h
@@ -24,6 +24,10 @@
     struct Hooks {
         /// Returns whether the item's output is within its limit.
         std::function<bool(std::optional<std::uint64_t> eventId, std::string_view data)> onEvent;
+        /// Called when the server has begun to answer the item, and when it has answered all of it.
+        std::function<void()> onAnswered;
+        /// Called before onEnd if the exchange broke.
+        std::function<void()> onBroken;
         /// Called once unless cancelled.
         std::function<void(Jobs::SendEnd)> onEnd;
     };
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -79,7 +79,7 @@
               .onChange = [this](Platform::WatchChange change, Platform::Object const &object) { onJobChanged(change, object); },
           },
       })
-    , unanswered_(context, health)
+    , unanswered_(context, health, placement_)
     , failures_(context)
     , meanRunTime_(InitialMeanRunTime)
     , stalls_(Jobs::StallDetectorOptions{})
@@ -475,9 +475,10 @@
     auto const tokens = jobs_.waitingTokens();
     auto const closedTrials = context_.health.closedTrials(Routing::SendsLeft::Some, now);
     for (auto const &[pool, servers] : poolServers_) {
-        Jobs::ItemDemand const demand{.waiting = jobs_.waiting(pool, now), .tokens = tokens};
         bool const isRestricted = context_.limits.limitedServers() > 0 || !closedTrials.empty();
         auto const &available = isRestricted ? openNow(servers, closedTrials, now) : servers;
+        startCarefulItems(pool, available, now);
+        Jobs::ItemDemand const demand{.waiting = jobs_.waiting(pool, now, Jobs::ItemSelection::Ordinary), .tokens = tokens};
         for (auto const &change : placement_.plan(pool, available, demand, context_.load, context_.peers, now)) {
             if (change.preempt > 0)
                 preempt(change.server, change.preempt, now);
@@ -590,7 +591,7 @@
     if (!server)
         return;
     if (context_.limits.isLimited(server->record))
-        return startItemWithPermit(server->record);
+        return withPermit(server->record, [this, server = server->record](Instant granted) { startItemsAt(server, 1, granted); });
     startItemsAt(server->record, count, now);
 }
 
@@ -613,64 +614,87 @@
     return own.online + own.batch + others.online + others.batch < server.slots;
 }
 
-void JobRunner::startItemWithPermit(Serving::ServerRecord const &server)
+void JobRunner::withPermit(Serving::ServerRecord const &server, std::function<void(Instant now)> start)
 {
     if (!pendingPermits_.insert(server.id).second)
         return;
-    permits_.request(server, Serving::Urgency::Batch, [this, server](bool isGranted) {
+    permits_.request(server, Serving::Urgency::Batch, [this, server, start = std::move(start)](bool isGranted) {
         pendingPermits_.erase(server.id);
         if (isGranted && hasFreeSlot(server))
-            startItemsAt(server, 1, readLocalClock());
+            start(readLocalClock());
     });
 }
 
 void JobRunner::startItemsAt(Serving::ServerRecord const &server, std::uint32_t count, Instant now)
 {
     auto const &pool = server.pool;
-    bool hasReserved = false;
     for (std::uint32_t started = 0; started < count;) {
-        auto const next = jobs_.next(pool, {.current = server.softwareVersion, .inUse = itemVersions_[pool]}, meanRunTime_, now);
+        Jobs::ItemVersions const versions{.current = server.softwareVersion, .inUse = itemVersions_[pool]};
+        auto const next = jobs_.next(pool, versions, meanRunTime_, now, Jobs::ItemSelection::Ordinary);
         if (!next)
             break;
-        auto const *record = jobs_.find(next->job);
-        auto const origin = originOf(*record);
-        if (context_.prompts.refusalReason(suspectsOf(context_, record->items[next->index], origin))) {
-            jobs_.onHeldBack(*next, now);
-            continue;
-        }
-        if (next->unansweredAt && !unanswered_.isPathKnown(server, *next->unansweredAt)) {
-            jobs_.onPathUnknown(*next, now);
-            continue;
-        }
-        ++started;
-        jobs_.onStarted(*next);
-        metrics_.itemStarts.add();
-        if (context_.limits.isLimited(server))
-            metrics_.limitedSends.add();
-        stalls_.onStarted(pool, now);
-        auto const run = std::make_shared<ItemRun>(
-            context_,
-            health_,
-            server,
-            *next,
-            ItemRun::Hooks{
-                .onEvent = [this, item = *next](std::optional<std::uint64_t> eventId,
-                                                std::string_view data) { return jobs_.onEvent(item.job, item.index, eventId, data); },
-                .onEnd = [this, item = *next, server](SendEnd end) { onRunEnded(item, server, end); },
+        started += startItem(server, *next, now) ? 1 : 0;
+    }
+}
+
+void JobRunner::startCarefulItems(PoolName const &pool, std::span<Jobs::PoolServer const> servers, Instant now)
+{
+    bool hasStarted = false;
+    while (auto const item = jobs_.next(pool, {}, meanRunTime_, now, Jobs::ItemSelection::Careful)) {
+        auto const server = unanswered_.chooseServer(pool, servers, *item->unansweredAt, now);
+        if (!server)
+            break;
+        if (context_.limits.isLimited(*server)) {
+            withPermit(*server, [this, server = *server](Instant granted) {
+                if (auto const next = jobs_.next(server.pool, {}, meanRunTime_, granted, Jobs::ItemSelection::Careful))
+                    startItem(server, *next, granted);
+                recordFailures(granted);
             });
-        runs_.push_back(run);
-        if (!next->unansweredAt) {
-            run->start(record->items[next->index], origin);
-            continue;
+            break;
         }
-        // Its send is recorded first, while it has its place at the server.
-        run->reserve();
-        hasReserved = true;
+        hasStarted = startItem(*server, *item, now) || hasStarted;
     }
-    if (hasReserved)
+    // Their sends are recorded first, while they have their places at the servers.
+    if (hasStarted)
         recordFailures(now);
 }
 
+bool JobRunner::startItem(Serving::ServerRecord const &server, Jobs::ItemStart item, Instant now)
+{
+    item.version = server.softwareVersion;
+    auto const *record = jobs_.find(item.job);
+    auto const origin = originOf(*record);
+    if (context_.prompts.refusalReason(suspectsOf(context_, record->items[item.index], origin))) {
+        jobs_.onHeldBack(item, now);
+        return false;
+    }
+    jobs_.onStarted(item);
+    metrics_.itemStarts.add();
+    if (context_.limits.isLimited(server))
+        metrics_.limitedSends.add();
+    stalls_.onStarted(server.pool, now);
+    auto const run = std::make_shared<ItemRun>(
+        context_,
+        health_,
+        server,
+        item,
+        ItemRun::Hooks{
+            .onEvent = [this, item](std::optional<std::uint64_t> eventId,
+                                    std::string_view data) { return jobs_.onEvent(item.job, item.index, eventId, data); },
+            .onAnswered = [this, id = server.id, now] { unanswered_.onAnswered(id, now); },
+            .onBroken = [this, id = server.id] { unanswered_.onBroken(id); },
+            .onEnd = [this, item, server](SendEnd end) { onRunEnded(item, server, end); },
+        });
+    runs_.push_back(run);
+    if (item.unansweredAt) {
+        unanswered_.onSentAgain(server, now);
+        run->reserve();
+    } else {
+        run->start(record->items[item.index], origin);
+    }
+    return true;
+}
+
 ItemOrigin JobRunner::originOf(Jobs::JobRecord const &record) const
 {
     return {.host = record.host, .customer = itemCustomer(context_.routes.get(), record)};
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -91,13 +91,18 @@
     /// Starts items, or requests a permit for one first if the server has a limit.
     void startItems(ServerId const &server, std::uint32_t count, Instant now);
     void startItemsAt(Serving::ServerRecord const &server, std::uint32_t count, Instant now);
+    /// Starts items of which earlier sends were not answered.
+    void startCarefulItems(PoolName const &pool, std::span<Jobs::PoolServer const> servers, Instant now);
+    /// Returns whether the item was started. One that may crash servers is held back.
+    bool startItem(Serving::ServerRecord const &server, Jobs::ItemStart item, Instant now);
     /// Sends the items whose sends are recorded now.
     void sendReserved(Instant now);
     [[nodiscard]] ItemOrigin originOf(Jobs::JobRecord const &record) const;
     [[nodiscard]] std::list<std::shared_ptr<ItemRun>>::iterator findRun(JobId const &job, std::size_t index);
     void onRunEnded(Jobs::ItemStart const &item, Serving::ServerRecord const &server, Jobs::SendEnd end);
     void onJobLoaded(JobId const &job, Result<Jobs::LoadedJob> loaded, Result<Jobs::RecordedCounts> const &counts);
-    void startItemWithPermit(Serving::ServerRecord const &server);
+    /// Calls `start` once there is a permit for one item, if the server has a free slot then.
+    void withPermit(Serving::ServerRecord const &server, std::function<void(Instant now)> start);
     [[nodiscard]] bool hasFreeSlot(Serving::ServerRecord const &server) const;
     /// The servers, of which those without permits and those whose trials are closed accept no new items.
     [[nodiscard]] std::vector<Jobs::PoolServer>
--- a/Services/Node/UnansweredItems.cpp
+++ b/Services/Node/UnansweredItems.cpp
@@ -6,14 +6,13 @@
 
 /// Registrations of crashed servers are removed within this time.
 constexpr Duration CrashNoticeTime = 15s;
-/// Bounds the memory for servers that responded to a check.
-constexpr Duration ResponseRetention = 60s;
 
 } // namespace
 
-UnansweredItems::UnansweredItems(NodeContext &context, HealthProber &health)
+UnansweredItems::UnansweredItems(NodeContext &context, HealthProber &health, Jobs::ItemPlacement const &placement)
     : context_(context)
     , health_(health)
+    , placement_(placement)
 {
 }
 
@@ -38,14 +37,40 @@
     return crashed;
 }
 
-bool UnansweredItems::isPathKnown(Serving::ServerRecord const &server, Instant unansweredAt)
+void UnansweredItems::onAnswered(ServerId const &server, Instant sentAt)
 {
-    auto const now = readLocalClock();
-    if (auto const found = respondedAt_.find(server.id); found != respondedAt_.end() && found->second >= unansweredAt)
-        return true;
-    std::erase_if(respondedAt_, [&](auto const &entry) { return now - entry.second >= ResponseRetention; });
-    health_.checkResponds(server, [this, id = server.id, now] { respondedAt_[id] = now; });
-    return false;
+    careful_.onAnswered(server, sentAt, readLocalClock());
+}
+
+void UnansweredItems::onBroken(ServerId const &server)
+{
+    careful_.onFailed(server, readLocalClock());
+}
+
+void UnansweredItems::onSentAgain(Serving::ServerRecord const &server, Instant now)
+{
+    careful_.onSent(server.pool, server.id, now);
+}
+
+std::optional<Serving::ServerRecord>
+UnansweredItems::chooseServer(PoolName const &pool, std::span<Jobs::PoolServer const> servers, Instant unansweredAt, Instant now)
+{
+    std::vector<Jobs::CarefulPlacement::Server> accepting;
+    for (auto const &server : servers) {
+        if (server.acceptsNew && (server.isAssigned || !server.isFar))
+            accepting.push_back({.id = server.id, .hasRoom = placement_.hasRoom(server, context_.load, context_.peers)});
+    }
+    auto const choice = careful_.choose(pool, accepting, unansweredAt, now);
+    if (choice.check)
+        check(*choice.check, now);
+    auto const known = choice.server ? context_.directory.find(*choice.server, now) : std::nullopt;
+    return known ? std::optional(known->record) : std::nullopt;
+}
+
+void UnansweredItems::check(ServerId const &server, Instant now)
+{
+    if (auto const known = context_.directory.find(server, now))
+        health_.checkResponds(known->record, [this, server, now] { careful_.onResponded(server, now); });
 }
 
 } // namespace Anvilyard::Node
