Node: Count reset requests as load of their server for a while

A server that resets requests at once has none in flight, so every entry chose it before busy servers until it had ejected it itself: each of 70 entries had to lose two requests to each such server. Error responses and malformed ones counted as load already, resets did not.

--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -766,7 +766,9 @@
     if (attempt_->events.hasPartialEvent())
         parts_.metrics.unfinishedEvents.add();
     if (!attempt_->helper) {
-        if (failure.error.code == HttpError::Malformed || failure.error.code == HttpError::BodyTooLarge)
+        bool const isReset =
+            failure.error.code == HttpError::ClosedEarly && failure.connection == Http::ConnectionUse::Fresh && attemptEvents() == 0;
+        if (isReset || failure.error.code == HttpError::Malformed || failure.error.code == HttpError::BodyTooLarge)
             keepPlace(now);
         if (isResponseLost(failure.error))
             parts_.metrics.lostResponses.add();
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -1183,44 +1183,89 @@
     second.wait();
 }
 
-/// A server answers health checks and resets all requests. Guards against giving it requests that can be sent only once after each health
-/// check, each of which fails for its caller.
-TEST_F(OnlineTest, AServerThatAnswersOnlyHealthChecksGetsFewRequestsThatCanBeSentOnlyOnce)
+namespace {
+
+/// Servers that answer health checks, of which the first one resets all other requests.
+class ResettingServerTest : public OnlineTest
+{
+protected:
+    ~ResettingServerTest() override
+    {
+        // Nodes may still call the scripts.
+        thread_.call([this] {
+            nodes_.clear();
+            servers_.clear();
+        });
+    }
+
+    ResettingServerTest()
+    {
+        putState(1);
+        for (bool const isSound : {false, true, true}) {
+            thread_.call([&] {
+                servers_.push_back(ScriptedServer::create(thread_.loop(), [isSound](ScriptedServer::Connection &connection, std::size_t) {
+                    auto const isProbe = connection.head().starts_with("GET");
+                    if (!isProbe && !isSound)
+                        return connection.reset();
+                    connection.send("HTTP/1.1 200 OK\r\nAnvilyard-Response-Signature: sig\r\nContent-Length: 2\r\n\r\nok");
+                }));
+            });
+            putServer("s" + std::to_string(servers_.size()), servers_.back()->address());
+        }
+    }
+
+    ResettingServerTest(ResettingServerTest const &) = delete;
+    ResettingServerTest &operator=(ResettingServerTest const &) = delete;
+
+    /// Sends requests at the same time that can be sent only once. Returns how many of them failed.
+    int countFailed(Node::NodeProgram &node, int requests)
+    {
+        std::vector<std::future<Answer>> answers;
+        for (int request = 0; request < requests; ++request)
+            answers.push_back(sendTo(node, requestOf("/u/1", "r" + std::to_string(++sent_))));
+        return static_cast<int>(std::ranges::count_if(answers, [](auto &answer) { return answer.get()->status != 200; }));
+    }
+
+    std::vector<std::unique_ptr<ScriptedServer>> servers_;
+    int sent_ = 0;
+};
+
+} // namespace
+
+/// Guards against giving requests that can be sent only once to a server after each health check that it answers.
+TEST_F(ResettingServerTest, AServerThatAnswersOnlyHealthChecksGetsFewRequestsThatCanBeSentOnlyOnce)
 {
     constexpr int Callers = 3;
     constexpr auto Time = 4s;
     // The requests that it fails before it is ejected, those in flight at that time, and one on its longest trial.
     constexpr int MaxFailed = 2 + Callers + 1;
-    putState(1);
-    auto const script = [](bool isSound) {
-        return [isSound](ScriptedServer::Connection &connection, std::size_t) {
-            auto const isProbe = connection.head().starts_with("GET");
-            if (!isProbe && !isSound)
-                return connection.reset();
-            connection.send("HTTP/1.1 200 OK\r\nAnvilyard-Response-Signature: sig\r\nContent-Length: 2\r\n\r\nok");
-        };
-    };
-    std::vector<std::unique_ptr<ScriptedServer>> servers;
-    for (bool const isSound : {false, true, true}) {
-        thread_.call([&] { servers.push_back(ScriptedServer::create(thread_.loop(), script(isSound))); });
-        putServer("s" + std::to_string(servers.size()), servers.back()->address());
-    }
     auto &node = startNode("entry-1");
     waitUntilReady(node);
     int failed = 0;
-    int number = 0;
-    for (auto const until = readLocalClock() + Time; readLocalClock() < until;) {
-        std::vector<std::future<Answer>> answers;
-        for (int caller = 0; caller < Callers; ++caller)
-            answers.push_back(sendTo(node, requestOf("/u/1", "r" + std::to_string(++number))));
-        for (auto &answer : answers)
-            failed += answer.get()->status == 200 ? 0 : 1;
-        waitFor(10ms);
-    }
+    for (auto const until = readLocalClock() + Time; readLocalClock() < until; waitFor(10ms))
+        failed += countFailed(node, Callers);
     EXPECT_GT(failed, 0);
-    EXPECT_LE(failed, MaxFailed) << "of " << number;
-    thread_.call([&] {
-        nodes_.clear();
-        servers.clear();
-    });
+    EXPECT_LE(failed, MaxFailed) << "of " << sent_;
+}
+
+/// A server that resets requests at once has none in flight. Guards against entries that all choose it before busy servers, one after the
+/// other.
+TEST_F(ResettingServerTest, RequestsThatOneEntryLostKeepOthersFromTheServer)
+{
+    auto &first = startNode("entry-1");
+    auto &second = startNode("entry-2");
+    waitUntilReady(first);
+    waitUntilReady(second);
+    // As many as there are servers, so that each gets one.
+    constexpr int Callers = 3;
+    for (int lost = 0; lost == 0;)
+        lost = countFailed(first, Callers);
+    EXPECT_EQ(countFailed(first, Callers - 1), 0) << "the failed request counts as load";
+    // Until the second entry has the load of the first one.
+    waitFor(200ms);
+    constexpr int Rounds = 4;
+    int failed = 0;
+    for (int round = 0; round < Rounds; ++round)
+        failed += countFailed(second, Callers - 1);
+    EXPECT_EQ(failed, 0);
 }
