--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -25,8 +25,6 @@
 /// Within this time of a job's creation no other runner has taken the job and stored something: their watches return later, and a runner
 /// counts as dead only after 1.5 s.
 constexpr Duration NewJobTime = 500ms;
-/// Counting the items of all jobs in each tick would cost more than the line is worth.
-constexpr Duration WaitCheckInterval = 1s;
 /// The admitting runner counts a job that it admitted for three seconds unless the owner names it.
 constexpr Duration RecentJobTime = 4s;
 /// The store takes some milliseconds to store a segment, and some hundred at its slowest.
@@ -82,8 +80,7 @@
     , unanswered_(context, health, placement_)
     , failures_(context)
     , meanRunTime_(InitialMeanRunTime)
-    , stalls_(Jobs::StallDetectorOptions{})
-    , waits_(Jobs::JobWaitDetectorOptions{})
+    , waitLog_(context, jobs_, placement_)
     , ownerCheck_(ownerCheck)
 {
 }
@@ -413,8 +410,9 @@
     if (!isLeaving_) {
         checkOwners(now);
         dispatch(now);
-        logStalls(now);
-        logWaits(now);
+        waitLog_.onTick(
+            poolServers_, [this] { return unreadJobs(); }, now);
+        logOverdueLoads(now);
     }
     storeOutcomes(now);
     recordFailures(now);
@@ -488,101 +486,24 @@
     }
 }
 
-void JobRunner::logStalls(Instant now)
+void JobRunner::logOverdueLoads(Instant now)
 {
-    auto const toMilliseconds = [](Duration duration) {
-        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-    };
-    for (auto const &[pool, waiting, lasting] : stalls_.onTick(jobs_.waitingByPool(), now)) {
-        std::size_t assigned = 0;
-        std::size_t accepting = 0;
-        std::uint32_t slots = 0;
-        std::uint32_t online = 0;
-        std::uint32_t batch = 0;
-        auto const &servers = poolServers_[pool];
-        for (auto const &server : servers) {
-            assigned += server.isAssigned ? 1 : 0;
-            if (!server.isAssigned || !server.acceptsNew)
-                continue;
-            ++accepting;
-            auto const own = context_.load.at(server.id);
-            auto const others = context_.peers.othersAt(server.id);
-            slots += server.slots;
-            online += own.online + others.online;
-            batch += own.batch + others.batch;
-        }
-        Observe::log(Observe::Events::NodeItemsStalled,
-                     {{"pool", pool.value()},
-                      {"waiting", std::to_string(waiting)},
-                      {"lasting_ms", toMilliseconds(lasting)},
-                      {"runners", std::to_string(context_.peers.runners().size())},
-                      {"servers", std::to_string(servers.size())},
-                      {"assigned", std::to_string(assigned)},
-                      {"accepting", std::to_string(accepting)},
-                      {"slots", std::to_string(slots)},
-                      {"online", std::to_string(online)},
-                      {"batch", std::to_string(batch)}});
-    }
     for (auto &[job, known] : knownJobs_) {
         if (!known.isLoading || now - known.loadingSince < LoadOverdueAfter || std::exchange(known.isOverdueLogged, true))
             continue;
-        Observe::log(Observe::Events::NodeJobLoadOverdue, {{"job", job.value()}, {"after_ms", toMilliseconds(now - known.loadingSince)}});
+        Observe::log(Observe::Events::NodeJobLoadOverdue,
+                     {{"job", job.value()}, {"after_ms", std::to_string((now - known.loadingSince) / 1ms)}});
     }
 }
 
-void JobRunner::logWaits(Instant now)
+std::vector<JobId> JobRunner::unreadJobs() const
 {
-    if (now < nextWaitCheckAt_)
-        return;
-    nextWaitCheckAt_ = now + WaitCheckInterval;
-    std::map<JobId, Jobs::JobWait> waitOf;
-    std::vector<Jobs::JobWaitDetector::Progress> progress;
-    for (auto &wait : jobs_.waits(now)) {
-        progress.push_back({.job = wait.job, .isWaiting = wait.waiting > 0, .starts = wait.starts});
-        waitOf.emplace(wait.job, std::move(wait));
-    }
+    std::vector<JobId> unread;
     for (auto const &[job, known] : knownJobs_) {
         if (!jobs_.contains(job) && known.isConfirmed && !known.isEnded && owns(job))
-            progress.push_back({.job = job, .isWaiting = true});
+            unread.push_back(job);
     }
-    std::map<PoolName, std::size_t> withRoomIn;
-    for (auto const &[job, lasting] : waits_.onTick(progress, now)) {
-        auto const found = waitOf.find(job);
-        auto const wait = found == waitOf.end() ? Jobs::JobWait{.job = job} : found->second;
-        auto const pool = poolServers_.find(wait.pool);
-        auto const servers = pool == poolServers_.end() ? std::span<Jobs::PoolServer const>{} : std::span(pool->second);
-        auto const accepting = static_cast<std::size_t>(
-            std::count_if(servers.begin(), servers.end(), [](Jobs::PoolServer const &server) { return server.acceptsNew; }));
-        auto const [withRoom, isNew] = withRoomIn.try_emplace(wait.pool);
-        if (isNew)
-            withRoom->second = placement_.serversWithRoom(servers, context_.load, context_.peers);
-        Observe::log(Observe::Events::NodeJobWaiting,
-                     {{"job", job.value()},
-                      {"reason", reasonFor(wait, accepting, withRoom->second)},
-                      {"lasting_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(lasting).count())},
-                      {"pool", wait.pool.value()},
-                      {"waiting", std::to_string(wait.waiting)},
-                      {"held_back", std::to_string(wait.heldBack)},
-                      {"paused", std::to_string(wait.paused)},
-                      {"servers", std::to_string(servers.size())},
-                      {"accepting", std::to_string(accepting)},
-                      {"with_room", std::to_string(withRoom->second)}});
-    }
-}
-
-std::string JobRunner::reasonFor(Jobs::JobWait const &wait, std::size_t accepting, std::size_t withRoom) const
-{
-    if (!jobs_.contains(wait.job))
-        return "not-read-from-store";
-    if (!wait.isRouted)
-        return "route-missing";
-    if (wait.heldBack == wait.waiting)
-        return "in-quarantine";
-    if (wait.heldBack + wait.paused == wait.waiting)
-        return "paused-after-failure";
-    if (accepting == 0)
-        return "no-server";
-    return withRoom == 0 ? "no-server-with-room" : "other-items-first";
+    return unread;
 }
 
 void JobRunner::startItems(ServerId const &serverId, std::uint32_t count, Instant now)
@@ -672,7 +593,7 @@
     metrics_.itemStarts.add();
     if (context_.limits.isLimited(server))
         metrics_.limitedSends.add();
-    stalls_.onStarted(server.pool, now);
+    waitLog_.onStarted(server.pool, now);
     auto const run = std::make_shared<ItemRun>(
         context_,
         health_,
@@ -1044,7 +965,7 @@
 
 Duration JobRunner::longestStall(Instant now) const
 {
-    return stalls_.longest(now);
+    return waitLog_.longestStall(now);
 }
 
 bool JobRunner::isIdle() const
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -3,12 +3,11 @@
 #include "LibHttp/HttpServer.h"
 #include "LibJobs/ItemPlacement.h"
 #include "LibJobs/JobTracker.h"
-#include "LibJobs/JobWaitDetector.h"
 #include "LibJobs/OwnerCheck.h"
-#include "LibJobs/StallDetector.h"
 #include "LibJobs/TokenAdmission.h"
 #include "Services/Node/FailureRecorder.h"
 #include "Services/Node/ItemRun.h"
+#include "Services/Node/ItemWaitLog.h"
 #include "Services/Node/JobApiHandler.h"
 #include "Services/Node/PeerReportExchange.h"
 #include "Services/Node/UnansweredItems.h"
@@ -83,11 +82,9 @@
     void reconcile(Instant now);
     void dispatch(Instant now);
     void refreshAssignments(Instant now);
-    /// Logs items that wait without being started, with the state of their servers, and loads of jobs that take too long.
-    void logStalls(Instant now);
-    /// Logs why no items of a job start.
-    void logWaits(Instant now);
-    [[nodiscard]] std::string reasonFor(Jobs::JobWait const &wait, std::size_t accepting, std::size_t withRoom) const;
+    void logOverdueLoads(Instant now);
+    /// Jobs of this runner that it has not read from the store yet.
+    [[nodiscard]] std::vector<JobId> unreadJobs() const;
     /// Starts items, or requests a permit for one first if the server has a limit.
     void startItems(ServerId const &server, std::uint32_t count, Instant now);
     void startItemsAt(Serving::ServerRecord const &server, std::uint32_t count, Instant now);
@@ -185,9 +182,7 @@
     Jobs::TokenAdmission admission_;
     /// Moving average of the duration of item runs that were not resumed.
     Duration meanRunTime_;
-    Jobs::StallDetector stalls_;
-    Jobs::JobWaitDetector waits_;
-    Instant nextWaitCheckAt_ = Instant::min();
+    ItemWaitLog waitLog_;
     Jobs::OwnerCheck ownerCheck_;
     std::size_t pendingStoreCalls_ = 0;
     bool isLeaving_ = false;
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -2,6 +2,7 @@
 
 #include "LibObserve/Events.h"
 #include "Services/Node/NodeRefusals.h"
+#include "Services/Node/PlacementLog.h"
 
 #include <algorithm>
 
@@ -391,25 +392,11 @@
     return context.placement.place(request, context.load, context.peers, now, context.random);
 }
 
-/// Logs the inputs of the decision so that a refusal can be explained later.
 void OnlineCall::logNoPlacement(Serving::Placement const &placement, Duration latencyTarget) const
 {
-    auto const milliseconds = [](Duration duration) {
-        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-    };
-    auto const &context = parts_.context;
-    Observe::log(Observe::Events::NodeNoPlacement,
-                 {{"request", parts_.head.id.value()},
-                  {"pool", pool_.value()},
-                  {"servers", std::to_string(placement.servers)},
-                  {"excluded", std::to_string(plan_.excluded().size())},
-                  {"ejected", std::to_string(context.health.ejected().size())},
-                  {"shortest_wait_ms", milliseconds(placement.shortestWait)},
-                  {"mean_run_ms", milliseconds(context.placement.meanRun(pool_))},
-                  {"target_ms", milliseconds(latencyTarget)},
-                  {"retry_after_ms", milliseconds(placement.retryAfter)},
-                  {"peers", std::to_string(context.peers.live().size())},
-                  {"state_version", context.routes ? std::to_string(context.routes->state().version.value()) : "none"}});
+    UnplacedRequest const unplaced{
+        .request = parts_.head.id, .pool = pool_, .triedServers = plan_.excluded().size(), .latencyTarget = latencyTarget};
+    Node::logNoPlacement(parts_.context, unplaced, placement);
 }
 
 void OnlineCall::send(Serving::ServerRecord const &server, bool hasFreeSlot, Connection connection)
