--- a/Libraries/LibJobs/JobTracker.cpp
+++ b/Libraries/LibJobs/JobTracker.cpp
@@ -289,7 +289,9 @@
             }
             ++wait.waiting;
             wait.heldBack += item.isHeldBack ? 1 : 0;
-            wait.paused += !item.isHeldBack && isPaused(item, now) ? 1 : 0;
+            bool const isPausedNow = isPaused(item, now);
+            wait.paused += !item.isHeldBack && isPausedNow ? 1 : 0;
+            wait.careful += !item.isHeldBack && !isPausedNow && isSelected(item, ItemSelection::Careful) ? 1 : 0;
         }
     }
     return waits;
--- a/Libraries/LibJobs/JobTracker.h
+++ b/Libraries/LibJobs/JobTracker.h
@@ -145,6 +145,8 @@
     std::size_t heldBack = 0;
     /// How many of these wait for a pause after a send that did not succeed.
     std::size_t paused = 0;
+    /// How many of the others have to be sent with care, as ItemStart::unansweredAt shows.
+    std::size_t careful = 0;
     /// Number of items started so far, including repeated starts.
     std::uint64_t starts = 0;
 };
--- a/Services/Node/ItemWaitLog.cpp
+++ b/Services/Node/ItemWaitLog.cpp
@@ -129,6 +129,8 @@
         return "paused-after-failure";
     if (accepting == 0)
         return "no-server";
+    if (wait.heldBack + wait.paused + wait.careful == wait.waiting)
+        return "no-server-proven";
     return withRoom == 0 ? "no-server-with-room" : "other-items-first";
 }
 
--- a/Tests/LibJobs/TestJobTracker.cpp
+++ b/Tests/LibJobs/TestJobTracker.cpp
@@ -551,8 +551,13 @@
     EXPECT_EQ(first[0].subject, FailureCommit::Subject::UnansweredSends);
     EXPECT_EQ(first[0].counts, (FailureCounts{{0, 1}}));
     tracker_.onFailuresRecorded(first[0], {}, Start);
+    EXPECT_EQ(tracker_.waits(Start)[0].paused, 1U);
     auto const later = Start + 10s;
-    auto const next = tracker_.next(batchPool, RunTime, later);
+    EXPECT_EQ(tracker_.waits(later)[0].careful, 1U);
+    EXPECT_FALSE(tracker_.next(batchPool, {}, RunTime, later, ItemSelection::Ordinary));
+    EXPECT_EQ(tracker_.waiting(batchPool, later, ItemSelection::Ordinary), 0U);
+    EXPECT_EQ(tracker_.waiting(batchPool, later, ItemSelection::Careful), 1U);
+    auto const next = tracker_.next(batchPool, {}, RunTime, later, ItemSelection::Careful);
     ASSERT_TRUE(next);
     EXPECT_EQ(next->unansweredAt, Start);
     tracker_.onStarted(*next);
