--- a/Libraries/LibRouting/RetryPolicy.cpp
+++ b/Libraries/LibRouting/RetryPolicy.cpp
@@ -87,4 +87,23 @@
     return step == NextStep::SendOnFreshConnection || step == NextStep::SendToOtherServer || step == NextStep::ResumeStream;
 }
 
+char const *nameOf(NextStep step)
+{
+    switch (step) {
+    case NextStep::SendOnFreshConnection:
+        return "send-on-fresh-connection";
+    case NextStep::SendToOtherServer:
+        return "send-to-other-server";
+    case NextStep::ResumeStream:
+        return "resume";
+    case NextStep::RelayResponse:
+        return "relay-response";
+    case NextStep::Refuse:
+        return "refuse";
+    case NextStep::AbortResponse:
+        return "abort";
+    }
+    return "unknown";
+}
+
 } // namespace Anvilyard::Routing
--- a/Libraries/LibRouting/RetryPolicy.h
+++ b/Libraries/LibRouting/RetryPolicy.h
@@ -78,4 +78,7 @@
 /// Returns whether a step may run the request again on a server and therefore needs the retry budget.
 bool isRetry(NextStep step);
 
+/// Name for logs.
+char const *nameOf(NextStep step);
+
 } // namespace Anvilyard::Routing
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -88,25 +88,6 @@
     return id ? std::to_string(*id) : "none";
 }
 
-char const *nameOf(NextStep step)
-{
-    switch (step) {
-    case NextStep::SendOnFreshConnection:
-        return "send-on-fresh-connection";
-    case NextStep::SendToOtherServer:
-        return "send-to-other-server";
-    case NextStep::ResumeStream:
-        return "resume";
-    case NextStep::RelayResponse:
-        return "relay-response";
-    case NextStep::Refuse:
-        return "refuse";
-    case NextStep::AbortResponse:
-        return "abort";
-    }
-    return "unknown";
-}
-
 char const *nameOf(Http::Reached reached)
 {
     switch (reached) {
@@ -784,7 +765,7 @@
                   {"fingerprint", Serving::toString(parts_.head.fingerprint)},
                   {"server_started_at", std::to_string(attempt_->server.startedAt)},
                   {"reached", nameOf(failure.reached)},
-                  {"next", nameOf(step)},
+                  {"next", Routing::nameOf(step)},
                   {"after_ms", millisecondsSince(attempt_->sentAt, now)},
                   {"send", std::to_string(attempts_)}});
     finishAttempt();
