LibServing+Node: Resume streams at any of the servers that ran them

Cause: once no further server may run a stream, it may go on only where it ran. AttemptPlan named the last of these servers alone. A stream that was moved off a silent server, and whose second server then crashed, was sent to the crashed one until its sends were used up.

onlyServers() names all of them: the last one first, one that fails the stream again or does not take it last. findResumeServer() skips those that are gone. The number of servers that run a request is bounded as before.

OnlineTest.AStreamWhoseLastServerCrashedIsResumedAtTheOneBefore: broken off in 3 of 3 runs before, complete since.

--- a/Libraries/LibServing/AttemptPlan.cpp
+++ b/Libraries/LibServing/AttemptPlan.cpp
@@ -36,10 +36,7 @@
 
 Routing::NextStep AttemptPlan::onEnded(ServerId const &server, Routing::AttemptEnd const &end, Instant now)
 {
-    if (Routing::runStateAfter(end) == Http::RunState::MayHaveRun) {
-        possibleRunServers_.insert(server);
-        lastPossibleRunServer_ = server;
-    }
+    recordEnd(server, Routing::runStateAfter(end));
     auto step = Routing::nextStepAfter(end, options_.repeatability);
     giveUpReason_ = GiveUpReason::None;
     if (!Routing::isRetry(step)) {
@@ -65,6 +62,17 @@
     return step;
 }
 
+/// A server that may have run the request comes first, as it may have kept the prompt. If it fails the request again, or does not take
+/// it, the others come first.
+void AttemptPlan::recordEnd(ServerId const &server, Http::RunState state)
+{
+    auto const known = std::ranges::find(possibleRunServers_, server);
+    if (known != possibleRunServers_.end())
+        std::rotate(known, std::next(known), possibleRunServers_.end());
+    else if (state == Http::RunState::MayHaveRun)
+        possibleRunServers_.insert(possibleRunServers_.begin(), server);
+}
+
 std::optional<Instant> AttemptPlan::resumeLater(Instant now)
 {
     auto const at = now + resumeDelay_;
@@ -95,9 +103,9 @@
     return {tried_.begin(), tried_.end()};
 }
 
-std::optional<ServerId> AttemptPlan::onlyServer() const
+std::vector<ServerId> AttemptPlan::onlyServers() const
 {
-    return mayUseAnotherServer() ? std::nullopt : lastPossibleRunServer_;
+    return mayUseAnotherServer() ? std::vector<ServerId>() : possibleRunServers_;
 }
 
 bool AttemptPlan::mayHaveRun() const
@@ -119,7 +127,12 @@
 
 bool AttemptPlan::mayMoveFrom(ServerId const &current) const
 {
-    return possibleRunServers_.size() + (possibleRunServers_.contains(current) ? 0 : 1) < options_.maxServers;
+    return possibleRunServers_.size() + (mayHaveRunAt(current) ? 0 : 1) < options_.maxServers;
+}
+
+bool AttemptPlan::mayHaveRunAt(ServerId const &server) const
+{
+    return std::ranges::find(possibleRunServers_, server) != possibleRunServers_.end();
 }
 
 } // namespace Anvilyard::Serving
--- a/Libraries/LibServing/AttemptPlan.h
+++ b/Libraries/LibServing/AttemptPlan.h
@@ -66,8 +66,8 @@
     [[nodiscard]] Duration responseTimeout(bool serverHasFreeSlot, Instant now) const;
     /// Servers excluded from the next send.
     [[nodiscard]] std::vector<ServerId> excluded() const;
-    /// The server at which a stream has to be resumed if no further server may run it; `std::nullopt` if another server may.
-    [[nodiscard]] std::optional<ServerId> onlyServer() const;
+    /// Servers at which a stream has to be resumed if no further server may run it, the preferred one first; empty if another server may.
+    [[nodiscard]] std::vector<ServerId> onlyServers() const;
     /// Whether the request may have run, or may still be running, at any server.
     [[nodiscard]] bool mayHaveRun() const;
     /// Whether one more server may run the request.
@@ -78,11 +78,14 @@
     [[nodiscard]] bool mayMoveFrom(ServerId const &current) const;
 
 private:
+    void recordEnd(ServerId const &server, Http::RunState state);
+    [[nodiscard]] bool mayHaveRunAt(ServerId const &server) const;
+
     AttemptPlanOptions options_;
     std::size_t sends_ = 0;
     std::set<ServerId> tried_;
-    std::set<ServerId> possibleRunServers_;
-    std::optional<ServerId> lastPossibleRunServer_;
+    /// The one at which the request is resumed first comes first.
+    std::vector<ServerId> possibleRunServers_;
     bool usedFreshConnection_ = false;
     Duration resumeDelay_ = FirstResumeDelay;
     GiveUpReason giveUpReason_ = GiveUpReason::None;
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -1,6 +1,7 @@
 #include "Services/Node/OnlineCall.h"
 
 #include "LibObserve/Events.h"
+#include "LibServing/ResumePlacement.h"
 #include "Services/Node/NodeRefusals.h"
 #include "Services/Node/PlacementLog.h"
 
@@ -244,12 +245,15 @@
         return sendToHelper(*helper);
     if (!reservedTrial_ && !isAnswered_ && parts_.context.prompts.isTrial(suspects()))
         return reserveTrial();
-    // A stream that may run at no further server is resumed at the server where it ran.
-    if (auto const only = plan_.onlyServer()) {
-        auto const server = parts_.context.directory.find(*only, readLocalClock());
-        // It may have started again with another version.
-        bool const isSame = server && (!isResumable() || acceptsVersion(server->record.softwareVersion));
-        return isSame ? sendWithPermit(server->record, false, Connection::Fresh) : abortStream("only-server-gone");
+    // A stream that may run at no further server is resumed at a server where it ran.
+    if (auto only = plan_.onlyServers(); !only.empty()) {
+        auto const server =
+            Serving::findResumeServer(parts_.context.directory,
+                                      {.candidates = std::move(only),
+                                       .ejected = parts_.context.health.ejected(),
+                                       .acceptsVersion = [this](auto const &version) { return !isResumable() || acceptsVersion(version); }},
+                                      readLocalClock());
+        return server ? sendWithPermit(*server, false, Connection::Fresh) : abortStream("only-server-gone");
     }
     // A request that may already have run is not refused because of load, nor is a stream that its caller resumes: it may go on only at the
     // servers of its version, which may be few.
@@ -316,7 +320,7 @@
 
 void OnlineCall::onPermitDenied()
 {
-    if (!plan_.onlyServer())
+    if (plan_.onlyServers().empty())
         return placeAndSend();
     if (isRelaying_)
         return resumeLater("limits-reached");
--- a/Tests/LibServing/TestAttemptPlan.cpp
+++ b/Tests/LibServing/TestAttemptPlan.cpp
@@ -1,5 +1,6 @@
 #include "LibServing/AttemptPlan.h"
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -11,6 +12,8 @@
 using Routing::Relayed;
 using Routing::Repeatability;
 using Routing::ServerErrorResponse;
+using ::testing::ElementsAre;
+using ::testing::IsEmpty;
 
 namespace {
 
@@ -101,27 +104,39 @@
     EXPECT_EQ(afterSend(plan, serverA, lostAnswer(Http::ConnectionUse::Reused)), NextStep::SendToOtherServer);
 }
 
-TEST(AttemptPlanTest, AStreamIsResumedAtTheLastServerOnceNoOtherMayRunIt)
+TEST(AttemptPlanTest, AStreamIsResumedAtTheServersThatRanItOnceNoOtherMayRunIt)
 {
     auto plan = planOf(Repeatability::Generation, 2);
     EXPECT_EQ(afterSend(plan, serverA, brokenStream()), NextStep::ResumeStream);
-    EXPECT_FALSE(plan.onlyServer());
+    EXPECT_THAT(plan.onlyServers(), IsEmpty());
     EXPECT_EQ(afterSend(plan, serverB, brokenStream()), NextStep::ResumeStream);
-    EXPECT_EQ(plan.onlyServer(), serverB);
+    EXPECT_THAT(plan.onlyServers(), ElementsAre(serverB, serverA));
     auto once = planOf(Repeatability::Unsafe, 2);
     EXPECT_EQ(afterSend(once, serverA, brokenStream()), NextStep::AbortResponse);
 }
 
+/// Guards against a stream that is sent only to its last server again, which has crashed or goes on failing it.
+TEST(AttemptPlanTest, AServerThatFailsAStreamAgainComesAfterTheOthersThatRanIt)
+{
+    for (auto const &end : {brokenStream(), unreachedResume()}) {
+        auto plan = planOf(Repeatability::Generation, 2);
+        static_cast<void>(afterSend(plan, serverA, brokenStream()));
+        static_cast<void>(afterSend(plan, serverB, brokenStream()));
+        EXPECT_EQ(afterSend(plan, serverB, end), NextStep::ResumeStream);
+        EXPECT_THAT(plan.onlyServers(), ElementsAre(serverA, serverB));
+    }
+}
+
 /// Guards against counting a server that refused the connection as one that may have run the stream.
 TEST(AttemptPlanTest, AStreamWhoseResumeReachedNoServerMayUseAnother)
 {
     auto plan = planOf(Repeatability::Generation, 2);
     EXPECT_EQ(afterSend(plan, serverA, brokenStream()), NextStep::ResumeStream);
     EXPECT_EQ(afterSend(plan, serverB, unreachedResume()), NextStep::ResumeStream);
-    EXPECT_EQ(plan.onlyServer(), std::nullopt);
+    EXPECT_THAT(plan.onlyServers(), IsEmpty());
     EXPECT_EQ(plan.excluded(), (std::vector{serverA, serverB}));
     EXPECT_EQ(afterSend(plan, serverC, brokenStream()), NextStep::ResumeStream);
-    EXPECT_EQ(plan.onlyServer(), serverC);
+    EXPECT_THAT(plan.onlyServers(), ElementsAre(serverC, serverA));
     EXPECT_FALSE(plan.mayUseAnotherServer());
 }
 
@@ -184,7 +199,8 @@
         RC_ASSERT(repeatability != Repeatability::Unsafe || ran.empty());
         if (step == NextStep::SendOnFreshConnection)
             continue;
-        server = plan.onlyServer().value_or(ServerId("s" + std::to_string(send)));
+        auto const only = plan.onlyServers();
+        server = only.empty() ? ServerId("s" + std::to_string(send)) : *rc::gen::elementOf(only);
     }
 }
 
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -1004,6 +1004,35 @@
     EXPECT_EQ(used, 2U);
 }
 
+/// The node cut a stream that was silent at its first server, the second one crashes, and the route allows no third. Guards against
+/// breaking it off although the first server goes on.
+TEST_F(OnlineTest, AStreamWhoseLastServerCrashedIsResumedAtTheOneBefore)
+{
+    std::vector<FleetServer::Writer> silent;
+    std::optional<std::size_t> second;
+    int requests = 0;
+    auto const scriptOf = [&](std::size_t position) -> FleetServer::Script {
+        return [&, position](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+            if (++requests > 2)
+                return answerEvents(request, writer, 10);
+            silent.push_back(writer);
+            writer->start({.status = 200, .headers = signedHeaders(request, "text/event-stream")});
+            writer->write(requests == 1 ? eventTexts(0, 3) : eventTexts(3, 6), nullptr);
+            if (requests == 2)
+                second = position;
+        };
+    };
+    auto &node = serve({scriptOf(0), scriptOf(1)}, streamsWithGapTarget(200));
+    auto pending = sendTo(node, patientRequest());
+    waitUntil([&] { return second.has_value(); });
+    servers_.erase(servers_.begin() + static_cast<std::ptrdiff_t>(*second));
+    auto const answer = pending.get();
+    thread_.call([&] { silent.clear(); });
+    ASSERT_TRUE(answer) << answer.error().error.toString();
+    EXPECT_EQ(answer->body, eventTexts(0, 10));
+    EXPECT_EQ(requestCount(), 2U);
+}
+
 /// A stream whose route allows two servers breaks at the first, the second has died, and a third is sound. Guards against counting the
 /// second as one that ran the stream, which then may be resumed nowhere else.
 TEST_F(OnlineTest, AStreamWhoseResumeReachesNoServerIsResumedAtAThird)
