LibRouting+LibJobs+Node: Try servers again that accept connections and answer no health checks

A server that serves requests and whose health checks get no response was never used again once it had been ejected, as after a short network fault; with all servers of a pool in this state, two thirds of them stayed unused. Items with an unanswered send wait for such a response, too. Cause: a probe without a response counted like one that reached no server.

ProbeOutcome tells them apart. A server that accepts connections is put on trial 5 s after its ejection, later each time its trial fails, as long as a trial costs requests; requests that can be repeated come first, as after a probe that is answered. CarefulPlacement accepts such a server after 5 s without another. Services/Entry takes part: there a response of 5xx to a probe counts so as well.

--- a/Libraries/LibJobs/CarefulPlacement.cpp
+++ b/Libraries/LibJobs/CarefulPlacement.cpp
@@ -37,6 +37,11 @@
     evidence_[server].respondedAt = askedAt;
 }
 
+void CarefulPlacement::onAccepted(ServerId const &server, Instant askedAt)
+{
+    evidence_[server].acceptedAt = askedAt;
+}
+
 CarefulPlacement::Evidence CarefulPlacement::evidenceOf(ServerId const &server) const
 {
     auto const found = evidence_.find(server);
@@ -84,19 +89,26 @@
 CarefulPlacement::Choice CarefulPlacement::chooseUnproven(Pool &pool, std::span<Server const> servers, Instant unansweredAt, Instant now)
 {
     bool const areAllFailing = std::ranges::all_of(servers, [&](Server const &server) { return isFailing(evidenceOf(server.id), now); });
+    bool const isAcceptanceEnough = now >= pool.waitingSince + options_.unhealthyPatience;
+    std::optional<ServerId> accepting;
     std::optional<ServerId> toCheck;
     auto askedAt = Instant::max();
     for (auto const &server : servers) {
         auto const evidence = evidenceOf(server.id);
         if (!server.hasRoom || (!areAllFailing && isFailing(evidence, now)))
             continue;
-        if (evidence.respondedAt > std::max(unansweredAt, evidence.failedAt))
+        auto const brokenAt = std::max(unansweredAt, evidence.failedAt);
+        if (evidence.respondedAt > brokenAt)
             return {.server = server.id};
+        if (isAcceptanceEnough && !accepting && evidence.acceptedAt > brokenAt)
+            accepting = server.id;
         if (!toCheck || evidence.askedAt < askedAt) {
             toCheck = server.id;
             askedAt = evidence.askedAt;
         }
     }
+    if (accepting)
+        return {.server = std::move(accepting)};
     if (!toCheck || now < pool.nextCheckAt)
         return {};
     pool.nextCheckAt = now + options_.checkInterval;
@@ -113,7 +125,7 @@
     nextRemovalAt_ = now + EvidenceRetention;
     std::erase_if(evidence_, [&](auto const &entry) {
         auto const &evidence = entry.second;
-        return std::max({evidence.answeredAt, evidence.failedAt, evidence.respondedAt, evidence.sentAt}) < now - EvidenceRetention;
+        return std::max({evidence.answeredAt, evidence.failedAt, evidence.respondedAt, evidence.acceptedAt, evidence.sentAt}) < now - EvidenceRetention;
     });
 }
 
--- a/Libraries/LibRouting/ServerHealth.cpp
+++ b/Libraries/LibRouting/ServerHealth.cpp
@@ -114,7 +114,11 @@
     if (server.points < options_.ejectAtPoints || !mayEject(server.pool))
         return;
     server.state = Server::State::Ejected;
-    server.probeDelay = server.ejections == 0 ? options_.firstProbeDelay : std::min(server.probeDelay * 2, options_.maxProbeDelay);
+    bool const isFirst = server.ejections == 0;
+    server.probeDelay = isFirst ? options_.firstProbeDelay : std::min(server.probeDelay * 2, options_.maxProbeDelay);
+    if (isFirst)
+        server.unhealthyTrialDelay = options_.firstUnhealthyTrialDelay;
+    server.unhealthyTrialAt = now + server.unhealthyTrialDelay;
     ++server.ejections;
     scheduleProbe(server, now);
     actions.emplace_back(ServerEjected{.server = id, .evidence = evidence, .ejections = server.ejections});
@@ -134,19 +138,17 @@
     if (found == servers_.end() || found->second.state != Server::State::Probing)
         return actions;
     auto &entry = found->second;
-    if (outcome == ProbeOutcome::Failed) {
+    bool const isTriedUnhealthy = outcome == ProbeOutcome::Unhealthy && now >= entry.unhealthyTrialAt;
+    if (outcome != ProbeOutcome::Answered && !isTriedUnhealthy) {
         entry.state = Server::State::Ejected;
         entry.probeDelay = std::min(entry.probeDelay * 2, options_.maxProbeDelay);
         scheduleProbe(entry, now);
         return actions;
     }
-    entry.state = Server::State::OnTrial;
-    entry.restoredAt = now;
-    entry.nextTrialAt = now;
-    // One more failure ejects it again, because a probe exercises less than a request does.
-    entry.points = options_.ejectAtPoints - 1;
-    entry.evidenceUntil = now + options_.evidenceLifetime;
-    actions.emplace_back(ServerRestored{.server = server, .ejections = entry.ejections});
+    if (isTriedUnhealthy)
+        entry.unhealthyTrialDelay = std::min(entry.unhealthyTrialDelay * 2, options_.maxUnhealthyTrialDelay);
+    startTrial(entry, now);
+    actions.emplace_back(ServerRestored{.server = server, .outcome = outcome, .ejections = entry.ejections});
     // The bound now allows another server with enough evidence to be ejected.
     for (auto &[id, other] : servers_) {
         if (id != server && other.pool == entry.pool && isInUse(other) && now < other.evidenceUntil)
@@ -155,6 +157,16 @@
     return actions;
 }
 
+void ServerHealth::startTrial(Server &server, Instant now)
+{
+    server.state = Server::State::OnTrial;
+    server.restoredAt = now;
+    server.nextTrialAt = now;
+    // One more failure ejects it again, because a probe exercises less than a request does.
+    server.points = options_.ejectAtPoints - 1;
+    server.evidenceUntil = now + options_.evidenceLifetime;
+}
+
 std::vector<HealthAction> ServerHealth::onTick(Instant now)
 {
     std::vector<HealthAction> actions;
--- a/Libraries/LibRouting/ServerHealth.h
+++ b/Libraries/LibRouting/ServerHealth.h
@@ -35,6 +35,9 @@
 
 enum class ProbeOutcome {
     Answered,
+    /// The server accepted the connection, but did not answer as a healthy one does. It may serve requests all the same.
+    Unhealthy,
+    /// No connection to the server was made.
     Failed,
 };
 
@@ -50,6 +53,10 @@
     /// Delay before the first probe; it doubles with each failed probe and each ejection until the server answers a request.
     Duration firstProbeDelay = 1s;
     Duration maxProbeDelay = 30s;
+    /// Time from its ejection after which a server that accepts connections gets requests although its probes are not answered; it doubles
+    /// with each such trial until the server answers a request.
+    Duration firstUnhealthyTrialDelay = 5s;
+    Duration maxUnhealthyTrialDelay = 40s;
     /// Interval at which a server on trial gets requests.
     Duration trialInterval = 500ms;
     /// Time on trial after which a server gets requests that can be sent only once, as others may not come.
@@ -63,9 +70,11 @@
     std::uint32_t ejections = 1;
 };
 
-/// The server answered a probe.
+/// The server is used again, on trial.
 struct ServerRestored {
     ServerId server;
+    /// Of its last probe.
+    ProbeOutcome outcome = ProbeOutcome::Answered;
     /// Number of ejections since it last answered a request.
     std::uint32_t ejections = 1;
 };
@@ -79,7 +88,8 @@
 
 /// Ejects servers based on evidence from all connections and restores them by probing. A server may answer probes and fail all requests, so
 /// that a restored one is on trial until it has answered a request that was sent since: it gets single requests, and the first failure
-/// ejects it again, for longer each time. Performs no I/O.
+/// ejects it again, for longer each time. A server may also serve requests and answer no probes, so that one that accepts connections is
+/// restored after a while in any case. Performs no I/O.
 class ServerHealth
 {
 public:
@@ -122,6 +132,8 @@
         } state = State::InUse;
         Duration probeDelay{0};
         Instant probeAt;
+        Duration unhealthyTrialDelay{0};
+        Instant unhealthyTrialAt;
         Instant restoredAt;
         Instant nextTrialAt;
     };
@@ -130,6 +142,7 @@
     [[nodiscard]] bool mayEject(PoolName const &pool) const;
     void ejectIfDue(ServerId const &id, Server &server, ServerEvidence evidence, Instant now, std::vector<HealthAction> &actions);
     void scheduleProbe(Server &server, Instant now);
+    void startTrial(Server &server, Instant now);
 
     ServerHealthOptions options_;
     RandomSource random_;
--- a/Services/Entry/ServerProbe.cpp
+++ b/Services/Entry/ServerProbe.cpp
@@ -18,8 +18,10 @@
         .connection = Http::ClientRequest::Connection::FreshOnly,
     };
     client.fetch(std::move(request), [done = std::move(done)](auto const &response) {
-        bool const isHealthy = response && response->status < FirstServerError;
-        done(isHealthy ? Routing::ProbeOutcome::Answered : Routing::ProbeOutcome::Failed);
+        if (response)
+            return done(response->status < FirstServerError ? Routing::ProbeOutcome::Answered : Routing::ProbeOutcome::Unhealthy);
+        bool const isConnected = response.error().reached != Http::Reached::NothingSent;
+        done(isConnected ? Routing::ProbeOutcome::Unhealthy : Routing::ProbeOutcome::Failed);
     });
 }
 
--- a/Services/Node/HealthProber.cpp
+++ b/Services/Node/HealthProber.cpp
@@ -112,7 +112,9 @@
             onEjectionsChanged_();
         } else if (auto const *restored = std::get_if<Routing::ServerRestored>(&action)) {
             Observe::log(Observe::Events::NodeServerRestored,
-                         {{"server", restored->server.value()}, {"evidence", "probe"}, {"ejections", std::to_string(restored->ejections)}});
+                         {{"server", restored->server.value()},
+                          {"evidence", restored->outcome == Routing::ProbeOutcome::Answered ? "probe" : "connection"},
+                          {"ejections", std::to_string(restored->ejections)}});
             onEjectionsChanged_();
         } else if (auto const *due = std::get_if<Routing::ProbeServer>(&action)) {
             probe(due->server);
@@ -130,14 +132,13 @@
     probe(server->record, report);
 }
 
-void HealthProber::checkResponds(Serving::ServerRecord const &server, std::function<void()> onAnswered)
+void HealthProber::checkResponds(Serving::ServerRecord const &server, std::function<void(Routing::ProbeOutcome)> onChecked)
 {
     if (!responseChecks_.insert(server.id).second)
         return;
-    probe(server, [this, id = server.id, onAnswered = std::move(onAnswered)](Routing::ProbeOutcome outcome) {
+    probe(server, [this, id = server.id, onChecked = std::move(onChecked)](Routing::ProbeOutcome outcome) {
         responseChecks_.erase(id);
-        if (outcome == Routing::ProbeOutcome::Answered)
-            onAnswered();
+        onChecked(outcome);
     });
 }
 
@@ -179,7 +180,10 @@
                 recordResponse(context_, server, response, now);
             }
             // Any response will do: a server without a free slot refuses the probe but is reachable.
-            report(answer ? Routing::ProbeOutcome::Answered : Routing::ProbeOutcome::Failed);
+            if (answer)
+                return report(Routing::ProbeOutcome::Answered);
+            bool const isConnected = answer.error().reached != Http::Reached::NothingSent;
+            report(isConnected ? Routing::ProbeOutcome::Unhealthy : Routing::ProbeOutcome::Failed);
         });
 }
 
--- a/Services/Node/HealthProber.h
+++ b/Services/Node/HealthProber.h
@@ -18,8 +18,8 @@
     /// Records that a new connection to the server failed. If others failed as well, it is checked whether the servers are out of reach.
     void onConnectFailed(ServerId const &server);
     void onTick(Instant now);
-    /// Finds out whether responses of the server arrive here. `onAnswered` is called if one does.
-    void checkResponds(Serving::ServerRecord const &server, std::function<void()> onAnswered);
+    /// Finds out whether responses of the server arrive here. `onChecked` is not called if it is being found out already.
+    void checkResponds(Serving::ServerRecord const &server, std::function<void(Routing::ProbeOutcome)> onChecked);
     /// Finds out whether the servers at which responses were lost have crashed.
     void probeLostServers(Instant now);
 
--- a/Services/Node/UnansweredItems.cpp
+++ b/Services/Node/UnansweredItems.cpp
@@ -70,7 +70,12 @@
 void UnansweredItems::check(ServerId const &server, Instant now)
 {
     if (auto const known = context_.directory.find(server, now))
-        health_.checkResponds(known->record, [this, server, now] { careful_.onResponded(server, now); });
+        health_.checkResponds(known->record, [this, server, now](Routing::ProbeOutcome outcome) {
+            if (outcome == Routing::ProbeOutcome::Answered)
+                careful_.onResponded(server, now);
+            else if (outcome == Routing::ProbeOutcome::Unhealthy)
+                careful_.onAccepted(server, now);
+        });
 }
 
 } // namespace Anvilyard::Node
--- a/Tests/LibJobs/TestCarefulPlacement.cpp
+++ b/Tests/LibJobs/TestCarefulPlacement.cpp
@@ -25,6 +25,8 @@
         auto choice = placement_.choose(pool, servers_, unansweredAt, now_);
         if (choice.check && respondsToChecks_)
             placement_.onResponded(*choice.check, now_);
+        else if (choice.check && acceptsConnections_)
+            placement_.onAccepted(*choice.check, now_);
         return choice.server;
     }
 
@@ -46,6 +48,7 @@
     std::vector<CarefulPlacement::Server> servers_{
         {.id = serverA, .hasRoom = true}, {.id = serverB, .hasRoom = true}, {.id = serverC, .hasRoom = true}};
     bool respondsToChecks_ = true;
+    bool acceptsConnections_ = false;
     CarefulPlacement placement_{{}};
     Instant now_ = Start + 1s;
 };
@@ -119,6 +122,15 @@
     EXPECT_EQ(chooseWithin(2s), serverB);
 }
 
+/// All servers run items and answer no health checks. Guards against items that are never sent again.
+TEST_F(CarefulPlacementTest, AServerThatAcceptsConnectionsIsTriedAfterALongerTime)
+{
+    respondsToChecks_ = false;
+    acceptsConnections_ = true;
+    EXPECT_EQ(chooseWithin(4900ms), std::nullopt);
+    EXPECT_TRUE(chooseWithin(1s));
+}
+
 TEST_F(CarefulPlacementTest, AServerThatFailedItsLastItemIsTriedOnlyIfAllHave)
 {
     placement_.onFailed(serverA, now_);
--- a/Tests/LibRouting/TestServerHealth.cpp
+++ b/Tests/LibRouting/TestServerHealth.cpp
@@ -154,15 +154,31 @@
 
 namespace {
 
-/// Lets the probe of an ejected server be answered. Returns when.
-Instant restore(ServerHealth &health, ServerId const &server)
+/// Lets the next probe of an ejected server end so. Returns when.
+Instant endProbe(ServerHealth &health, ServerId const &server, ProbeOutcome outcome)
 {
     auto const due = *health.nextTick();
     health.onTick(due);
-    health.onProbe(server, ProbeOutcome::Answered, due);
+    health.onProbe(server, outcome, due);
     return due;
 }
 
+Instant restore(ServerHealth &health, ServerId const &server)
+{
+    return endProbe(health, server, ProbeOutcome::Answered);
+}
+
+/// Lets the probes of an ejected server fail in this way until it is in use. Returns when, or `std::nullopt` if it is not by then.
+std::optional<Instant> failProbes(ServerHealth &health, ServerId const &server, ProbeOutcome outcome, Instant until)
+{
+    for (Instant now{}; now < until;) {
+        now = endProbe(health, server, outcome);
+        if (!health.ejected().contains(server))
+            return now;
+    }
+    return std::nullopt;
+}
+
 std::vector<ServerId> const none;
 std::vector<ServerId> const onlyFirst{first};
 
@@ -232,3 +248,61 @@
     subject.onEvidence(first, ServerEvidence::FreshConnectionFailed, now + 40s);
     EXPECT_EQ(subject.ejected(), std::set<ServerId>{first});
 }
+
+// Guards against a server that serves requests and answers no health checks, and that is never used again once it was ejected.
+TEST(ServerHealthTest, AServerThatAcceptsConnectionsIsTriedWithoutAnAnsweredProbe)
+{
+    auto subject = health(9);
+    failOften(subject, first, Instant{});
+    auto const restoredAt = failProbes(subject, first, ProbeOutcome::Unhealthy, Instant(1min));
+    ASSERT_TRUE(restoredAt);
+    EXPECT_GE(*restoredAt, Instant(5s));
+    EXPECT_EQ(subject.onTrial(), std::set<ServerId>{first});
+    subject.onAnswered(first, *restoredAt, *restoredAt);
+    EXPECT_TRUE(subject.onTrial().empty());
+}
+
+TEST(ServerHealthTest, AServerThatAcceptsNoConnectionsIsNotTried)
+{
+    auto subject = health(9);
+    failOften(subject, first, Instant{});
+    EXPECT_FALSE(failProbes(subject, first, ProbeOutcome::Failed, Instant(10min)));
+}
+
+// Guards against requests that a server fails in each trial as long as it hangs.
+TEST(ServerHealthTest, AServerThatFailsItsTrialsIsTriedLessOftenEachTime)
+{
+    auto subject = health(9);
+    failOften(subject, first, Instant{});
+    std::vector<Instant> trials;
+    for (int trial = 0; trial < 3; ++trial) {
+        auto const at = failProbes(subject, first, ProbeOutcome::Unhealthy, Instant(10min));
+        ASSERT_TRUE(at);
+        trials.push_back(*at);
+        subject.onEvidence(first, ServerEvidence::FreshConnectionFailed, *at);
+        ASSERT_EQ(subject.ejected(), std::set<ServerId>{first});
+    }
+    EXPECT_GE(trials[1] - trials[0], 10s);
+    EXPECT_GE(trials[2] - trials[1], 20s);
+}
+
+// Guards against a pool of which the servers that were ejected are never used again, as none answers health checks.
+TEST(ServerHealthTest, AllServersOfAPoolWithoutAnsweredProbesAreTried)
+{
+    constexpr int Servers = 9;
+    auto subject = health(Servers);
+    Instant now{};
+    for (auto const &[server, pool] : pool(Servers))
+        failOften(subject, server, now);
+    EXPECT_FALSE(subject.ejected().empty());
+    while (!subject.ejected().empty() && now < Instant(1min)) {
+        now = *subject.nextTick();
+        for (auto const &action : subject.onTick(now)) {
+            if (auto const *due = std::get_if<ProbeServer>(&action))
+                subject.onProbe(due->server, ProbeOutcome::Unhealthy, now);
+        }
+        for (auto const &server : subject.onTrial())
+            subject.onAnswered(server, now, now);
+    }
+    EXPECT_TRUE(subject.ejected().empty());
+}
--- a/Tests/Node/TestOnline.cpp
+++ b/Tests/Node/TestOnline.cpp
@@ -1298,3 +1298,35 @@
         failed += countFailed(second, Callers - 1);
     EXPECT_EQ(failed, 0);
 }
+
+/// All servers of a pool fail for a moment and are ejected; they serve requests again, but reset all health checks. Guards against servers
+/// that are never used again.
+TEST_F(OnlineTest, ServersThatAnswerNoHealthChecksAreUsedAgain)
+{
+    bool isFailing = true;
+    FleetServer::Script const script = [&](int, Http::HttpRequest const &request, FleetServer::Writer const &writer) {
+        if (isFailing || request.method == "GET")
+            return writer->abort();
+        writer->respond({.status = 200, .headers = signedHeaders(request, "text/plain"), .body = "ok"});
+    };
+    auto &node = serve({script, script, script});
+    int sent = 0;
+    auto const sendUntil = [&](std::string const &sample) {
+        while (metricsOf(node).find("\nanvilyard_node_servers{belief=" + sample + "\n") == std::string::npos) {
+            // At the same time, so that each server gets one.
+            std::vector<std::future<Answer>> answers;
+            for (std::size_t request = 0; request < servers_.size(); ++request)
+                answers.push_back(sendTo(node, requestOf("/i/1", "r" + std::to_string(++sent))));
+            for (auto const &answer : answers)
+                answer.wait();
+        }
+    };
+    // As many as may be ejected.
+    sendUntil(R"("ejected"} 2)");
+    thread_.call([&] { isFailing = false; });
+    sendUntil(R"("ejected"} 0)");
+    sendUntil(R"("on_trial"} 0)");
+    auto const answer = ask(node, requestOf("/i/1", "last"));
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200);
+}
