LibRouting+Node: Let answers to older requests clear no failure of a server

Again evidence of one thing, older streams going on, was taken for evidence of another, new requests being served.

An answer clears failures and ends a trial only if its request was sent after them. Requests without sends left avoid servers whose last request failed, as long as others have room; requests that can go on elsewhere still use them. closedTrials() is avoided() now.

ServerHealthTest.AnAnswerToAnOlderRequestClearsNoFailure and ...ARequestWithoutSendsLeftAvoidsServersThatFailedTheLastOne fail on the code before.

--- a/Libraries/LibRouting/ServerHealth.cpp
+++ b/Libraries/LibRouting/ServerHealth.cpp
@@ -61,6 +61,7 @@
     if (now >= entry.evidenceUntil && !isOnTrial)
         entry.points = 0;
     entry.evidenceUntil = now + options_.evidenceLifetime;
+    entry.failedAt = now;
     entry.points +=
         evidence == ServerEvidence::FreshConnectionFailed ? options_.pointsPerFailedConnection : options_.pointsPerErrorResponse;
     ejectIfDue(server, entry, evidence, now, actions);
@@ -74,9 +75,9 @@
         return;
     auto &entry = found->second;
     entry.answeredAt = now;
-    // Only a probe restores a server.
-    bool const endsTrial = entry.state == Server::State::OnTrial && sentAt >= entry.restoredAt;
-    if (entry.state != Server::State::InUse && !endsTrial)
+    // Only a probe restores a server. One that fails all new requests may still go on with older streams.
+    bool const isNews = sentAt >= (entry.state == Server::State::OnTrial ? entry.restoredAt : entry.failedAt);
+    if (!isInUse(entry) || !isNews)
         return;
     entry.state = Server::State::InUse;
     entry.points = 0;
@@ -207,17 +208,30 @@
     return onTrial;
 }
 
-std::vector<ServerId> ServerHealth::closedTrials(SendsLeft sendsLeft, Instant now) const
+bool ServerHealth::isAvoided(Server const &server, SendsLeft sendsLeft, Instant now) const
 {
-    std::vector<ServerId> closed;
-    for (auto const &[id, server] : servers_) {
-        if (server.state != Server::State::OnTrial)
-            continue;
+    switch (server.state) {
+    case Server::State::InUse:
+        return sendsLeft == SendsLeft::None && server.points > 0 && now < server.evidenceUntil;
+    case Server::State::OnTrial: {
         auto const openAt = sendsLeft == SendsLeft::Some ? server.restoredAt : server.restoredAt + options_.repeatableTrialTime;
-        if (now < std::max(openAt, server.nextTrialAt))
-            closed.push_back(id);
+        return now < std::max(openAt, server.nextTrialAt);
+    }
+    case Server::State::Ejected:
+    case Server::State::Probing:
+        break;
+    }
+    return false;
+}
+
+std::vector<ServerId> ServerHealth::avoided(SendsLeft sendsLeft, Instant now) const
+{
+    std::vector<ServerId> avoided;
+    for (auto const &[id, server] : servers_) {
+        if (isAvoided(server, sendsLeft, now))
+            avoided.push_back(id);
     }
-    return closed;
+    return avoided;
 }
 
 std::optional<Instant> ServerHealth::answeredAt(ServerId const &server) const
--- a/Libraries/LibRouting/ServerHealth.h
+++ b/Libraries/LibRouting/ServerHealth.h
@@ -98,7 +98,8 @@
     /// Sets the current servers and their pools. The state of servers that remain is kept.
     void setServers(std::map<ServerId, PoolName> const &servers);
     std::vector<HealthAction> onEvidence(ServerId const &server, ServerEvidence evidence, Instant now);
-    /// Records that the server answered a request. One that was sent before the server was restored does not end its trial.
+    /// Records that the server answered a request. One that was sent before the server was restored does not end its trial, and one that
+    /// was sent before its last failure does not clear it.
     void onAnswered(ServerId const &server, Instant sentAt, Instant now);
     /// Records that a request is sent to the server.
     void onSent(ServerId const &server, Instant now);
@@ -110,8 +111,9 @@
     [[nodiscard]] std::set<ServerId> ejected() const;
     /// Servers in use that have not answered a request since they were restored.
     [[nodiscard]] std::set<ServerId> onTrial() const;
-    /// Those of them to which a request should not be sent now if other servers have room for it.
-    [[nodiscard]] std::vector<ServerId> closedTrials(SendsLeft sendsLeft, Instant now) const;
+    /// Servers in use to which a request should not be sent now if others have room for it: those on trial that had a request lately and,
+    /// if the request has no sends left, all that failed the last one and have not answered any since.
+    [[nodiscard]] std::vector<ServerId> avoided(SendsLeft sendsLeft, Instant now) const;
     /// When the server last answered a request; `std::nullopt` if it has answered none.
     [[nodiscard]] std::optional<Instant> answeredAt(ServerId const &server) const;
     [[nodiscard]] std::optional<Instant> nextTick() const;
@@ -121,6 +123,7 @@
         PoolName pool;
         std::uint32_t points = 0;
         Instant evidenceUntil;
+        Instant failedAt = Instant::min();
         std::optional<Instant> answeredAt;
         /// Since it last answered a request.
         std::uint32_t ejections = 0;
@@ -139,6 +142,7 @@
     };
 
     [[nodiscard]] static bool isInUse(Server const &server);
+    [[nodiscard]] bool isAvoided(Server const &server, SendsLeft sendsLeft, Instant now) const;
     [[nodiscard]] bool mayEject(PoolName const &pool) const;
     void ejectIfDue(ServerId const &id, Server &server, ServerEvidence evidence, Instant now, std::vector<HealthAction> &actions);
     void scheduleProbe(Server &server, Instant now);
--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -471,10 +471,10 @@
         return;
     refreshAssignments(now);
     auto const tokens = jobs_.waitingTokens();
-    auto const closedTrials = context_.health.closedTrials(Routing::SendsLeft::Some, now);
+    auto const avoided = context_.health.avoided(Routing::SendsLeft::Some, now);
     for (auto const &[pool, servers] : poolServers_) {
-        bool const isRestricted = context_.limits.limitedServers() > 0 || !closedTrials.empty();
-        auto const &available = isRestricted ? openNow(servers, closedTrials, now) : servers;
+        bool const isRestricted = context_.limits.limitedServers() > 0 || !avoided.empty();
+        auto const &available = isRestricted ? openNow(servers, avoided, now) : servers;
         startCarefulItems(pool, available, now);
         Jobs::ItemDemand const demand{.waiting = jobs_.waiting(pool, now, Jobs::ItemSelection::Ordinary), .tokens = tokens};
         for (auto const &change : placement_.plan(pool, available, demand, context_.load, context_.peers, now)) {
@@ -517,12 +517,12 @@
 }
 
 std::vector<Jobs::PoolServer>
-JobRunner::openNow(std::vector<Jobs::PoolServer> servers, std::span<ServerId const> closedTrials, Instant now) const
+JobRunner::openNow(std::vector<Jobs::PoolServer> servers, std::span<ServerId const> avoided, Instant now) const
 {
     for (auto &server : servers) {
         auto const known = context_.directory.find(server.id, now);
         auto const allowance = known ? context_.limits.allowances().find(known->record, Serving::Urgency::Batch, now) : std::nullopt;
-        bool const isClosed = std::ranges::find(closedTrials, server.id) != closedTrials.end();
+        bool const isClosed = std::ranges::find(avoided, server.id) != avoided.end();
         server.acceptsNew = server.acceptsNew && !isClosed && !(allowance && allowance->exhaustedUntil);
     }
     return servers;
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -103,7 +103,7 @@
     [[nodiscard]] bool hasFreeSlot(Serving::ServerRecord const &server) const;
     /// The servers, of which those without permits and those whose trials are closed accept no new items.
     [[nodiscard]] std::vector<Jobs::PoolServer>
-    openNow(std::vector<Jobs::PoolServer> servers, std::span<ServerId const> closedTrials, Instant now) const;
+    openNow(std::vector<Jobs::PoolServer> servers, std::span<ServerId const> avoided, Instant now) const;
     void preempt(ServerId const &server, std::uint32_t count, Instant now);
     void cancelRuns(JobId const &job);
     void storeOutcomes(Instant now);
--- a/Services/Node/OnlineCall.cpp
+++ b/Services/Node/OnlineCall.cpp
@@ -352,8 +352,8 @@
     auto &context = parts_.context;
     auto const now = readLocalClock();
     auto const tried = plan_.excluded();
-    auto excluded = context.health.closedTrials(plan_.sendsLeft(), now);
-    bool const hasClosedTrials = !excluded.empty();
+    auto excluded = context.health.avoided(plan_.sendsLeft(), now);
+    bool const areAnyAvoided = !excluded.empty();
     excluded.insert(excluded.end(), tried.begin(), tried.end());
     Serving::PlacementRequest request{
         .pool = pool_,
@@ -370,7 +370,7 @@
             streamVersion_ ? Serving::PlacementRequest::ReserveServers::Use : Serving::PlacementRequest::ReserveServers::Avoid,
     };
     auto const placement = context.placement.place(request, context.load, context.peers, now, context.random);
-    if (!hasClosedTrials || placement.outcome == Serving::Placement::Outcome::Chosen)
+    if (!areAnyAvoided || placement.outcome == Serving::Placement::Outcome::Chosen)
         return placement;
     // A server that may fail the request is better than none.
     request.excluded = tried;
--- a/Tests/LibRouting/TestServerHealth.cpp
+++ b/Tests/LibRouting/TestServerHealth.cpp
@@ -212,17 +212,17 @@
 {
     auto subject = health(9);
     failOften(subject, first, Instant{});
-    EXPECT_EQ(subject.closedTrials(SendsLeft::Some, Instant{}), none) << "it is not in use";
+    EXPECT_EQ(subject.avoided(SendsLeft::Some, Instant{}), none) << "it is not in use";
     auto now = restore(subject, first);
     EXPECT_EQ(subject.onTrial(), std::set<ServerId>{first});
-    EXPECT_EQ(subject.closedTrials(SendsLeft::Some, now), none);
-    EXPECT_EQ(subject.closedTrials(SendsLeft::None, now), onlyFirst);
+    EXPECT_EQ(subject.avoided(SendsLeft::Some, now), none);
+    EXPECT_EQ(subject.avoided(SendsLeft::None, now), onlyFirst);
     subject.onSent(first, now);
-    EXPECT_EQ(subject.closedTrials(SendsLeft::Some, now += 100ms), onlyFirst);
-    EXPECT_EQ(subject.closedTrials(SendsLeft::Some, now + 500ms), none) << "the request may hang";
+    EXPECT_EQ(subject.avoided(SendsLeft::Some, now += 100ms), onlyFirst);
+    EXPECT_EQ(subject.avoided(SendsLeft::Some, now + 500ms), none) << "the request may hang";
     subject.onAnswered(first, now, now);
     EXPECT_TRUE(subject.onTrial().empty());
-    EXPECT_EQ(subject.closedTrials(SendsLeft::None, now), none);
+    EXPECT_EQ(subject.avoided(SendsLeft::None, now), none);
 }
 
 // Guards against a server that is never used again where all requests can be sent only once.
@@ -231,8 +231,8 @@
     auto subject = health(9);
     failOften(subject, first, Instant{});
     auto const now = restore(subject, first);
-    EXPECT_EQ(subject.closedTrials(SendsLeft::None, now + 2900ms), onlyFirst);
-    EXPECT_EQ(subject.closedTrials(SendsLeft::None, now + 3s), none);
+    EXPECT_EQ(subject.avoided(SendsLeft::None, now + 2900ms), onlyFirst);
+    EXPECT_EQ(subject.avoided(SendsLeft::None, now + 3s), none);
 }
 
 // Guards against taking the end of an older stream, or a rejection, for an answer of a server that fails all new requests.
@@ -306,3 +306,30 @@
     }
     EXPECT_TRUE(subject.ejected().empty());
 }
+
+// A server resets new requests at once while the streams that it has go on. Guards against clearing each failure with their events, so that
+// the server is not ejected before the last of them has ended.
+TEST(ServerHealthTest, AnAnswerToAnOlderRequestClearsNoFailure)
+{
+    auto subject = health(9);
+    Instant now{1min};
+    auto const sentAt = now - 1s;
+    for (int failure = 0; failure < 3; ++failure, now += 100ms) {
+        subject.onEvidence(first, ServerEvidence::FreshConnectionFailed, now);
+        subject.onAnswered(first, sentAt, now + 30ms);
+    }
+    EXPECT_EQ(subject.ejected(), std::set<ServerId>{first});
+}
+
+// Guards against the last send of a request to a server that has just failed another one.
+TEST(ServerHealthTest, ARequestWithoutSendsLeftAvoidsServersThatFailedTheLastOne)
+{
+    auto subject = health(9);
+    Instant const now{1min};
+    subject.onEvidence(first, ServerEvidence::FreshConnectionFailed, now);
+    EXPECT_EQ(subject.avoided(SendsLeft::None, now), onlyFirst);
+    EXPECT_EQ(subject.avoided(SendsLeft::Some, now), none) << "one failure ejects no server";
+    EXPECT_EQ(subject.avoided(SendsLeft::None, now + 1min), none);
+    subject.onAnswered(first, now, now + 1ms);
+    EXPECT_EQ(subject.avoided(SendsLeft::None, now + 1ms), none);
+}
