--- a/Libraries/LibJobs/CarefulPlacement.cpp
+++ b/Libraries/LibJobs/CarefulPlacement.cpp
@@ -125,7 +125,8 @@
     nextRemovalAt_ = now + EvidenceRetention;
     std::erase_if(evidence_, [&](auto const &entry) {
         auto const &evidence = entry.second;
-        return std::max({evidence.answeredAt, evidence.failedAt, evidence.respondedAt, evidence.acceptedAt, evidence.sentAt}) < now - EvidenceRetention;
+        return std::max({evidence.answeredAt, evidence.failedAt, evidence.respondedAt, evidence.acceptedAt, evidence.sentAt})
+            < now - EvidenceRetention;
     });
 }
 
