--- a/Services/Node/JobRunner.cpp
+++ b/Services/Node/JobRunner.cpp
@@ -522,8 +522,8 @@
     for (auto &server : servers) {
         auto const known = context_.directory.find(server.id, now);
         auto const allowance = known ? context_.limits.allowances().find(known->record, Serving::Urgency::Batch, now) : std::nullopt;
-        bool const isClosed = std::ranges::find(avoided, server.id) != avoided.end();
-        server.acceptsNew = server.acceptsNew && !isClosed && !(allowance && allowance->exhaustedUntil);
+        bool const isAvoided = std::ranges::find(avoided, server.id) != avoided.end();
+        server.acceptsNew = server.acceptsNew && !isAvoided && !(allowance && allowance->exhaustedUntil);
     }
     return servers;
 }
--- a/Services/Node/JobRunner.h
+++ b/Services/Node/JobRunner.h
@@ -101,7 +101,7 @@
     /// Calls `start` once there is a permit for one item, if the server has a free slot then.
     void withPermit(Serving::ServerRecord const &server, std::function<void(Instant now)> start);
     [[nodiscard]] bool hasFreeSlot(Serving::ServerRecord const &server) const;
-    /// The servers, of which those without permits and those whose trials are closed accept no new items.
+    /// The servers, of which those without permits and those to be avoided accept no new items.
     [[nodiscard]] std::vector<Jobs::PoolServer>
     openNow(std::vector<Jobs::PoolServer> servers, std::span<ServerId const> avoided, Instant now) const;
     void preempt(ServerId const &server, std::uint32_t count, Instant now);
